Lay out the workspace and fix the interfaces between packages

Cause: nothing existed; several people are to build side by side, so the headers come first. Weighed: typed action lists against abstract ports with callbacks for the decision core. Ports were taken: components compose by plain calls, and with a virtual scheduler they replay just as exactly. No behaviour yet, no tests yet.

--- /dev/null
+++ b/packages/zinnia_adapters/placeholder.cc
@@ -0,0 +1,1 @@
+namespace zinnia {}
--- /dev/null
+++ b/packages/zinnia_apps/command_line/main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- /dev/null
+++ b/packages/zinnia_base/errors/error_exception.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <stdexcept>
+#include <utility>
+
+#include "zinnia_base/errors/error.h"
+
+namespace zinnia {
+
+/** Carries an Error through code that throws. Result::value() throws it for a failed result. */
+class ErrorException : public std::runtime_error {
+ public:
+  explicit ErrorException(Error error)
+      : std::runtime_error(Describe(error)), m_error(std::move(error)) {}
+
+  const Error& GetError() const { return m_error; }
+
+ private:
+  Error m_error;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/configuration/configuration_view.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <memory>
+
+#include "zinnia_world/configuration/configuration.h"
+
+namespace zinnia {
+
+/** Hears of each newer configuration that came into force here. */
+class ConfigurationListener {
+ public:
+  virtual ~ConfigurationListener() = default;
+  virtual void OnConfigurationChanged(const Configuration& configuration) = 0;
+};
+
+/** The configuration in force on this instance. Never null; revision 0 before the first. */
+class ConfigurationView {
+ public:
+  virtual ~ConfigurationView() = default;
+  virtual std::shared_ptr<const Configuration> Current() const = 0;
+  virtual void AddListener(ConfigurationListener& listener) = 0;
+  virtual void RemoveListener(ConfigurationListener& listener) = 0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/ports/engine_orders.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "zinnia_base/errors/result.h"
+#include "zinnia_base/time/clock.h"
+#include "zinnia_world/fleet/backend_server.h"
+
+namespace zinnia {
+
+/** An order to an engine to hold a layer range of a model version. `epoch` is the fencing number;
+    engines that check it refuse a lower one than they have seen. `valid_for` is how long the order
+    may still be started after it was sent. */
+struct LoadOrder {
+  std::string order_id;
+  LoadedRange target;
+  std::uint64_t epoch = 0;
+  std::chrono::milliseconds valid_for{5'000};
+};
+
+/** What an engine says of itself. */
+struct EngineState {
+  std::optional<LoadedRange> loaded;
+  std::optional<LoadedRange> loading;
+  bool leaving = false;
+  bool checks_fencing = false;
+  std::uint64_t highest_epoch = 0;
+  std::uint64_t incarnation = 0;
+};
+
+/** Orders to engines and the reading back of their state. Callbacks run later, on the control
+    thread. kStaleEpoch: refused for its fencing number. kOutcomeUnknown: the answer was lost. */
+class EngineOrders {
+ public:
+  virtual ~EngineOrders() = default;
+  virtual void Order(const BackendServerName& server,
+                     LoadOrder order,
+                     std::function<void(Result<void>)> callback) = 0;
+  virtual void ReadState(const BackendServerName& server,
+                         std::function<void(Result<EngineState>)> callback) = 0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/ports/instance_list.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "zinnia_base/errors/result.h"
+#include "zinnia_world/fleet/backend_server.h"
+#include "zinnia_world/fleet/instance.h"
+
+namespace zinnia {
+
+/** One row of the platform's list of backend servers. */
+struct ListedServer {
+  BackendServer server;
+  bool leaving = false;
+};
+
+/** What the platform's list says now. It lags behind reality: a hint, never a proof. */
+struct InstanceListing {
+  std::vector<ListedServer> servers;
+  std::vector<Instance> instances;
+};
+
+/** The platform's list of live and leaving instances and backend servers. */
+class InstanceList {
+ public:
+  using Callback = std::function<void(Result<InstanceListing>)>;
+
+  virtual ~InstanceList() = default;
+
+  /** Reads the list once. The callback runs later, on the control thread. */
+  virtual void Read(Callback callback) = 0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/ports/platform_store.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "zinnia_base/errors/result.h"
+
+namespace zinnia {
+
+/** A record of the platform's store. `version` is the store-wide number of the write that made it;
+    it grows with every write to any key. No value: the key was deleted at that version. */
+struct StoreRecord {
+  std::string key;
+  std::uint64_t version = 0;
+  std::optional<std::string> value;
+
+  bool operator==(const StoreRecord&) const = default;
+};
+
+/** All records under a prefix that changed after some version, and the store's version now. */
+struct StoreBatch {
+  std::vector<StoreRecord> records;
+  std::uint64_t version = 0;
+};
+
+using StoreLeaseId = std::uint64_t;
+
+/** The platform's key-value service: compare-and-swap, leases, watches, outages.
+
+    Every callback runs exactly once, later, on the control thread, never from inside the call.
+    Failures:
+    - kStoreUnavailable: the call certainly had no effect;
+    - kStoreOutcomeUnknown: the answer was lost, so a write may or may not have taken effect. Read
+      the record back before concluding anything;
+    - kStoreConflict: the record was at another version; nothing was written.
+
+    Each call counts against the store's rates, a waiting watch as one.
+*/
+class PlatformStore {
+ public:
+  using ReadCallback = std::function<void(Result<std::optional<StoreRecord>>)>;
+  using WriteCallback = std::function<void(Result<std::uint64_t>)>;
+  using BatchCallback = std::function<void(Result<StoreBatch>)>;
+  using LeaseCallback = std::function<void(Result<StoreLeaseId>)>;
+  using DoneCallback = std::function<void(Result<void>)>;
+
+  virtual ~PlatformStore() = default;
+
+  virtual void Get(std::string key, ReadCallback callback) = 0;
+
+  virtual void List(std::string prefix, BatchCallback callback) = 0;
+
+  /** Writes `value` if the record's version is `expected_version` (0: the key must not exist), and
+      gives the new version. With a lease, the record is deleted when the lease ends. */
+  virtual void CompareAndSwap(std::string key,
+                              std::uint64_t expected_version,
+                              std::string value,
+                              std::optional<StoreLeaseId> lease,
+                              WriteCallback callback) = 0;
+
+  virtual void Delete(std::string key, std::uint64_t expected_version, WriteCallback callback) = 0;
+
+  virtual void GrantLease(std::chrono::milliseconds time_to_live, LeaseCallback callback) = 0;
+  virtual void KeepLeaseAlive(StoreLeaseId lease, DoneCallback callback) = 0;
+  virtual void RevokeLease(StoreLeaseId lease, DoneCallback callback) = 0;
+
+  /** Calls back once: as soon as something under `prefix` changed after `after_version`, or with an
+      empty batch after `longest_wait`. Ask again from the batch's version. */
+  virtual void Watch(std::string prefix,
+                     std::uint64_t after_version,
+                     std::chrono::milliseconds longest_wait,
+                     BatchCallback callback) = 0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/sessions/resume_token.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "zinnia_base/errors/result.h"
+#include "zinnia_base/hashing/fingerprint.h"
+#include "zinnia_base/time/clock.h"
+#include "zinnia_world/fleet/pipeline.h"
+#include "zinnia_world/names/names.h"
+
+namespace zinnia {
+
+/** What any instance needs to take up a stream where another one left it. The caller holds it as
+   the id of each event. `delivered_hash` covers all text delivered so far, `request` the request
+   that it answers. */
+struct ResumePoint {
+  SessionName session;
+  OrganisationName organisation;
+  Fingerprint request;
+  AttemptNumber attempt = 0;
+  std::uint32_t delivered_tokens = 0;
+  Fingerprint delivered_hash;
+  std::uint64_t seed = 0;
+  Route route;
+  std::int64_t expires_at_unix_ms = 0;
+
+  bool operator==(const ResumePoint&) const = default;
+};
+
+/** Seals resume points into event ids and opens them again.
+
+    @see SignedResumeTokenCodec
+*/
+class ResumeTokenCodec {
+ public:
+  virtual ~ResumeTokenCodec() = default;
+  virtual std::string Seal(const ResumePoint& point) const = 0;
+
+  /** Fails with kResumeRefused if the token is altered, cut, or not ours. Expiry and ownership are
+      the caller's to check. */
+  virtual Result<ResumePoint> Open(const std::string& token) const = 0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_world/configuration/configuration_entry.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "zinnia_world/names/names.h"
+
+namespace zinnia {
+
+/** One object of the configuration, as JSON under a path such as "organisation/kitanda".
+
+    `revision` is the configuration revision that wrote it; without a value it is a tombstone, kept
+    so that a delta can tell of the removal.
+*/
+struct ConfigurationEntry {
+  std::string path;
+  ConfigurationRevision revision = 0;
+  std::optional<std::string> value;
+
+  bool operator==(const ConfigurationEntry&) const = default;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_world/fleet/network_address.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "zinnia_base/errors/result.h"
+
+namespace zinnia {
+
+/** An IP number and a port. Never a host name: processes find each other by IP number. */
+struct NetworkAddress {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  /** Parses "IP:PORT". Fails with kInvalidSettings. */
+  static Result<NetworkAddress> Parse(const std::string& text);
+  std::string ToString() const;
+  auto operator<=>(const NetworkAddress&) const = default;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_world/fleet/pipeline.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "zinnia_world/fleet/layer_range.h"
+#include "zinnia_world/names/names.h"
+
+namespace zinnia {
+
+/** One stage of a pipeline: a layer range and the backend servers that hold it, any of which can
+    take a session's steps. */
+struct PipelineStage {
+  LayerRange layers;
+  std::vector<BackendServerName> replicas;
+
+  bool operator==(const PipelineStage&) const = default;
+};
+
+/** A way through a model: stages whose layer ranges follow each other without gap or overlap. */
+struct Pipeline {
+  PipelineName name;
+  ModelName model;
+  std::string version;
+  std::vector<PipelineStage> stages;
+  bool draining = false;
+
+  bool operator==(const Pipeline&) const = default;
+};
+
+/** The backend server chosen for each stage of one attempt. */
+struct Route {
+  PipelineName pipeline;
+  ModelName model;
+  std::string version;
+  struct Hop {
+    LayerRange layers;
+    BackendServerName server;
+    bool operator==(const Hop&) const = default;
+  };
+  std::vector<Hop> hops;
+
+  bool operator==(const Route&) const = default;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_world/fleet/server_load.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+#include "zinnia_base/time/clock.h"
+
+namespace zinnia {
+
+/** What is known of a backend server's load: its own report, late by nature, and what this instance
+    sent and got back since. */
+struct ServerLoad {
+  std::uint32_t reported_running = 0;
+  std::uint32_t reported_queued = 0;
+  TimePoint reported_at{};
+  std::uint32_t sent_since_report = 0;
+  std::uint32_t in_flight_here = 0;
+  Duration step_time_p50{};
+  Duration step_time_p99{};
+  double prefill_tokens_per_second = 0.0;
+  double decode_tokens_per_second = 0.0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_world/requests/request_class.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string_view>
+
+namespace zinnia {
+
+/** Classes of work that metrics, credits and admission tell apart. */
+enum class RequestClass { kChat, kServiceCall };
+
+constexpr std::string_view NameOf(RequestClass request_class) {
+  return request_class == RequestClass::kChat ? "chat" : "service_call";
+}
+
+}  // namespace zinnia
