--- /dev/null
+++ b/packages/zinnia_adapters/http/http_client.cc
@@ -0,0 +1,221 @@
+#include "zinnia_adapters/http/http_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "zinnia_adapters/http/http_connection_pool.h"
+
+namespace zinnia {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+using Stream = HttpConnectionPool::Stream;
+using StringRequest = http::request<http::string_body>;
+using ResponseParser = http::response_parser<http::string_body>;
+
+constexpr auto kTuple = asio::experimental::as_tuple(asio::use_awaitable);
+constexpr std::uint32_t kLargestHeaderBytes = 64 * 1024;
+
+/** One call of HttpClient. `answer_begun` is set by the first byte of an answer. */
+struct Exchange {
+  NetworkAddress address;
+  HttpRequest request;
+  TimePoint deadline{};
+  HttpClient::Callback callback;
+  bool on_kept_connection = false;
+  bool answer_begun = false;
+};
+
+StringRequest ToBeast(const NetworkAddress& address, const HttpRequest& request) {
+  StringRequest message(http::string_to_verb(request.method), request.target, 11);
+  message.method_string(request.method);
+  message.set(http::field::host, address.ToString());
+  for (const auto& [name, value] : request.headers) {
+    message.insert(name, value);
+  }
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponse FromBeast(http::response<http::string_body> message) {
+  HttpResponse response;
+  response.status = message.result_int();
+  for (const auto& field : message) {
+    response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+HttpFailure Failed(HttpFailureStage stage,
+                   const NetworkAddress& address,
+                   const beast::error_code& error) {
+  return {stage, address.ToString() + ": " + error.message()};
+}
+
+bool IsBroken(const beast::error_code& error) {
+  return error.category() == make_error_code(http::error::end_of_stream).category() &&
+         error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+}  // namespace
+
+void throw_exception_from_error(const HttpFailure& failure, const boost::source_location&) {
+  throw std::runtime_error(failure.message);
+}
+
+class HttpClient::Impl {
+ public:
+  Impl(const Clock& clock, Post post, HttpClientOptions options)
+      : m_clock(clock),
+        m_post(std::move(post)),
+        m_options(options),
+        m_pool(clock, options.idle_connections_per_address, options.idle_limit),
+        m_work(asio::make_work_guard(m_context)),
+        m_thread([this] { m_context.run(); }) {}
+
+  ~Impl() {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  void Start(std::shared_ptr<Exchange> exchange, Duration time_limit) {
+    exchange->deadline = m_clock.Now() + time_limit;
+    asio::post(m_context, [this, exchange = std::move(exchange)] {
+      asio::co_spawn(m_context, Run(exchange), asio::detached);
+    });
+  }
+
+ private:
+  asio::awaitable<void> Run(std::shared_ptr<Exchange> exchange);
+  asio::awaitable<HttpResult> TryOnce(Exchange& exchange, bool may_use_kept);
+  asio::awaitable<std::optional<HttpFailure>> Connect(Exchange& exchange, Stream& stream);
+  asio::awaitable<HttpResult> Converse(Exchange& exchange, std::unique_ptr<Stream> stream);
+  void Finish(const std::shared_ptr<Exchange>& exchange, HttpResult result);
+
+  const Clock& m_clock;
+  const Post m_post;
+  const HttpClientOptions m_options;
+  std::map<NetworkAddress, std::size_t> m_in_flight;
+  asio::io_context m_context{1};
+  HttpConnectionPool m_pool;
+  asio::executor_work_guard<asio::io_context::executor_type> m_work;
+  std::thread m_thread;
+};
+
+asio::awaitable<void> HttpClient::Impl::Run(std::shared_ptr<Exchange> exchange) {
+  std::size_t& in_flight = m_in_flight[exchange->address];
+  if (in_flight >= m_options.calls_in_flight_per_address) {
+    Finish(exchange, HttpFailure{HttpFailureStage::kNotSent,
+                                 exchange->address.ToString() + ": too many calls in flight"});
+    co_return;
+  }
+  ++in_flight;
+  HttpResult result = co_await TryOnce(*exchange, true);
+  const bool stale = result.has_error() && exchange->on_kept_connection && !exchange->answer_begun;
+  const bool harmless = result.has_error() && (exchange->request.repeatable ||
+                                               result.error().stage == HttpFailureStage::kNotSent);
+  if (stale && harmless) {
+    result = co_await TryOnce(*exchange, false);
+  }
+  if (--in_flight == 0) {
+    m_in_flight.erase(exchange->address);
+  }
+  Finish(exchange, std::move(result));
+}
+
+asio::awaitable<HttpResult> HttpClient::Impl::TryOnce(Exchange& exchange, bool may_use_kept) {
+  auto stream = may_use_kept ? m_pool.Take(exchange.address) : nullptr;
+  exchange.on_kept_connection = stream != nullptr;
+  if (!stream) {
+    stream = std::make_unique<Stream>(m_context);
+    std::optional<HttpFailure> failure = co_await Connect(exchange, *stream);
+    if (failure) {
+      co_return std::move(*failure);
+    }
+  }
+  HttpResult result = co_await Converse(exchange, std::move(stream));
+  co_return result;
+}
+
+asio::awaitable<std::optional<HttpFailure>> HttpClient::Impl::Connect(Exchange& exchange,
+                                                                      Stream& stream) {
+  beast::error_code error;
+  const auto ip = asio::ip::make_address(exchange.address.ip, error);
+  if (error) {
+    co_return Failed(HttpFailureStage::kNotSent, exchange.address, error);
+  }
+  const asio::ip::tcp::endpoint endpoint(ip, exchange.address.port);
+  stream.expires_after(exchange.deadline - m_clock.Now());
+  std::tie(error) = co_await stream.async_connect(endpoint, kTuple);
+  if (error) {
+    co_return Failed(HttpFailureStage::kNotSent, exchange.address, error);
+  }
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  co_return std::nullopt;
+}
+
+asio::awaitable<HttpResult> HttpClient::Impl::Converse(Exchange& exchange,
+                                                       std::unique_ptr<Stream> stream) {
+  StringRequest message = ToBeast(exchange.address, exchange.request);
+  stream->expires_after(exchange.deadline - m_clock.Now());
+  const auto [write_error, written] = co_await http::async_write(*stream, message, kTuple);
+  if (write_error) {
+    const auto stage = written > 0 ? HttpFailureStage::kNoAnswer : HttpFailureStage::kNotSent;
+    co_return Failed(stage, exchange.address, write_error);
+  }
+  beast::flat_buffer buffer;
+  ResponseParser parser;
+  parser.body_limit(m_options.largest_body_bytes);
+  parser.header_limit(kLargestHeaderBytes);
+  parser.skip(message.method() == http::verb::head);
+  const auto [read_error, read] = co_await http::async_read(*stream, buffer, parser, kTuple);
+  exchange.answer_begun = read > 0 || parser.got_some();
+  if (read_error) {
+    const auto stage =
+        IsBroken(read_error) ? HttpFailureStage::kBadAnswer : HttpFailureStage::kNoAnswer;
+    co_return Failed(stage, exchange.address, read_error);
+  }
+  if (parser.get().keep_alive() && buffer.size() == 0) {
+    stream->expires_never();
+    m_pool.Keep(exchange.address, std::move(stream));
+  }
+  co_return FromBeast(parser.release());
+}
+
+void HttpClient::Impl::Finish(const std::shared_ptr<Exchange>& exchange, HttpResult result) {
+  m_post([exchange, result = std::move(result)]() mutable {
+    exchange->callback(std::move(result));
+  });
+}
+
+HttpClient::HttpClient(const Clock& clock, Post post, HttpClientOptions options)
+    : m_impl(std::make_unique<Impl>(clock, std::move(post), options)) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Send(const NetworkAddress& address,
+                      HttpRequest request,
+                      Duration time_limit,
+                      Callback callback) {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->address = address;
+  exchange->request = std::move(request);
+  exchange->callback = std::move(callback);
+  m_impl->Start(std::move(exchange), time_limit);
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/http/http_client.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "zinnia_adapters/http/http_messages.h"
+#include "zinnia_base/time/clock.h"
+#include "zinnia_world/fleet/network_address.h"
+
+namespace zinnia {
+
+/** Bounds of HttpClient. Over `calls_in_flight_per_address`, calls fail at once as kNotSent. */
+struct HttpClientOptions {
+  std::size_t largest_body_bytes = std::size_t{8} << 20;
+  std::size_t calls_in_flight_per_address = 256;
+  std::size_t idle_connections_per_address = 8;
+  Duration idle_limit = std::chrono::seconds(30);
+};
+
+/** Sends HTTP/1.1 requests to IP numbers, over kept connections, from one I/O thread of its own.
+
+    Each call has a connection to itself while it runs, so a long poll never delays other calls. The
+    callback is handed to the `post` function given at construction and runs wherever that runs it,
+    exactly once, never from inside Send. Calls in flight when the client is destroyed are dropped
+    without a callback.
+
+    Safe to use from any thread. Destroy it from a thread that is not its own.
+*/
+class HttpClient {
+ public:
+  using Post = std::function<void(std::function<void()>)>;
+  using Callback = std::function<void(HttpResult)>;
+
+  HttpClient(const Clock& clock, Post post, HttpClientOptions options);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /** `time_limit` covers the whole exchange, connecting included. */
+  void Send(const NetworkAddress& address,
+            HttpRequest request,
+            Duration time_limit,
+            Callback callback);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace zinnia
--- a/packages/zinnia_decisions/ports/engine_orders.h
+++ b/packages/zinnia_decisions/ports/engine_orders.h
@@ -21,7 +21,7 @@
   std::chrono::milliseconds valid_for{5'000};
 };
 
-/** What an engine says of itself. */
+/** What an engine says of itself. `running` and `queued` count its requests, late by nature. */
 struct EngineState {
   std::optional<LoadedRange> loaded;
   std::optional<LoadedRange> loading;
@@ -29,6 +29,8 @@
   bool checks_fencing = false;
   std::uint64_t highest_epoch = 0;
   std::uint64_t incarnation = 0;
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
 };
 
 /** Orders to engines and the reading back of their state. Callbacks run later, on the control
