Drive sessions through the stages and recover them

Cause: a token has to pass all stages once and in order, also when a stage dies. Weighed: rebuilding the whole route after each failure; instead only hops up to the last one without a usable cache are replayed, the later ones adopt the older attempt.

--- /dev/null
+++ b/packages/zinnia_decisions/sessions/cache_moves.cc
@@ -0,0 +1,63 @@
+#include "zinnia_decisions/sessions/cache_moves.h"
+
+#include <utility>
+
+namespace zinnia {
+namespace {
+
+constexpr std::chrono::seconds kLongestMove{2};
+
+}  // namespace
+
+std::shared_ptr<CacheMoves> CacheMoves::Start(const SessionParts& parts,
+                                              const SessionName& session,
+                                              const std::vector<Order>& orders,
+                                              AttemptNumber new_attempt,
+                                              Callback callback) {
+  std::shared_ptr<CacheMoves> moves(new CacheMoves(orders, std::move(callback)));
+  const std::weak_ptr<CacheMoves> weak = moves;
+  moves->m_time_limit = parts.scheduler.ScheduleAfter(kLongestMove, [weak] {
+    if (const auto self = weak.lock()) {
+      self->End();
+    }
+  });
+  for (std::size_t index = 0; index < orders.size(); ++index) {
+    const Order& order = orders[index];
+    parts.links.MoveCache(order.from, order.to, session, order.attempt, new_attempt,
+                          [weak, index](const Result<std::uint32_t>& result) {
+                            if (const auto self = weak.lock()) {
+                              self->Finish(index, result);
+                            }
+                          });
+  }
+  return moves;
+}
+
+CacheMoves::CacheMoves(const std::vector<Order>& orders, Callback callback)
+    : m_missing(orders.size()), m_callback(std::move(callback)) {
+  for (const Order& order : orders) {
+    m_outcomes.push_back({order, 0, "no answer in time"});
+  }
+}
+
+void CacheMoves::Finish(std::size_t index, const Result<std::uint32_t>& result) {
+  Outcome& outcome = m_outcomes[index];
+  if (result) {
+    outcome.length = *result;
+    outcome.failure.clear();
+  } else {
+    outcome.failure = result.error().message;
+  }
+  if (--m_missing == 0) {
+    End();
+  }
+}
+
+void CacheMoves::End() {
+  m_time_limit.reset();
+  if (const Callback callback = std::exchange(m_callback, nullptr)) {
+    callback(std::move(m_outcomes));
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/sessions/cache_moves.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "zinnia_base/errors/result.h"
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/sessions/session_driver.h"
+
+namespace zinnia {
+
+/** Moves a session's caches from servers that are leaving to those that take their place, all at
+    once, and tells when the last one has arrived or failed.
+
+    Bounded in time: a transfer that does not end counts as failed, and its stage is replayed.
+    Destroying it drops whatever has not been answered.
+*/
+class CacheMoves {
+ public:
+  struct Order {
+    std::size_t hop = 0;
+    BackendServerName from;
+    BackendServerName to;
+    AttemptNumber attempt = 0;
+  };
+
+  /** How many positions arrived; nothing if the transfer failed. */
+  struct Outcome {
+    Order order;
+    std::uint32_t length = 0;
+    std::string failure;
+  };
+  using Callback = std::function<void(std::vector<Outcome>)>;
+
+  /** Imports as `new_attempt`. The callback runs once, later. */
+  static std::shared_ptr<CacheMoves> Start(const SessionParts& parts,
+                                           const SessionName& session,
+                                           const std::vector<Order>& orders,
+                                           AttemptNumber new_attempt,
+                                           Callback callback);
+
+ private:
+  CacheMoves(const std::vector<Order>& orders, Callback callback);
+  void Finish(std::size_t index, const Result<std::uint32_t>& result);
+  void End();
+
+  std::vector<Outcome> m_outcomes;
+  std::size_t m_missing;
+  Callback m_callback;
+  std::unique_ptr<ScheduledCall> m_time_limit;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/sessions/pipeline_session.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/routing/pipeline_chooser.h"
+#include "zinnia_decisions/sessions/cache_moves.h"
+#include "zinnia_decisions/sessions/known_answer.h"
+#include "zinnia_decisions/sessions/recovery_routes.h"
+#include "zinnia_decisions/sessions/resume_lookup.h"
+#include "zinnia_decisions/sessions/session_driver.h"
+#include "zinnia_decisions/sessions/session_records.h"
+#include "zinnia_decisions/sessions/step_relay.h"
+
+namespace zinnia {
+
+class AnswerListener;
+
+/** The driver behind SessionDriver::Create: decides when an attempt starts, ends and is recovered.
+
+    StepRelay carries the steps of an attempt, KnownAnswer keeps the tokens, RecoveryRoutes finds
+    other servers, CacheMoves and ResumeLookup do what their names say.
+*/
+class PipelineSession final : public SessionDriver,
+                              public std::enable_shared_from_this<PipelineSession> {
+ public:
+  PipelineSession(const SessionParts& parts,
+                  SessionName session,
+                  ChatRequest request,
+                  std::optional<ResumePoint> resume,
+                  std::weak_ptr<AnswerListener> listener);
+
+  void Start() override;
+  void Cancel() override;
+  void LeaveDrainingServers() override;
+  SessionStatus Status() const override;
+  void OnStepAnswer(std::uint32_t hop, StepAnswer answer) override;
+
+ private:
+  bool IsOver() const;
+
+  // The healthy path.
+  void StartOn(RouteChoice choice);
+  void StartAttempt(const Route& route);
+  void StartPass();
+  void TakeToken(const SampledToken& token);
+  bool AddToken(const SampledToken& token);
+  void Deliver(const SampledToken& token);
+  void Finish();
+  void WatchForSilence();
+
+  // Failures.
+  void TakeFailure(const StepAnswer& answer);
+  void RecordFailure(const StepAnswer& answer);
+  void Recover(StepStatus cause, std::uint32_t hop);
+  bool MayStayOn(StepStatus cause, const BackendServerName& server);
+  void FindOtherRoute(StepStatus cause, std::uint32_t hop);
+  void WaitForRoute(StepStatus cause, std::uint32_t hop);
+  void TakeReplacement(StepStatus cause, std::uint32_t hop, const RouteChoice& choice);
+  void NoteWhetherRun(StepStatus status);
+  void EndRecovery();
+  void Fail(Error error);
+
+  // Servers that leave.
+  std::vector<std::size_t> LeavingHops() const;
+  void LeaveNow();
+  void MoveCaches(const Route& route, const std::vector<CacheMoves::Order>& orders);
+  void TakeMoves(const Route& route,
+                 AttemptNumber imported_as,
+                 const std::vector<CacheMoves::Outcome>& outcomes);
+
+  // Streams that another instance began.
+  void StartResume();
+  void TakeFound(const std::optional<FoundSession>& found);
+  void ContinueFound(const FoundSession& found);
+  void Regenerate();
+
+  RouteQuery MakeQuery() const;
+  std::string RequiredVersion() const;
+  void SwitchRoute(const Route& route);
+  void EndRouteUse();
+
+  SessionParts m_parts;
+  const SessionName m_session;
+  const ChatRequest m_request;
+  const std::optional<ResumePoint> m_resume;
+  const std::weak_ptr<AnswerListener> m_listener;
+  SessionRecords m_records;
+  RecoveryRoutes m_routes;
+  KnownAnswer m_answer;
+  StepRelay m_relay;
+  ResumePoint m_point;
+  SessionState m_state = SessionState::kWaiting;
+  Route m_route;
+  RouteQuery m_query_sent;
+  bool m_uses_route = false;
+  AttemptNumber m_next_attempt;
+  WasRun m_was_run = WasRun::kNo;
+  TimePoint m_started_at{};
+  TimePoint m_step_sent_at{};
+  std::unique_ptr<ScheduledCall> m_silence_watch;
+
+  std::uint32_t m_recoveries = 0;
+  std::uint32_t m_moves = 0;
+  std::set<BackendServerName> m_crashed_servers;
+  std::set<BackendServerName> m_tried_again;
+  std::optional<std::size_t> m_isolated_until_tokens;
+  std::optional<RecoveryTimes> m_recovery_times;
+  TimePoint m_failure_noticed_at{};
+  TimePoint m_rebuild_started_at{};
+  std::optional<TimePoint> m_route_wait_ends;
+  std::unique_ptr<ScheduledCall> m_route_wait;
+
+  bool m_leave_wanted = false;
+  std::shared_ptr<CacheMoves> m_cache_moves;
+  std::shared_ptr<ResumeLookup> m_lookup;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/sessions/pipeline_session_moves.cc
@@ -0,0 +1,89 @@
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_decisions/ports/snapshot_source.h"
+#include "zinnia_decisions/sessions/attempt_numbers.h"
+#include "zinnia_decisions/sessions/pipeline_session.h"
+
+namespace zinnia {
+namespace {
+
+/** Bounds the attempt numbers that planned leaves use up. */
+constexpr std::uint32_t kMostMoves = 200;
+
+}  // namespace
+
+void PipelineSession::LeaveDrainingServers() {
+  if (IsOver() || m_route.hops.empty() || LeavingHops().empty()) {
+    return;
+  }
+  // A token is on its way through the stages now; the caches have one length only between tokens.
+  m_leave_wanted = true;
+}
+
+std::vector<std::size_t> PipelineSession::LeavingHops() const {
+  const auto fleet = m_parts.snapshots.Current();
+  std::vector<std::size_t> leaving;
+  for (std::size_t hop = 0; hop < m_route.hops.size(); ++hop) {
+    const auto view = fleet->servers.find(m_route.hops[hop].server);
+    if (view != fleet->servers.end() && view->second.state == BackendServerState::kLeaving) {
+      leaving.push_back(hop);
+    }
+  }
+  return leaving;
+}
+
+void PipelineSession::LeaveNow() {
+  m_leave_wanted = false;
+  Route route = m_route;
+  std::vector<CacheMoves::Order> orders;
+  for (const std::size_t hop : LeavingHops()) {
+    const auto choice = m_routes.Replace(route, hop, MakeQuery(), RequiredVersion());
+    const bool same_hops = choice && choice->route.hops.size() == route.hops.size();
+    const auto adoption = m_relay.Caches().AdoptionAt(hop, m_answer.CachedPositions());
+    if (same_hops && adoption) {
+      route = choice->route;
+      orders.push_back({hop, m_route.hops[hop].server, route.hops[hop].server, adoption->attempt});
+    }
+  }
+  if (orders.empty() || m_moves == kMostMoves) {
+    m_records.Write("stay_on_leaving_servers", "no other server has these layers",
+                    {{"route", Describe(m_route)}});
+    StartPass();
+    return;
+  }
+  m_records.Write("leave_servers", "servers of the route are leaving",
+                  {{"from", Describe(m_route)}, {"to", Describe(route)}});
+  MoveCaches(route, orders);
+}
+
+void PipelineSession::MoveCaches(const Route& route, const std::vector<CacheMoves::Order>& orders) {
+  ++m_moves;
+  const AttemptNumber imported_as = m_next_attempt++;
+  m_cache_moves = CacheMoves::Start(m_parts, m_session, orders, imported_as,
+                                    [weak = weak_from_this(), route, imported_as](
+                                        const std::vector<CacheMoves::Outcome>& outcomes) {
+                                      if (const auto self = weak.lock()) {
+                                        self->TakeMoves(route, imported_as, outcomes);
+                                      }
+                                    });
+}
+
+void PipelineSession::TakeMoves(const Route& route,
+                                AttemptNumber imported_as,
+                                const std::vector<CacheMoves::Outcome>& outcomes) {
+  m_relay.Caches().SetRoute(route);
+  for (const CacheMoves::Outcome& outcome : outcomes) {
+    if (outcome.failure.empty()) {
+      m_relay.Caches().Set(outcome.order.hop, imported_as, outcome.length);
+    }
+    m_records.Write("move_cache", outcome.failure.empty() ? "imported" : outcome.failure,
+                    {{"from", outcome.order.from},
+                     {"to", outcome.order.to},
+                     {"length", std::to_string(outcome.length)}});
+  }
+  const auto moves = std::exchange(m_cache_moves, nullptr);
+  StartAttempt(route);
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
@@ -0,0 +1,158 @@
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_decisions/sessions/pipeline_session.h"
+#include "zinnia_decisions/sessions/recovery_gate.h"
+
+namespace zinnia {
+namespace {
+
+/** Enough for a bad day of one answer; a session that needs more does harm where it goes. */
+constexpr std::uint32_t kMostRecoveries = 8;
+
+constexpr std::chrono::seconds kLongestRouteWait{3};
+constexpr std::chrono::milliseconds kRouteWaitStep{50};
+constexpr std::chrono::milliseconds kRetryAfter{2'000};
+
+Error RecoveryFailed(std::string message) {
+  Error error = MakeError(ErrorKind::kRecoveryFailed, std::move(message));
+  error.retry_after = kRetryAfter;
+  return error;
+}
+
+}  // namespace
+
+void PipelineSession::TakeFailure(const StepAnswer& answer) {
+  const std::uint32_t hop = m_relay.Hop();
+  const BackendServerName server = m_route.hops[hop].server;
+  m_relay.NoteFailure(answer);
+  RecordFailure(answer);
+  if (answer.status == StepStatus::kRejected) {
+    Fail(MakeError(ErrorKind::kBackendRejected, "backend server " + server + " refused a step"));
+    return;
+  }
+  if (answer.status == StepStatus::kServerCrashed) {
+    m_crashed_servers.insert(server);
+    m_isolated_until_tokens = m_answer.Tokens().size() + 1;
+  }
+  const auto may_recover = m_parts.recovery_gate.MayRecover(
+      m_request, server, answer.status, static_cast<std::uint32_t>(m_crashed_servers.size()));
+  if (!may_recover) {
+    Fail(may_recover.error());
+    return;
+  }
+  if (m_recoveries == kMostRecoveries) {
+    Fail(RecoveryFailed("the answer was recovered too often"));
+    return;
+  }
+  ++m_recoveries;
+  Recover(answer.status, hop);
+}
+
+void PipelineSession::RecordFailure(const StepAnswer& answer) {
+  const TimePoint now = m_parts.clock.Now();
+  m_failure_noticed_at = now;
+  if (!m_recovery_times) {
+    m_recovery_times.emplace();
+  }
+  m_recovery_times->detection = now - m_step_sent_at;
+  m_state = SessionState::kRecovering;
+  m_records.Write("recover_session", "a step ended with " + std::string(NameOf(answer.status)),
+                  {{"hop", std::to_string(m_relay.Hop())},
+                   {"server", m_route.hops[m_relay.Hop()].server},
+                   {"attempt", std::to_string(m_relay.Attempt())},
+                   {"position", std::to_string(m_relay.Position())},
+                   {"length", std::to_string(answer.length)},
+                   {"known_tokens", std::to_string(m_answer.Tokens().size())}});
+}
+
+void PipelineSession::Recover(StepStatus cause, std::uint32_t hop) {
+  const BackendServerName server = m_route.hops[hop].server;
+  if (MayStayOn(cause, server)) {
+    m_records.Write("keep_route", "the server is alive and repeats the step from its cache",
+                    {{"server", server}});
+    StartAttempt(m_route);
+    return;
+  }
+  m_routes.Exclude(server);
+  m_route_wait_ends = m_parts.clock.Now() + kLongestRouteWait;
+  if (m_request.deadline) {
+    m_route_wait_ends = std::min(*m_route_wait_ends, *m_request.deadline);
+  }
+  FindOtherRoute(cause, hop);
+}
+
+bool PipelineSession::MayStayOn(StepStatus cause, const BackendServerName& server) {
+  switch (cause) {
+    case StepStatus::kConnectionLost:
+      // A cut connection says nothing of the server; a second one within an answer says enough.
+      return m_tried_again.insert(server).second;
+    case StepStatus::kWrongLength:
+    case StepStatus::kUnknownSession:
+      return true;
+    default:
+      return false;
+  }
+}
+
+void PipelineSession::FindOtherRoute(StepStatus cause, std::uint32_t hop) {
+  const auto choice = m_routes.Replace(m_route, hop, MakeQuery(), RequiredVersion());
+  if (choice) {
+    TakeReplacement(cause, hop, *choice);
+    return;
+  }
+  if (m_parts.clock.Now() >= *m_route_wait_ends) {
+    Fail(RecoveryFailed("no other backend server holds the layers of " + m_route.hops[hop].server));
+    return;
+  }
+  WaitForRoute(cause, hop);
+}
+
+void PipelineSession::WaitForRoute(StepStatus cause, std::uint32_t hop) {
+  const bool maybe_alive = cause == StepStatus::kTimedOut || cause == StepStatus::kOverloaded ||
+                           cause == StepStatus::kConnectionLost;
+  m_route_wait = m_parts.scheduler.ScheduleAfter(kRouteWaitStep, [weak = weak_from_this(), cause,
+                                                                  hop, maybe_alive] {
+    const auto self = weak.lock();
+    if (!self || self->IsOver()) {
+      return;
+    }
+    if (!maybe_alive) {
+      self->FindOtherRoute(cause, hop);
+      return;
+    }
+    self->m_records.Write("keep_route", "no other server has these layers and this one may live",
+                          {{"server", self->m_route.hops[hop].server}});
+    self->StartAttempt(self->m_route);
+  });
+}
+
+void PipelineSession::TakeReplacement(StepStatus cause,
+                                      std::uint32_t hop,
+                                      const RouteChoice& choice) {
+  m_records.Write("replace_server", choice.reason,
+                  {{"failed", m_route.hops[hop].server}, {"route", Describe(choice.route)}});
+  const bool same_hops = choice.route.hops.size() == m_route.hops.size();
+  const auto adoption = m_relay.Caches().AdoptionAt(hop, m_answer.CachedPositions());
+  if (cause == StepStatus::kLeaving && same_hops && adoption) {
+    MoveCaches(choice.route,
+               {{hop, m_route.hops[hop].server, choice.route.hops[hop].server, adoption->attempt}});
+    return;
+  }
+  StartAttempt(choice.route);
+}
+
+void PipelineSession::EndRecovery() {
+  if (m_isolated_until_tokens && m_answer.Tokens().size() >= *m_isolated_until_tokens) {
+    m_isolated_until_tokens.reset();
+    m_relay.SetIsolated(false);
+  }
+  if (!m_recovery_times) {
+    return;
+  }
+  m_recovery_times->rebuild = m_parts.clock.Now() - m_rebuild_started_at;
+  m_records.WriteRecovered(*m_recovery_times, m_relay.Attempt());
+  m_recovery_times.reset();
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/sessions/resume_lookup.cc
@@ -0,0 +1,98 @@
+#include "zinnia_decisions/sessions/resume_lookup.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_decisions/ports/snapshot_source.h"
+#include "zinnia_decisions/sessions/known_answer.h"
+
+namespace zinnia {
+namespace {
+
+constexpr std::chrono::milliseconds kLongestAnswer{300};
+constexpr std::size_t kMostServersAsked = 4;
+
+/** The tokens must be a continuation of what the caller has, and the cache must reach up to the
+    last of them; anything else is another answer or a damaged one. */
+bool Continues(const ResumePoint& point, const HeldSession& held) {
+  const bool has_cache = held.length + 1 >= held.prompt_tokens + held.tokens.size();
+  if (held.tokens.empty() || held.tokens.size() < point.delivered_tokens || !has_cache) {
+    return false;
+  }
+  Fingerprint hash;
+  for (std::uint32_t token = 0; token < point.delivered_tokens; ++token) {
+    hash = ExtendDeliveredHash(hash, held.tokens[token].text);
+  }
+  return hash == point.delivered_hash;
+}
+
+}  // namespace
+
+std::shared_ptr<ResumeLookup> ResumeLookup::Start(const SessionParts& parts,
+                                                  const ResumePoint& point,
+                                                  Callback callback) {
+  std::shared_ptr<ResumeLookup> lookup(new ResumeLookup(parts, point, std::move(callback)));
+  lookup->ListCandidates();
+  lookup->AskNext();
+  return lookup;
+}
+
+ResumeLookup::ResumeLookup(const SessionParts& parts, const ResumePoint& point, Callback callback)
+    : m_parts(parts), m_point(point), m_callback(std::move(callback)) {}
+
+void ResumeLookup::ListCandidates() {
+  // The old instance may have replaced the last stage after it sealed this event id; then another
+  // replica of that stage holds the newest tokens.
+  const Route::Hop& last = m_point.route.hops.back();
+  m_candidates.push_back(last.server);
+  for (const Pipeline& pipeline : m_parts.snapshots.Current()->pipelines) {
+    if (pipeline.name != m_point.route.pipeline || pipeline.stages.empty()) {
+      continue;
+    }
+    for (const BackendServerName& server : pipeline.stages.back().replicas) {
+      const bool is_new = std::ranges::find(m_candidates, server) == m_candidates.end();
+      if (is_new && m_candidates.size() < kMostServersAsked) {
+        m_candidates.push_back(server);
+      }
+    }
+  }
+}
+
+void ResumeLookup::AskNext() {
+  const std::weak_ptr<ResumeLookup> weak = weak_from_this();
+  const std::size_t question = m_question;
+  const auto take = [weak, question](const Result<HeldSession>& held) {
+    if (const auto lookup = weak.lock()) {
+      lookup->Take(question, held);
+    }
+  };
+  m_next = m_parts.scheduler.ScheduleAfter(kLongestAnswer, [take] {
+    take(MakeError(ErrorKind::kBackendTimeout, "the server did not say what it holds in time"));
+  });
+  m_parts.links.FindSession(m_candidates[question], m_point.session, take);
+}
+
+void ResumeLookup::Take(std::size_t question, const Result<HeldSession>& held) {
+  if (question != m_question || !m_callback) {
+    return;
+  }
+  if (held && Continues(m_point, *held)) {
+    End(FoundSession{m_candidates[question], *held});
+    return;
+  }
+  ++m_question;
+  if (m_question == m_candidates.size()) {
+    End(std::nullopt);
+    return;
+  }
+  AskNext();
+}
+
+void ResumeLookup::End(std::optional<FoundSession> found) {
+  m_next.reset();
+  if (const Callback callback = std::exchange(m_callback, nullptr)) {
+    callback(std::move(found));
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/sessions/resume_lookup.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "zinnia_base/errors/result.h"
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/sessions/session_driver.h"
+
+namespace zinnia {
+
+/** A session that a stage still holds and whose tokens begin with what the caller has. */
+struct FoundSession {
+  BackendServerName server;
+  HeldSession held;
+};
+
+/** Asks the servers that may know a session's tokens, one after the other, until one's tokens match
+    what the caller was sent. Only a stage that samples knows the texts, so only last stages are
+    worth asking. Destroying it drops the search. */
+class ResumeLookup : public std::enable_shared_from_this<ResumeLookup> {
+ public:
+  using Callback = std::function<void(std::optional<FoundSession>)>;
+
+  /** The callback runs once, later. `point` is copied. */
+  static std::shared_ptr<ResumeLookup> Start(const SessionParts& parts,
+                                             const ResumePoint& point,
+                                             Callback callback);
+
+ private:
+  ResumeLookup(const SessionParts& parts, const ResumePoint& point, Callback callback);
+  void AskNext();
+  void Take(std::size_t question, const Result<HeldSession>& held);
+  void End(std::optional<FoundSession> found);
+  void ListCandidates();
+
+  SessionParts m_parts;
+  const ResumePoint m_point;
+  Callback m_callback;
+  std::vector<BackendServerName> m_candidates;
+  std::size_t m_question = 0;
+  std::unique_ptr<ScheduledCall> m_next;
+};
+
+}  // namespace zinnia
