Carry callers' requests to engines and plain services

One traffic thread runs one Asio loop: the callers' HTTP server, the batched step links to the engines and the forwarder to plain services. Steps of many sessions go in one request per turn of the loop, prefill and isolated steps in lanes of their own; deadlines are learned from a decaying histogram.

--- /dev/null
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -0,0 +1,321 @@
+#include "zinnia_adapters/callers/caller_connection.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "zinnia_adapters/callers/caller_exchange.h"
+#include "zinnia_base/errors/error.h"
+
+namespace zinnia {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 4096;
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+Error UnreadableRequest(const boost::system::error_code& error) {
+  if (error == http::error::body_limit) {
+    return MakeError(ErrorKind::kPayloadTooLarge, "the body is larger than this instance takes");
+  }
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    return MakeError(ErrorKind::kPayloadTooLarge,
+                     "the headers are larger than this instance takes");
+  }
+  if (error == beast::error::timeout) {
+    return MakeError(ErrorKind::kInvalidRequest, "the request did not arrive whole in time");
+  }
+  return MakeError(ErrorKind::kInvalidRequest, "the request is not HTTP/1.1: " + error.message());
+}
+
+bool CallerIsThere(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const auto got = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
+                                   const CallerLimits& limits,
+                                   ConnectionOwner& owner)
+    : m_stream(std::move(socket)),
+      m_limits(limits),
+      m_owner(owner),
+      m_buffer(limits.most_header_bytes + kReadBytes + limits.most_body_bytes) {}
+
+CallerConnection::~CallerConnection() = default;
+
+void CallerConnection::Start() {
+  boost::system::error_code ignored;
+  m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  WaitForRequest();
+}
+
+void CallerConnection::WaitForRequest() {
+  if (m_buffer.size() > 0) {
+    ReadHeader();
+    return;
+  }
+  m_stream.expires_after(m_limits.idle_timeout);
+  m_stream.async_read_some(
+      m_buffer.prepare(kReadBytes),
+      [self = shared_from_this()](const boost::system::error_code& error, std::size_t bytes) {
+        if (error || self->m_closed) {
+          self->Close();
+          return;
+        }
+        self->m_buffer.commit(bytes);
+        self->ReadHeader();
+      });
+}
+
+void CallerConnection::ReadHeader() {
+  m_parser.emplace();
+  m_parser->header_limit(m_limits.most_header_bytes);
+  m_parser->body_limit(m_limits.most_body_bytes);
+  m_stream.expires_after(m_limits.header_timeout);
+  http::async_read_header(m_stream, m_buffer, *m_parser,
+                          [self = shared_from_this()](const boost::system::error_code& error,
+                                                      std::size_t) { self->OnHeader(error); });
+}
+
+void CallerConnection::OnHeader(const boost::system::error_code& error) {
+  if (m_closed) {
+    return;
+  }
+  if (error) {
+    RefuseUnreadable(error);
+    return;
+  }
+  if (!beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+    ReadBody();
+    return;
+  }
+  m_stream.expires_after(m_limits.write_timeout);
+  asio::async_write(
+      m_stream, asio::buffer(kContinue),
+      [self = shared_from_this()](const boost::system::error_code& write_error, std::size_t) {
+        if (write_error || self->m_closed) {
+          self->Close();
+          return;
+        }
+        self->ReadBody();
+      });
+}
+
+void CallerConnection::ReadBody() {
+  m_stream.expires_after(m_limits.body_timeout);
+  http::async_read(
+      m_stream, m_buffer, *m_parser,
+      [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+        if (self->m_closed) {
+          return;
+        }
+        if (error) {
+          self->RefuseUnreadable(error);
+          return;
+        }
+        self->RunExchange();
+      });
+}
+
+void CallerConnection::RefuseUnreadable(const boost::system::error_code& error) {
+  if (error == http::error::end_of_stream || error == asio::error::connection_reset ||
+      error == http::error::partial_message) {
+    Close();
+    return;
+  }
+  m_owner.CountConnectionEvent("caller_unreadable_requests");
+  m_keep_alive = false;
+  SendWhole(MakeProblemResponse(UnreadableRequest(error)));
+}
+
+void CallerConnection::RunExchange() {
+  CallerRequest request = m_parser->release();
+  m_keep_alive = request.keep_alive();
+  m_is_head = request.method() == http::verb::head;
+  m_answer_ended = false;
+  ++m_request_number;
+  m_stream.expires_never();
+  // The exchange may answer and end within Start; the local pointer keeps it until Start returned.
+  const auto exchange = m_owner.CreateExchange(std::move(request), shared_from_this());
+  m_exchange = exchange;
+  WatchCaller();
+  exchange->Start();
+}
+
+void CallerConnection::WatchCaller() {
+  if (m_buffer.size() > 0) {
+    return;  // the next request is here already, so a wait would end at once and tell nothing
+  }
+  m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                               [self = shared_from_this(),
+                                number = m_request_number](const boost::system::error_code& error) {
+                                 if (!error) {
+                                   self->OnReadable(number);
+                                 }
+                               });
+}
+
+void CallerConnection::OnReadable(std::uint64_t request_number) {
+  const bool current = !m_closed && m_exchange && request_number == m_request_number;
+  if (current && !CallerIsThere(m_stream.socket())) {
+    m_owner.CountConnectionEvent("callers_gone");
+    Close();
+  }
+}
+
+void CallerConnection::SendWhole(CallerResponse response) {
+  if (m_closed) {
+    return;
+  }
+  m_response = std::move(response);
+  m_keep_alive = m_keep_alive && !m_owner.IsDraining();
+  m_response.keep_alive(m_keep_alive);
+  if (!m_is_head) {
+    m_response.prepare_payload();
+  }
+  m_writing = true;
+  m_answer_ended = true;
+  m_stream.expires_after(m_limits.write_timeout);
+  http::async_write(m_stream, m_response,
+                    [self = shared_from_this()](const boost::system::error_code& error,
+                                                std::size_t) { self->OnWritten(error); });
+}
+
+void CallerConnection::StartEvents(const std::string& request_id) {
+  if (m_closed) {
+    return;
+  }
+  m_answer_ended = false;
+  m_events_head = EventsHead(http::status::ok, 11);
+  m_events_head.set(http::field::content_type, "text/event-stream");
+  m_events_head.set(http::field::cache_control, "no-store");
+  m_events_head.set("X-Request-Id", request_id);
+  m_keep_alive = m_keep_alive && !m_owner.IsDraining();
+  m_events_head.keep_alive(m_keep_alive);
+  m_events_head.chunked(true);
+  m_head_serializer.emplace(m_events_head);
+  m_writing = true;
+  m_stream.expires_after(m_limits.write_timeout);
+  http::async_write_header(m_stream, *m_head_serializer,
+                           [self = shared_from_this()](const boost::system::error_code& error,
+                                                       std::size_t) { self->OnWritten(error); });
+}
+
+void CallerConnection::SendEvents(std::string_view events) {
+  if (m_closed) {
+    return;
+  }
+  m_waiting_events += events;
+  if (m_waiting_events.size() + m_events_being_written.size() > m_limits.most_unsent_bytes) {
+    m_owner.CountConnectionEvent("callers_cut_off_as_slow_readers");
+    Close();
+  } else if (!m_writing) {
+    WriteEvents();
+  }
+}
+
+void CallerConnection::EndEvents() {
+  if (m_closed) {
+    return;
+  }
+  m_answer_ended = true;
+  if (!m_writing) {
+    WriteEndOfEvents();
+  }
+}
+
+void CallerConnection::WriteEvents() {
+  m_writing = true;
+  m_events_being_written = std::exchange(m_waiting_events, {});
+  m_stream.expires_after(m_limits.write_timeout);
+  asio::async_write(
+      m_stream, http::make_chunk(asio::buffer(m_events_being_written)),
+      [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+        self->m_events_being_written.clear();
+        self->OnWritten(error);
+      });
+}
+
+void CallerConnection::WriteEndOfEvents() {
+  m_writing = true;
+  m_head_serializer.reset();
+  m_stream.expires_after(m_limits.write_timeout);
+  asio::async_write(m_stream, http::make_chunk_last(),
+                    [self = shared_from_this()](const boost::system::error_code& error,
+                                                std::size_t) { self->OnWritten(error); });
+}
+
+void CallerConnection::OnWritten(const boost::system::error_code& error) {
+  m_writing = false;
+  if (m_closed) {
+    return;
+  }
+  if (error) {
+    Close();
+  } else if (!m_waiting_events.empty()) {
+    WriteEvents();
+  } else if (m_answer_ended && m_head_serializer) {
+    WriteEndOfEvents();
+  } else if (m_answer_ended) {
+    FinishRequest();
+  }
+}
+
+void CallerConnection::FinishRequest() {
+  m_exchange.reset();
+  if (m_keep_alive && !m_owner.IsDraining()) {
+    WaitForRequest();
+    return;
+  }
+  // Shutting down the sending side first lets the caller read the whole answer: closing with unread
+  // bytes of the caller would reset the connection and may take the answer with it.
+  boost::system::error_code ignored;
+  m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  m_stream.expires_after(kLingerTime);
+  m_buffer.clear();
+  LingerThenClose();
+}
+
+void CallerConnection::LingerThenClose() {
+  m_stream.async_read_some(
+      m_buffer.prepare(kReadBytes),
+      [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+        if (error || self->m_closed) {
+          self->Close();
+          return;
+        }
+        self->LingerThenClose();
+      });
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (!m_exchange && !m_writing) {
+    Close();
+  }
+}
+
+void CallerConnection::Close() {
+  if (std::exchange(m_closed, true)) {
+    return;
+  }
+  const auto self = shared_from_this();
+  m_stream.close();
+  if (const auto exchange = std::exchange(m_exchange, nullptr)) {
+    exchange->OnCallerGone();
+  }
+  m_owner.OnConnectionClosed(*this);
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/callers/caller_connection.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/basic_stream.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "zinnia_adapters/callers/caller_limits.h"
+#include "zinnia_adapters/callers/responder.h"
+
+namespace zinnia {
+
+class CallerConnection;
+class CallerExchange;
+
+/** What a connection needs of the server it belongs to. */
+class ConnectionOwner {
+ public:
+  virtual ~ConnectionOwner() = default;
+  virtual std::shared_ptr<CallerExchange> CreateExchange(CallerRequest request,
+                                                         std::shared_ptr<Responder> responder) = 0;
+  virtual void OnConnectionClosed(CallerConnection& connection) = 0;
+  virtual bool IsDraining() const = 0;
+  virtual void CountConnectionEvent(std::string_view event) = 0;
+};
+
+/** One HTTP/1.1 connection of a caller: reads a request, lets an exchange answer it, reads the
+   next.
+
+    While the exchange works, the socket is watched for the caller's leaving. Times and sizes are
+    bounded by CallerLimits: a slow sender, a huge body or a slow reader costs a bounded amount and
+    hurts nobody else. After Close, no handler touches the owner any more.
+*/
+class CallerConnection final : public Responder,
+                               public std::enable_shared_from_this<CallerConnection> {
+ public:
+  CallerConnection(boost::asio::ip::tcp::socket socket,
+                   const CallerLimits& limits,
+                   ConnectionOwner& owner);
+  ~CallerConnection() override;
+
+  void Start();
+
+  /** Cuts the connection at once; its exchange hears that the caller is gone. */
+  void Close();
+
+  /** Closes it if it is idle between two requests. */
+  void CloseIfIdle();
+
+  /** The exchange has said all, but not all is written. */
+  bool HasUnsentAnswer() const { return m_exchange && m_answer_ended; }
+
+  void SendWhole(CallerResponse response) override;
+  void StartEvents(const std::string& request_id) override;
+  void SendEvents(std::string_view events) override;
+  void EndEvents() override;
+
+ private:
+  using Stream = boost::beast::basic_stream<boost::asio::ip::tcp, boost::asio::any_io_executor>;
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using EventsHead = boost::beast::http::response<boost::beast::http::empty_body>;
+
+  void WaitForRequest();
+  void ReadHeader();
+  void OnHeader(const boost::system::error_code& error);
+  void ReadBody();
+  void RefuseUnreadable(const boost::system::error_code& error);
+  void RunExchange();
+  void WatchCaller();
+  void OnReadable(std::uint64_t request_number);
+  void WriteEvents();
+  void WriteEndOfEvents();
+  void OnWritten(const boost::system::error_code& error);
+  void FinishRequest();
+  void LingerThenClose();
+
+  Stream m_stream;
+  const CallerLimits& m_limits;
+  ConnectionOwner& m_owner;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<Parser> m_parser;
+  std::shared_ptr<CallerExchange> m_exchange;
+  CallerResponse m_response;
+  EventsHead m_events_head;
+  std::optional<boost::beast::http::response_serializer<boost::beast::http::empty_body>>
+      m_head_serializer;
+  std::string m_waiting_events;
+  std::string m_events_being_written;
+  std::uint64_t m_request_number = 0;
+  bool m_writing = false;
+  bool m_answer_ended = false;
+  bool m_keep_alive = false;
+  bool m_is_head = false;
+  bool m_closed = false;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/engines/engine_channel.cc
@@ -0,0 +1,355 @@
+#include "zinnia_adapters/engines/engine_channel.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/field.hpp>
+#include <iterator>
+#include <utility>
+
+#include "zinnia_adapters/engines/channel_listener.h"
+#include "zinnia_adapters/engines/side_calls.h"
+#include "zinnia_adapters/engines/step_codec.h"
+#include "zinnia_decisions/ports/snapshot_source.h"
+
+namespace zinnia {
+namespace {
+
+namespace http = boost::beast::http;
+
+StepStatus StatusOfFailedCall(unsigned http_status) {
+  return http_status == 503 || http_status == 429 ? StepStatus::kOverloaded : StepStatus::kRejected;
+}
+
+void AnswerStep(const PendingStep& pending, StepStatus status) {
+  if (const auto listener = pending.listener.lock()) {
+    StepAnswer answer;
+    answer.status = status;
+    answer.attempt = pending.step.attempt;
+    listener->OnStepAnswer(pending.hop, std::move(answer));
+  }
+}
+
+std::vector<Fingerprint> FingerprintsOf(const StepBatch& batch) {
+  std::vector<Fingerprint> fingerprints = batch.fingerprints;
+  for (const PendingStep& pending : batch.steps) {
+    fingerprints.push_back(pending.step.fingerprint);
+  }
+  return fingerprints;
+}
+
+std::vector<Fingerprint> FingerprintsOf(const std::vector<std::shared_ptr<StepBatch>>& batches) {
+  std::vector<Fingerprint> fingerprints;
+  for (const auto& batch : batches) {
+    std::ranges::move(FingerprintsOf(*batch), std::back_inserter(fingerprints));
+  }
+  std::ranges::sort(fingerprints);
+  fingerprints.erase(std::ranges::unique(fingerprints).begin(), fingerprints.end());
+  return fingerprints;
+}
+
+}  // namespace
+
+std::shared_ptr<EngineChannel> EngineChannel::Create(const ChannelParts& parts,
+                                                     BackendServerName server) {
+  return std::shared_ptr<EngineChannel>(new EngineChannel(parts, std::move(server)));
+}
+
+EngineChannel::EngineChannel(const ChannelParts& parts, BackendServerName server)
+    : m_parts(parts),
+      m_server(std::move(server)),
+      m_side(SideCalls::Create(parts, m_server)),
+      m_queues{StepQueue(BatchKind::kDecode), StepQueue(BatchKind::kPrefill),
+               StepQueue(BatchKind::kIsolated)} {}
+
+void EngineChannel::Send(PendingStep step) {
+  StepQueue& queue = QueueFor(KindOf(step.step));
+  if (queue.IsFull()) {
+    boost::asio::post(m_parts.loop, [self = shared_from_this(), step = std::move(step)] {
+      AnswerStep(step, StepStatus::kOverloaded);
+    });
+    return;
+  }
+  step.queued_at = m_parts.clock.Now();
+  queue.Push(std::move(step));
+  FlushSoon();
+}
+
+void EngineChannel::FlushSoon() {
+  if (std::exchange(m_flush_posted, true)) {
+    return;
+  }
+  boost::asio::post(m_parts.loop, [self = shared_from_this()] {
+    self->m_flush_posted = false;
+    self->Flush();
+  });
+}
+
+void EngineChannel::Flush() {
+  for (StepQueue& queue : m_queues) {
+    while (!m_probing && !queue.IsEmpty() &&
+           queue.batches_in_flight < StepQueue::LanesFor(queue.Kind())) {
+      SendBatch(queue);
+    }
+  }
+}
+
+void EngineChannel::SendBatch(StepQueue& queue) {
+  auto connection = TakeConnection();
+  if (!connection) {
+    AnswerAll(queue.TakeAll(), StepStatus::kConnectionLost);
+    return;
+  }
+  LearnIncarnation();
+  auto batch = std::make_shared<StepBatch>(queue.TakeBatch());
+  batch->sent_at = m_parts.clock.Now();
+  batch->connection = std::move(connection);
+  batch->deadline = m_parts.scheduler.ScheduleAfter(
+      DeadlineFor(batch->kind).DeadlineFor(batch->units),
+      [self = shared_from_this(), batch] { self->OnDeadline(batch); });
+  ++queue.batches_in_flight;
+  m_in_flight.push_back(batch);
+
+  BackendRequest request(http::verb::post, "/v1/steps", 11);
+  request.set(http::field::content_type, "application/json");
+  request.body() = EncodeSteps(batch->steps);
+  batch->connection->Exchange(std::move(request), StepDeadline::kCap + kLateGrace,
+                              [self = shared_from_this(), batch](ExchangeOutcome outcome) {
+                                self->OnOutcome(batch, std::move(outcome));
+                              });
+}
+
+std::shared_ptr<BackendConnection> EngineChannel::TakeConnection() {
+  const auto snapshot = m_parts.snapshots.Current();
+  const auto found = snapshot->servers.find(m_server);
+  if (found == snapshot->servers.end()) {
+    return nullptr;
+  }
+  const NetworkAddress& address = found->second.server.address;
+  while (!m_idle.empty()) {
+    auto connection = std::move(m_idle.back());
+    m_idle.pop_back();
+    if (connection->IsReusable() && connection->Address() == address) {
+      return connection;
+    }
+    // The server went away while the connection lay idle, or moved: what is known of it is old.
+    m_incarnation = 0;
+  }
+  return BackendConnection::Create(m_parts.loop, address);
+}
+
+void EngineChannel::KeepConnection(const std::shared_ptr<BackendConnection>& connection) {
+  constexpr std::size_t kMostIdle = 4;
+  if (connection->IsReusable() && m_idle.size() < kMostIdle) {
+    m_idle.push_back(connection);
+  }
+}
+
+void EngineChannel::OnDeadline(const BatchPointer& batch) {
+  const TimePoint now = m_parts.clock.Now();
+  batch->answered = true;
+  Forget(batch);
+  FreeLane(batch->kind);
+  DeadlineFor(batch->kind).Observe(now - batch->sent_at, batch->units);
+  KeepLate(batch);
+  MarkSuspect();
+  AnswerAll(std::exchange(batch->steps, {}), StepStatus::kTimedOut);
+  AnswerAll(QueueFor(batch->kind).TakeOlderThan(batch->sent_at), StepStatus::kTimedOut);
+  FlushSoon();
+}
+
+void EngineChannel::KeepLate(const BatchPointer& batch) {
+  batch->fingerprints = FingerprintsOf(*batch);
+  m_late.push_back(batch);
+  if (m_late.size() > kMostLateBatches) {
+    const BatchPointer oldest = m_late.front();
+    m_late.erase(m_late.begin());
+    oldest->connection->Close();
+  }
+}
+
+void EngineChannel::OnOutcome(const BatchPointer& batch, ExchangeOutcome outcome) {
+  if (batch->answered) {
+    OnLateOutcome(batch, outcome);
+  } else if (outcome.failure == ExchangeFailure::kNone) {
+    batch->deadline.reset();
+    Forget(batch);
+    FreeLane(batch->kind);
+    OnResponse(batch, outcome.response);
+  } else {
+    OnBroken(batch, outcome.failure);
+  }
+}
+
+void EngineChannel::OnResponse(const BatchPointer& batch, const BackendResponse& response) {
+  DeadlineFor(batch->kind).Observe(m_parts.clock.Now() - batch->sent_at, batch->units);
+  KeepConnection(batch->connection);
+  MarkRecovered();
+  FlushSoon();
+  if (response.result_int() != 200) {
+    AnswerAll(batch->steps, StatusOfFailedCall(response.result_int()));
+    return;
+  }
+  auto decoded = DecodeAnswers(response.body(), batch->steps.size());
+  if (!decoded) {
+    AnswerAll(batch->steps, StepStatus::kRejected);
+    return;
+  }
+  DeliverAnswers(batch, std::move(*decoded));
+}
+
+void EngineChannel::OnLateOutcome(const BatchPointer& batch, const ExchangeOutcome& outcome) {
+  if (std::erase(m_late, batch) == 0) {
+    return;  // closed by this channel
+  }
+  if (outcome.failure == ExchangeFailure::kNone) {
+    DeadlineFor(batch->kind).Observe(m_parts.clock.Now() - batch->sent_at, batch->units);
+    KeepConnection(batch->connection);
+    MarkRecovered();
+  } else if (outcome.failure == ExchangeFailure::kLost) {
+    // A request that first hangs the server and then kills it is to blame for the crash too.
+    m_awaiting_verdict.push_back(batch);
+    Probe();
+  }
+}
+
+void EngineChannel::DeliverAnswers(const BatchPointer& batch, DecodedAnswers decoded) {
+  m_parts.listener.OnServerLoad(m_server, decoded.running, decoded.queued);
+  const bool leaving = std::ranges::any_of(decoded.answers, [](const StepAnswer& answer) {
+    return answer.status == StepStatus::kLeaving;
+  });
+  if (leaving) {
+    m_parts.listener.OnServerLeaving(m_server);
+  }
+  for (std::size_t index = 0; index < batch->steps.size(); ++index) {
+    const PendingStep& pending = batch->steps[index];
+    if (const auto listener = pending.listener.lock()) {
+      listener->OnStepAnswer(pending.hop, std::move(decoded.answers[index]));
+    }
+  }
+}
+
+void EngineChannel::OnBroken(const BatchPointer& batch, ExchangeFailure failure) {
+  batch->deadline.reset();
+  Forget(batch);
+  FreeLane(batch->kind);
+  MarkSuspect();
+  if (failure == ExchangeFailure::kUnreachable) {
+    AnswerAll(batch->steps, StepStatus::kConnectionLost);
+    FlushSoon();
+    return;
+  }
+  if (failure == ExchangeFailure::kRefused) {
+    // Nothing of this batch was sent, so its requests cannot be what crashed the server.
+    const std::vector<PendingStep> steps = std::exchange(batch->steps, {});
+    DeclareCrashed();
+    AnswerAll(steps, StepStatus::kServerCrashed);
+    return;
+  }
+  m_awaiting_verdict.push_back(batch);
+  Probe();
+}
+
+void EngineChannel::Probe() {
+  if (std::exchange(m_probing, true)) {
+    return;
+  }
+  m_side->ReadIncarnation(kProbeTimeout, [self = shared_from_this()](ExchangeFailure failure,
+                                                                     std::uint64_t incarnation) {
+    self->OnProbed(failure, incarnation);
+  });
+}
+
+void EngineChannel::OnProbed(ExchangeFailure failure, std::uint64_t incarnation) {
+  m_probing = false;
+  const bool restarted =
+      failure == ExchangeFailure::kNone && m_incarnation != 0 && incarnation != m_incarnation;
+  if (failure == ExchangeFailure::kRefused || restarted) {
+    DeclareCrashed();
+    return;
+  }
+  if (failure == ExchangeFailure::kNone) {
+    m_incarnation = incarnation;
+  }
+  DeclareConnectionLost();
+}
+
+void EngineChannel::DeclareCrashed() {
+  std::vector<BatchPointer> blamed = std::exchange(m_awaiting_verdict, {});
+  std::ranges::move(std::exchange(m_late, {}), std::back_inserter(blamed));
+  std::vector<PendingStep> steps;
+  for (const BatchPointer& batch : std::exchange(m_in_flight, {})) {
+    batch->answered = true;
+    batch->deadline.reset();
+    FreeLane(batch->kind);
+    // A batch whose connection is not up yet was not sent: it is answered but not blamed.
+    if (batch->connection->IsConnected()) {
+      blamed.push_back(batch);
+    } else {
+      std::ranges::move(batch->steps, std::back_inserter(steps));
+    }
+    batch->connection->Close();
+  }
+  const std::vector<Fingerprint> fingerprints = FingerprintsOf(blamed);
+  for (const BatchPointer& batch : blamed) {
+    std::ranges::move(batch->steps, std::back_inserter(steps));
+    batch->connection->Close();
+  }
+  m_idle.clear();
+  for (StepQueue& queue : m_queues) {
+    std::ranges::move(queue.TakeAll(), std::back_inserter(steps));
+  }
+  m_parts.listener.OnServerCrashed(m_server, std::exchange(m_incarnation, 0), fingerprints);
+  AnswerAll(steps, StepStatus::kServerCrashed);
+}
+
+void EngineChannel::DeclareConnectionLost() {
+  for (const BatchPointer& batch : std::exchange(m_awaiting_verdict, {})) {
+    AnswerAll(batch->steps, StepStatus::kConnectionLost);
+  }
+  FlushSoon();
+}
+
+void EngineChannel::LearnIncarnation() {
+  if (m_incarnation != 0 || std::exchange(m_learning, true)) {
+    return;
+  }
+  m_side->ReadIncarnation(kProbeTimeout, [self = shared_from_this()](ExchangeFailure failure,
+                                                                     std::uint64_t incarnation) {
+    self->m_learning = false;
+    if (failure == ExchangeFailure::kNone && self->m_incarnation == 0 && !self->m_probing) {
+      self->m_incarnation = incarnation;
+    }
+  });
+}
+
+void EngineChannel::Forget(const BatchPointer& batch) {
+  std::erase(m_in_flight, batch);
+}
+
+void EngineChannel::FreeLane(BatchKind kind) {
+  --QueueFor(kind).batches_in_flight;
+}
+
+void EngineChannel::AnswerAll(const std::vector<PendingStep>& steps, StepStatus status) {
+  for (const PendingStep& pending : steps) {
+    AnswerStep(pending, status);
+  }
+}
+
+void EngineChannel::MarkSuspect() {
+  if (!std::exchange(m_suspect, true)) {
+    m_parts.listener.OnServerSuspect(m_server);
+  }
+}
+
+void EngineChannel::MarkRecovered() {
+  if (std::exchange(m_suspect, false)) {
+    m_parts.listener.OnServerRecovered(m_server);
+  }
+}
+
+StepDeadline& EngineChannel::DeadlineFor(BatchKind kind) {
+  return kind == BatchKind::kDecode ? m_decode_deadline : m_prefill_deadline;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/engines/engine_channel.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "zinnia_adapters/engines/channel_parts.h"
+#include "zinnia_adapters/engines/pending_step.h"
+#include "zinnia_adapters/engines/step_batch.h"
+#include "zinnia_adapters/engines/step_deadline.h"
+#include "zinnia_adapters/engines/step_queue.h"
+#include "zinnia_adapters/http/backend_connection.h"
+
+namespace zinnia {
+
+class SideCalls;
+struct DecodedAnswers;
+
+/** The steps of many sessions towards one engine, batched continuously.
+
+    While a request is in flight the next batch gathers; a step that finds a free lane goes with all
+    others that came in the same turn of the loop. Every step gets exactly one answer:
+
+    - the engine's own;
+    - kTimedOut when the learned deadline passes (the late response is read and dropped, its
+      connection closed after kLateGrace);
+    - kServerCrashed or kConnectionLost when the connection breaks. A broken connection alone does
+      not tell which: GET /v1/state refused, or another incarnation, means a crash. Until the
+      verdict nothing is sent, so that no further request is blamed for the crash;
+    - kOverloaded at once when the queue is full.
+
+    @see HttpStageLinks, ChannelListener, StepDeadline
+*/
+class EngineChannel : public std::enable_shared_from_this<EngineChannel> {
+ public:
+  static constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
+  static constexpr Duration kLateGrace = std::chrono::seconds(20);
+  static constexpr std::size_t kMostLateBatches = 4;
+
+  static std::shared_ptr<EngineChannel> Create(const ChannelParts& parts, BackendServerName server);
+
+  void Send(PendingStep step);
+  SideCalls& Side() { return *m_side; }
+
+ private:
+  using BatchPointer = std::shared_ptr<StepBatch>;
+
+  EngineChannel(const ChannelParts& parts, BackendServerName server);
+
+  void FlushSoon();
+  void Flush();
+  void SendBatch(StepQueue& queue);
+  std::shared_ptr<BackendConnection> TakeConnection();
+  void KeepConnection(const std::shared_ptr<BackendConnection>& connection);
+
+  void OnDeadline(const BatchPointer& batch);
+  void KeepLate(const BatchPointer& batch);
+  void OnOutcome(const BatchPointer& batch, ExchangeOutcome outcome);
+  void OnResponse(const BatchPointer& batch, const BackendResponse& response);
+  void OnLateOutcome(const BatchPointer& batch, const ExchangeOutcome& outcome);
+  void DeliverAnswers(const BatchPointer& batch, DecodedAnswers decoded);
+  void OnBroken(const BatchPointer& batch, ExchangeFailure failure);
+
+  void Probe();
+  void OnProbed(ExchangeFailure failure, std::uint64_t incarnation);
+  void DeclareCrashed();
+  void DeclareConnectionLost();
+  void LearnIncarnation();
+
+  void Forget(const BatchPointer& batch);
+  void FreeLane(BatchKind kind);
+  void AnswerAll(const std::vector<PendingStep>& steps, StepStatus status);
+  void MarkSuspect();
+  void MarkRecovered();
+  StepQueue& QueueFor(BatchKind kind) { return m_queues[static_cast<std::size_t>(kind)]; }
+  StepDeadline& DeadlineFor(BatchKind kind);
+
+  const ChannelParts m_parts;
+  const BackendServerName m_server;
+  const std::shared_ptr<SideCalls> m_side;
+  std::vector<StepQueue> m_queues;
+  StepDeadline m_decode_deadline;
+  StepDeadline m_prefill_deadline;
+  std::vector<BatchPointer> m_in_flight;
+  std::vector<BatchPointer> m_late;
+  std::vector<BatchPointer> m_awaiting_verdict;
+  std::vector<std::shared_ptr<BackendConnection>> m_idle;
+  std::uint64_t m_incarnation = 0;
+  bool m_flush_posted = false;
+  bool m_probing = false;
+  bool m_learning = false;
+  bool m_suspect = false;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/threads/traffic_thread.cc
@@ -0,0 +1,43 @@
+#include "zinnia_adapters/threads/traffic_thread.h"
+
+#include <boost/asio/post.hpp>
+#include <cassert>
+#include <future>
+#include <utility>
+
+namespace zinnia {
+
+TrafficThread::TrafficThread() : m_work(m_loop.get_executor()) {}
+
+TrafficThread::~TrafficThread() {
+  Stop();
+}
+
+void TrafficThread::Start() {
+  assert(!m_thread.joinable() && "a traffic thread is started once");
+  m_thread = std::thread([this] { m_loop.run(); });
+}
+
+void TrafficThread::Stop() {
+  m_work.reset();
+  m_loop.stop();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+void TrafficThread::Post(std::function<void()> call) {
+  boost::asio::post(m_loop, std::move(call));
+}
+
+void TrafficThread::RunAndWait(const std::function<void()>& call) {
+  assert(std::this_thread::get_id() != m_thread.get_id() && "it would wait for itself");
+  std::promise<void> done;
+  Post([&] {
+    call();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+}  // namespace zinnia
