--- /dev/null
+++ b/packages/zinnia_decisions/configuration/configuration_acceptance.cc
@@ -0,0 +1,212 @@
+#include "zinnia_decisions/configuration/configuration_acceptance.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <utility>
+
+#include "zinnia_decisions/configuration/configuration_state.h"
+
+namespace zinnia {
+namespace {
+
+constexpr Duration kSettleWithin = std::chrono::seconds(10);
+constexpr Duration kRetryDelay = std::chrono::milliseconds(250);
+constexpr std::chrono::milliseconds kComeBackAfter{1000};
+constexpr std::size_t kLargestChange = 512 * 1024;
+constexpr std::size_t kLargestTail = 900 * 1024;
+
+std::size_t SizeOf(const ConfigurationChange& change) {
+  std::size_t size = 0;
+  for (const ChangedPath& path : change.paths) {
+    size += path.path.size() + path.value.value_or("").size();
+  }
+  return size;
+}
+
+Error Unavailable(const std::string& why) {
+  Error error = MakeError(ErrorKind::kStoreUnavailable, "the change was not applied: " + why);
+  error.retry_after = kComeBackAfter;
+  return error;
+}
+
+Result<void> CheckShape(const ConfigurationChange& change) {
+  if (change.change_id.empty() || change.paths.empty()) {
+    return MakeError(ErrorKind::kInvalidRequest, "a change needs an id and at least one path");
+  }
+  if (SizeOf(change) > kLargestChange) {
+    return MakeError(ErrorKind::kPayloadTooLarge,
+                     fmt::format("a change may hold {} bytes: split it", kLargestChange));
+  }
+  return {};
+}
+
+}  // namespace
+
+void ConfigurationAcceptance::Start(ConfigurationChange change,
+                                    AcceptanceHost& host,
+                                    ConfigurationStore& store,
+                                    Clock& clock,
+                                    Scheduler& scheduler,
+                                    std::weak_ptr<void> host_alive,
+                                    Callback callback) {
+  const Result<void> shape = CheckShape(change);
+  if (!shape) {
+    callback(shape.error());
+    return;
+  }
+  const std::shared_ptr<ConfigurationAcceptance> acceptance(
+      new ConfigurationAcceptance(std::move(change), host, store, clock, scheduler,
+                                  std::move(host_alive), std::move(callback)));
+  acceptance->ReadHead();
+}
+
+ConfigurationAcceptance::ConfigurationAcceptance(ConfigurationChange change,
+                                                 AcceptanceHost& host,
+                                                 ConfigurationStore& store,
+                                                 Clock& clock,
+                                                 Scheduler& scheduler,
+                                                 std::weak_ptr<void> host_alive,
+                                                 Callback callback)
+    : m_change(std::move(change)),
+      m_host(host),
+      m_store(store),
+      m_clock(clock),
+      m_scheduler(scheduler),
+      m_host_alive(std::move(host_alive)),
+      m_callback(std::move(callback)),
+      m_deadline(clock.Now() + kSettleWithin) {}
+
+void ConfigurationAcceptance::ReadHead() {
+  const ConfigurationRevision known_before = m_host.State().revision();
+  m_store.ReadHead([self = shared_from_this(), known_before](Result<VersionedHead> head) {
+    if (!self->m_host_alive.expired()) {
+      self->OnHead(std::move(head), known_before);
+    }
+  });
+}
+
+void ConfigurationAcceptance::OnHead(Result<VersionedHead> head,
+                                     ConfigurationRevision known_before) {
+  if (!head) {
+    if (m_may_have_landed) {
+      TryLater();
+    } else {
+      m_callback(Unavailable(head.error().message));
+    }
+    return;
+  }
+  m_host.CatchUp(*head, known_before,
+                 [self = shared_from_this(), head = *head](const Result<void>& caught_up) {
+                   if (caught_up) {
+                     self->Decide(head);
+                   } else if (self->m_may_have_landed) {
+                     self->TryLater();
+                   } else {
+                     self->m_callback(Unavailable(caught_up.error().message));
+                   }
+                 });
+}
+
+void ConfigurationAcceptance::Decide(VersionedHead head) {
+  if (const auto revision = head.head.FindChange(m_change.change_id)) {
+    m_callback(*revision);
+    return;
+  }
+  if (head.head.revision != m_change.against_revision) {
+    m_callback(ConflictWith(head.head));
+    return;
+  }
+  const ConfigurationRevision next = head.head.revision + 1;
+  const auto parsed = m_host.State().parsed()->WithChanges(next, Entries(next));
+  if (!parsed) {
+    m_callback(parsed.error());
+    return;
+  }
+  head.head.Append(m_change.change_id, Entries(next));
+  if (head.head.TailSize() > kLargestTail) {
+    m_callback(Unavailable("the changes before it are still being compacted"));
+    return;
+  }
+  Write(std::move(head));
+}
+
+void ConfigurationAcceptance::Write(VersionedHead head) {
+  m_store.WriteHead(head, head.head,
+                    [self = shared_from_this(), head](const Result<std::uint64_t>& answer) {
+                      if (!self->m_host_alive.expired()) {
+                        self->OnWritten(head, answer);
+                      }
+                    });
+}
+
+void ConfigurationAcceptance::OnWritten(VersionedHead written,
+                                        const Result<std::uint64_t>& answer) {
+  if (answer) {
+    const ConfigurationRevision revision = written.head.revision;
+    written.version = *answer;
+    m_host.OnAccepted(std::move(written));
+    m_callback(revision);
+    return;
+  }
+  switch (answer.error().kind) {
+    case ErrorKind::kStoreConflict:
+      // Another change or a compaction was faster, or our own earlier swap whose answer was lost.
+      ReadHead();
+      break;
+    case ErrorKind::kStoreUnavailable:
+      if (m_may_have_landed) {
+        TryLater();
+      } else {
+        m_callback(Unavailable(answer.error().message));
+      }
+      break;
+    default:
+      m_may_have_landed = true;
+      TryLater();
+  }
+}
+
+void ConfigurationAcceptance::TryLater() {
+  if (m_clock.Now() >= m_deadline) {
+    Error error = MakeError(ErrorKind::kStoreOutcomeUnknown,
+                            fmt::format("whether change {} was accepted could not be read back: "
+                                        "send it again with the same id",
+                                        m_change.change_id));
+    error.was_run = WasRun::kUnknown;
+    m_callback(error);
+    return;
+  }
+  m_retry_call =
+      m_scheduler.ScheduleAfter(kRetryDelay, [weak = weak_from_this(), self = shared_from_this()] {
+        if (!self->m_host_alive.expired()) {
+          self->ReadHead();
+        }
+      });
+}
+
+Error ConfigurationAcceptance::ConflictWith(const ConfigurationHead& head) const {
+  std::vector<std::string> paths;
+  for (const ChangedPath& path : m_change.paths) {
+    paths.push_back(path.path);
+  }
+  const std::vector<std::string> changed =
+      m_host.State().ChangedSince(m_change.against_revision, paths);
+  const std::string touched = changed.empty()
+                                  ? "none of the touched paths changed"
+                                  : fmt::format("changed since: {}", fmt::join(changed, ", "));
+  return MakeError(ErrorKind::kRevisionConflict,
+                   fmt::format("the change was made against revision {}, the newest is {}; {}",
+                               m_change.against_revision, head.revision, touched));
+}
+
+std::vector<ConfigurationEntry> ConfigurationAcceptance::Entries(
+    ConfigurationRevision revision) const {
+  std::vector<ConfigurationEntry> entries;
+  for (const ChangedPath& path : m_change.paths) {
+    entries.push_back({path.path, revision, path.value});
+  }
+  return entries;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/configuration/configuration_acceptance.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/configuration/configuration_change.h"
+#include "zinnia_decisions/configuration/configuration_store.h"
+
+namespace zinnia {
+
+/** What ConfigurationAcceptance needs from the keeper. */
+class AcceptanceHost {
+ public:
+  virtual ~AcceptanceHost() = default;
+
+  /** Brings this instance up to a head that was read. `known_before` is the revision that was in
+      force here when the read began. Fails if the store went back in time. */
+  virtual void CatchUp(VersionedHead head,
+                       ConfigurationRevision known_before,
+                       std::function<void(Result<void>)> callback) = 0;
+
+  virtual const ConfigurationState& State() const = 0;
+
+  /** The head was written with one more change. */
+  virtual void OnAccepted(VersionedHead head) = 0;
+};
+
+/** Brings one operator's change into the store, once, or says for certain that it did not.
+
+    A change counts as accepted from the moment its compare-and-swap of the head took effect. If the
+    answer of the swap is lost, it reads the head back and looks for the change's id, and sends the
+    same swap again only while the head is unchanged, so that the change can land but once.
+
+    Create it with Start; it keeps itself alive until the callback ran.
+
+    @see ConfigurationKeeper
+*/
+class ConfigurationAcceptance : public std::enable_shared_from_this<ConfigurationAcceptance> {
+ public:
+  using Callback = std::function<void(Result<ConfigurationRevision>)>;
+
+  static void Start(ConfigurationChange change,
+                    AcceptanceHost& host,
+                    ConfigurationStore& store,
+                    Clock& clock,
+                    Scheduler& scheduler,
+                    std::weak_ptr<void> host_alive,
+                    Callback callback);
+
+ private:
+  ConfigurationAcceptance(ConfigurationChange change,
+                          AcceptanceHost& host,
+                          ConfigurationStore& store,
+                          Clock& clock,
+                          Scheduler& scheduler,
+                          std::weak_ptr<void> host_alive,
+                          Callback callback);
+
+  void ReadHead();
+  void OnHead(Result<VersionedHead> head, ConfigurationRevision known_before);
+  void Decide(VersionedHead head);
+  void Write(VersionedHead head);
+  void OnWritten(VersionedHead written, const Result<std::uint64_t>& answer);
+  void TryLater();
+  Error ConflictWith(const ConfigurationHead& head) const;
+  std::vector<ConfigurationEntry> Entries(ConfigurationRevision revision) const;
+
+  const ConfigurationChange m_change;
+  AcceptanceHost& m_host;
+  ConfigurationStore& m_store;
+  Clock& m_clock;
+  Scheduler& m_scheduler;
+  std::weak_ptr<void> m_host_alive;
+  Callback m_callback;
+  TimePoint m_deadline{};
+  bool m_may_have_landed = false;
+  std::unique_ptr<ScheduledCall> m_retry_call;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/configuration/configuration_keeper.cc
@@ -0,0 +1,325 @@
+#include "zinnia_decisions/configuration/configuration_keeper.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_base/decisions/decision_record.h"
+#include "zinnia_decisions/membership/message_size.h"
+#include "zinnia_decisions/membership/rendezvous.h"
+#include "zinnia_decisions/ports/peer_transport.h"
+
+namespace zinnia {
+namespace {
+
+constexpr std::size_t kWatchHoldersPerDomain = 2;
+constexpr std::chrono::milliseconds kLongestWatch{10'000};
+constexpr Duration kFirstRetry = std::chrono::milliseconds(500);
+constexpr std::uint32_t kMostDoublings = 3;
+constexpr Duration kFetchDelay = std::chrono::milliseconds(50);
+constexpr Duration kFetchGivenUp = std::chrono::seconds(5);
+constexpr std::size_t kLargestRumour = 800;
+constexpr std::size_t kCompactAbove = 32 * 1024;
+
+// Long enough for every instance to have heard the highest revision before the store is rewritten.
+constexpr Duration kReinstateDelay = std::chrono::seconds(6);
+
+// Clear of every revision that the lost part of the store may have given away.
+constexpr ConfigurationRevision kReinstateJump = 1000;
+
+}  // namespace
+
+ConfigurationKeeper::ConfigurationKeeper(ConfigurationKeeperParts parts, std::uint64_t seed)
+    : m_parts(parts), m_store(parts.store), m_random(seed) {
+  m_parts.membership.AddListener(*this);
+}
+
+ConfigurationKeeper::~ConfigurationKeeper() {
+  m_parts.membership.RemoveListener(*this);
+}
+
+void ConfigurationKeeper::Start() {
+  ChooseWatchHolders();
+  if (!m_watching) {
+    ReadThenWatch();
+  }
+}
+
+void ConfigurationKeeper::Change(ConfigurationChange change,
+                                 ConfigurationAcceptance::Callback callback) {
+  ConfigurationAcceptance::Start(std::move(change), *this, m_store, m_parts.clock,
+                                 m_parts.scheduler, m_alive, std::move(callback));
+}
+
+// No lease decides who watches: a watch only brings news, and two or five holders bring the same
+// news. Instances that disagree on the membership cost a few calls more, never a wrong revision.
+void ConfigurationKeeper::ChooseWatchHolders() {
+  const Instance& self = m_parts.membership.Self();
+  std::vector<Instance> candidates = m_parts.membership.LiveInstances();
+  std::erase_if(candidates, [&self](const Instance& instance) {
+    return instance.failure_domain != self.failure_domain;
+  });
+  const std::vector<Instance> holders =
+      ChooseByRendezvous("configuration watch", std::move(candidates), kWatchHoldersPerDomain);
+  m_holds_watch = std::any_of(holders.begin(), holders.end(),
+                              [&self](const Instance& holder) { return holder.name == self.name; });
+  if (m_holds_watch && !m_watching && !m_read_call) {
+    ReadThenWatch();
+  }
+}
+
+void ConfigurationKeeper::ReadThenWatch() {
+  m_read_call.reset();
+  m_watching = true;
+  const ConfigurationRevision known_before = m_state.revision();
+  m_store.ReadHead(m_guard.Wrap([this, known_before](const Result<VersionedHead>& head) {
+    if (!head) {
+      ReadLater();
+      return;
+    }
+    m_store_failures = 0;
+    CatchUp(*head, known_before, [this, version = head->version](const Result<void>& caught_up) {
+      if (!caught_up && !m_store_went_back) {
+        ReadLater();
+      } else if (m_holds_watch) {
+        Watch(version);
+      } else {
+        m_watching = false;
+        if (!IsReady()) {
+          ReadLater();
+        }
+      }
+    });
+  }));
+}
+
+void ConfigurationKeeper::ReadLater() {
+  m_watching = false;
+  m_store_failures = std::min(m_store_failures + 1, kMostDoublings);
+  const Duration delay = kFirstRetry * (1U << m_store_failures);
+  const auto jitter = RandomBelow(m_random, static_cast<std::uint64_t>(delay.count()));
+  m_read_call = m_parts.scheduler.ScheduleAfter(delay / 2 + Duration(jitter), [this] {
+    m_read_call.reset();
+    if (m_holds_watch || !IsReady()) {
+      ReadThenWatch();
+    }
+  });
+}
+
+void ConfigurationKeeper::Watch(std::uint64_t after_version) {
+  m_watching = true;
+  m_store.Watch(after_version, kLongestWatch,
+                m_guard.Wrap([this, after_version](const Result<StoreBatch>& batch) {
+                  OnWatchAnswer(after_version, batch);
+                }));
+}
+
+// A store that was restored counts its versions from an earlier state: a watch after the version of
+// yesterday would sleep through every change until the count has caught up.
+void ConfigurationKeeper::OnWatchAnswer(std::uint64_t after_version,
+                                        const Result<StoreBatch>& batch) {
+  if (!batch) {
+    ReadLater();
+  } else if (!m_holds_watch) {
+    m_watching = false;
+  } else if (!batch->records.empty() || batch->version < after_version) {
+    ReadThenWatch();
+  } else {
+    Watch(after_version);
+  }
+}
+
+void ConfigurationKeeper::CatchUp(VersionedHead head,
+                                  ConfigurationRevision known_before,
+                                  std::function<void(Result<void>)> callback) {
+  if (head.head.revision < known_before) {
+    NoticeStoreWentBack(head.head.revision);
+    callback(MakeError(ErrorKind::kStoreUnavailable,
+                       fmt::format("the store went back to revision {} while {} is in force",
+                                   head.head.revision, known_before)));
+    return;
+  }
+  m_recent_ids = head.head.ids;
+  if (head.head.revision <= m_state.revision()) {
+    callback({});
+    return;
+  }
+  if (m_state.revision() >= head.head.floor) {
+    ApplyTail(head.head);
+    callback({});
+    return;
+  }
+  m_store.ReadFullCopy(
+      head.head,
+      m_guard.Wrap([this, callback = std::move(callback)](const Result<ConfigurationDelta>& copy) {
+        if (!copy) {
+          callback(copy.error());
+          return;
+        }
+        ApplyAndSpread(*copy, true);
+        callback({});
+      }));
+}
+
+void ConfigurationKeeper::ApplyTail(const ConfigurationHead& head) {
+  for (const AcceptedChange& change : head.tail) {
+    ApplyAndSpread(change.AsDelta(), true);
+  }
+}
+
+void ConfigurationKeeper::OnAccepted(VersionedHead head) {
+  m_recent_ids = head.head.ids;
+  ApplyAndSpread(head.head.tail.back().AsDelta(), true);
+  CompactIfLarge(head);
+}
+
+void ConfigurationKeeper::CompactIfLarge(const VersionedHead& head) {
+  const bool current = m_state.revision() == head.head.revision;
+  if (m_compacting || !current || head.head.TailSize() <= kCompactAbove) {
+    return;
+  }
+  m_compacting = true;
+  m_store.Compact(head, m_state, m_guard.Wrap([this](const Result<void>& done) {
+    m_compacting = false;
+    if (!done) {
+      m_parts.logger.Log(LogLevel::kWarning, "configuration_compaction_failed",
+                         {{"error", Describe(done.error())}});
+    }
+  }));
+}
+
+void ConfigurationKeeper::OnRumour(const ConfigurationDelta& delta, const Instance& sender) {
+  if (delta.after > m_state.revision()) {
+    OnPeerRevision(sender, delta.revision);
+    return;
+  }
+  ApplyAndSpread(delta, false);
+}
+
+void ConfigurationKeeper::OnPeerRevision(const Instance& peer, ConfigurationRevision revision) {
+  const bool waiting = m_fetching && m_parts.clock.Now() - m_fetch_started < kFetchGivenUp;
+  if (revision <= m_state.revision() || waiting) {
+    return;
+  }
+  m_fetching = true;
+  m_fetch_started = m_parts.clock.Now();
+  m_fetch_from = peer;
+  const auto jitter = RandomBelow(m_random, static_cast<std::uint64_t>(kFetchDelay.count()));
+  m_fetch_call = m_parts.scheduler.ScheduleAfter(Duration(jitter), [this, revision] {
+    if (m_state.revision() >= revision) {
+      m_fetching = false;
+    } else {
+      Fetch(m_fetch_from);
+    }
+  });
+}
+
+void ConfigurationKeeper::Fetch(const Instance& peer) {
+  m_parts.transport.FetchConfiguration(
+      peer.peer_address, m_state.revision(),
+      m_guard.Wrap([this](const Result<ConfigurationDelta>& answer) { OnFetched(answer); }));
+}
+
+void ConfigurationKeeper::OnFetched(const Result<ConfigurationDelta>& answer) {
+  m_fetching = false;
+  if (answer) {
+    ApplyAndSpread(*answer, false);
+  }
+}
+
+bool ConfigurationKeeper::Apply(const ConfigurationDelta& delta) {
+  const DeltaOutcome outcome = m_state.Apply(delta);
+  if (outcome == DeltaOutcome::kInvalid) {
+    m_parts.logger.Log(LogLevel::kError, "configuration_unreadable",
+                       {{"revision", std::to_string(delta.revision)},
+                        {"in_force", std::to_string(m_state.revision())}});
+  }
+  if (outcome != DeltaOutcome::kApplied) {
+    return false;
+  }
+  m_parts.logger.Log(LogLevel::kInfo, "configuration_in_force",
+                     {{"revision", std::to_string(m_state.revision())}});
+  TellListeners();
+  return true;
+}
+
+void ConfigurationKeeper::ApplyAndSpread(const ConfigurationDelta& delta, bool first_hand) {
+  if (!Apply(delta)) {
+    return;
+  }
+  if (EstimateSize(delta) <= kLargestRumour) {
+    m_parts.spreader.SpreadDelta(delta, first_hand);
+  } else {
+    m_parts.spreader.SpreadRevision();
+  }
+}
+
+void ConfigurationKeeper::NoticeStoreWentBack(ConfigurationRevision store_revision) {
+  if (m_store_went_back) {
+    return;
+  }
+  m_store_went_back = true;
+  m_parts.logger.Log(LogLevel::kError, "configuration_store_went_back",
+                     {{"store_revision", std::to_string(store_revision)},
+                      {"in_force", std::to_string(m_state.revision())}});
+  m_parts.recorder.Record({m_parts.clock.Now(),
+                           "configuration",
+                           "keep_newer_than_store",
+                           "the store was restored to an older state; accepted changes stay",
+                           {{"store_revision", std::to_string(store_revision)},
+                            {"in_force", std::to_string(m_state.revision())}}});
+  m_reinstate_call = m_parts.scheduler.ScheduleAfter(kReinstateDelay, [this] { CheckReinstate(); });
+}
+
+void ConfigurationKeeper::CheckReinstate() {
+  const ConfigurationRevision known_before = m_state.revision();
+  m_store.ReadHead(m_guard.Wrap([this, known_before](const Result<VersionedHead>& head) {
+    if (!head) {
+      m_reinstate_call =
+          m_parts.scheduler.ScheduleAfter(kReinstateDelay, [this] { CheckReinstate(); });
+      return;
+    }
+    m_store_went_back = false;
+    if (head->head.revision < known_before) {
+      m_store_went_back = true;
+      Reinstate(*head);
+    }
+  }));
+}
+
+void ConfigurationKeeper::Reinstate(const VersionedHead& lost) {
+  ConfigurationHead head;
+  head.revision = m_state.revision() + kReinstateJump;
+  head.ids = m_recent_ids;
+  const ConfigurationRevision from = m_state.revision();
+  const auto reinstated = [this, from, revision = head.revision](const Result<void>& done) {
+    m_store_went_back = false;
+    if (done && m_state.revision() == from) {
+      m_state.JumpTo(revision);
+      m_parts.logger.Log(LogLevel::kWarning, "configuration_store_reinstated",
+                         {{"revision", std::to_string(revision)}});
+      m_parts.spreader.SpreadRevision();
+      TellListeners();
+    }
+  };
+  m_store.Reinstate(lost, std::move(head), m_state, m_guard.Wrap(reinstated));
+}
+
+void ConfigurationKeeper::AddListener(ConfigurationListener& listener) {
+  m_listeners.push_back(&listener);
+}
+
+void ConfigurationKeeper::RemoveListener(ConfigurationListener& listener) {
+  std::erase(m_listeners, &listener);
+}
+
+void ConfigurationKeeper::TellListeners() {
+  const std::shared_ptr<const Configuration> current = m_state.parsed();
+  const std::vector<ConfigurationListener*> listeners = m_listeners;
+  for (ConfigurationListener* listener : listeners) {
+    listener->OnConfigurationChanged(*current);
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/configuration/configuration_keeper.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "zinnia_base/logging/logger.h"
+#include "zinnia_base/random/random_source.h"
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/configuration/configuration_acceptance.h"
+#include "zinnia_decisions/configuration/configuration_state.h"
+#include "zinnia_decisions/configuration/configuration_store.h"
+#include "zinnia_decisions/configuration/configuration_view.h"
+#include "zinnia_decisions/control/callback_guard.h"
+#include "zinnia_decisions/membership/membership_view.h"
+
+namespace zinnia {
+
+class DecisionRecorder;
+class PeerTransport;
+
+/** How ConfigurationKeeper tells the other instances of news. */
+class ConfigurationSpreader {
+ public:
+  virtual ~ConfigurationSpreader() = default;
+
+  /** A delta small enough for a datagram. `first_hand`: read from the store or accepted here. */
+  virtual void SpreadDelta(const ConfigurationDelta& delta, bool first_hand) = 0;
+
+  /** The new revision alone, when the content is too large: peers fetch it. */
+  virtual void SpreadRevision() = 0;
+};
+
+/** The objects that the keeper works with. All must outlive it. */
+struct ConfigurationKeeperParts {
+  Clock& clock;
+  Scheduler& scheduler;
+  PlatformStore& store;
+  PeerTransport& transport;
+  MembershipView& membership;
+  ConfigurationSpreader& spreader;
+  DecisionRecorder& recorder;
+  Logger& logger;
+};
+
+/** Keeps the accepted configuration in force on this instance; its revision only moves up.
+
+    Two live instances of each failure domain, chosen by rendezvous hashing, hold a watch on the
+    store; all others hear of changes from peers, by rumour or by fetching what a higher revision
+    told in a probe stands for. A new instance takes the highest revision it can get from the store
+    or from peers. A store that shows an older revision than this instance holds was restored to an
+    earlier state: the newer configuration stays in force and is written back.
+
+    @see ConfigurationAcceptance, ConfigurationState, GossipMembership
+*/
+class ConfigurationKeeper final : public ConfigurationView,
+                                  private AcceptanceHost,
+                                  private MembershipListener {
+ public:
+  ConfigurationKeeper(ConfigurationKeeperParts parts, std::uint64_t seed);
+  ~ConfigurationKeeper() override;
+
+  void Start();
+
+  /** Accepts an operator's change or refuses it whole. kRevisionConflict names the newer revision
+      and the touched paths that changed; kStoreUnavailable: nothing was applied. */
+  void Change(ConfigurationChange change, ConfigurationAcceptance::Callback callback);
+
+  void OnRumour(const ConfigurationDelta& delta, const Instance& sender);
+  void OnPeerRevision(const Instance& peer, ConfigurationRevision revision);
+  ConfigurationDelta DeltaAfter(ConfigurationRevision after) const {
+    return m_state.DeltaAfter(after);
+  }
+
+  /** Whether some configuration is in force here. */
+  bool IsReady() const { return m_state.revision() > 0; }
+  ConfigurationRevision revision() const { return m_state.revision(); }
+  bool HoldsWatch() const { return m_holds_watch; }
+  const ConfigurationState& State() const override { return m_state; }
+
+  std::shared_ptr<const Configuration> Current() const override { return m_state.parsed(); }
+  void AddListener(ConfigurationListener& listener) override;
+  void RemoveListener(ConfigurationListener& listener) override;
+
+ private:
+  void OnMembershipChanged() override { ChooseWatchHolders(); }
+  void CatchUp(VersionedHead head,
+               ConfigurationRevision known_before,
+               std::function<void(Result<void>)> callback) override;
+  void OnAccepted(VersionedHead head) override;
+
+  void ChooseWatchHolders();
+  void ReadThenWatch();
+  void Watch(std::uint64_t after_version);
+  void OnWatchAnswer(std::uint64_t after_version, const Result<StoreBatch>& batch);
+  void ReadLater();
+  void ApplyTail(const ConfigurationHead& head);
+  bool Apply(const ConfigurationDelta& delta);
+  void ApplyAndSpread(const ConfigurationDelta& delta, bool first_hand);
+  void Fetch(const Instance& peer);
+  void OnFetched(const Result<ConfigurationDelta>& answer);
+  void CompactIfLarge(const VersionedHead& head);
+  void NoticeStoreWentBack(ConfigurationRevision store_revision);
+  void CheckReinstate();
+  void Reinstate(const VersionedHead& lost);
+  void TellListeners();
+
+  ConfigurationKeeperParts m_parts;
+  ConfigurationStore m_store;
+  ConfigurationState m_state;
+  RandomSource m_random;
+  std::vector<ConfigurationListener*> m_listeners;
+  std::vector<std::pair<std::string, ConfigurationRevision>> m_recent_ids;
+
+  bool m_holds_watch = false;
+  bool m_watching = false;
+  bool m_compacting = false;
+  std::uint32_t m_store_failures = 0;
+
+  bool m_fetching = false;
+  TimePoint m_fetch_started{};
+  Instance m_fetch_from;
+
+  bool m_store_went_back = false;
+  std::unique_ptr<ScheduledCall> m_read_call;
+  std::unique_ptr<ScheduledCall> m_fetch_call;
+  std::unique_ptr<ScheduledCall> m_reinstate_call;
+  std::shared_ptr<char> m_alive = std::make_shared<char>();
+  CallbackGuard m_guard;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/configuration/configuration_store.cc
@@ -0,0 +1,224 @@
+#include "zinnia_decisions/configuration/configuration_store.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "zinnia_decisions/configuration/configuration_state.h"
+
+namespace zinnia {
+
+/** Shards on their way to the store, and the head that makes them count. */
+struct ConfigurationStore::Writing {
+  VersionedHead base;
+  ConfigurationHead head;
+  ConfigurationRevision revision = 0;
+  std::vector<std::pair<std::uint32_t, std::string>> shards;
+  std::size_t next = 0;
+  bool rebase = false;
+  DoneCallback callback;
+};
+
+void ConfigurationStore::ReadHead(HeadCallback callback) {
+  m_store.Get(kConfigurationHeadKey,
+              [callback = std::move(callback)](Result<std::optional<StoreRecord>> answer) {
+                if (!answer) {
+                  callback(answer.error());
+                  return;
+                }
+                VersionedHead versioned;
+                if (*answer && (**answer).value) {
+                  versioned.version = (**answer).version;
+                  Result<ConfigurationHead> head = ConfigurationHead::Parse(*(**answer).value);
+                  if (!head) {
+                    callback(head.error());
+                    return;
+                  }
+                  versioned.head = std::move(*head);
+                }
+                callback(std::move(versioned));
+              });
+}
+
+void ConfigurationStore::WriteHead(const VersionedHead& base,
+                                   const ConfigurationHead& head,
+                                   PlatformStore::WriteCallback callback) {
+  m_store.CompareAndSwap(kConfigurationHeadKey, base.version, head.ToJson(), std::nullopt,
+                         std::move(callback));
+}
+
+void ConfigurationStore::Watch(std::uint64_t after_version,
+                               std::chrono::milliseconds longest_wait,
+                               PlatformStore::BatchCallback callback) {
+  m_store.Watch(kConfigurationHeadKey, after_version, longest_wait, std::move(callback));
+}
+
+void ConfigurationStore::ReadFullCopy(const ConfigurationHead& head, CopyCallback callback) {
+  m_store.List(
+      kConfigurationShardPrefix, [head, callback = std::move(callback)](Result<StoreBatch> answer) {
+        if (!answer) {
+          callback(answer.error());
+          return;
+        }
+        std::map<std::string, const StoreRecord*> records;
+        for (const StoreRecord& record : answer->records) {
+          records.emplace(record.key, &record);
+        }
+        std::map<std::string, ConfigurationEntry> entries;
+        for (const auto& [shard, revision] : head.shards) {
+          const auto record = records.find(ShardKey(shard, revision));
+          if (record == records.end() || !record->second->value) {
+            callback(MakeError(ErrorKind::kStoreConflict, "a configuration shard was replaced"));
+            return;
+          }
+          Result<std::vector<ConfigurationEntry>> shard_entries =
+              ParseShard(*record->second->value);
+          if (!shard_entries) {
+            callback(shard_entries.error());
+            return;
+          }
+          for (ConfigurationEntry& entry : *shard_entries) {
+            entries.insert_or_assign(entry.path, std::move(entry));
+          }
+        }
+        for (const AcceptedChange& change : head.tail) {
+          for (const ConfigurationEntry& entry : change.entries) {
+            entries.insert_or_assign(entry.path, entry);
+          }
+        }
+        ConfigurationDelta copy{0, head.revision, {}};
+        for (auto& [path, entry] : entries) {
+          if (entry.value) {
+            copy.entries.push_back(std::move(entry));
+          }
+        }
+        callback(std::move(copy));
+      });
+}
+
+void ConfigurationStore::Compact(const VersionedHead& head,
+                                 const ConfigurationState& state,
+                                 DoneCallback callback) {
+  std::set<std::uint32_t> touched;
+  for (const AcceptedChange& change : head.head.tail) {
+    for (const ConfigurationEntry& entry : change.entries) {
+      touched.insert(ShardOf(entry.path));
+    }
+  }
+  std::map<std::uint32_t, std::vector<ConfigurationEntry>> contents;
+  for (const auto& [path, entry] : state.entries()) {
+    if (entry.value && touched.contains(ShardOf(path))) {
+      contents[ShardOf(path)].push_back(entry);
+    }
+  }
+  auto writing = std::make_shared<Writing>();
+  writing->base = head;
+  writing->head = head.head;
+  writing->revision = head.head.revision;
+  writing->rebase = true;
+  writing->callback = std::move(callback);
+  for (const std::uint32_t shard : touched) {
+    writing->shards.emplace_back(shard, ShardToJson(contents[shard]));
+  }
+  WriteNextShard(std::move(writing));
+}
+
+void ConfigurationStore::Reinstate(const VersionedHead& lost,
+                                   ConfigurationHead head,
+                                   const ConfigurationState& state,
+                                   DoneCallback callback) {
+  std::map<std::uint32_t, std::vector<ConfigurationEntry>> contents;
+  for (const auto& [path, entry] : state.entries()) {
+    if (entry.value) {
+      contents[ShardOf(path)].push_back(entry);
+    }
+  }
+  auto writing = std::make_shared<Writing>();
+  writing->base = lost;
+  writing->revision = head.revision;
+  writing->head = std::move(head);
+  writing->callback = std::move(callback);
+  for (const auto& [shard, entries] : contents) {
+    writing->shards.emplace_back(shard, ShardToJson(entries));
+  }
+  WriteNextShard(std::move(writing));
+}
+
+void ConfigurationStore::WriteNextShard(std::shared_ptr<Writing> writing) {
+  if (writing->next == writing->shards.size()) {
+    FinishWriting(writing);
+    return;
+  }
+  auto& [shard, json] = writing->shards[writing->next];
+  m_store.CompareAndSwap(ShardKey(shard, writing->revision), 0, json, std::nullopt,
+                         m_guard.Wrap([this, writing](const Result<std::uint64_t>& answer) {
+                           // A shard that exists at this revision was written by somebody else with
+                           // the same content.
+                           const bool there =
+                               answer || answer.error().kind == ErrorKind::kStoreConflict;
+                           if (!there) {
+                             writing->callback(answer.error());
+                             return;
+                           }
+                           ++writing->next;
+                           WriteNextShard(writing);
+                         }));
+}
+
+void ConfigurationStore::FinishWriting(const std::shared_ptr<Writing>& writing) {
+  ConfigurationHead& head = writing->head;
+  std::vector<std::string> replaced;
+  head.floor = writing->revision;
+  std::erase_if(head.tail,
+                [&](const AcceptedChange& change) { return change.revision <= writing->revision; });
+  for (const auto& [shard, json] : writing->shards) {
+    const auto old = head.shards.find(shard);
+    if (old != head.shards.end() && old->second < writing->revision) {
+      replaced.push_back(ShardKey(shard, old->second));
+    }
+    head.shards[shard] = writing->revision;
+  }
+  WriteHead(writing->base, head,
+            m_guard.Wrap([this, writing, replaced](const Result<std::uint64_t>& answer) {
+              if (answer) {
+                DeleteReplaced(replaced);
+                writing->callback({});
+              } else if (answer.error().kind == ErrorKind::kStoreConflict && writing->rebase) {
+                RebaseWriting(writing);
+              } else {
+                writing->callback(answer.error());
+              }
+            }));
+}
+
+// Changes go on being accepted while shards are written; they stay in the tail of the newer head.
+void ConfigurationStore::RebaseWriting(const std::shared_ptr<Writing>& writing) {
+  ReadHead(m_guard.Wrap([this, writing](Result<VersionedHead> newer) {
+    if (!newer) {
+      writing->callback(newer.error());
+      return;
+    }
+    const bool outdated =
+        newer->head.floor >= writing->revision || newer->head.revision < writing->revision;
+    if (outdated) {
+      writing->callback({});
+      return;
+    }
+    writing->base = *newer;
+    writing->head = std::move(newer->head);
+    FinishWriting(writing);
+  }));
+}
+
+void ConfigurationStore::DeleteReplaced(const std::vector<std::string>& keys) {
+  for (const std::string& key : keys) {
+    m_store.Get(key, m_guard.Wrap([this, key](const Result<std::optional<StoreRecord>>& answer) {
+      if (answer && *answer && (**answer).value) {
+        m_store.Delete(key, (**answer).version, [](const Result<std::uint64_t>&) {});
+      }
+    }));
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/configuration/configuration_store.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "zinnia_decisions/configuration/configuration_head.h"
+#include "zinnia_decisions/control/callback_guard.h"
+#include "zinnia_decisions/ports/platform_store.h"
+
+namespace zinnia {
+
+class ConfigurationState;
+
+/** The head record with the store's version of it; version 0 and an empty head if there is none. */
+struct VersionedHead {
+  std::uint64_t version = 0;
+  ConfigurationHead head;
+};
+
+/** Reads and writes the configuration's records in the platform's store.
+
+    @see ConfigurationHead, ConfigurationKeeper, ConfigurationAcceptance
+*/
+class ConfigurationStore {
+ public:
+  using HeadCallback = std::function<void(Result<VersionedHead>)>;
+  using CopyCallback = std::function<void(Result<ConfigurationDelta>)>;
+  using DoneCallback = std::function<void(Result<void>)>;
+
+  explicit ConfigurationStore(PlatformStore& store) : m_store(store) {}
+
+  void ReadHead(HeadCallback callback);
+  void WriteHead(const VersionedHead& base,
+                 const ConfigurationHead& head,
+                 PlatformStore::WriteCallback callback);
+  void Watch(std::uint64_t after_version,
+             std::chrono::milliseconds longest_wait,
+             PlatformStore::BatchCallback callback);
+
+  /** Reads all entries up to the head's revision. Fails with kStoreConflict if a compaction
+      replaced a shard meanwhile: read the head again. */
+  void ReadFullCopy(const ConfigurationHead& head, CopyCallback callback);
+
+  /** Moves the head's tail into shards, from `state`, which must be at the head's revision. */
+  void Compact(const VersionedHead& head, const ConfigurationState& state, DoneCallback callback);
+
+  /** Writes all of `state` as `head` over a store that lost some of it. */
+  void Reinstate(const VersionedHead& lost,
+                 ConfigurationHead head,
+                 const ConfigurationState& state,
+                 DoneCallback callback);
+
+ private:
+  struct Writing;
+
+  void WriteNextShard(std::shared_ptr<Writing> writing);
+  void FinishWriting(const std::shared_ptr<Writing>& writing);
+  void RebaseWriting(const std::shared_ptr<Writing>& writing);
+  void DeleteReplaced(const std::vector<std::string>& keys);
+
+  PlatformStore& m_store;
+  CallbackGuard m_guard;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/membership/gossip_membership.cc
@@ -0,0 +1,407 @@
+#include "zinnia_decisions/membership/gossip_membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "zinnia_decisions/membership/gossip_host.h"
+#include "zinnia_decisions/membership/message_size.h"
+#include "zinnia_decisions/ports/peer_transport.h"
+
+namespace zinnia {
+namespace {
+
+constexpr std::size_t kMostRelays = 256;
+constexpr std::size_t kMostNewcomerDatagrams = 8;
+constexpr std::size_t kNewcomerMembers = 32;
+constexpr Duration kFlushDelay = std::chrono::milliseconds(2);
+constexpr Duration kLeaveRepeat = std::chrono::milliseconds(200);
+
+}  // namespace
+
+GossipMembership::GossipMembership(MembershipSettings settings,
+                                   Clock& clock,
+                                   Scheduler& scheduler,
+                                   PeerTransport& transport,
+                                   GossipHost& host,
+                                   std::uint64_t seed)
+    : m_settings(std::move(settings)),
+      m_clock(clock),
+      m_scheduler(scheduler),
+      m_transport(transport),
+      m_host(host),
+      m_random(seed) {}
+
+GossipMembership::~GossipMembership() = default;
+
+void GossipMembership::Start() {
+  m_last_tick = m_clock.Now();
+  m_last_dead_probe = m_clock.Now();
+  Spread(MemberRumour{m_settings.self, m_incarnation, MemberState::kAlive});
+  for (const NetworkAddress& seed : m_settings.seeds) {
+    if (seed != m_settings.self.peer_address) {
+      Send(seed, {ProbeKind::kPing, m_next_sequence++});
+    }
+  }
+  const auto spread = static_cast<std::uint64_t>(m_settings.probe_interval.count());
+  m_tick_call =
+      m_scheduler.ScheduleAfter(Duration(RandomBelow(m_random, spread)), [this] { Tick(); });
+}
+
+void GossipMembership::Leave(std::function<void()> done) {
+  const MemberRumour left{m_settings.self, m_incarnation, MemberState::kLeft};
+  for (const Instance& peer : ChooseLive(m_settings.first_fanout, "")) {
+    SendRumours(peer.peer_address, {left});
+  }
+  m_tick_call.reset();
+  m_indirect_call.reset();
+  m_leave_call =
+      m_scheduler.ScheduleAfter(kLeaveRepeat, [this, left, done = std::move(done)]() mutable {
+        for (const Instance& peer : ChooseLive(m_settings.first_fanout, "")) {
+          SendRumours(peer.peer_address, {left});
+        }
+        m_stopped = true;
+        std::exchange(done, nullptr)();
+      });
+}
+
+void GossipMembership::Tick() {
+  m_tick_call = m_scheduler.ScheduleAfter(m_settings.probe_interval, [this] { Tick(); });
+  NoticeOwnPause();
+  FinishProbe();
+  ExpireSuspicions();
+  StartProbe();
+  ProbeDeadOrSeed();
+}
+
+// A paused process wakes with acknowledgements that it never had the time to read. Taken at face
+// value it would declare healthy peers dead; the late tick shows the pause, so it starts afresh.
+void GossipMembership::NoticeOwnPause() {
+  const TimePoint now = m_clock.Now();
+  if (now - m_last_tick > 2 * m_settings.probe_interval) {
+    m_acknowledged = true;
+    m_table.RestartSuspicions(now);
+  }
+  m_last_tick = now;
+}
+
+void GossipMembership::FinishProbe() {
+  const Member* member = m_acknowledged ? nullptr : m_table.Find(m_probed);
+  if (member != nullptr && member->state == MemberState::kAlive) {
+    ApplyMember({member->instance, member->incarnation, MemberState::kSuspect});
+  }
+}
+
+void GossipMembership::StartProbe() {
+  m_acknowledged = true;
+  const Member* target = NextTarget();
+  if (target == nullptr) {
+    return;
+  }
+  m_acknowledged = false;
+  m_probed = target->instance.name;
+  m_probed_sequence = m_next_sequence++;
+  SendPing(target->instance, m_probed_sequence);
+  m_indirect_call =
+      m_scheduler.ScheduleAfter(m_settings.acknowledgement_timeout, [this] { ProbeIndirectly(); });
+}
+
+void GossipMembership::ProbeIndirectly() {
+  const Member* target = m_acknowledged ? nullptr : m_table.Find(m_probed);
+  if (target == nullptr) {
+    return;
+  }
+  for (const Instance& helper : ChooseLive(m_settings.indirect_probes, m_probed)) {
+    ProbeMessage request{ProbeKind::kPingRequest, m_probed_sequence};
+    request.target = target->instance;
+    Send(helper.peer_address, std::move(request));
+  }
+}
+
+// After a cut each side holds the other for dead and would never speak to it again.
+void GossipMembership::ProbeDeadOrSeed() {
+  const TimePoint now = m_clock.Now();
+  if (now - m_last_dead_probe < m_settings.dead_probe_interval) {
+    return;
+  }
+  m_last_dead_probe = now;
+  m_table.ForgetGoneBefore(now - m_settings.forget_dead_after);
+  std::vector<const Member*> dead;
+  for (const auto& [name, member] : m_table.members()) {
+    if (member.state == MemberState::kDead) {
+      dead.push_back(&member);
+    }
+  }
+  if (!dead.empty()) {
+    SendPing(dead[RandomBelow(m_random, dead.size())]->instance, m_next_sequence++);
+  } else if (m_table.LiveCount() == 0 && !m_settings.seeds.empty()) {
+    const auto& seed = m_settings.seeds[RandomBelow(m_random, m_settings.seeds.size())];
+    Send(seed, {ProbeKind::kPing, m_next_sequence++});
+  }
+}
+
+void GossipMembership::ExpireSuspicions() {
+  const TimePoint deadline = m_clock.Now() - m_settings.suspicion_timeout;
+  for (MemberRumour& suspect : m_table.SuspectsSince(deadline)) {
+    suspect.state = MemberState::kDead;
+    ApplyMember(suspect);
+  }
+}
+
+const Member* GossipMembership::NextTarget() {
+  while (true) {
+    if (m_probe_order.empty()) {
+      for (const auto& [name, member] : m_table.members()) {
+        if (IsLive(member.state)) {
+          m_probe_order.push_back(name);
+        }
+      }
+      if (m_probe_order.empty()) {
+        return nullptr;
+      }
+      std::shuffle(m_probe_order.begin(), m_probe_order.end(), m_random);
+    }
+    const InstanceName name = std::move(m_probe_order.back());
+    m_probe_order.pop_back();
+    const Member* member = m_table.Find(name);
+    if (member != nullptr && IsLive(member->state)) {
+      return member;
+    }
+  }
+}
+
+std::vector<Instance> GossipMembership::ChooseLive(std::size_t count, const InstanceName& except) {
+  std::vector<Instance> live = m_table.Live();
+  std::erase_if(live, [&except](const Instance& instance) { return instance.name == except; });
+  const std::size_t kept = std::min(count, live.size());
+  for (std::size_t index = 0; index < kept; ++index) {
+    std::swap(live[index], live[index + RandomBelow(m_random, live.size() - index)]);
+  }
+  live.resize(kept);
+  return live;
+}
+
+void GossipMembership::OnListed(const std::vector<Instance>& instances) {
+  for (const Instance& instance : instances) {
+    const Member* member = m_table.Find(instance.name);
+    const bool news = member == nullptr || member->instance.start < instance.start;
+    if (news && instance.name != m_settings.self.name) {
+      m_table.Apply({instance, 0, MemberState::kAlive}, m_clock.Now());
+      TellListeners();
+    }
+  }
+}
+
+void GossipMembership::ApplyMember(const MemberRumour& rumour) {
+  if (rumour.instance.name == m_settings.self.name) {
+    RefuteIfNeeded(rumour);
+    return;
+  }
+  const Member* before = m_table.Find(rumour.instance.name);
+  const bool was_live = before != nullptr && IsLive(before->state);
+  if (!m_table.Apply(rumour, m_clock.Now())) {
+    return;
+  }
+  Spread(rumour);
+  if (was_live != IsLive(rumour.state)) {
+    TellListeners();
+  }
+}
+
+void GossipMembership::RefuteIfNeeded(const MemberRumour& rumour) {
+  const bool about_us = rumour.instance.start == m_settings.self.start;
+  const bool wrong = rumour.state == MemberState::kSuspect || rumour.state == MemberState::kDead;
+  if (about_us && wrong && rumour.incarnation >= m_incarnation) {
+    m_incarnation = rumour.incarnation + 1;
+    Spread(MemberRumour{m_settings.self, m_incarnation, MemberState::kAlive});
+  }
+}
+
+void GossipMembership::OnProbe(const ProbeMessage& message) {
+  const Member* known = m_table.Find(message.sender.name);
+  const bool stale = known != nullptr && known->instance.start > message.sender.start;
+  if (m_stopped || stale || message.sender.name == m_settings.self.name) {
+    return;
+  }
+  const bool newcomer = known == nullptr || known->instance.start < message.sender.start;
+  ApplyMember({message.sender, message.sender_incarnation, MemberState::kAlive});
+  m_table.NoteRevision(message.sender.name, message.revision);
+  for (const Rumour& rumour : message.rumours) {
+    if (const auto* member = std::get_if<MemberRumour>(&rumour)) {
+      ApplyMember(*member);
+    } else {
+      m_host.OnRumour(rumour, message.sender);
+    }
+  }
+  m_host.OnPeerRevision(message.sender, message.revision);
+  switch (message.kind) {
+    case ProbeKind::kPing:
+      OnPing(message, newcomer);
+      break;
+    case ProbeKind::kPingRequest:
+      OnPingRequest(message);
+      break;
+    case ProbeKind::kAck:
+      OnAcknowledgement(message);
+      break;
+  }
+}
+
+void GossipMembership::OnPing(const ProbeMessage& message, bool newcomer) {
+  ProbeMessage answer{ProbeKind::kAck, message.sequence};
+  const Member* sender = m_table.Find(message.sender.name);
+  if (sender != nullptr && sender->state != MemberState::kAlive) {
+    answer.rumours.emplace_back(MemberRumour{sender->instance, sender->incarnation, sender->state});
+  }
+  Send(message.sender.peer_address, std::move(answer));
+  if (newcomer) {
+    WelcomeNewcomer(message.sender);
+  }
+}
+
+void GossipMembership::OnPingRequest(const ProbeMessage& message) {
+  if (!message.target || m_relays.size() >= kMostRelays) {
+    return;
+  }
+  const TimePoint now = m_clock.Now();
+  std::erase_if(m_relays, [&](const auto& row) {
+    return now - row.second.at > 2 * m_settings.probe_interval;
+  });
+  const std::uint64_t sequence = m_next_sequence++;
+  m_relays[sequence] = {message.sender.peer_address, message.sequence, now};
+  SendPing(*message.target, sequence);
+}
+
+void GossipMembership::OnAcknowledgement(const ProbeMessage& message) {
+  if (message.sequence == 0) {
+    return;
+  }
+  const InstanceName& speaker = message.target ? message.target->name : message.sender.name;
+  if (message.sequence == m_probed_sequence && speaker == m_probed) {
+    m_acknowledged = true;
+  }
+  const auto relay = m_relays.find(message.sequence);
+  if (relay != m_relays.end()) {
+    ProbeMessage forwarded{ProbeKind::kAck, relay->second.sequence};
+    forwarded.target = message.sender;
+    Send(relay->second.requester, std::move(forwarded));
+    m_relays.erase(relay);
+  }
+}
+
+void GossipMembership::WelcomeNewcomer(const Instance& newcomer) {
+  std::vector<Rumour> rumours = m_host.RumoursForNewcomer();
+  for (const Instance& instance : ChooseLive(kNewcomerMembers, newcomer.name)) {
+    const Member& member = *m_table.Find(instance.name);
+    rumours.emplace_back(MemberRumour{member.instance, member.incarnation, member.state});
+  }
+  SendRumours(newcomer.peer_address, rumours);
+}
+
+void GossipMembership::SendPing(const Instance& target, std::uint64_t sequence) {
+  ProbeMessage ping{ProbeKind::kPing, sequence};
+  const Member* member = m_table.Find(target.name);
+  if (member != nullptr && member->state != MemberState::kAlive) {
+    ping.rumours.emplace_back(MemberRumour{member->instance, member->incarnation, member->state});
+  }
+  Send(target.peer_address, std::move(ping));
+}
+
+void GossipMembership::Send(const NetworkAddress& to, ProbeMessage message) {
+  message.sender = m_settings.self;
+  message.sender_incarnation = m_incarnation;
+  message.revision = m_host.OwnRevision();
+  const std::size_t used = EstimateSize(message);
+  if (used < kLargestDatagram) {
+    for (Rumour& rumour : m_queue.Take(kLargestDatagram - used)) {
+      message.rumours.push_back(std::move(rumour));
+    }
+  }
+  m_transport.SendProbe(to, message);
+}
+
+void GossipMembership::SendRumours(const NetworkAddress& to, const std::vector<Rumour>& rumours) {
+  ProbeMessage message{ProbeKind::kAck, 0};
+  message.sender = m_settings.self;
+  message.sender_incarnation = m_incarnation;
+  message.revision = m_host.OwnRevision();
+  const std::size_t room = kLargestDatagram - EstimateSize(message);
+  std::size_t used = 0;
+  std::size_t datagrams = 0;
+  for (const Rumour& rumour : rumours) {
+    const std::size_t size = EstimateSize(rumour);
+    if (used + size > room && !message.rumours.empty()) {
+      m_transport.SendProbe(to, message);
+      message.rumours.clear();
+      used = 0;
+      if (++datagrams == kMostNewcomerDatagrams) {
+        return;
+      }
+    }
+    message.rumours.push_back(rumour);
+    used += size;
+  }
+  m_transport.SendProbe(to, message);
+}
+
+void GossipMembership::Spread(Rumour rumour) {
+  m_queue.Add(std::move(rumour), Transmissions());
+}
+
+void GossipMembership::SpreadUrgently(Rumour rumour, bool first_hand, bool also_queue) {
+  if (also_queue) {
+    Spread(rumour);
+  }
+  m_urgent.push_back(std::move(rumour));
+  m_urgent_first_hand = m_urgent_first_hand || first_hand;
+  if (!m_flush_call) {
+    m_flush_call = m_scheduler.ScheduleAfter(kFlushDelay, [this] { FlushUrgent(); });
+  }
+}
+
+void GossipMembership::PushRevision() {
+  for (const Instance& peer : ChooseLive(m_settings.fanout, "")) {
+    SendRumours(peer.peer_address, {});
+  }
+}
+
+void GossipMembership::FlushUrgent() {
+  const std::vector<Rumour> rumours = std::exchange(m_urgent, {});
+  const bool first_hand = std::exchange(m_urgent_first_hand, false);
+  m_flush_call.reset();
+  const std::size_t fanout = first_hand ? m_settings.first_fanout : m_settings.fanout;
+  for (const Instance& peer : ChooseLive(fanout, "")) {
+    SendRumours(peer.peer_address, rumours);
+  }
+}
+
+std::uint32_t GossipMembership::Transmissions() const {
+  constexpr std::uint32_t kForEachDoubling = 2;
+  return kForEachDoubling * static_cast<std::uint32_t>(std::bit_width(m_table.LiveCount() + 1));
+}
+
+std::vector<Instance> GossipMembership::LiveInstances() const {
+  std::vector<Instance> live = m_table.Live();
+  const auto place = std::lower_bound(
+      live.begin(), live.end(), m_settings.self.name,
+      [](const Instance& instance, const InstanceName& name) { return instance.name < name; });
+  live.insert(place, m_settings.self);
+  return live;
+}
+
+void GossipMembership::AddListener(MembershipListener& listener) {
+  m_listeners.push_back(&listener);
+}
+
+void GossipMembership::RemoveListener(MembershipListener& listener) {
+  std::erase(m_listeners, &listener);
+}
+
+void GossipMembership::TellListeners() {
+  const std::vector<MembershipListener*> listeners = m_listeners;
+  for (MembershipListener* listener : listeners) {
+    listener->OnMembershipChanged();
+  }
+}
+
+}  // namespace zinnia
--- a/packages/zinnia_world/configuration/configuration.cc
+++ b/packages/zinnia_world/configuration/configuration.cc
@@ -266,34 +266,29 @@
     Configuration configuration;
     configuration.m_revision = revision;
     for (const auto& [path, entry] : entries) {
-      if (!entry.value) {
-        continue;
+      if (entry.value) {
+        configuration.Add(path, *entry.value);
       }
-      auto [kind, name] = SplitPath(path);
-      EntryReader reader(path, *entry.value);
-      if (kind == "organisation") {
-        Organisation organisation = ReadOrganisation(reader, name);
-        for (const std::string& digest : organisation.key_digests) {
-          if (!configuration.m_organisations_by_key_digest.emplace(digest, name).second) {
-            reader.Fail("key_digests", "holds a key that another organisation has");
-          }
-        }
-        configuration.m_organisations.emplace(name, std::move(organisation));
-      } else if (kind == "model") {
-        configuration.m_models.emplace(name, ReadModel(reader, name));
-      } else if (kind == "pipeline") {
-        configuration.m_pipelines.emplace(name, ReadPipeline(reader, name));
-      } else if (kind == "service") {
-        configuration.m_services.emplace(name, ReadService(reader, name));
-      } else if (kind == "server") {
-        configuration.m_server_orders.emplace(name, ReadServerOrder(reader, name));
-      } else if (kind == "link") {
-        configuration.m_links.push_back(ReadLink(reader, name));
-      } else {
-        reader.Fail("",
-                    "is of no known kind: organisation, model, pipeline, service, server, link");
+    }
+    return configuration;
+  } catch (const ErrorException& exception) {
+    return exception.GetError();
+  }
+}
+
+Result<Configuration> Configuration::WithChanges(
+    ConfigurationRevision revision,
+    const std::vector<ConfigurationEntry>& changes) const {
+  try {
+    Configuration configuration = *this;
+    configuration.m_revision = revision;
+    for (const ConfigurationEntry& change : changes) {
+      configuration.Remove(change.path);
+    }
+    for (const ConfigurationEntry& change : changes) {
+      if (change.value) {
+        configuration.Add(change.path, *change.value);
       }
-      reader.Finish();
     }
     return configuration;
   } catch (const ErrorException& exception) {
@@ -301,6 +296,59 @@
   }
 }
 
+void Configuration::Add(const std::string& path, const std::string& value) {
+  auto [kind, name] = SplitPath(path);
+  EntryReader reader(path, value);
+  if (kind == "organisation") {
+    AddOrganisation(ReadOrganisation(reader, name), path);
+  } else if (kind == "model") {
+    m_models.emplace(name, ReadModel(reader, name));
+  } else if (kind == "pipeline") {
+    m_pipelines.emplace(name, ReadPipeline(reader, name));
+  } else if (kind == "service") {
+    m_services.emplace(name, ReadService(reader, name));
+  } else if (kind == "server") {
+    m_server_orders.emplace(name, ReadServerOrder(reader, name));
+  } else if (kind == "link") {
+    m_links.push_back(ReadLink(reader, name));
+  } else {
+    reader.Fail("", "is of no known kind: organisation, model, pipeline, service, server, link");
+  }
+  reader.Finish();
+}
+
+void Configuration::AddOrganisation(Organisation organisation, const std::string& path) {
+  for (const std::string& digest : organisation.key_digests) {
+    if (!m_organisations_by_key_digest.emplace(digest, organisation.name).second) {
+      throw ErrorException(
+          MakeError(ErrorKind::kInvalidRequest,
+                    path + ".key_digests holds a key that another organisation has"));
+    }
+  }
+  const OrganisationName name = organisation.name;
+  m_organisations.emplace(name, std::move(organisation));
+}
+
+void Configuration::Remove(const std::string& path) {
+  const auto [kind, name] = SplitPath(path);
+  if (kind == "organisation") {
+    std::erase_if(m_organisations_by_key_digest,
+                  [&name = name](const auto& row) { return row.second == name; });
+    m_organisations.erase(name);
+  } else if (kind == "model") {
+    m_models.erase(name);
+  } else if (kind == "pipeline") {
+    m_pipelines.erase(name);
+  } else if (kind == "service") {
+    m_services.erase(name);
+  } else if (kind == "server") {
+    m_server_orders.erase(name);
+  } else if (kind == "link") {
+    std::erase_if(m_links,
+                  [&name = name](const Link& link) { return link.from + "/" + link.to == name; });
+  }
+}
+
 const Organisation* Configuration::FindOrganisationByKeyDigest(const std::string& digest) const {
   const auto found = m_organisations_by_key_digest.find(digest);
   return found == m_organisations_by_key_digest.end() ? nullptr
--- a/packages/zinnia_world/configuration/configuration.h
+++ b/packages/zinnia_world/configuration/configuration.h
@@ -42,6 +42,12 @@
   static Result<Configuration> Parse(ConfigurationRevision revision,
                                      const std::map<std::string, ConfigurationEntry>& entries);
 
+  /** This configuration at a later revision, with the changed paths written or (without a value)
+      removed. Same checks and errors as Parse, but only the changed entries are parsed: parsing all
+      of them for each change would cost more than the whole budget of the control thread. */
+  Result<Configuration> WithChanges(ConfigurationRevision revision,
+                                    const std::vector<ConfigurationEntry>& changes) const;
+
   ConfigurationRevision revision() const { return m_revision; }
   const std::map<OrganisationName, Organisation>& organisations() const { return m_organisations; }
   const std::map<ModelName, Model>& models() const { return m_models; }
@@ -54,6 +60,10 @@
   const Organisation* FindOrganisationByKeyDigest(const std::string& digest) const;
 
  private:
+  void Add(const std::string& path, const std::string& value);
+  void AddOrganisation(Organisation organisation, const std::string& path);
+  void Remove(const std::string& path);
+
   ConfigurationRevision m_revision = 0;
   std::map<OrganisationName, Organisation> m_organisations;
   std::map<ModelName, Model> m_models;
