Choose routes by expected completion and admit by fair shares

The router needs one decision for every session that gets the most out of mixed accelerators, and an admission that refuses before queues grow.

CompletionChooser and three baselines share IndexedChooser, which alone decides which servers may be used at all. Weighed: each chooser filtering by itself; ruled out, as a baseline that forgets the version check would be measured on another problem.

--- a/packages/zinnia_decisions/admission/admission_controller.h
+++ b/packages/zinnia_decisions/admission/admission_controller.h
@@ -4,8 +4,10 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "zinnia_base/errors/result.h"
+#include "zinnia_base/time/clock.h"
 #include "zinnia_world/contracts/organisation.h"
 #include "zinnia_world/names/names.h"
 #include "zinnia_world/requests/request_class.h"
--- /dev/null
+++ b/packages/zinnia_decisions/admission/credit_ledger.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_set>
+#include <utility>
+
+#include "zinnia_world/names/names.h"
+#include "zinnia_world/requests/request_class.h"
+
+namespace zinnia {
+
+/** What was answered for an organisation in one class. */
+struct Credit {
+  std::uint64_t requests = 0;
+  double weight = 0.0;
+};
+
+/** Credits each answered request once, by organisation, kind and weight.
+
+    A recovered or resumed answer may be reported more than once; the request id tells. Only the
+    latest ids are remembered, and organisations beyond the bound share the row "other".
+*/
+class CreditLedger {
+ public:
+  using Rows = std::map<std::pair<OrganisationName, RequestClass>, Credit>;
+
+  explicit CreditLedger(std::size_t remembered_requests = 65'536, std::size_t highest_rows = 2'048)
+      : m_remembered_requests(remembered_requests), m_highest_rows(highest_rows) {}
+
+  /** Returns false, and credits nothing, if that request was credited before. */
+  bool CreditOnce(const std::string& request_id,
+                  const OrganisationName& organisation,
+                  RequestClass request_class,
+                  double weight);
+
+  const Rows& AllRows() const { return m_rows; }
+
+ private:
+  bool IsFirst(const std::string& request_id);
+
+  const std::size_t m_remembered_requests;
+  const std::size_t m_highest_rows;
+  Rows m_rows;
+  std::unordered_set<std::string> m_credited;
+  std::deque<std::string> m_credited_in_order;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/admission/service_meter.cc
@@ -0,0 +1,59 @@
+#include "zinnia_decisions/admission/service_meter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace zinnia {
+namespace {
+
+constexpr double kLearningShare = 0.05;
+constexpr double kLeastHeldSeconds = 0.001;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+void ServiceMeter::OnAdmitted(TimePoint, Duration expected) {
+  if (m_mean_held_seconds == 0.0) {
+    m_mean_held_seconds = std::max(Seconds(expected), kLeastHeldSeconds);
+  }
+}
+
+void ServiceMeter::OnFinished(TimePoint now, double cost, Duration held, Duration expected) {
+  m_rate = MeasuredRate(now) + cost / Seconds(m_settings.drain_window);
+  m_rate_at = now;
+  const double held_seconds = std::max(Seconds(held), kLeastHeldSeconds);
+  m_mean_held_seconds += kLearningShare * (held_seconds - m_mean_held_seconds);
+  if (expected > Duration::zero()) {
+    const double error = held_seconds / Seconds(expected) - m_stretch;
+    m_stretch += kLearningShare * error;
+    m_stretch_deviation += kLearningShare * (std::abs(error) - m_stretch_deviation);
+  }
+}
+
+void ServiceMeter::SetBusy(TimePoint now, bool busy) {
+  if (busy && !m_busy) {
+    m_busy_since = now;
+  }
+  m_busy = busy;
+}
+
+double ServiceMeter::DrainRate(TimePoint now, double capacity) const {
+  const double by_held_time = capacity / std::max(m_mean_held_seconds, kLeastHeldSeconds);
+  // A stalled pool finishes nothing, so held times cannot tell of it; the finished cost can.
+  const bool measured = m_busy && now - m_busy_since >= m_settings.drain_window;
+  return measured ? std::min(by_held_time, MeasuredRate(now)) : by_held_time;
+}
+
+Duration ServiceMeter::Stretched(Duration expected) const {
+  const double factor = m_stretch + m_settings.deviations_of_service_time * m_stretch_deviation;
+  return std::chrono::duration_cast<Duration>(expected * std::max(1.0, factor));
+}
+
+double ServiceMeter::MeasuredRate(TimePoint now) const {
+  return m_rate * std::exp(-Seconds(now - m_rate_at) / Seconds(m_settings.drain_window));
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/admission/service_meter.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "zinnia_decisions/admission/admission_settings.h"
+
+namespace zinnia {
+
+/** Measures how fast a pool gets work done: cost finished a second, time a grant is held, and how
+    far that time goes beyond what was expected. */
+class ServiceMeter {
+ public:
+  explicit ServiceMeter(const AdmissionSettings& settings) : m_settings(settings) {}
+
+  void OnAdmitted(TimePoint now, Duration expected);
+  void OnFinished(TimePoint now, double cost, Duration held, Duration expected);
+
+  /** Tells whether work is waiting; the measured rate means something only while it is. */
+  void SetBusy(TimePoint now, bool busy);
+
+  /** Cost a second that the pool works off if `capacity` runs at once. */
+  double DrainRate(TimePoint now, double capacity) const;
+
+  /** How long work that is expected to take `expected` may really take. */
+  Duration Stretched(Duration expected) const;
+
+ private:
+  double MeasuredRate(TimePoint now) const;
+
+  AdmissionSettings m_settings;
+  double m_mean_held_seconds = 0.0;
+  double m_rate = 0.0;
+  TimePoint m_rate_at{};
+  bool m_busy = false;
+  TimePoint m_busy_since{};
+  double m_stretch = 1.0;
+  double m_stretch_deviation = 0.0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/completion_chooser.cc
@@ -0,0 +1,118 @@
+#include "zinnia_decisions/routing/completion_chooser.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "zinnia_base/hashing/fingerprint.h"
+
+namespace zinnia {
+namespace {
+
+/** Weighted rendezvous hashing: the highest rank is the home of the prefix, and a server is the
+    home of a share of prefixes in proportion to its weight. */
+double RendezvousRank(std::uint64_t prefix, std::uint64_t server, double weight) {
+  const std::array<std::uint64_t, 2> both = {prefix, server};
+  const std::uint64_t hash = Hash64({reinterpret_cast<const char*>(both.data()), sizeof(both)});
+  const double unit = (static_cast<double>(hash >> 11U) + 0.5) / static_cast<double>(1ULL << 53U);
+  return -weight / std::log(unit);
+}
+
+}  // namespace
+
+CompletionChooser::CompletionChooser(const Clock& clock,
+                                     RandomSource random,
+                                     CompletionChooserSettings settings)
+    : IndexedChooser(clock),
+      m_random(random),
+      m_settings(settings),
+      m_prefixes(settings.remembered_prefixes) {}
+
+std::vector<std::size_t> CompletionChooser::PipelineOrder(const RouteQuery& query,
+                                                          std::size_t count) {
+  auto all = IndexedChooser::PipelineOrder(query, count);
+  for (std::size_t drawn = 0; drawn < std::min(m_settings.compared_pipelines, count); ++drawn) {
+    std::swap(all[drawn], all[drawn + RandomBelow(m_random, count - drawn)]);
+  }
+  return all;
+}
+
+StagePick CompletionChooser::PickServer(const StageQuestion& question) {
+  DrawCompared(question);
+  const std::uint64_t prefix = question.query.prefix_hash;
+  const std::uint32_t home = prefix == 0 ? 0 : HomeOfPrefix(question);
+  if (prefix != 0) {
+    m_compared.push_back(home);
+  }
+  StagePick best{.cost = std::numeric_limits<double>::infinity()};
+  for (const std::uint32_t candidate : m_compared) {
+    const std::uint64_t name_hash = question.index.Servers()[candidate].name_hash;
+    const bool cached =
+        prefix != 0 && (candidate == home || m_prefixes.WasSentTo(prefix, name_hash));
+    const double noise = 1.0 + m_settings.noise * RandomUnit(m_random);
+    const double cost = CostOf(question, candidate, cached) * noise;
+    if (cost < best.cost) {
+      best = {candidate, cost};
+    }
+  }
+  return best;
+}
+
+void CompletionChooser::OnRouteUsed(const Route& route, const RouteQuery& query) {
+  if (query.prefix_hash == 0) {
+    return;
+  }
+  for (const Route::Hop& hop : route.hops) {
+    m_prefixes.Remember(query.prefix_hash, Hash64(hop.server));
+  }
+}
+
+void CompletionChooser::DrawCompared(const StageQuestion& question) {
+  m_compared.assign(question.candidates.begin(), question.candidates.end());
+  if (m_compared.size() <= m_settings.compared_servers) {
+    return;
+  }
+  for (std::size_t drawn = 0; drawn < m_settings.compared_servers; ++drawn) {
+    const std::size_t other = drawn + RandomBelow(m_random, m_compared.size() - drawn);
+    std::swap(m_compared[drawn], m_compared[other]);
+  }
+  m_compared.resize(m_settings.compared_servers);
+}
+
+std::uint32_t CompletionChooser::HomeOfPrefix(const StageQuestion& question) const {
+  std::uint32_t home = question.candidates.front();
+  double highest = -1.0;
+  for (const std::uint32_t candidate : question.candidates) {
+    const IndexedServer& server = question.index.Servers()[candidate];
+    const double rank = RendezvousRank(question.query.prefix_hash, server.name_hash,
+                                       server.rates.prefill_tokens_per_second);
+    if (rank > highest) {
+      highest = rank;
+      home = candidate;
+    }
+  }
+  return home;
+}
+
+double CompletionChooser::CostOf(const StageQuestion& question,
+                                 std::uint32_t candidate,
+                                 bool probably_cached) const {
+  const IndexedServer& server = question.index.Servers()[candidate];
+  const auto hop = PredictHop(question.index, server, question.position, question.query);
+  const double sessions = ExpectedSessions(question.index, server);
+  const double slowdown = 1.0 + m_settings.slowdown_of_others;
+  const double per_token = hop.base_per_token + (1.0 + slowdown * sessions) * hop.load_per_session;
+  const double prefill = hop.prefill * (probably_cached ? 1.0 - m_settings.cached_share : 1.0);
+  return prefill + question.query.answer_tokens * per_token;
+}
+
+double CompletionChooser::ExpectedSessions(const FleetIndex& index,
+                                           const IndexedServer& server) const {
+  const double own_change = server.own->ChangeSince(server.reported_at);
+  const double all_changes = own_change * index.LiveInstances();
+  return std::max<double>(server.reported_sessions + all_changes, server.own->InFlight());
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/completion_chooser.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "zinnia_base/random/random_source.h"
+#include "zinnia_decisions/routing/indexed_chooser.h"
+#include "zinnia_decisions/routing/prefix_memory.h"
+
+namespace zinnia {
+
+/** What steers CompletionChooser. The defaults are those that docs/design/routing.md measured. */
+struct CompletionChooserSettings {
+  /** How many servers of a stage are compared; of more, so many are drawn at random. */
+  std::size_t compared_servers = 8;
+  std::size_t compared_pipelines = 8;
+
+  /** How much of the slowdown of the sessions already there counts against a server. 0 looks only
+      at this request. */
+  double slowdown_of_others = 1.0;
+
+  /** Part of a prompt that a cached prefix is expected to save. */
+  double cached_share = 0.5;
+
+  /** Costs are multiplied by up to 1 + this at random. */
+  double noise = 0.02;
+
+  /** Prefixes remembered by one chooser. */
+  std::size_t remembered_prefixes = 4096;
+};
+
+/** Chooses routes by expected completion and by what the choice costs everybody else.
+
+    The expected time of a hop grows with the sessions at the server; a further session slows the
+    others too, and that slowdown is counted, so that load spreads by rate when it is high and goes
+    to fast near servers when it is low. Instances that see the same late report would all run to
+    the same server: each takes its own sends since the report as made by all instances, compares
+    only some servers drawn at random and adds a little noise. Equal prefixes go to the same servers
+    from every instance (rendezvous hashing), unless those are busy.
+
+    @see PredictHop, ShortestCompletionChooser
+*/
+class CompletionChooser final : public IndexedChooser {
+ public:
+  CompletionChooser(const Clock& clock,
+                    RandomSource random,
+                    CompletionChooserSettings settings = {});
+
+ protected:
+  std::vector<std::size_t> PipelineOrder(const RouteQuery& query, std::size_t count) override;
+  std::size_t ComparedPipelines() const override { return m_settings.compared_pipelines; }
+  StagePick PickServer(const StageQuestion& question) override;
+  void OnRouteUsed(const Route& route, const RouteQuery& query) override;
+  std::string_view Reason() const override {
+    return "shortest expected completion with the slowdown of others counted";
+  }
+
+ private:
+  void DrawCompared(const StageQuestion& question);
+  std::uint32_t HomeOfPrefix(const StageQuestion& question) const;
+  double CostOf(const StageQuestion& question, std::uint32_t candidate, bool probably_cached) const;
+  double ExpectedSessions(const FleetIndex& index, const IndexedServer& server) const;
+
+  RandomSource m_random;
+  const CompletionChooserSettings m_settings;
+  PrefixMemory m_prefixes;
+  std::vector<std::uint32_t> m_compared;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/fleet_index.cc
@@ -0,0 +1,109 @@
+#include "zinnia_decisions/routing/fleet_index.h"
+
+#include <algorithm>
+
+#include "zinnia_base/hashing/fingerprint.h"
+#include "zinnia_decisions/routing/own_loads.h"
+
+namespace zinnia {
+
+FleetIndex::FleetIndex(const FleetSnapshot& fleet, OwnLoads& own_loads)
+    : m_links(fleet.links),
+      m_own_domain(m_links.NumberOf(fleet.own_failure_domain)),
+      m_live_instances(std::max<double>(1.0, static_cast<double>(fleet.live_instances))) {
+  AddServers(fleet, own_loads);
+  AddPipelines(fleet);
+}
+
+std::span<const IndexedPipeline> FleetIndex::PipelinesOf(const ModelName& model) const {
+  const auto found = m_pipelines.find(model);
+  return found == m_pipelines.end() ? std::span<const IndexedPipeline>{} : found->second;
+}
+
+const IndexedServer* FleetIndex::Find(const BackendServerName& server) const {
+  const auto found = m_numbers.find(server);
+  return found == m_numbers.end() ? nullptr : &m_servers[found->second];
+}
+
+IndexedStage FleetIndex::HoldersOf(const ModelName& model,
+                                   const std::string& version,
+                                   LayerRange layers) const {
+  for (const IndexedPipeline& pipeline : PipelinesOf(model)) {
+    for (const IndexedStage& stage : pipeline.stages) {
+      const bool usable = !stage.live.empty() || !stage.suspect.empty();
+      if (pipeline.version == version && stage.layers == layers && usable) {
+        return stage;
+      }
+    }
+  }
+  IndexedStage stage{.layers = layers};
+  const LoadedRange wanted{model, version, layers};
+  for (std::uint32_t number = 0; number < m_servers.size(); ++number) {
+    if (m_loaded[number] == wanted) {
+      AddUsable(number, stage);
+    }
+  }
+  return stage;
+}
+
+void FleetIndex::AddServers(const FleetSnapshot& fleet, OwnLoads& own_loads) {
+  m_servers.reserve(fleet.servers.size());
+  for (const auto& [name, view] : fleet.servers) {
+    m_numbers.emplace(name, static_cast<std::uint32_t>(m_servers.size()));
+    const double reported = view.load.reported_running + view.load.reported_queued;
+    m_servers.push_back({.name = name,
+                         .name_hash = Hash64(name),
+                         .failure_domain = m_links.NumberOf(view.server.failure_domain),
+                         .state = view.state,
+                         .rates = RatesOf(view),
+                         .reported_sessions = reported,
+                         .reported_at = view.load.reported_at,
+                         .own = &own_loads.Of(name)});
+    m_loaded.push_back(view.server.loaded);
+  }
+}
+
+void FleetIndex::AddPipelines(const FleetSnapshot& fleet) {
+  if (fleet.configuration != nullptr) {
+    for (const auto& [name, model] : fleet.configuration->models()) {
+      m_pipelines[name];
+    }
+  }
+  for (const Pipeline& pipeline : fleet.pipelines) {
+    std::vector<IndexedPipeline>& of_model = m_pipelines[pipeline.model];
+    if (pipeline.draining || pipeline.stages.empty()) {
+      continue;
+    }
+    IndexedPipeline indexed{.name = pipeline.name, .version = pipeline.version};
+    for (const PipelineStage& stage : pipeline.stages) {
+      indexed.stages.push_back(MakeStage(pipeline, stage));
+    }
+    of_model.push_back(std::move(indexed));
+  }
+}
+
+IndexedStage FleetIndex::MakeStage(const Pipeline& pipeline, const PipelineStage& stage) const {
+  IndexedStage indexed{.layers = stage.layers};
+  const LoadedRange wanted{pipeline.model, pipeline.version, stage.layers};
+  for (const BackendServerName& replica : stage.replicas) {
+    const auto found = m_numbers.find(replica);
+    if (found != m_numbers.end() && m_loaded[found->second] == wanted) {
+      AddUsable(found->second, indexed);
+    }
+  }
+  return indexed;
+}
+
+void FleetIndex::AddUsable(std::uint32_t number, IndexedStage& stage) const {
+  const IndexedServer& server = m_servers[number];
+  if (server.rates.decode_tokens_per_second <= 0.0) {
+    return;
+  }
+  if (server.state == BackendServerState::kLive) {
+    stage.live.push_back(number);
+  } else if (server.state == BackendServerState::kSuspect) {
+    stage.suspect.push_back(number);
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/least_loaded_chooser.cc
@@ -0,0 +1,18 @@
+#include "zinnia_decisions/routing/least_loaded_chooser.h"
+
+#include <limits>
+
+namespace zinnia {
+
+StagePick LeastLoadedChooser::PickServer(const StageQuestion& question) {
+  StagePick best{.cost = std::numeric_limits<double>::infinity()};
+  for (const std::uint32_t candidate : question.candidates) {
+    const double sessions = CorrectedSessions(question.index.Servers()[candidate]);
+    if (sessions < best.cost) {
+      best = {candidate, sessions};
+    }
+  }
+  return best;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/link_table.cc
@@ -0,0 +1,35 @@
+#include "zinnia_decisions/routing/link_table.h"
+
+namespace zinnia {
+namespace {
+
+constexpr double kFastOneWaySeconds = 0.0003;
+constexpr double kFastSecondsPerByte = 1.0 / 1.25e9;
+
+}  // namespace
+
+LinkTable::LinkTable(const std::vector<Link>& links) {
+  for (const Link& link : links) {
+    const double seconds_per_byte =
+        link.bytes_per_second > 0.0 ? 1.0 / link.bytes_per_second : kFastSecondsPerByte;
+    const Cost cost{std::chrono::duration<double>(link.one_way).count(), seconds_per_byte};
+    const auto from = NumberOf(link.from);
+    const auto to = NumberOf(link.to);
+    m_costs[{from, to}] = cost;
+    m_costs.try_emplace({to, from}, cost);
+  }
+}
+
+std::uint32_t LinkTable::NumberOf(const FailureDomainName& domain) {
+  return m_numbers.try_emplace(domain, static_cast<std::uint32_t>(m_numbers.size())).first->second;
+}
+
+double LinkTable::OneWaySeconds(std::uint32_t from, std::uint32_t to, double bytes) const {
+  const auto known = m_costs.find({from, to});
+  if (known == m_costs.end()) {
+    return kFastOneWaySeconds + bytes * kFastSecondsPerByte;
+  }
+  return known->second.one_way_seconds + bytes * known->second.seconds_per_byte;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/own_loads.cc
@@ -0,0 +1,40 @@
+#include "zinnia_decisions/routing/own_loads.h"
+
+namespace zinnia {
+namespace {
+
+constexpr std::size_t kRememberedChanges = 256;
+
+}  // namespace
+
+void OwnLoad::OnSent(TimePoint now) {
+  ++m_in_flight;
+  Remember(now, 1);
+}
+
+void OwnLoad::OnFinished(TimePoint now) {
+  if (m_in_flight > 0) {
+    --m_in_flight;
+    Remember(now, -1);
+  }
+}
+
+double OwnLoad::ChangeSince(TimePoint since) {
+  while (!m_changes.empty() && m_changes.front().first <= since) {
+    m_changes.pop_front();
+  }
+  int change = 0;
+  for (const auto& [at, step] : m_changes) {
+    change += step;
+  }
+  return change;
+}
+
+void OwnLoad::Remember(TimePoint now, int change) {
+  m_changes.emplace_back(now, change);
+  if (m_changes.size() > kRememberedChanges) {
+    m_changes.pop_front();
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/prefix_memory.cc
@@ -0,0 +1,37 @@
+#include "zinnia_decisions/routing/prefix_memory.h"
+
+#include <algorithm>
+
+namespace zinnia {
+namespace {
+
+constexpr std::size_t kServersPerPrefix = 16;
+
+}  // namespace
+
+void PrefixMemory::Remember(std::uint64_t prefix, std::uint64_t server) {
+  const auto known = m_by_prefix.find(prefix);
+  if (known == m_by_prefix.end()) {
+    m_entries.push_front({prefix, {}});
+    m_by_prefix[prefix] = m_entries.begin();
+  } else {
+    m_entries.splice(m_entries.begin(), m_entries, known->second);
+  }
+  std::vector<std::uint64_t>& servers = m_entries.front().servers;
+  std::erase(servers, server);
+  servers.push_back(server);
+  if (servers.size() > kServersPerPrefix) {
+    servers.erase(servers.begin());
+  }
+  if (m_entries.size() > m_capacity) {
+    m_by_prefix.erase(m_entries.back().prefix);
+    m_entries.pop_back();
+  }
+}
+
+bool PrefixMemory::WasSentTo(std::uint64_t prefix, std::uint64_t server) const {
+  const auto known = m_by_prefix.find(prefix);
+  return known != m_by_prefix.end() && std::ranges::count(known->second->servers, server) > 0;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/round_robin_chooser.cc
@@ -0,0 +1,22 @@
+#include "zinnia_decisions/routing/round_robin_chooser.h"
+
+#include <algorithm>
+
+namespace zinnia {
+
+std::vector<std::size_t> RoundRobinChooser::PipelineOrder(const RouteQuery& query,
+                                                          std::size_t count) {
+  auto order = IndexedChooser::PipelineOrder(query, count);
+  if (count > 0) {
+    const std::size_t first = m_next_pipeline[query.model]++ % count;
+    std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(first), order.end());
+  }
+  return order;
+}
+
+StagePick RoundRobinChooser::PickServer(const StageQuestion& question) {
+  const std::size_t turn = m_next_server[{question.query.model, question.layers.first}]++;
+  return {.server = question.candidates[turn % question.candidates.size()], .cost = 0.0};
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/round_robin_chooser.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <map>
+#include <utility>
+
+#include "zinnia_decisions/routing/indexed_chooser.h"
+
+namespace zinnia {
+
+/** Takes pipelines and servers by turns, whatever their load. A baseline for measurements. */
+class RoundRobinChooser final : public IndexedChooser {
+ public:
+  using IndexedChooser::IndexedChooser;
+
+ protected:
+  std::vector<std::size_t> PipelineOrder(const RouteQuery& query, std::size_t count) override;
+  std::size_t ComparedPipelines() const override { return 1; }
+  StagePick PickServer(const StageQuestion& question) override;
+  std::string_view Reason() const override { return "next in turn"; }
+
+ private:
+  std::map<ModelName, std::size_t> m_next_pipeline;
+  std::map<std::pair<ModelName, std::uint32_t>, std::size_t> m_next_server;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/server_rates.cc
@@ -0,0 +1,45 @@
+#include "zinnia_decisions/routing/server_rates.h"
+
+#include <algorithm>
+
+namespace zinnia {
+namespace {
+
+/** Layers times tokens a second of the fastest kind at full batch. */
+constexpr double kNominalLayerTokensPerSecond = 24'000.0;
+constexpr double kNominalSecondsPerLayer = 0.0002;
+constexpr double kPrefillToDecode = 8.0;
+
+double SpeedOf(AcceleratorKind kind) {
+  switch (kind) {
+    case AcceleratorKind::kLarge:
+      return 1.0;
+    case AcceleratorKind::kMedium:
+      return 0.5;
+    case AcceleratorKind::kSmall:
+      return 0.25;
+    case AcceleratorKind::kEdge:
+      break;
+  }
+  return 0.1;
+}
+
+double MeasuredOr(double measured, double nominal) {
+  return measured > 0.0 ? measured : nominal;
+}
+
+}  // namespace
+
+ServerRates RatesOf(const ServerView& view) {
+  const double layers =
+      view.server.loaded ? std::max<double>(1.0, view.server.loaded->layers.Count()) : 1.0;
+  const double speed = SpeedOf(view.server.accelerator);
+  const double decode =
+      MeasuredOr(view.load.decode_tokens_per_second, kNominalLayerTokensPerSecond * speed / layers);
+  const double prefill = MeasuredOr(view.load.prefill_tokens_per_second, kPrefillToDecode * decode);
+  return {.base_step_seconds = kNominalSecondsPerLayer * layers / speed,
+          .decode_tokens_per_second = decode * view.weight,
+          .prefill_tokens_per_second = prefill * view.weight};
+}
+
+}  // namespace zinnia
