--- /dev/null
+++ b/packages/zinnia_decisions/once/once_coordinator.cc
@@ -0,0 +1,290 @@
+#include "zinnia_decisions/once/once_coordinator.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_base/decisions/decision_record.h"
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/once/alive_guard.h"
+#include "zinnia_decisions/ports/peer_transport.h"
+
+namespace zinnia {
+namespace {
+
+/** Grants that are remembered so that their outcome can be reported. Beyond, the oldest is
+    forgotten; its key then stays "outcome unknown". */
+constexpr std::size_t kMostGrants = 65'536;
+
+std::string GrantName(const OrganisationName& organisation,
+                      const std::string& key,
+                      const std::string& request_id) {
+  return fmt::format("{}:{}/{}", request_id.size(), request_id,
+                     IntentIndex::KeyOf(organisation, key));
+}
+
+void Ignore(const Result<void>&) {}
+
+}  // namespace
+
+/** One call of Begin until its callback has run. */
+struct OnceCoordinator::Ask {
+  IntentRequest request;
+  std::string caller_request_id;
+  std::function<void(Result<IntentReply>)> callback;
+  std::uint32_t round = 0;
+  bool needs_refresh = false;
+  bool in_flight = false;
+  bool may_be_recorded = false;
+  std::unique_ptr<ScheduledCall> deadline;
+  std::unique_ptr<ScheduledCall> timer;
+};
+
+struct OnceCoordinator::Grant {
+  std::string name;
+  std::string attempt;
+};
+
+Result<std::unique_ptr<OnceCoordinator>> OnceCoordinator::Create(OnceParts parts,
+                                                                 OnceSettings settings,
+                                                                 std::uint64_t seed) {
+  const Result<void> checked = CheckOnceSettings(settings);
+  if (!checked) {
+    return checked.error();
+  }
+  return std::unique_ptr<OnceCoordinator>(new OnceCoordinator(parts, settings, seed));
+}
+
+OnceCoordinator::OnceCoordinator(OnceParts parts, OnceSettings settings, std::uint64_t seed)
+    : m_parts(parts), m_settings(settings), m_random(seed) {
+  m_reporter = std::make_unique<OutcomeReporter>(
+      m_parts, m_settings, [this](std::uint32_t partition) { return RoleOf(partition); },
+      m_random());
+  m_parts.membership.AddListener(*this);
+}
+
+OnceCoordinator::~OnceCoordinator() {
+  m_parts.membership.RemoveListener(*this);
+}
+
+void OnceCoordinator::Start() {
+  Tick();
+}
+
+void OnceCoordinator::Begin(IntentRequest request,
+                            std::function<void(Result<IntentReply>)> callback) {
+  if (m_roles.empty()) {
+    return callback(
+        Refusal(ErrorKind::kStoreUnavailable, "the store's layout has not been read yet"));
+  }
+  if (m_asks.size() >= m_settings.most_queued) {
+    return callback(Refusal(ErrorKind::kOverloaded, "too many non-idempotent requests at once"));
+  }
+  Step(MakeAsk(std::move(request), std::move(callback)));
+}
+
+OnceCoordinator::AskPointer OnceCoordinator::MakeAsk(
+    IntentRequest request,
+    std::function<void(Result<IntentReply>)> callback) {
+  const Instance& self = m_parts.membership.Self();
+  auto ask = std::make_shared<Ask>();
+  ask->caller_request_id = request.request_id;
+  ask->request = std::move(request);
+  ask->request.partition = PartitionOf(ask->request.organisation, ask->request.key);
+  ask->request.asking_instance = self.name;
+  ask->request.request_id = fmt::format("{}/{}/{}", self.name, self.start, m_next_attempt++);
+  ask->callback = std::move(callback);
+  ask->deadline = m_parts.scheduler.ScheduleAfter(
+      m_settings.begin_timeout,
+      [this, weak = std::weak_ptr<Ask>(ask)] { OnDeadline(weak.lock()); });
+  m_asks.insert(ask);
+  return ask;
+}
+
+void OnceCoordinator::Step(const AskPointer& ask) {
+  if (!ask || !ask->callback) {
+    return;
+  }
+  PartitionRole* role = RoleOf(ask->request.partition);
+  ask->round += 1;
+  if (role->Holder() != nullptr) {
+    return AskLocally(ask);
+  }
+  const std::optional<Instance> target = role->Target(ask->round % 2 == 1);
+  if (!target || std::exchange(ask->needs_refresh, false)) {
+    return RefreshFor(ask);
+  }
+  AskPeer(ask, *target);
+}
+
+void OnceCoordinator::RefreshFor(const AskPointer& ask) {
+  PartitionRole* role = RoleOf(ask->request.partition);
+  role->Refresh([this, ask, role](const Result<void>& result) {
+    if (!ask->callback) {
+      return;
+    }
+    if (!result) {
+      return Finish(ask, Refusal(ErrorKind::kStoreUnavailable, "the partition cannot be read"));
+    }
+    const bool can_go_on = role->Holder() != nullptr || role->Target(true);
+    can_go_on ? Step(ask) : RetryLater(ask);
+  });
+}
+
+void OnceCoordinator::AskLocally(const AskPointer& ask) {
+  ask->in_flight = true;
+  const std::uint32_t round = ask->round;
+  RoleOf(ask->request.partition)
+      ->Holder()
+      ->Begin(ask->request, WhileAlive(m_alive, [this, ask, round](Result<IntentReply> result) {
+                OnReply(ask, round, std::move(result));
+              }));
+}
+
+void OnceCoordinator::AskPeer(const AskPointer& ask, const Instance& target) {
+  ask->in_flight = true;
+  const std::uint32_t round = ask->round;
+  const TimePoint sent_at = m_parts.clock.Now();
+  ask->timer = m_parts.scheduler.ScheduleAfter(
+      m_settings.call_timeout,
+      [this, weak = std::weak_ptr<Ask>(ask), target] { OnCallTimeout(weak.lock(), target); });
+  m_parts.peers.BeginIntent(
+      target.peer_address, ask->request,
+      WhileAlive(m_alive, [this, ask, round, target, sent_at](Result<IntentReply> result) {
+        PartitionRole* role = RoleOf(ask->request.partition);
+        const ErrorKind kind = result ? ErrorKind::kInternal : result.error().kind;
+        const bool refused = kind == ErrorKind::kPeerUnavailable;
+        if (refused || kind == ErrorKind::kOutcomeUnknown) {
+          role->NoteUnreachable(target, sent_at, refused);
+        } else {
+          role->NoteReachable(target);
+        }
+        OnReply(ask, round, std::move(result));
+      }));
+}
+
+/** Takes the answer of the newest call only. A grant that comes later than that is not lost: the
+    same attempt asks again and gets it again, or reports it as unused. */
+void OnceCoordinator::OnReply(const AskPointer& ask,
+                              std::uint32_t round,
+                              Result<IntentReply> result) {
+  if (!ask->callback || round != ask->round) {
+    return;
+  }
+  ask->timer.reset();
+  ask->in_flight = false;
+  if (result) {
+    return Finish(ask, std::move(result));
+  }
+  switch (result.error().kind) {
+    case ErrorKind::kStoreOutcomeUnknown:
+      ask->may_be_recorded = true;
+      return Finish(ask, std::move(result));
+    case ErrorKind::kStaleEpoch:
+    case ErrorKind::kPeerUnavailable:
+    case ErrorKind::kOutcomeUnknown:
+      ask->may_be_recorded |= result.error().kind != ErrorKind::kPeerUnavailable;
+      ask->needs_refresh = true;
+      return RetryLater(ask);
+    default:
+      Finish(ask, std::move(result));
+  }
+}
+
+void OnceCoordinator::OnCallTimeout(const AskPointer& ask, const Instance& target) {
+  if (!ask || !ask->callback) {
+    return;
+  }
+  RoleOf(ask->request.partition)
+      ->NoteUnreachable(target, m_parts.clock.Now() - m_settings.call_timeout, false);
+  ask->may_be_recorded = true;
+  ask->needs_refresh = true;
+  Step(ask);
+}
+
+void OnceCoordinator::RetryLater(const AskPointer& ask) {
+  ask->timer = m_parts.scheduler.ScheduleAfter(
+      Jittered(m_settings.retry_pause),
+      [this, weak = std::weak_ptr<Ask>(ask)] { Step(weak.lock()); });
+}
+
+void OnceCoordinator::OnDeadline(const AskPointer& ask) {
+  if (ask && ask->callback) {
+    Finish(ask, Refusal(ErrorKind::kPeerUnavailable,
+                        "the holder of the key's partition did not answer in time"));
+  }
+}
+
+void OnceCoordinator::Finish(const AskPointer& ask, Result<IntentReply> result) {
+  const auto callback = std::exchange(ask->callback, nullptr);
+  ask->deadline.reset();
+  ask->timer.reset();
+  m_asks.erase(ask);
+  if (!result) {
+    Error error = result.error();
+    error.was_run = WasRun::kNo;
+    error.retry_after = error.retry_after.value_or(m_settings.retry_after);
+    if (ask->may_be_recorded || ask->in_flight) {
+      const IntentRequest& request = ask->request;
+      m_reporter->Add(
+          {request.partition, request.organisation, request.key, request.request_id, {}}, Ignore);
+    }
+    result = std::move(error);
+  } else if (result->verdict == IntentVerdict::kGranted) {
+    RememberGrant(*ask);
+  }
+  callback(std::move(result));
+}
+
+void OnceCoordinator::RememberGrant(const Ask& ask) {
+  const IntentRequest& request = ask.request;
+  if (m_grants.size() >= kMostGrants) {
+    m_grants_by_request.erase(m_grants.front().name);
+    m_grants.pop_front();
+  }
+  std::string name = GrantName(request.organisation, request.key, ask.caller_request_id);
+  if (const auto older = m_grants_by_request.find(name); older != m_grants_by_request.end()) {
+    m_grants.erase(older->second);
+  }
+  m_grants.push_back({name, request.request_id});
+  m_grants_by_request[std::move(name)] = std::prev(m_grants.end());
+}
+
+void OnceCoordinator::Report(IntentOutcome outcome, std::function<void(Result<void>)> callback) {
+  const auto found =
+      m_grants_by_request.find(GrantName(outcome.organisation, outcome.key, outcome.request_id));
+  if (found == m_grants_by_request.end()) {
+    return callback(MakeError(ErrorKind::kNotFound, "no grant of this request is open here"));
+  }
+  outcome.request_id = found->second->attempt;
+  outcome.partition = PartitionOf(outcome.organisation, outcome.key);
+  m_grants.erase(found->second);
+  m_grants_by_request.erase(found);
+  m_reporter->Add(std::move(outcome), std::move(callback));
+}
+
+std::size_t OnceCoordinator::PendingReports() const {
+  return m_reporter->size();
+}
+
+Error OnceCoordinator::Refusal(ErrorKind kind, const char* message) const {
+  Error error = MakeError(kind, message);
+  error.retry_after = m_settings.retry_after;
+  return error;
+}
+
+Duration OnceCoordinator::Jittered(Duration duration) {
+  return duration / 2 + Duration(RandomBelow(m_random, duration.count()));
+}
+
+PartitionRole* OnceCoordinator::RoleOf(std::uint32_t partition) {
+  return partition < m_roles.size() ? m_roles[partition].get() : nullptr;
+}
+
+std::uint32_t OnceCoordinator::PartitionOf(const OrganisationName& organisation,
+                                           const std::string& key) const {
+  return static_cast<std::uint32_t>(Hash64(IntentIndex::KeyOf(organisation, key)) % m_roles.size());
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/once/once_coordinator.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "zinnia_decisions/membership/membership_view.h"
+#include "zinnia_decisions/once/intent_handler.h"
+#include "zinnia_decisions/once/once_gate.h"
+#include "zinnia_decisions/once/outcome_reporter.h"
+#include "zinnia_decisions/once/partition_role.h"
+
+namespace zinnia {
+
+/** At most once for requests with an idempotency key; one on each instance.
+
+    Begin finds the holder of the key's partition, which makes the intent durable in the platform's
+    store, and answers within `begin_timeout`. Every error from Begin says was_run "no", and that is
+    a promise: the grant, if one was recorded, was never given to the caller and never will be, and
+    is reported as unused until its key is free again.
+
+    Each call of Begin gets an attempt id of its own, whatever request_id it carries. If the
+    holder's reply is lost, the same attempt asks again and may be granted again: nothing has been
+    told to the caller yet, and the callback runs once.
+
+    Create, Start, and on a planned stop HandOver. Lives on the control thread.
+
+    @see DispatchWindow, PartitionHolder, OutcomeReporter
+*/
+class OnceCoordinator final : public OnceGate, public IntentHandler, private MembershipListener {
+ public:
+  /** Fails with kInvalidSettings. */
+  static Result<std::unique_ptr<OnceCoordinator>> Create(OnceParts parts,
+                                                         OnceSettings settings,
+                                                         std::uint64_t seed);
+  ~OnceCoordinator() override;
+
+  /** Reads the layout and takes the partitions that lack a holder and prefer this instance. */
+  void Start();
+
+  /** `request.partition` and `asking_instance` are filled in here. */
+  void Begin(IntentRequest request, std::function<void(Result<IntentReply>)> callback) override;
+
+  /** `outcome` names the request as Begin did; the callback runs when it is durable or given up. */
+  void Report(IntentOutcome outcome, std::function<void(Result<void>)> callback) override;
+
+  void OnBeginIntent(IntentRequest request,
+                     std::function<void(Result<IntentReply>)> callback) override;
+  void OnReportOutcome(IntentOutcome outcome, std::function<void(Result<void>)> callback) override;
+
+  /** Gives up all partitions in good order. Begin goes on to work, through the other instances. */
+  void HandOver(std::function<void()> done);
+
+  std::size_t HeldPartitions();
+
+  /** Grants given whose outcome was not reported, and outcomes not yet recorded. */
+  std::size_t OpenGrants() const { return m_grants.size(); }
+  std::size_t PendingReports() const;
+
+ private:
+  struct Ask;
+  struct Grant;
+  using AskPointer = std::shared_ptr<Ask>;
+
+  OnceCoordinator(OnceParts parts, OnceSettings settings, std::uint64_t seed);
+  void OnMembershipChanged() override;
+  void ReadLayout();
+  void OnLayoutRead(const Result<std::optional<StoreRecord>>& result);
+  void WriteLayout();
+  void UseLayout(std::uint32_t partitions);
+  void Tick();
+
+  AskPointer MakeAsk(IntentRequest request, std::function<void(Result<IntentReply>)> callback);
+  void Step(const AskPointer& ask);
+  void RefreshFor(const AskPointer& ask);
+  void AskLocally(const AskPointer& ask);
+  void AskPeer(const AskPointer& ask, const Instance& target);
+  void OnReply(const AskPointer& ask, std::uint32_t round, Result<IntentReply> result);
+  void OnCallTimeout(const AskPointer& ask, const Instance& target);
+  void RetryLater(const AskPointer& ask);
+  void OnDeadline(const AskPointer& ask);
+  void Finish(const AskPointer& ask, Result<IntentReply> result);
+  void RememberGrant(const Ask& ask);
+
+  void AnswerBegin(const IntentRequest& request,
+                   const std::function<void(Result<IntentReply>)>& callback);
+  PartitionRole* RoleOf(std::uint32_t partition);
+  std::uint32_t PartitionOf(const OrganisationName& organisation, const std::string& key) const;
+  Error Refusal(ErrorKind kind, const char* message) const;
+  Duration Jittered(Duration duration);
+
+  OnceParts m_parts;
+  const OnceSettings m_settings;
+  RandomSource m_random;
+  std::vector<std::unique_ptr<PartitionRole>> m_roles;
+  std::unique_ptr<OutcomeReporter> m_reporter;
+  std::list<Grant> m_grants;
+  std::map<std::string, std::list<Grant>::iterator> m_grants_by_request;
+  std::set<AskPointer> m_asks;
+  std::size_t m_waiting_for_role = 0;
+  std::uint64_t m_next_attempt = 1;
+  bool m_layout_under_way = false;
+  bool m_leaving = false;
+  std::unique_ptr<ScheduledCall> m_tick_timer;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/once/once_coordinator_roles.cc
@@ -0,0 +1,136 @@
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_base/decisions/decision_record.h"
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/once/alive_guard.h"
+#include "zinnia_decisions/once/once_coordinator.h"
+
+/** The part of OnceCoordinator that holds partitions: layout, takeovers, hand-over, peers' calls.
+ */
+namespace zinnia {
+
+void OnceCoordinator::OnMembershipChanged() {
+  for (const auto& role : m_roles) {
+    role->TakeIfPreferred();
+  }
+}
+
+void OnceCoordinator::Tick() {
+  m_tick_timer = m_parts.scheduler.ScheduleAfter(m_settings.tick, [this] { Tick(); });
+  if (m_roles.empty()) {
+    return ReadLayout();
+  }
+  OnMembershipChanged();
+}
+
+/** The number of partitions is read from the store, never from settings alone. What fails without
+    it: two instances with different settings would put one key into two partitions, and both would
+    grant it. */
+void OnceCoordinator::ReadLayout() {
+  if (std::exchange(m_layout_under_way, true)) {
+    return;
+  }
+  m_parts.store.Get(kOnceLayoutKey,
+                    WhileAlive(m_alive, [this](const Result<std::optional<StoreRecord>>& result) {
+                      m_layout_under_way = false;
+                      OnLayoutRead(result);
+                    }));
+}
+
+void OnceCoordinator::OnLayoutRead(const Result<std::optional<StoreRecord>>& result) {
+  if (!result) {
+    return;
+  }
+  if (!result->has_value() || !(*result)->value) {
+    return WriteLayout();
+  }
+  const Result<std::uint32_t> partitions = DecodeLayout(*(*result)->value);
+  if (partitions && *partitions > 0) {
+    UseLayout(*partitions);
+  }
+}
+
+/** Whatever becomes of the write, the record is read afterwards. */
+void OnceCoordinator::WriteLayout() {
+  m_layout_under_way = true;
+  m_parts.store.CompareAndSwap(kOnceLayoutKey, 0, EncodeLayout(m_settings.partitions), std::nullopt,
+                               WhileAlive(m_alive, [this](const Result<std::uint64_t>& result) {
+                                 m_layout_under_way = false;
+                                 if (result || result.error().kind == ErrorKind::kStoreConflict) {
+                                   ReadLayout();
+                                 }
+                               }));
+}
+
+void OnceCoordinator::UseLayout(std::uint32_t partitions) {
+  if (!m_roles.empty()) {
+    return;
+  }
+  if (partitions != m_settings.partitions) {
+    m_parts.recorder.Record({m_parts.clock.Now(),
+                             "once_layout",
+                             "keep_partitions",
+                             "the store's layout differs from the settings and goes first",
+                             {{"partitions", std::to_string(partitions)}}});
+  }
+  for (std::uint32_t partition = 0; partition < partitions; ++partition) {
+    m_roles.push_back(std::make_unique<PartitionRole>(m_parts, m_settings, partition, partitions));
+  }
+  OnMembershipChanged();
+}
+
+void OnceCoordinator::OnBeginIntent(IntentRequest request,
+                                    std::function<void(Result<IntentReply>)> callback) {
+  PartitionRole* role = RoleOf(request.partition);
+  if (role == nullptr || role->Holder() != nullptr || m_leaving) {
+    return AnswerBegin(request, callback);
+  }
+  if (m_waiting_for_role >= m_settings.most_queued) {
+    return callback(Refusal(ErrorKind::kOverloaded, "too many wait for the partition"));
+  }
+  m_waiting_for_role += 1;
+  role->Refresh([this, request, callback](const Result<void>& result) {
+    m_waiting_for_role -= 1;
+    result ? AnswerBegin(request, callback) : callback(result.error());
+  });
+}
+
+void OnceCoordinator::AnswerBegin(const IntentRequest& request,
+                                  const std::function<void(Result<IntentReply>)>& callback) {
+  PartitionRole* role = RoleOf(request.partition);
+  if (role != nullptr && role->Holder() != nullptr) {
+    return role->Holder()->Begin(request, callback);
+  }
+  callback(MakeError(ErrorKind::kStaleEpoch, "this instance does not hold the partition"));
+}
+
+void OnceCoordinator::OnReportOutcome(IntentOutcome outcome,
+                                      std::function<void(Result<void>)> callback) {
+  PartitionRole* role = RoleOf(outcome.partition);
+  if (role != nullptr && role->Holder() != nullptr) {
+    return role->Holder()->Report(std::move(outcome), std::move(callback));
+  }
+  callback(MakeError(ErrorKind::kStaleEpoch, "this instance does not hold the partition"));
+}
+
+void OnceCoordinator::HandOver(std::function<void()> done) {
+  m_leaving = true;
+  auto left = std::make_shared<std::size_t>(m_roles.size() + 1);
+  const auto one_done = [left, done = std::move(done)] {
+    if (--*left == 0) {
+      done();
+    }
+  };
+  for (const auto& role : m_roles) {
+    role->HandOver(one_done);
+  }
+  one_done();
+}
+
+std::size_t OnceCoordinator::HeldPartitions() {
+  return static_cast<std::size_t>(std::count_if(
+      m_roles.begin(), m_roles.end(), [](const auto& role) { return role->Holder() != nullptr; }));
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/once/partition_role.cc
@@ -0,0 +1,179 @@
+#include "zinnia_decisions/once/partition_role.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_base/decisions/decision_record.h"
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/membership/membership_view.h"
+
+namespace zinnia {
+namespace {
+
+bool IsSame(const Instance& left, const Instance& right) {
+  return left.name == right.name && left.start == right.start;
+}
+
+}  // namespace
+
+PartitionRole::PartitionRole(const OnceParts& parts,
+                             const OnceSettings& settings,
+                             std::uint32_t partition,
+                             std::uint32_t partitions)
+    : m_parts(parts), m_settings(settings), m_partition(partition), m_partitions(partitions) {}
+
+PartitionRole::~PartitionRole() = default;
+
+std::optional<Instance> PartitionRole::Target(bool trust_membership) const {
+  if (!m_head || IsUnreachable(*m_head)) {
+    return std::nullopt;
+  }
+  const bool ask_holder = IsUsable(*m_head) || (!trust_membership && !m_head->released);
+  const std::optional<Instance> target = ask_holder ? m_head->holder : Preferred(*m_head);
+  const bool is_self = target && IsSame(*target, m_parts.membership.Self());
+  return is_self ? std::nullopt : target;
+}
+
+/** Whether the head names a holder that, as far as this instance knows, is alive. */
+bool PartitionRole::IsUsable(const PartitionHead& head) const {
+  const std::vector<Instance> live = m_parts.membership.LiveInstances();
+  return !head.released && std::any_of(live.begin(), live.end(), [&](const Instance& instance) {
+    return IsSame(instance, head.holder);
+  });
+}
+
+bool PartitionRole::IsUnreachable(const PartitionHead& head) const {
+  if (!m_unreachable_since || !m_head || head.epoch != m_head->epoch) {
+    return false;
+  }
+  const auto patience = m_refused ? m_settings.refused_takeover_after : m_settings.takeover_after;
+  return m_parts.clock.Now() - *m_unreachable_since >= patience;
+}
+
+/** The preferred live instance, leaving out the one that released or lost the partition. */
+std::optional<Instance> PartitionRole::Preferred(const PartitionHead& head) const {
+  std::optional<Instance> best;
+  std::uint64_t best_hash = 0;
+  for (const Instance& instance : m_parts.membership.LiveInstances()) {
+    const bool left_out = (head.epoch > 0 && IsSame(instance, head.holder)) ||
+                          (m_leaving && IsSame(instance, m_parts.membership.Self()));
+    const std::uint64_t hash =
+        Hash64(fmt::format("{}/{}", instance.name, instance.start), m_partition);
+    if (!left_out && (!best || hash > best_hash)) {
+      best = instance;
+      best_hash = hash;
+    }
+  }
+  return best;
+}
+
+bool PartitionRole::MayTake(const PartitionHead& head) const {
+  if (m_leaving) {
+    return false;
+  }
+  const Instance& self = m_parts.membership.Self();
+  const bool paused =
+      m_last_taken && m_parts.clock.Now() - *m_last_taken < m_settings.takeover_pause;
+  if (head.epoch > 0 && IsSame(head.holder, self)) {
+    return true;
+  }
+  if (IsUnreachable(head)) {
+    return !paused;
+  }
+  const std::optional<Instance> preferred = Preferred(head);
+  return !IsUsable(head) && preferred && IsSame(*preferred, self) && (head.released || !paused);
+}
+
+void PartitionRole::Refresh(RefreshCallback callback) {
+  m_waiting.push_back(std::move(callback));
+  if (m_takeover) {
+    return;
+  }
+  m_takeovers += 1;
+  m_takeover = std::make_unique<PartitionTakeover>(
+      m_parts, m_settings, m_partition, m_takeovers,
+      [this](const PartitionHead& head) { return MayTake(head); });
+  m_takeover->Start([this](Result<TakenPartition> result) { OnTakeoverDone(std::move(result)); });
+}
+
+void PartitionRole::OnTakeoverDone(Result<TakenPartition> result) {
+  const std::unique_ptr<PartitionTakeover> takeover = std::move(m_takeover);
+  if (takeover->SeenHead() && (!m_head || m_head->epoch < takeover->SeenHead()->epoch)) {
+    m_unreachable_since.reset();
+  }
+  m_head = takeover->SeenHead();
+  Result<void> outcome;
+  if (result) {
+    m_last_taken = m_parts.clock.Now();
+    m_head = result->head;
+    m_parts.recorder.Record({m_parts.clock.Now(),
+                             fmt::format("once_partition {}", m_partition),
+                             "take_over",
+                             "the partition had no reachable holder",
+                             {{"epoch", std::to_string(m_head->epoch)},
+                              {"keys", std::to_string(result->index.size())}}});
+    m_holder = std::make_unique<PartitionHolder>(m_parts, m_settings, m_partition,
+                                                 m_settings.store_writes_per_second / m_partitions,
+                                                 std::move(*result), [this] { OnHolderEnded(); });
+  } else if (result.error().kind != ErrorKind::kStaleEpoch) {
+    outcome = result.error();
+  }
+  if (m_holder && m_leaving) {
+    m_holder->HandOver();
+  }
+  for (const RefreshCallback& waiting : std::exchange(m_waiting, {})) {
+    waiting(outcome);
+  }
+}
+
+void PartitionRole::TakeIfPreferred() {
+  if (m_holder || m_takeover || m_leaving || (m_head && !MayTake(*m_head))) {
+    return;
+  }
+  const std::optional<Instance> preferred = Preferred(m_head.value_or(PartitionHead{}));
+  if (m_head || (preferred && IsSame(*preferred, m_parts.membership.Self()))) {
+    Refresh([](const Result<void>&) {});
+  }
+}
+
+void PartitionRole::NoteUnreachable(const Instance& target, TimePoint since, bool refused) {
+  if (m_head && IsSame(m_head->holder, target)) {
+    m_unreachable_since = std::min(m_unreachable_since.value_or(since), since);
+    m_refused = refused;
+  }
+}
+
+void PartitionRole::NoteReachable(const Instance& target) {
+  if (m_head && IsSame(m_head->holder, target)) {
+    m_unreachable_since.reset();
+  }
+}
+
+void PartitionRole::HandOver(std::function<void()> done) {
+  m_leaving = true;
+  if (!m_holder && !m_takeover) {
+    return done();
+  }
+  m_handed_over = std::move(done);
+  if (m_holder) {
+    m_holder->HandOver();
+  } else {
+    Refresh([this](const Result<void>&) {
+      if (!m_holder) {
+        OnHolderEnded();
+      }
+    });
+  }
+}
+
+void PartitionRole::OnHolderEnded() {
+  m_head.reset();
+  m_ended_holder = std::move(m_holder);
+  if (const auto done = std::exchange(m_handed_over, nullptr)) {
+    done();
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/once/partition_role.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "zinnia_base/random/random_source.h"
+#include "zinnia_decisions/once/partition_holder.h"
+
+namespace zinnia {
+
+/** What one instance knows of one partition: its head as last read, whom to ask, and the holder's
+    part if that is this instance.
+
+    Who should hold a partition is agreed without messages: the live instance with the highest hash
+    of (name, start, partition) tries first. Views differ for a while; then two may try, and the
+    swap of the head lets one win. A living holder is left alone, preferred or not, so that roles
+    do not move back and forth.
+
+    @see PartitionTakeover, OnceCoordinator
+*/
+class PartitionRole {
+ public:
+  /** Told when a refresh is over: this instance holds the partition, or the head has been read. */
+  using RefreshCallback = std::function<void(Result<void>)>;
+
+  PartitionRole(const OnceParts& parts,
+                const OnceSettings& settings,
+                std::uint32_t partition,
+                std::uint32_t partitions);
+  ~PartitionRole();
+
+  /** Null if this instance does not hold the partition. */
+  PartitionHolder* Holder() { return m_holder.get(); }
+
+  /** Whom to ask; nothing if Refresh has to come first. Without `trust_membership` the head's
+      holder is asked even if it is believed dead: the belief may be wrong. */
+  std::optional<Instance> Target(bool trust_membership) const;
+
+  /** Reads the head and takes the partition over if that is this instance's part. Calls made while
+      one is under way share it. */
+  void Refresh(RefreshCallback callback);
+
+  /** Refreshes if the partition lacks a holder and this instance should be it. */
+  void TakeIfPreferred();
+
+  /** `target` has not answered a call made at `since`; `refused` if it could not be reached. */
+  void NoteUnreachable(const Instance& target, TimePoint since, bool refused);
+  void NoteReachable(const Instance& target);
+
+  /** Gives the partition up in good order; `done` runs when that is over. */
+  void HandOver(std::function<void()> done);
+
+ private:
+  bool IsUsable(const PartitionHead& head) const;
+  bool MayTake(const PartitionHead& head) const;
+  bool IsUnreachable(const PartitionHead& head) const;
+  std::optional<Instance> Preferred(const PartitionHead& head) const;
+  void OnTakeoverDone(Result<TakenPartition> result);
+  void OnHolderEnded();
+
+  OnceParts m_parts;
+  const OnceSettings& m_settings;
+  const std::uint32_t m_partition;
+  const std::uint32_t m_partitions;
+  std::optional<PartitionHead> m_head;
+  std::unique_ptr<PartitionHolder> m_holder;
+  std::unique_ptr<PartitionHolder> m_ended_holder;
+  std::unique_ptr<PartitionTakeover> m_takeover;
+  std::uint64_t m_takeovers = 0;
+  std::vector<RefreshCallback> m_waiting;
+  std::optional<TimePoint> m_last_taken;
+  std::optional<TimePoint> m_unreachable_since;
+  bool m_refused = false;
+  bool m_leaving = false;
+  std::function<void()> m_handed_over;
+};
+
+}  // namespace zinnia
