--- /dev/null
+++ b/packages/zinnia_decisions/operators/operator_desk.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "zinnia_base/decisions/decision_record.h"
+#include "zinnia_base/errors/result.h"
+#include "zinnia_decisions/operators/configuration_change_request.h"
+#include "zinnia_decisions/operators/table_data.h"
+#include "zinnia_decisions/operators/table_kind.h"
+#include "zinnia_world/names/names.h"
+
+namespace zinnia {
+
+/** What operators can ask to have explained. */
+enum class ExplainKind { kSession, kRequest };
+
+constexpr std::string_view NameOf(ExplainKind kind) {
+  return kind == ExplainKind::kSession ? "session" : "request";
+}
+
+/** A role that one instance holds by a lease and epoch, such as the partition "once/3". */
+struct RoleMove {
+  std::string role;
+  InstanceName to;
+};
+
+/** Where the operators' commands reach the running system. The daemon implements it.
+
+    Each callback runs exactly once, either from inside the call or later. Calls and callbacks are
+    on the thread that owns the operators' server.
+
+    @see CommandExecutor, OperatorServer
+*/
+class OperatorDesk {
+ public:
+  using TableCallback = std::function<void(Result<TableData>)>;
+  using ChangeCallback = std::function<void(Result<ConfigurationRevision>)>;
+  using EntryCallback = std::function<void(Result<CurrentConfigurationEntry>)>;
+  using DoneCallback = std::function<void(Result<void>)>;
+  using ExplainCallback = std::function<void(Result<std::vector<DecisionRecord>>)>;
+
+  virtual ~OperatorDesk() = default;
+
+  /** The whole table as this instance sees it; the caller filters and sorts. */
+  virtual void Table(TableKind kind, TableCallback callback) = 0;
+
+  /** Orders a change. A success is final: the change is written and in force within seconds. Fails
+      with kRevisionConflict, kStoreUnavailable or kStoreOutcomeUnknown, or kInvalidRequest for an
+      entry that Configuration::Parse refuses. */
+  virtual void Change(ConfigurationChangeRequest request, ChangeCallback callback) = 0;
+
+  /** Reads one entry to change some of its fields. */
+  virtual void CurrentEntry(std::string path, EntryCallback callback) = 0;
+
+  virtual void MoveRole(RoleMove move, DoneCallback callback) = 0;
+
+  /** The decisions about one session or request, oldest first. Fails with kNotFound. */
+  virtual void Explain(ExplainKind kind, std::string id, ExplainCallback callback) = 0;
+};
+
+}  // namespace zinnia
