--- /dev/null
+++ b/packages/zinnia_apps/daemon/channel_reports.cc
@@ -0,0 +1,52 @@
+#include "channel_reports.h"
+
+#include <utility>
+
+#include "control_side.h"
+#include "zinnia_decisions/control/instance_control.h"
+
+namespace zinnia {
+namespace {
+
+constexpr std::chrono::milliseconds kLoadInterval{100};
+
+}  // namespace
+
+ChannelReports::ChannelReports(const Clock& clock, Post to_control, ControlSide& control)
+    : m_clock(clock), m_to_control(std::move(to_control)), m_control(control) {}
+
+void ChannelReports::OnServerCrashed(const BackendServerName& server,
+                                     std::uint64_t,
+                                     std::vector<Fingerprint> fingerprints) {
+  m_to_control([this, server, fingerprints = std::move(fingerprints)]() mutable {
+    m_control.Control().ReportServerCrash(server, std::move(fingerprints));
+  });
+}
+
+void ChannelReports::OnServerSuspect(const BackendServerName& server) {
+  m_to_control([this, server] { m_control.LogServer("backend_server_suspect", server); });
+}
+
+void ChannelReports::OnServerRecovered(const BackendServerName& server) {
+  m_to_control([this, server] { m_control.LogServer("backend_server_recovered", server); });
+}
+
+void ChannelReports::OnServerLoad(const BackendServerName& server,
+                                  std::uint32_t running,
+                                  std::uint32_t queued) {
+  TimePoint& told_at = m_load_told_at[server];
+  const TimePoint now = m_clock.Now();
+  if (told_at != TimePoint{} && now - told_at < kLoadInterval) {
+    return;
+  }
+  told_at = now;
+  m_to_control([this, server, running, queued] {
+    m_control.Control().ReportServerLoad(server, running, queued);
+  });
+}
+
+void ChannelReports::OnServerLeaving(const BackendServerName& server) {
+  m_to_control([this, server] { m_control.Control().ReportServerLeaving(server); });
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_apps/daemon/channel_reports.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <unordered_map>
+
+#include "zinnia_adapters/engines/channel_listener.h"
+#include "zinnia_base/time/clock.h"
+
+namespace zinnia {
+
+class ControlSide;
+
+/** Brings what one traffic thread's engine links notice to the control thread.
+
+    Loads come with every batch, hundreds a second for each server; they are passed on at most once
+    an interval for each, or the control thread would spend its time on them.
+*/
+class ChannelReports final : public ChannelListener {
+ public:
+  using Post = std::function<void(std::function<void()>)>;
+
+  ChannelReports(const Clock& clock, Post to_control, ControlSide& control);
+
+  void OnServerCrashed(const BackendServerName& server,
+                       std::uint64_t incarnation,
+                       std::vector<Fingerprint> fingerprints) override;
+  void OnServerSuspect(const BackendServerName& server) override;
+  void OnServerRecovered(const BackendServerName& server) override;
+  void OnServerLoad(const BackendServerName& server,
+                    std::uint32_t running,
+                    std::uint32_t queued) override;
+  void OnServerLeaving(const BackendServerName& server) override;
+
+ private:
+  const Clock& m_clock;
+  const Post m_to_control;
+  ControlSide& m_control;
+  std::unordered_map<BackendServerName, TimePoint> m_load_told_at;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_apps/daemon/traffic_side.cc
@@ -0,0 +1,104 @@
+#include "traffic_side.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "channel_reports.h"
+#include "control_side.h"
+#include "once_gate_bridge.h"
+#include "published_quarantine.h"
+#include "suspect_gate.h"
+#include "zinnia_adapters/callers/caller_server.h"
+#include "zinnia_adapters/engines/http_stage_links.h"
+#include "zinnia_adapters/threads/control_thread.h"
+#include "zinnia_adapters/threads/traffic_thread.h"
+#include "zinnia_base/hashing/fingerprint.h"
+#include "zinnia_decisions/admission/budgeted_recovery_gate.h"
+#include "zinnia_decisions/admission/fair_admission_controller.h"
+#include "zinnia_decisions/admission/retry_budget.h"
+#include "zinnia_decisions/control/instance_control.h"
+#include "zinnia_decisions/routing/completion_chooser.h"
+#include "zinnia_decisions/routing/pool_capacity.h"
+
+namespace zinnia {
+namespace {
+
+/** What callers expect: 35 ms between tokens for 95 in 100. */
+constexpr double kSecondsBetweenTokens = 0.035;
+
+/** Admission counts tokens; capacities come in sessions. */
+constexpr double kTokensOfATypicalSession = 300.0;
+
+CallerLimits MakeCallerLimits(const InstanceSettings& settings) {
+  CallerLimits limits;
+  limits.most_connections = settings.limits.max_connections / settings.traffic_threads;
+  limits.most_exchanges = settings.limits.max_sessions / settings.traffic_threads;
+  limits.most_header_bytes = static_cast<std::uint32_t>(settings.limits.max_header_bytes);
+  limits.most_body_bytes = settings.limits.max_body_bytes;
+  return limits;
+}
+
+}  // namespace
+
+TrafficSide::TrafficSide(TrafficThread& thread, const TrafficSideParts& parts) : m_parts(parts) {
+  const std::uint64_t seed = Hash64(parts.settings.instance, parts.start + parts.thread_number);
+  InstanceControl& control = parts.control.Control();
+  m_reports =
+      std::make_unique<ChannelReports>(parts.clock, parts.control_thread.Poster(), parts.control);
+  m_links = std::make_unique<HttpStageLinks>(
+      ChannelParts{thread.Loop(), parts.clock, thread.GetScheduler(), control, *m_reports});
+  m_chooser = std::make_unique<CompletionChooser>(parts.clock, RandomSource(seed));
+  m_admission = std::make_unique<FairAdmissionController>(parts.clock, thread.GetScheduler(),
+                                                          RandomSource(seed + 1));
+  m_retry_budget = std::make_unique<RetryBudget>(parts.clock);
+  m_quarantine = std::make_unique<PublishedQuarantine>(control);
+  m_budgeted_gate = std::make_unique<BudgetedRecoveryGate>(*m_retry_budget, *m_quarantine);
+  m_gate = std::make_unique<SuspectGate>(control, parts.suspect_claims, *m_budgeted_gate);
+  m_once_gate = std::make_unique<OnceGateBridge>(
+      parts.control_thread.Poster(),
+      [&thread](std::function<void()> call) { thread.Post(std::move(call)); },
+      [&control_side = parts.control] { return control_side.Gate(); });
+  m_server =
+      CallerServer::Create(
+          {thread.Loop(), parts.clock, thread.GetScheduler(), control, *m_admission, *m_gate,
+           *m_once_gate, *m_chooser, *m_links, parts.resume_tokens, parts.recorder, parts.metrics,
+           parts.logger, MakeCallerLimits(parts.settings), parts.not_ready_reasons,
+           SessionDriver::Create,
+           fmt::format("{}-{:x}-{}", parts.settings.instance, parts.start, parts.thread_number),
+           seed + 2},
+          parts.address)
+          .value();
+  OnSnapshot();
+}
+
+TrafficSide::~TrafficSide() = default;
+
+void TrafficSide::OnSnapshot() {
+  const auto snapshot = m_parts.control.Control().Current();
+  UpdateContracts(*snapshot->configuration);
+  UpdateCapacities(*snapshot);
+  m_server->LeaveDrainingServers();
+}
+
+void TrafficSide::UpdateContracts(const Configuration& configuration) {
+  if (configuration.revision() == m_revision) {
+    return;
+  }
+  m_revision = configuration.revision();
+  for (const auto& [name, organisation] : configuration.organisations()) {
+    Organisation share = organisation;
+    share.requests_per_second /= m_parts.settings.traffic_threads;
+    m_admission->SetContract(share);
+  }
+}
+
+void TrafficSide::UpdateCapacities(const FleetSnapshot& snapshot) {
+  for (const auto& [name, model] : snapshot.configuration->models()) {
+    const double sessions = ConcurrentSessionsFor(snapshot, name, kSecondsBetweenTokens);
+    m_admission->SetPoolCapacity(
+        name, sessions * kTokensOfATypicalSession / m_parts.settings.traffic_threads);
+  }
+}
+
+}  // namespace zinnia
