--- a/packages/zinnia_adapters/language/language_parsers.h
+++ b/packages/zinnia_adapters/language/language_parsers.h
@@ -32,6 +32,8 @@
 template <typename Derived, typename Attribute>
 struct TextParser : x3::parser<Derived> {
   using attribute_type = Attribute;
+  // The name is the library's.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool has_attribute = !std::is_same_v<Attribute, x3::unused_type>;
 
   template <typename Iterator, typename Context, typename RuleContext, typename Actual>
--- a/packages/zinnia_decisions/operators/operator_desk.h
+++ b/packages/zinnia_decisions/operators/operator_desk.h
@@ -30,8 +30,8 @@
 
 /** Where the operators' commands reach the running system. The daemon implements it.
 
-    Each callback runs exactly once, either from inside the call or later. Calls and callbacks are
-    on the thread that owns the operators' server.
+    Each callback runs exactly once, either from inside the call or later, on any thread. Calls come
+    from the threads of the operators' server.
 
     @see CommandExecutor, OperatorServer
 */
@@ -53,7 +53,7 @@
       entry that Configuration::Parse refuses. */
   virtual void Change(ConfigurationChangeRequest request, ChangeCallback callback) = 0;
 
-  /** Reads one entry to change some of its fields. */
+  /** Reads one entry to change some of its fields. An empty path asks only for the revision. */
   virtual void CurrentEntry(std::string path, EntryCallback callback) = 0;
 
   virtual void MoveRole(RoleMove move, DoneCallback callback) = 0;
--- a/tests/operators/histogram_metrics_test.cc
+++ b/tests/operators/histogram_metrics_test.cc
@@ -86,6 +86,7 @@
   constexpr int kThreads = 4;
   constexpr int kEach = 5'000;
   std::vector<std::jthread> threads;
+  threads.reserve(kThreads);
   for (int thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([&metrics] {
       for (int index = 0; index < kEach; ++index) {
