--- a/packages/zinnia_adapters/operators/operator_connection.cc
+++ b/packages/zinnia_adapters/operators/operator_connection.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -148,10 +149,23 @@
   Read();
 }
 
+/** Closing with unread bytes makes the kernel send a reset, and the client may lose the answer that
+    says why its request was refused. So the rest is read and dropped, for a short time. */
 void OperatorConnection::Close() {
+  constexpr std::chrono::seconds kLingerTime{2};
   error_code ignored;
   m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-  m_stream.close();
+  m_stream.expires_after(kLingerTime);
+  Discard();
+}
+
+void OperatorConnection::Discard() {
+  m_stream.async_read_some(boost::asio::buffer(m_discarded),
+                           [self = shared_from_this()](const error_code& error, std::size_t) {
+                             if (!error) {
+                               self->Discard();
+                             }
+                           });
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/operators/operator_connection.h
+++ b/packages/zinnia_adapters/operators/operator_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -47,6 +48,7 @@
   void Write(const OperatorResponse& response, bool keep_alive);
   void OnWritten(bool keep_alive, const boost::system::error_code& error);
   void Close();
+  void Discard();
 
   const std::shared_ptr<OperatorServerState> m_state;
   boost::beast::tcp_stream m_stream;
@@ -54,6 +56,7 @@
   boost::beast::flat_buffer m_buffer;
   std::optional<boost::beast::http::request_parser<StringBody>> m_parser;
   boost::beast::http::response<StringBody> m_response;
+  std::array<char, 4096> m_discarded{};
   std::uint64_t m_waiting_for = 0;
   std::uint64_t m_requests = 0;
 };
