--- a/tests/sessions/fake_stages.h
+++ b/tests/sessions/fake_stages.h
@@ -46,7 +46,7 @@
   }
 
   FakeStage& At(const BackendServerName& name) { return m_servers.at(name).stage; }
-  StepLedger& Ledger() { return m_ledger; }
+  const StepLedger& Ledger() const { return m_ledger; }
 
   /** Steps in flight and all later ones fail as crashed; what the server held is lost. */
   void Crash(const BackendServerName& name) {
--- /dev/null
+++ b/tests/sessions/planned_leave_test.cc
@@ -0,0 +1,80 @@
+#include <chrono>
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+#include "tests/sessions/session_world.h"
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+
+TEST_GROUP(PlannedLeave) {
+  SessionWorld world;
+  std::shared_ptr<FakeCaller> caller = std::make_shared<FakeCaller>();
+  std::shared_ptr<SessionDriver> driver;
+  std::size_t longest_input = 0;
+
+  void LeaveMidAnswer(const BackendServerName& server) {
+    driver = world.Start(caller);
+    world.time.AdvanceBy(milliseconds(90));
+    world.stages.on_send = [this](const auto&, const StepRequest& step) {
+      if (const auto* hidden = std::get_if<HiddenInput>(&step.input)) {
+        longest_input = std::max(longest_input, hidden->states.size());
+      }
+    };
+    world.SetState(server, BackendServerState::kLeaving);
+    driver->LeaveDrainingServers();
+  }
+
+  void CheckWhole() {
+    world.RunOut();
+    CHECK_EQUAL(1, caller->final_events);
+    STRCMP_EQUAL(SessionWorld::ExpectedText().c_str(), caller->text.c_str());
+    const std::string violation = world.stages.Ledger().FindViolation(
+        "s-1", driver->Status().attempt, SessionWorld::kLayers, SessionWorld::kPromptTokens + 11);
+    STRCMP_EQUAL("", violation.c_str());
+    CHECK_EQUAL(0U, driver->Status().recoveries);
+  }
+};
+
+TEST(PlannedLeave, MovesTheCacheWithoutReplay) {
+  // Symptom: a planned stop costs every session a replay. The leaving server still lives, so its
+  // cache is exported to another replica between two tokens.
+  LeaveMidAnswer("b1");
+  CheckWhole();
+  STRCMP_EQUAL("b2", driver->Status().route.hops[1].server.c_str());
+  CHECK_EQUAL(1U, longest_input);
+  CHECK_EQUAL(0U, world.stages.At("b1").HeldCaches());
+}
+
+TEST(PlannedLeave, CutTransferFallsBackToReplay) {
+  // Symptom: a session ends with an error at a planned stop. The import is cut half way and leaves
+  // nothing behind.
+  world.stages.CutNextMove();
+  LeaveMidAnswer("b1");
+  CheckWhole();
+  STRCMP_EQUAL("b2", driver->Status().route.hops[1].server.c_str());
+  CHECK_TRUE(longest_input > 1);
+}
+
+TEST(PlannedLeave, SessionStaysIfNothingElseHoldsTheLayers) {
+  world.SetState("b2", BackendServerState::kGone);
+  LeaveMidAnswer("b1");
+  CheckWhole();
+  STRCMP_EQUAL("b1", driver->Status().route.hops[1].server.c_str());
+  CHECK_TRUE(world.recorder.Has("stay_on_leaving_servers"));
+}
+
+TEST(PlannedLeave, StageThatRefusesAsLeavingGivesItsCacheAway) {
+  // Symptom: a replay of a long conversation although its cache still exists. The stage refuses new
+  // steps as leaving before the instance heard that it leaves.
+  driver = world.Start(caller);
+  world.time.AdvanceBy(milliseconds(90));
+  world.stages.At("b1").refuses_as_leaving = true;
+  world.RunOut();
+  STRCMP_EQUAL(SessionWorld::ExpectedText().c_str(), caller->text.c_str());
+  CHECK_TRUE(world.recorder.Has("move_cache"));
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/tests/sessions/resume_test.cc
@@ -0,0 +1,146 @@
+#include <chrono>
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+#include "tests/sessions/session_world.h"
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+
+TEST_GROUP(Resume) {
+  SessionWorld world;
+  std::shared_ptr<FakeCaller> before = std::make_shared<FakeCaller>();
+  std::shared_ptr<FakeCaller> after = std::make_shared<FakeCaller>();
+  std::shared_ptr<SessionDriver> old_driver;
+  std::shared_ptr<SessionDriver> driver;
+
+  void KillInstanceMidAnswer() {
+    old_driver = world.Start(before);
+    world.time.AdvanceBy(milliseconds(100));
+    old_driver.reset();
+    CHECK_TRUE(before->tokens > 0);
+  }
+
+  void CheckRestIsDelivered() {
+    world.RunOut();
+    CHECK_EQUAL(1, after->final_events);
+    STRCMP_EQUAL(SessionWorld::ExpectedText().c_str(), (before->text + after->text).c_str());
+  }
+
+  void CheckFailed(ErrorKind kind) {
+    CHECK_EQUAL(1, after->final_events);
+    CHECK_TRUE(after->error.has_value());
+    STRCMP_EQUAL(NameOf(kind).data(), NameOf(after->error->kind).data());
+    CHECK_EQUAL(0U, after->tokens);
+  }
+};
+
+TEST(Resume, GoesOnFromWhatTheStagesHold) {
+  // Symptom: the stream ends in the middle. The instance dies; another gets the last event id. All
+  // stages still hold the session.
+  KillInstanceMidAnswer();
+  driver = world.Resume(after, before->last_event_id);
+  CheckRestIsDelivered();
+  CHECK_TRUE(world.recorder.Has("resume_session"));
+  CHECK_FALSE(world.recorder.Has("regenerate_answer"));
+}
+
+TEST(Resume, TokensSampledButNotDeliveredAreDelivered) {
+  // Symptom: a token is missing at the seam. The caller comes back with an older event id than the
+  // last one sent; the stages know more tokens than he has.
+  std::string older_id;
+  std::string older_text;
+  before->on_token = [&](const SampledToken&) {
+    if (before->tokens == 2) {
+      older_id = before->last_event_id;
+      older_text = before->text;
+    }
+  };
+  KillInstanceMidAnswer();
+  before->text = older_text;
+  driver = world.Resume(after, older_id);
+  CheckRestIsDelivered();
+}
+
+TEST(Resume, RegeneratesWhenTheSamplingStageIsGoneToo) {
+  // Symptom: as above, but instance and last stage die together, and with them all texts.
+  KillInstanceMidAnswer();
+  world.stages.Crash("c1");
+  world.SetState("c1", BackendServerState::kGone);
+  driver = world.Resume(after, before->last_event_id);
+  CheckRestIsDelivered();
+  CHECK_TRUE(world.recorder.Has("regenerate_answer"));
+}
+
+TEST(Resume, MiddleStageDiesWithTheInstance) {
+  // Symptom: as above, but the sampling stage lives: what it knows is used, and the dead stage is
+  // replayed elsewhere.
+  KillInstanceMidAnswer();
+  world.stages.Crash("b1");
+  driver = world.Resume(after, before->last_event_id);
+  CheckRestIsDelivered();
+  CHECK_FALSE(world.recorder.Has("regenerate_answer"));
+}
+
+TEST(Resume, DivergedAnswerIsNeverSpliced) {
+  // Symptom: an answer whose end does not fit its beginning. The delivered text cannot be
+  // generated again: here the seed in the id is another than the one that was used.
+  KillInstanceMidAnswer();
+  world.stages.Crash("c1");
+  world.SetState("c1", BackendServerState::kGone);
+  ResumePoint point = world.codec->Open(before->last_event_id).value();
+  point.seed += 1;
+  driver = world.Resume(after, world.codec->Seal(point));
+  world.RunOut();
+  CheckFailed(ErrorKind::kResumeDiverged);
+}
+
+TEST(Resume, NeverResumesWithAnotherVersion) {
+  KillInstanceMidAnswer();
+  for (const char* server : {"c1", "c2"}) {
+    world.stages.Crash(server);
+    world.SetState(server, BackendServerState::kGone);
+  }
+  world.AddPipeline("next", "2", 1, "n");
+  driver = world.Resume(after, before->last_event_id);
+  world.RunOut();
+  CheckFailed(ErrorKind::kRecoveryFailed);
+}
+
+TEST(Resume, OldInstanceThatLivesOnDoesNotDisturb) {
+  // Symptom: tokens of two drivers mix. The caller lost his connection, not the instance, and the
+  // old driver goes on while another instance resumes; a third one resumes from the same id.
+  old_driver = world.Start(before);
+  world.time.AdvanceBy(milliseconds(100));
+  const std::string text = before->text;
+  const std::string id = before->last_event_id;
+  driver = world.Resume(after, id);
+  const auto third = std::make_shared<FakeCaller>();
+  ChatRequest third_request = SessionWorld::MakeRequest();
+  third_request.request_id = "r-3";
+  const auto third_driver = SessionDriver::Create(world.Parts(), "s-3", third_request,
+                                                  world.codec->Open(id).value(), third);
+  third_driver->Start();
+  world.RunOut();
+  STRCMP_EQUAL(SessionWorld::ExpectedText().c_str(), before->text.c_str());
+  STRCMP_EQUAL(SessionWorld::ExpectedText().c_str(), (text + after->text).c_str());
+  STRCMP_EQUAL(SessionWorld::ExpectedText().c_str(), (text + third->text).c_str());
+}
+
+TEST(Resume, FinishedAnswerIsOnlyEndedAgain) {
+  // Symptom: a caller who has all tokens but lost the end gets them twice or an error.
+  before->on_token = [this](const SampledToken&) {
+    if (before->tokens == SessionWorld::MakeRequest().max_tokens) {
+      old_driver.reset();
+    }
+  };
+  old_driver = world.Start(before);
+  world.RunOut();
+  driver = world.Resume(after, before->last_event_id);
+  CheckRestIsDelivered();
+  CHECK_EQUAL(0U, after->tokens);
+}
+
+}  // namespace zinnia
--- a/tests/sessions/session_world.h
+++ b/tests/sessions/session_world.h
@@ -153,7 +153,7 @@
   static constexpr std::uint32_t kLayers = 6;
   static constexpr std::uint32_t kPromptTokens = 5;
 
-  explicit SessionWorld(int replicas = 2) : stages(time) {
+  explicit SessionWorld(std::uint32_t replicas = 2) : stages(time) {
     codec = SignedResumeTokenCodec::Create("a key of at least thirty-two bytes").value();
     AddPipeline("main", "1", replicas, "");
   }
@@ -161,14 +161,14 @@
   /** `suffix` makes the servers' names different from those of other pipelines. */
   void AddPipeline(const std::string& name,
                    const std::string& version,
-                   int replicas,
+                   std::uint32_t replicas,
                    const std::string& suffix) {
     Pipeline pipeline{name, "swahili", version, {}};
     constexpr std::uint32_t kLayersOfStage = 2;
     for (std::uint32_t stage = 0; stage * kLayersOfStage < kLayers; ++stage) {
       const LayerRange layers{stage * kLayersOfStage, (stage + 1) * kLayersOfStage};
       PipelineStage row{layers, {}};
-      for (int replica = 1; replica <= replicas; ++replica) {
+      for (std::uint32_t replica = 1; replica <= replicas; ++replica) {
         std::string server(1, static_cast<char>('a' + stage));
         server += std::to_string(replica) + suffix;
         AddServer(server, {"swahili", version, layers});
