Compare whole sessions with golden files

Change: ten sessions in virtual time, each step, decision and caller's event with its time; a failed compare prints the first differing line and leaves the actual text beside it. The parts of a recovery that meets a second failure add up in its record.

--- a/packages/zinnia_decisions/sessions/pipeline_session.cc
+++ b/packages/zinnia_decisions/sessions/pipeline_session.cc
@@ -143,7 +143,7 @@
                              : SessionState::kPrefilling;
   m_rebuild_started_at = m_parts.clock.Now();
   if (m_recovery_times) {
-    m_recovery_times->choice = m_rebuild_started_at - m_failure_noticed_at;
+    m_recovery_times->choice += m_rebuild_started_at - m_failure_noticed_at;
   }
   if (m_relay.Attempt() != AttemptNumbers::kFirst) {
     m_records.Write("start_attempt", "hops without a usable cache are replayed, the others adopt",
--- a/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
+++ b/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
@@ -52,10 +52,13 @@
 void PipelineSession::RecordFailure(const StepAnswer& answer) {
   const TimePoint now = m_parts.clock.Now();
   m_failure_noticed_at = now;
-  if (!m_recovery_times) {
+  if (m_recovery_times) {
+    // A failure during a recovery: what was rebuilt so far counts too.
+    m_recovery_times->rebuild += m_step_sent_at - m_rebuild_started_at;
+  } else {
     m_recovery_times.emplace();
   }
-  m_recovery_times->detection = now - m_step_sent_at;
+  m_recovery_times->detection += now - m_step_sent_at;
   m_state = SessionState::kRecovering;
   m_records.Write("recover_session", "a step ended with " + std::string(NameOf(answer.status)),
                   {{"hop", std::to_string(m_relay.Hop())},
@@ -150,7 +153,7 @@
   if (!m_recovery_times) {
     return;
   }
-  m_recovery_times->rebuild = m_parts.clock.Now() - m_rebuild_started_at;
+  m_recovery_times->rebuild += m_parts.clock.Now() - m_rebuild_started_at;
   m_records.WriteRecovered(*m_recovery_times, m_relay.Attempt());
   m_recovery_times.reset();
 }
--- a/packages/zinnia_decisions/sessions/session_records.h
+++ b/packages/zinnia_decisions/sessions/session_records.h
@@ -14,7 +14,8 @@
 class DecisionRecorder;
 
 /** How long the parts of one recovery took: from the failed step to the failure's notice, from
-    there to the first step of the new attempt, from there to the next token. */
+    there to the first step of the new attempt, from there to the next token. Failures that meet a
+    recovery under way add to its parts. */
 struct RecoveryTimes {
   Duration detection{};
   Duration choice{};
--- /dev/null
+++ b/tests/sessions/golden_sessions_test.cc
@@ -0,0 +1,131 @@
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+#include "tests/sessions/session_log.h"
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+
+TEST_GROUP(GoldenSessions) {
+  static constexpr std::uint32_t kTokens = 5;
+  static constexpr milliseconds kMidAnswer{60};
+
+  SessionWorld world;
+  SessionLog log{world};
+  ChatRequest request = SessionWorld::MakeRequest(kTokens);
+  std::shared_ptr<FakeCaller> caller = std::make_shared<FakeCaller>();
+  std::shared_ptr<SessionDriver> driver;
+
+  void StartAndRunTo(milliseconds when) {
+    log.Watch(*caller, "caller");
+    driver = world.Start(caller, request);
+    world.time.AdvanceBy(when);
+  }
+
+  void ResumeElsewhere() {
+    log.Write("the instance dies; the caller resumes at another");
+    driver.reset();
+    const std::string event_id = caller->last_event_id;
+    caller = std::make_shared<FakeCaller>();
+    log.Watch(*caller, "resumed caller");
+    driver = world.Resume(caller, event_id, request);
+  }
+
+  void CheckAgainst(const std::string& name) {
+    world.RunOut();
+    const std::string difference = SessionLog::Compare(log.Text(), name);
+    STRCMP_EQUAL("", difference.c_str());
+  }
+};
+
+TEST(GoldenSessions, Healthy) {
+  StartAndRunTo(milliseconds(0));
+  CheckAgainst("healthy");
+}
+
+TEST(GoldenSessions, StageCrashesInPrefill) {
+  // Symptom: no first token. The middle stage dies while it reads the prompt.
+  StartAndRunTo(milliseconds(12));
+  log.Write("b1 crashes");
+  world.stages.Crash("b1");
+  CheckAgainst("crash_in_prefill");
+}
+
+TEST(GoldenSessions, StageCrashesMidAnswer) {
+  // Symptom: the answer stops. The middle stage dies with its cache between two tokens.
+  StartAndRunTo(kMidAnswer);
+  log.Write("b1 crashes");
+  world.stages.Crash("b1");
+  CheckAgainst("crash_mid_answer");
+}
+
+TEST(GoldenSessions, StageFreezesAndWakes) {
+  // Symptom: tokens doubled by a late answer. A stage freezes mid step, is replaced, and wakes.
+  StartAndRunTo(kMidAnswer);
+  log.Write("b1 freezes");
+  world.stages.Freeze("b1");
+  world.time.AdvanceBy(milliseconds(60));
+  log.Write("b1 wakes");
+  world.stages.Wake("b1");
+  CheckAgainst("freeze_and_wake");
+}
+
+TEST(GoldenSessions, AnswerOfLivingStageIsLost) {
+  // Symptom: a replay for nothing. The connection is cut after the step was run.
+  StartAndRunTo(kMidAnswer);
+  log.Write("the next answer of b1 is cut off");
+  world.stages.AddFault("b1", StepFault::kCutBeforeAnswer);
+  CheckAgainst("lost_answer");
+}
+
+TEST(GoldenSessions, ServerLeaves) {
+  // Symptom: a planned stop costs a replay. The cache of the leaving server is moved.
+  StartAndRunTo(kMidAnswer);
+  log.Write("b1 leaves");
+  world.SetState("b1", BackendServerState::kLeaving);
+  driver->LeaveDrainingServers();
+  CheckAgainst("planned_leave");
+}
+
+TEST(GoldenSessions, MoveIsCutHalfWay) {
+  // Symptom: an error at a planned stop. The import is cut half way; the stage is replayed.
+  StartAndRunTo(kMidAnswer);
+  log.Write("b1 leaves; the transfer will be cut");
+  world.stages.CutNextMove();
+  world.SetState("b1", BackendServerState::kLeaving);
+  driver->LeaveDrainingServers();
+  CheckAgainst("planned_leave_cut");
+}
+
+TEST(GoldenSessions, OnlySpareHasOlderVersion) {
+  // Symptom: two versions in one answer. The only spare of the crashed stage holds an older one.
+  world.stages.At("b2").Load("0");
+  StartAndRunTo(kMidAnswer);
+  log.Write("b1 crashes");
+  world.stages.Crash("b1");
+  CheckAgainst("older_version");
+}
+
+TEST(GoldenSessions, InstanceDies) {
+  // Symptom: the stream ends in the middle. The instance dies; the stages still hold the session.
+  StartAndRunTo(kMidAnswer);
+  ResumeElsewhere();
+  CheckAgainst("instance_dies");
+}
+
+TEST(GoldenSessions, InstanceAndLastStageDieTogether) {
+  // Symptom: as above, but the stage that knew the texts is gone as well.
+  StartAndRunTo(kMidAnswer);
+  log.Write("c1 crashes");
+  world.stages.Crash("c1");
+  world.SetState("c1", BackendServerState::kGone);
+  ResumeElsewhere();
+  CheckAgainst("instance_and_stage_die");
+}
+
+}  // namespace zinnia
--- a/tests/sessions/session_world.h
+++ b/tests/sessions/session_world.h
@@ -131,10 +131,12 @@
   void OnAnswerDone(const AnswerUsage& answer_usage) override {
     ++final_events;
     usage = answer_usage;
+    End();
   }
   void OnAnswerFailed(const Error& answer_error) override {
     ++final_events;
     error = answer_error;
+    End();
   }
 
   std::string text;
@@ -144,6 +146,14 @@
   std::optional<AnswerUsage> usage;
   std::optional<Error> error;
   std::function<void(const SampledToken&)> on_token;
+  std::function<void()> on_end;
+
+ private:
+  void End() const {
+    if (on_end) {
+      on_end();
+    }
+  }
 };
 
 /** A pipeline of three stages with two replicas each ("a1", "a2", "b1", ... "c2"), version 1, and
