Let restarted servers serve a session again, move caches only between equal layers

Cause: a test with a single server that crashed and came back failed; and a whole other route found at a planned leave could have sent a cache to a server with other layers. Change: exclusion goes by incarnation; cache moves are drawn up from the two routes.

--- a/packages/zinnia_decisions/sessions/pipeline_session.h
+++ b/packages/zinnia_decisions/sessions/pipeline_session.h
@@ -69,7 +69,8 @@
   // Servers that leave.
   std::vector<std::size_t> LeavingHops() const;
   void LeaveNow();
-  void MoveCaches(const Route& route, const std::vector<CacheMoves::Order>& orders);
+  Route RouteWithoutLeaving() const;
+  void MoveCaches(const Route& route);
   void TakeMoves(const Route& route,
                  AttemptNumber imported_as,
                  const std::vector<CacheMoves::Outcome>& outcomes);
--- a/packages/zinnia_decisions/sessions/pipeline_session_moves.cc
+++ b/packages/zinnia_decisions/sessions/pipeline_session_moves.cc
@@ -35,18 +35,8 @@
 
 void PipelineSession::LeaveNow() {
   m_leave_wanted = false;
-  Route route = m_route;
-  std::vector<CacheMoves::Order> orders;
-  for (const std::size_t hop : LeavingHops()) {
-    const auto choice = m_routes.Replace(route, hop, MakeQuery(), RequiredVersion());
-    const bool same_hops = choice && choice->route.hops.size() == route.hops.size();
-    const auto adoption = m_relay.Caches().AdoptionAt(hop, m_answer.CachedPositions());
-    if (same_hops && adoption) {
-      route = choice->route;
-      orders.push_back({hop, m_route.hops[hop].server, route.hops[hop].server, adoption->attempt});
-    }
-  }
-  if (orders.empty() || m_moves == kMostMoves) {
+  const Route route = RouteWithoutLeaving();
+  if (route == m_route || m_moves == kMostMoves) {
     m_records.Write("stay_on_leaving_servers", "no other server has these layers",
                     {{"route", Describe(m_route)}});
     StartPass();
@@ -54,10 +44,40 @@
   }
   m_records.Write("leave_servers", "servers of the route are leaving",
                   {{"from", Describe(m_route)}, {"to", Describe(route)}});
-  MoveCaches(route, orders);
+  MoveCaches(route);
 }
 
-void PipelineSession::MoveCaches(const Route& route, const std::vector<CacheMoves::Order>& orders) {
+Route PipelineSession::RouteWithoutLeaving() const {
+  const std::vector<std::size_t> leaving = LeavingHops();
+  RouteQuery query = MakeQuery();
+  for (const std::size_t hop : leaving) {
+    query.excluded.insert(m_route.hops[hop].server);
+  }
+  Route route = m_route;
+  for (const std::size_t hop : leaving) {
+    const bool still_there = hop < route.hops.size() && route.hops[hop] == m_route.hops[hop];
+    const auto choice = m_routes.Replace(route, hop, query, RequiredVersion());
+    if (still_there && choice) {
+      route = choice->route;
+    }
+  }
+  return route;
+}
+
+void PipelineSession::MoveCaches(const Route& route) {
+  std::vector<CacheMoves::Order> orders;
+  for (std::size_t hop = 0; hop < std::min(route.hops.size(), m_route.hops.size()); ++hop) {
+    const Route::Hop& from = m_route.hops[hop];
+    const Route::Hop& to = route.hops[hop];
+    const auto adoption = m_relay.Caches().AdoptionAt(hop, m_answer.CachedPositions());
+    if (from.layers == to.layers && from.server != to.server && adoption) {
+      orders.push_back({hop, from.server, to.server, adoption->attempt});
+    }
+  }
+  if (orders.empty()) {
+    StartAttempt(route);
+    return;
+  }
   ++m_moves;
   const AttemptNumber imported_as = m_next_attempt++;
   m_cache_moves = CacheMoves::Start(m_parts, m_session, orders, imported_as,
--- a/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
+++ b/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
@@ -135,11 +135,8 @@
                                       const RouteChoice& choice) {
   m_records.Write("replace_server", choice.reason,
                   {{"failed", m_route.hops[hop].server}, {"route", Describe(choice.route)}});
-  const bool same_hops = choice.route.hops.size() == m_route.hops.size();
-  const auto adoption = m_relay.Caches().AdoptionAt(hop, m_answer.CachedPositions());
-  if (cause == StepStatus::kLeaving && same_hops && adoption) {
-    MoveCaches(choice.route,
-               {{hop, m_route.hops[hop].server, choice.route.hops[hop].server, adoption->attempt}});
+  if (cause == StepStatus::kLeaving) {
+    MoveCaches(choice.route);
     return;
   }
   StartAttempt(choice.route);
--- a/packages/zinnia_decisions/sessions/recovery_routes.cc
+++ b/packages/zinnia_decisions/sessions/recovery_routes.cc
@@ -17,12 +17,13 @@
                    "no pipeline has version " + version + ", which began the answer");
 }
 
-bool ReplacesOnly(const Route& before, const Route& after, std::size_t hop) {
-  if (before.hops.size() != after.hops.size()) {
-    return false;
-  }
-  return after.hops[hop].layers == before.hops[hop].layers &&
-         after.hops[hop].server != before.hops[hop].server;
+bool IsUsable(const Route& before,
+              const Route& after,
+              std::size_t hop,
+              const std::set<BackendServerName>& excluded) {
+  return before.hops.size() == after.hops.size() &&
+         after.hops[hop].layers == before.hops[hop].layers &&
+         !excluded.contains(after.hops[hop].server);
 }
 
 void ExcludeOtherVersion(const FleetSnapshot& fleet,
@@ -58,9 +59,8 @@
                                             const std::string& version) const {
   const auto fleet = m_snapshots.Current();
   query.excluded.merge(ExcludedIn(*fleet, query.model, version));
-  query.excluded.insert(route.hops[hop].server);
   auto replacement = RequireVersion(m_chooser.Replace(*fleet, route, hop, query), version);
-  if (replacement && ReplacesOnly(route, replacement->route, hop)) {
+  if (replacement && IsUsable(route, replacement->route, hop, query.excluded)) {
     return replacement;
   }
   return RequireVersion(m_chooser.Choose(*fleet, query), version);
--- a/packages/zinnia_decisions/sessions/recovery_routes.h
+++ b/packages/zinnia_decisions/sessions/recovery_routes.h
@@ -26,7 +26,7 @@
       kNoPipeline if the only routes have another version. */
   Result<RouteChoice> Choose(RouteQuery query, const std::string& version) const;
 
-  /** Another server for one hop, else another whole route. */
+  /** Another server for one hop, or the same one if it restarted; else another whole route. */
   Result<RouteChoice> Replace(const Route& route,
                               std::size_t hop,
                               RouteQuery query,
--- a/tests/sessions/fake_stages.h
+++ b/tests/sessions/fake_stages.h
@@ -24,6 +24,9 @@
   kDelayAnswer,
   kDoubleAnswer,
   kDoubleStep,
+
+  /** Breaks the promise of StageLinks: nothing is ever answered. */
+  kSilence,
 };
 
 /** The servers of a test and the network to them, in virtual time.
@@ -58,6 +61,9 @@
     }
   }
 
+  /** A crashed server comes up again, empty. */
+  void Restart(const BackendServerName& name) { m_servers.at(name).is_dead = false; }
+
   void Freeze(const BackendServerName& name) { m_servers.at(name).is_frozen = true; }
 
   /** The server goes on with all that reached it while it was frozen. */
@@ -98,6 +104,9 @@
       return;
     }
     const StepFault fault = TakeFault(server);
+    if (fault == StepFault::kSilence) {
+      return;
+    }
     server.in_flight.push_back(pending);
     const Duration work = WorkTime(step);
     Later(kDeadlineInStepTimes * (work + 2 * kLinkTime),
--- a/tests/sessions/recovery_test.cc
+++ b/tests/sessions/recovery_test.cc
@@ -202,6 +202,42 @@
   CheckWhole();
 }
 
+TEST(Recovery, RestartedServerMayServeAgain) {
+  // Symptom: an answer fails though its server is back. It is the only one with these layers, it
+  // failed the session, and it comes up again under the same name with a new incarnation.
+  world.SetState("b2", BackendServerState::kGone);
+  driver = world.Start(caller);
+  world.time.AdvanceBy(kMidAnswer);
+  world.stages.Crash("b1");
+  world.time.AdvanceBy(std::chrono::seconds(1));
+  world.stages.Restart("b1");
+  world.SetState("b1", BackendServerState::kLive);
+  ++world.snapshots.current->servers.at("b1").server.incarnation;
+  CheckWhole();
+}
+
+TEST(Recovery, ServerWhoseConnectionsKeepBreakingIsLeft) {
+  // Symptom: a session recovers again and again at one server until it is given up. The first cut
+  // says little of the server, the second one is enough.
+  driver = world.Start(caller);
+  world.time.AdvanceBy(kMidAnswer);
+  for (int cut = 0; cut < 20; ++cut) {
+    world.stages.AddFault("b1", StepFault::kCutBeforeStep);
+  }
+  CheckWhole();
+  CHECK_EQUAL(2U, driver->Status().recoveries);
+}
+
+TEST(Recovery, StepThatIsNeverAnsweredDoesNotHangTheSession) {
+  // Symptom: a caller waits for ever and no metric moves. The links lost a step without telling.
+  driver = world.Start(caller);
+  world.time.AdvanceBy(kMidAnswer);
+  world.stages.AddFault("b1", StepFault::kSilence);
+  world.RunOut();
+  world.RunOut();
+  CheckWhole();
+}
+
 TEST(Recovery, UnansweredPrefillIsUnknownNotUnrun) {
   // Symptom: a caller is told "not run" and doubles work that ran. Every stage that gets the prompt
   // freezes; nobody can say whether it was run.
