--- a/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
+++ b/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
@@ -52,10 +52,13 @@
 void PipelineSession::RecordFailure(const StepAnswer& answer) {
   const TimePoint now = m_parts.clock.Now();
   m_failure_noticed_at = now;
-  if (!m_recovery_times) {
+  if (m_recovery_times) {
+    // A failure during a recovery: what was rebuilt so far counts too.
+    m_recovery_times->rebuild += m_step_sent_at - m_rebuild_started_at;
+  } else {
     m_recovery_times.emplace();
   }
-  m_recovery_times->detection = now - m_step_sent_at;
+  m_recovery_times->detection += now - m_step_sent_at;
   m_state = SessionState::kRecovering;
   m_records.Write("recover_session", "a step ended with " + std::string(NameOf(answer.status)),
                   {{"hop", std::to_string(m_relay.Hop())},
@@ -132,11 +135,8 @@
                                       const RouteChoice& choice) {
   m_records.Write("replace_server", choice.reason,
                   {{"failed", m_route.hops[hop].server}, {"route", Describe(choice.route)}});
-  const bool same_hops = choice.route.hops.size() == m_route.hops.size();
-  const auto adoption = m_relay.Caches().AdoptionAt(hop, m_answer.CachedPositions());
-  if (cause == StepStatus::kLeaving && same_hops && adoption) {
-    MoveCaches(choice.route,
-               {{hop, m_route.hops[hop].server, choice.route.hops[hop].server, adoption->attempt}});
+  if (cause == StepStatus::kLeaving) {
+    MoveCaches(choice.route);
     return;
   }
   StartAttempt(choice.route);
@@ -150,7 +150,7 @@
   if (!m_recovery_times) {
     return;
   }
-  m_recovery_times->rebuild = m_parts.clock.Now() - m_rebuild_started_at;
+  m_recovery_times->rebuild += m_parts.clock.Now() - m_rebuild_started_at;
   m_records.WriteRecovered(*m_recovery_times, m_relay.Attempt());
   m_recovery_times.reset();
 }
