--- a/packages/zinnia_adapters/engines/engine_channel.cc
+++ b/packages/zinnia_adapters/engines/engine_channel.cc
@@ -103,9 +103,14 @@
   auto batch = std::make_shared<StepBatch>(queue.TakeBatch());
   batch->sent_at = m_parts.clock.Now();
   batch->connection = std::move(connection);
-  batch->deadline = m_parts.scheduler.ScheduleAfter(
-      DeadlineFor(batch->kind).DeadlineFor(batch->units),
-      [self = shared_from_this(), batch] { self->OnDeadline(batch); });
+  batch->deadline =
+      m_parts.scheduler.ScheduleAfter(DeadlineFor(batch->kind).DeadlineFor(batch->units),
+                                      [weak = weak_from_this(), late = std::weak_ptr(batch)] {
+                                        const auto self = weak.lock();
+                                        if (const auto missed = late.lock(); self && missed) {
+                                          self->OnDeadline(missed);
+                                        }
+                                      });
   ++queue.batches_in_flight;
   m_in_flight.push_back(batch);
 
--- a/packages/zinnia_adapters/http/backend_connection.cc
+++ b/packages/zinnia_adapters/http/backend_connection.cc
@@ -30,83 +30,92 @@
     : m_stream(loop.get_executor()), m_address(std::move(address)) {}
 
 void BackendConnection::Exchange(BackendRequest request, Duration timeout, Callback callback) {
-  assert(!m_callback && "one exchange at a time: wait for the callback of the one before");
+  assert(!m_busy && "one exchange at a time: wait for the callback of the one before");
+  m_busy = true;
   m_request = std::move(request);
-  m_callback = std::move(callback);
   m_request.set(http::field::host, m_address.ToString());
   m_request.prepare_payload();
   m_stream.expires_after(timeout);
   if (m_connected) {
-    Write();
+    Write(std::move(callback));
   } else {
-    Connect();
+    Connect(std::move(callback));
   }
 }
 
-void BackendConnection::Connect() {
-  boost::system::error_code error;
-  const auto ip = asio::ip::make_address(m_address.ip, error);
-  if (error || m_closed) {
-    asio::post(m_stream.get_executor(),
-               [self = shared_from_this()] { self->Finish(ExchangeFailure::kUnreachable); });
+void BackendConnection::Connect(Callback callback) {
+  boost::system::error_code address_error;
+  const auto ip = asio::ip::make_address(m_address.ip, address_error);
+  if (address_error || m_closed) {
+    FinishLater(ExchangeFailure::kUnreachable, std::move(callback));
     return;
   }
   m_stream.async_connect(
       asio::ip::tcp::endpoint(ip, m_address.port),
-      [self = shared_from_this()](const boost::system::error_code& connect_error) {
-        if (connect_error) {
-          const bool refused = connect_error == asio::error::connection_refused;
-          self->Finish(refused ? ExchangeFailure::kRefused : ExchangeFailure::kUnreachable);
+      [self = shared_from_this(),
+       callback = std::move(callback)](const boost::system::error_code& error) mutable {
+        if (error) {
+          const bool refused = error == asio::error::connection_refused;
+          self->Finish(refused ? ExchangeFailure::kRefused : ExchangeFailure::kUnreachable,
+                       callback);
           return;
         }
         boost::system::error_code ignored;
         self->m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
         self->m_connected = true;
-        self->Write();
+        self->Write(std::move(callback));
       });
 }
 
-void BackendConnection::Write() {
+void BackendConnection::Write(Callback callback) {
   if (m_may_send && !m_may_send()) {
-    boost::asio::post(m_stream.get_executor(),
-                      [self = shared_from_this()] { self->Finish(ExchangeFailure::kUnreachable); });
+    FinishLater(ExchangeFailure::kUnreachable, std::move(callback));
     return;
   }
-  http::async_write(
-      m_stream, m_request,
-      [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-        if (error) {
-          self->Fail(error);
-          return;
-        }
-        self->Read();
-      });
+  http::async_write(m_stream, m_request,
+                    [self = shared_from_this(), callback = std::move(callback)](
+                        const boost::system::error_code& error, std::size_t) mutable {
+                      if (error) {
+                        self->Fail(error, callback);
+                        return;
+                      }
+                      self->Read(std::move(callback));
+                    });
 }
 
-void BackendConnection::Read() {
+void BackendConnection::Read(Callback callback) {
   m_parser.emplace();
   m_parser->body_limit(kMostResponseBytes);
   if (m_request.method() == http::verb::head) {
     m_parser->skip(true);
   }
-  http::async_read(
-      m_stream, m_buffer, *m_parser,
-      [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-        if (error) {
-          self->Fail(error);
-          return;
-        }
-        self->Finish(ExchangeFailure::kNone);
-      });
+  http::async_read(m_stream, m_buffer, *m_parser,
+                   [self = shared_from_this(), callback = std::move(callback)](
+                       const boost::system::error_code& error, std::size_t) {
+                     if (error) {
+                       self->Fail(error, callback);
+                       return;
+                     }
+                     self->Finish(ExchangeFailure::kNone, callback);
+                   });
 }
 
-void BackendConnection::Fail(const boost::system::error_code& error) {
-  Finish(error == beast::error::timeout ? ExchangeFailure::kTimedOut : ExchangeFailure::kLost);
+void BackendConnection::Fail(const boost::system::error_code& error, const Callback& callback) {
+  Finish(error == beast::error::timeout ? ExchangeFailure::kTimedOut : ExchangeFailure::kLost,
+         callback);
 }
 
-void BackendConnection::Finish(ExchangeFailure failure) {
+void BackendConnection::FinishLater(ExchangeFailure failure, Callback callback) {
+  asio::post(m_stream.get_executor(),
+             [self = shared_from_this(), failure, callback = std::move(callback)] {
+               self->Finish(failure, callback);
+             });
+}
+
+void BackendConnection::Finish(ExchangeFailure failure, const Callback& callback) {
   ExchangeOutcome outcome;
   outcome.failure = failure;
+  m_busy = false;
   m_stream.expires_never();
   if (failure == ExchangeFailure::kNone) {
     const bool keep = m_parser->keep_alive();
@@ -117,13 +126,11 @@
   } else {
     Close();
   }
-  if (auto callback = std::exchange(m_callback, nullptr)) {
-    callback(std::move(outcome));
-  }
+  callback(std::move(outcome));
 }
 
 bool BackendConnection::IsReusable() {
-  if (m_closed || m_callback) {
+  if (m_closed || m_busy) {
     return false;
   }
   if (!m_connected) {
--- a/packages/zinnia_adapters/http/backend_connection.h
+++ b/packages/zinnia_adapters/http/backend_connection.h
@@ -64,20 +64,23 @@
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   BackendConnection(boost::asio::io_context& loop, NetworkAddress address);
-  void Connect();
-  void Write();
-  void Read();
-  void Finish(ExchangeFailure failure);
-  void Fail(const boost::system::error_code& error);
+  // The callback travels in the handlers and is no member: owned by the connection, it would keep
+  // the connection alive through whatever it captures when the loop ends before the exchange does.
+  void Connect(Callback callback);
+  void Write(Callback callback);
+  void Read(Callback callback);
+  void FinishLater(ExchangeFailure failure, Callback callback);
+  void Finish(ExchangeFailure failure, const Callback& callback);
+  void Fail(const boost::system::error_code& error, const Callback& callback);
 
   Stream m_stream;
   NetworkAddress m_address;
   boost::beast::flat_buffer m_buffer;
   BackendRequest m_request;
   std::optional<Parser> m_parser;
-  Callback m_callback;
   std::function<bool()> m_may_send;
   bool m_connected = false;
+  bool m_busy = false;
   bool m_closed = false;
 };
 
