--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -31,9 +31,6 @@
     return MakeError(ErrorKind::kPayloadTooLarge,
                      "the headers are larger than this instance takes");
   }
-  if (error == beast::error::timeout) {
-    return MakeError(ErrorKind::kInvalidRequest, "the request did not arrive whole in time");
-  }
   return MakeError(ErrorKind::kInvalidRequest, "the request is not HTTP/1.1: " + error.message());
 }
 
@@ -135,6 +132,12 @@
     Close();
     return;
   }
+  if (error == beast::error::timeout) {
+    // Beast has closed the socket by now, so there is no way left to tell the slow sender.
+    m_owner.CountConnectionEvent("callers_cut_off_as_slow_senders");
+    Close();
+    return;
+  }
   m_owner.CountConnectionEvent("caller_unreadable_requests");
   m_keep_alive = false;
   SendWhole(MakeProblemResponse(UnreadableRequest(error)));
