--- a/standins/step_runner.cc
+++ b/standins/step_runner.cc
@@ -218,6 +218,9 @@
   }
   if (step.layers.first == 0 && step.position == 0) {
     inputs = EmbedPrompt(step.prompt, cache, prefill_positions);
+    if (inputs.empty()) {
+      return std::nullopt;
+    }
   }
   if (step.layers.first == 0 && step.tokens != nullptr) {
     for (const json::value& token : *step.tokens) {
