--- a/packages/zinnia_decisions/configuration/configuration_acceptance.cc
+++ b/packages/zinnia_decisions/configuration/configuration_acceptance.cc
@@ -43,22 +43,21 @@
 
 }  // namespace
 
-void ConfigurationAcceptance::Start(ConfigurationChange change,
-                                    AcceptanceHost& host,
-                                    ConfigurationStore& store,
-                                    Clock& clock,
-                                    Scheduler& scheduler,
-                                    std::weak_ptr<void> host_alive,
-                                    Callback callback) {
-  const Result<void> shape = CheckShape(change);
-  if (!shape) {
-    callback(shape.error());
-    return;
+std::shared_ptr<ConfigurationAcceptance> ConfigurationAcceptance::Start(ConfigurationChange change,
+                                                                        AcceptanceHost& host,
+                                                                        ConfigurationStore& store,
+                                                                        Clock& clock,
+                                                                        Scheduler& scheduler,
+                                                                        Callback callback) {
+  const std::shared_ptr<ConfigurationAcceptance> acceptance(new ConfigurationAcceptance(
+      std::move(change), host, store, clock, scheduler, std::move(callback)));
+  const Result<void> shape = CheckShape(acceptance->m_change);
+  if (shape) {
+    acceptance->ReadHead();
+  } else {
+    acceptance->Finish(shape.error());
   }
-  const std::shared_ptr<ConfigurationAcceptance> acceptance(
-      new ConfigurationAcceptance(std::move(change), host, store, clock, scheduler,
-                                  std::move(host_alive), std::move(callback)));
-  acceptance->ReadHead();
+  return acceptance;
 }
 
 ConfigurationAcceptance::ConfigurationAcceptance(ConfigurationChange change,
@@ -66,24 +65,25 @@
                                                  ConfigurationStore& store,
                                                  Clock& clock,
                                                  Scheduler& scheduler,
-                                                 std::weak_ptr<void> host_alive,
                                                  Callback callback)
     : m_change(std::move(change)),
       m_host(host),
       m_store(store),
       m_clock(clock),
       m_scheduler(scheduler),
-      m_host_alive(std::move(host_alive)),
       m_callback(std::move(callback)),
       m_deadline(clock.Now() + kSettleWithin) {}
 
+void ConfigurationAcceptance::Finish(Result<ConfigurationRevision> outcome) {
+  // Finished only afterwards: the callback may order the next change, which drops the finished ones.
+  std::exchange(m_callback, nullptr)(std::move(outcome));
+  m_finished = true;
+}
+
 void ConfigurationAcceptance::ReadHead() {
   const ConfigurationRevision known_before = m_host.State().revision();
-  m_store.ReadHead([self = shared_from_this(), known_before](Result<VersionedHead> head) {
-    if (!self->m_host_alive.expired()) {
-      self->OnHead(std::move(head), known_before);
-    }
-  });
+  m_store.ReadHead(m_guard.Wrap(
+      [this, known_before](Result<VersionedHead> head) { OnHead(std::move(head), known_before); }));
 }
 
 void ConfigurationAcceptance::OnHead(Result<VersionedHead> head,
@@ -92,52 +92,49 @@
     if (m_may_have_landed) {
       TryLater();
     } else {
-      m_callback(Unavailable(head.error().message));
+      Finish(Unavailable(head.error().message));
     }
     return;
   }
   m_host.CatchUp(*head, known_before,
-                 [self = shared_from_this(), head = *head](const Result<void>& caught_up) {
+                 m_guard.Wrap([this, head = *head](const Result<void>& caught_up) {
                    if (caught_up) {
-                     self->Decide(head);
-                   } else if (self->m_may_have_landed) {
-                     self->TryLater();
+                     Decide(head);
+                   } else if (m_may_have_landed) {
+                     TryLater();
                    } else {
-                     self->m_callback(Unavailable(caught_up.error().message));
+                     Finish(Unavailable(caught_up.error().message));
                    }
-                 });
+                 }));
 }
 
 void ConfigurationAcceptance::Decide(VersionedHead head) {
   if (const auto revision = head.head.FindChange(m_change.change_id)) {
-    m_callback(*revision);
+    Finish(*revision);
     return;
   }
   if (head.head.revision != m_change.against_revision) {
-    m_callback(ConflictWith(head.head));
+    Finish(ConflictWith(head.head));
     return;
   }
   const ConfigurationRevision next = head.head.revision + 1;
   const auto parsed = m_host.State().parsed()->WithChanges(next, Entries(next));
   if (!parsed) {
-    m_callback(parsed.error());
+    Finish(parsed.error());
     return;
   }
   head.head.Append(m_change.change_id, Entries(next));
   if (head.head.TailSize() > kLargestTail) {
-    m_callback(Unavailable("the changes before it are still being compacted"));
+    Finish(Unavailable("the changes before it are still being compacted"));
     return;
   }
   Write(std::move(head));
 }
 
 void ConfigurationAcceptance::Write(VersionedHead head) {
-  m_store.WriteHead(head, head.head,
-                    [self = shared_from_this(), head](const Result<std::uint64_t>& answer) {
-                      if (!self->m_host_alive.expired()) {
-                        self->OnWritten(head, answer);
-                      }
-                    });
+  m_store.WriteHead(
+      head, head.head,
+      m_guard.Wrap([this, head](const Result<std::uint64_t>& answer) { OnWritten(head, answer); }));
 }
 
 void ConfigurationAcceptance::OnWritten(VersionedHead written,
@@ -146,7 +143,7 @@
     const ConfigurationRevision revision = written.head.revision;
     written.version = *answer;
     m_host.OnAccepted(std::move(written));
-    m_callback(revision);
+    Finish(revision);
     return;
   }
   switch (answer.error().kind) {
@@ -158,7 +155,7 @@
       if (m_may_have_landed) {
         TryLater();
       } else {
-        m_callback(Unavailable(answer.error().message));
+        Finish(Unavailable(answer.error().message));
       }
       break;
     default:
@@ -174,15 +171,10 @@
                                         "send it again with the same id",
                                         m_change.change_id));
     error.was_run = WasRun::kUnknown;
-    m_callback(error);
+    Finish(error);
     return;
   }
-  m_retry_call =
-      m_scheduler.ScheduleAfter(kRetryDelay, [weak = weak_from_this(), self = shared_from_this()] {
-        if (!self->m_host_alive.expired()) {
-          self->ReadHead();
-        }
-      });
+  m_retry_call = m_scheduler.ScheduleAfter(kRetryDelay, [this] { ReadHead(); });
 }
 
 Error ConfigurationAcceptance::ConflictWith(const ConfigurationHead& head) const {
--- a/packages/zinnia_decisions/configuration/configuration_acceptance.h
+++ b/packages/zinnia_decisions/configuration/configuration_acceptance.h
@@ -6,6 +6,7 @@
 #include "zinnia_base/time/scheduler.h"
 #include "zinnia_decisions/configuration/configuration_change.h"
 #include "zinnia_decisions/configuration/configuration_store.h"
+#include "zinnia_decisions/control/callback_guard.h"
 
 namespace zinnia {
 
@@ -32,21 +33,24 @@
     answer of the swap is lost, it reads the head back and looks for the change's id, and sends the
     same swap again only while the head is unchanged, so that the change can land but once.
 
-    Create it with Start; it keeps itself alive until the callback ran.
+    Create it with Start and keep it until IsFinished. Destroyed before that, it does not call back;
+    whether the change was accepted is open then.
 
     @see ConfigurationKeeper
 */
-class ConfigurationAcceptance : public std::enable_shared_from_this<ConfigurationAcceptance> {
+class ConfigurationAcceptance {
  public:
   using Callback = std::function<void(Result<ConfigurationRevision>)>;
 
-  static void Start(ConfigurationChange change,
-                    AcceptanceHost& host,
-                    ConfigurationStore& store,
-                    Clock& clock,
-                    Scheduler& scheduler,
-                    std::weak_ptr<void> host_alive,
-                    Callback callback);
+  /** `host` and the others must live as long as the acceptance. */
+  static std::shared_ptr<ConfigurationAcceptance> Start(ConfigurationChange change,
+                                                        AcceptanceHost& host,
+                                                        ConfigurationStore& store,
+                                                        Clock& clock,
+                                                        Scheduler& scheduler,
+                                                        Callback callback);
+
+  bool IsFinished() const { return m_finished; }
 
  private:
   ConfigurationAcceptance(ConfigurationChange change,
@@ -54,7 +58,6 @@
                           ConfigurationStore& store,
                           Clock& clock,
                           Scheduler& scheduler,
-                          std::weak_ptr<void> host_alive,
                           Callback callback);
 
   void ReadHead();
@@ -63,6 +66,7 @@
   void Write(VersionedHead head);
   void OnWritten(VersionedHead written, const Result<std::uint64_t>& answer);
   void TryLater();
+  void Finish(Result<ConfigurationRevision> outcome);
   Error ConflictWith(const ConfigurationHead& head) const;
   std::vector<ConfigurationEntry> Entries(ConfigurationRevision revision) const;
 
@@ -71,11 +75,12 @@
   ConfigurationStore& m_store;
   Clock& m_clock;
   Scheduler& m_scheduler;
-  std::weak_ptr<void> m_host_alive;
   Callback m_callback;
   TimePoint m_deadline{};
   bool m_may_have_landed = false;
+  bool m_finished = false;
   std::unique_ptr<ScheduledCall> m_retry_call;
+  CallbackGuard m_guard;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/configuration/configuration_keeper.cc
+++ b/packages/zinnia_decisions/configuration/configuration_keeper.cc
@@ -19,6 +19,7 @@
 constexpr std::uint32_t kMostDoublings = 3;
 constexpr Duration kFetchDelay = std::chrono::milliseconds(50);
 constexpr Duration kFetchGivenUp = std::chrono::seconds(5);
+constexpr std::size_t kMostAcceptances = 64;
 constexpr std::size_t kLargestRumour = 800;
 constexpr std::size_t kCompactAbove = 32 * 1024;
 
@@ -48,8 +49,15 @@
 
 void ConfigurationKeeper::Change(ConfigurationChange change,
                                  ConfigurationAcceptance::Callback callback) {
-  ConfigurationAcceptance::Start(std::move(change), *this, m_store, m_parts.clock,
-                                 m_parts.scheduler, m_alive, std::move(callback));
+  std::erase_if(m_acceptances, [](const auto& acceptance) { return acceptance->IsFinished(); });
+  if (m_acceptances.size() >= kMostAcceptances) {
+    Error error = MakeError(ErrorKind::kOverloaded, "too many changes are waiting for the store");
+    error.retry_after = std::chrono::seconds(1);
+    callback(error);
+    return;
+  }
+  m_acceptances.push_back(ConfigurationAcceptance::Start(
+      std::move(change), *this, m_store, m_parts.clock, m_parts.scheduler, std::move(callback)));
 }
 
 // No lease decides who watches: a watch only brings news, and two or five holders bring the same
--- a/packages/zinnia_decisions/configuration/configuration_keeper.h
+++ b/packages/zinnia_decisions/configuration/configuration_keeper.h
@@ -126,7 +126,7 @@
   std::unique_ptr<ScheduledCall> m_read_call;
   std::unique_ptr<ScheduledCall> m_fetch_call;
   std::unique_ptr<ScheduledCall> m_reinstate_call;
-  std::shared_ptr<char> m_alive = std::make_shared<char>();
+  std::vector<std::shared_ptr<ConfigurationAcceptance>> m_acceptances;
   CallbackGuard m_guard;
 };
 
--- /dev/null
+++ b/tests/control/membership_test.cc
@@ -0,0 +1,164 @@
+#include "tests/control/control_fleet.h"
+#include "zinnia_decisions/membership/rumour_queue.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+MemberState StateOf(ControlFleet& fleet, std::size_t at, std::size_t of) {
+  for (const InstanceRow& row : fleet.At(at).LiveInstanceRows()) {
+    if (row.instance.name == fleet.instances[of].name) {
+      return row.state;
+    }
+  }
+  return MemberState::kDead;
+}
+
+std::size_t LiveAt(ControlFleet& fleet, std::size_t at) {
+  return fleet.At(at).Membership().LiveInstances().size();
+}
+
+}  // namespace
+
+TEST_GROUP(Membership) {
+  ControlFleet fleet{6};
+
+  void setup() override {
+    fleet.StartAll();
+    fleet.time.AdvanceBy(seconds(5));
+    CHECK_TRUE(fleet.MembershipConverged());
+  }
+};
+
+TEST(Membership, InstancesFindEachOtherThroughSeedsWhileTheListIsDown) {
+  ControlFleet blind(6);
+  blind.list.outage = true;
+  blind.StartAll();
+  blind.time.AdvanceBy(seconds(8));
+  CHECK_TRUE(blind.MembershipConverged());
+}
+
+TEST(Membership, CrashIsNoticedEverywhere) {
+  fleet.Crash(2);
+  fleet.list.listing.instances = fleet.instances;
+  fleet.time.AdvanceBy(seconds(15));
+  CHECK_TRUE(fleet.MembershipConverged());
+}
+
+// Symptom: a dead instance comes back to life in the membership every two seconds.
+// Sequence: an instance crashes; the platform's list, which lags, still shows it.
+// Cause: the list believed more than the probes.
+TEST(Membership, LaggingListDoesNotRaiseTheDead) {
+  fleet.Crash(2);
+  fleet.time.AdvanceBy(seconds(15));
+  for (int second = 0; second < 30; ++second) {
+    fleet.time.AdvanceBy(seconds(1));
+    CHECK_EQUAL(5, LiveAt(fleet, 0));
+  }
+}
+
+// Symptom: a healthy instance is taken for dead because some of its datagrams were lost.
+// Sequence: heavy loss for a while, then none. Cause: suspicion that nobody can refute.
+TEST(Membership, SuspicionIsRefutedUnderLoss) {
+  fleet.network.drop = 0.3;
+  for (int step = 0; step < 600; ++step) {
+    fleet.time.AdvanceBy(milliseconds(100));
+  }
+  fleet.network.drop = 0.0;
+  fleet.time.AdvanceBy(seconds(15));
+  CHECK_TRUE(fleet.MembershipConverged());
+  for (std::size_t of = 1; of < 6; ++of) {
+    CHECK_TRUE(StateOf(fleet, 0, of) == MemberState::kAlive);
+  }
+}
+
+// Symptom: two instances that cannot reach each other directly hold each other for dead.
+// Sequence: one link is cut, both ends reach all others. Cause: no probes through others.
+TEST(Membership, OneCutLinkKillsNobody) {
+  const NetworkAddress one = fleet.instances[1].peer_address;
+  const NetworkAddress two = fleet.instances[2].peer_address;
+  fleet.network.is_cut = [one, two](const NetworkAddress& from, const NetworkAddress& to) {
+    return (from == one && to == two) || (from == two && to == one);
+  };
+  for (int second = 0; second < 60; ++second) {
+    fleet.time.AdvanceBy(seconds(1));
+    CHECK_TRUE(fleet.MembershipConverged());
+  }
+}
+
+// Symptom: after a cut between regions the two sides never work together again.
+// Sequence: a cut longer than the suspicion; both sides declare the other dead; the cut heals.
+// Cause: nobody speaks to the dead.
+TEST(Membership, SidesOfACutFindEachOtherAgain) {
+  fleet.Cut(3);
+  fleet.list.outage = true;
+  fleet.time.AdvanceBy(seconds(60));
+  CHECK_EQUAL(3, LiveAt(fleet, 0));
+  CHECK_EQUAL(3, LiveAt(fleet, 5));
+  fleet.Heal();
+  fleet.time.AdvanceBy(seconds(30));
+  CHECK_TRUE(fleet.MembershipConverged());
+}
+
+// Symptom: an instance that was stopped for a minute takes all others for dead when it wakes.
+// Sequence: SIGSTOP in the middle of a probe, SIGCONT a minute later. Cause: its own pause read as
+// the silence of the others.
+TEST(Membership, PausedInstanceBlamesNobodyWhenItWakes) {
+  fleet.processes[3]->scheduler.Pause();
+  fleet.time.AdvanceBy(seconds(60));
+  CHECK_EQUAL(5, LiveAt(fleet, 0));
+  fleet.processes[3]->scheduler.Resume();
+  for (int step = 0; step < 100; ++step) {
+    fleet.time.AdvanceBy(milliseconds(100));
+    CHECK_EQUAL(6, LiveAt(fleet, 3));
+    CHECK_TRUE(LiveAt(fleet, 0) >= 5);
+  }
+  fleet.time.AdvanceBy(seconds(10));
+  CHECK_TRUE(fleet.MembershipConverged());
+}
+
+TEST(Membership, PlannedStopIsKnownAtOnceAndIsNoSuspicion) {
+  bool stopped = false;
+  fleet.At(4).StopPlanned([&stopped] { stopped = true; });
+  fleet.time.AdvanceBy(milliseconds(500));
+  CHECK_TRUE(stopped);
+  for (std::size_t index = 0; index < 4; ++index) {
+    CHECK_EQUAL(5, LiveAt(fleet, index));
+  }
+  fleet.Restart(4);
+  fleet.time.AdvanceBy(seconds(5));
+  CHECK_TRUE(fleet.MembershipConverged());
+}
+
+TEST(Membership, DatagramsStayWithinTheLimit) {
+  fleet.Cut(3);
+  fleet.time.AdvanceBy(seconds(30));
+  fleet.Heal();
+  for (int server = 0; server < 200; ++server) {
+    fleet.At(0).ReportServerCrash(fmt::format("server-{}", server),
+                                  {Fingerprint::Of(fmt::format("{}", server))});
+  }
+  fleet.time.AdvanceBy(seconds(30));
+  CHECK_TRUE(fleet.network.largest <= kLargestDatagram + 28);
+}
+
+TEST(Membership, RumourQueueReplacesForgetsAndStaysBounded) {
+  RumourQueue queue;
+  queue.Add(LeavingRumour{"b-1", 1}, 2);
+  queue.Add(LeavingRumour{"b-1", 2}, 2);
+  CHECK_EQUAL(1, queue.size());
+  CHECK_EQUAL(1, queue.Take(1000).size());
+  CHECK_EQUAL(1, queue.Take(1000).size());
+  CHECK_EQUAL(0, queue.Take(1000).size());
+  for (int server = 0; server < 5000; ++server) {
+    queue.Add(LeavingRumour{fmt::format("b-{}", server), 1}, 2);
+  }
+  CHECK_EQUAL(4096, queue.size());
+}
+
+}  // namespace zinnia
