--- a/packages/zinnia_decisions/configuration/configuration_acceptance.cc
+++ b/packages/zinnia_decisions/configuration/configuration_acceptance.cc
@@ -75,7 +75,7 @@
       m_deadline(clock.Now() + kSettleWithin) {}
 
 void ConfigurationAcceptance::Finish(Result<ConfigurationRevision> outcome) {
-  // Finished only afterwards: the callback may order the next change, which drops the finished ones.
+  // Finished only afterwards: the callback may order a change, which drops the finished ones.
   std::exchange(m_callback, nullptr)(std::move(outcome));
   m_finished = true;
 }
--- a/packages/zinnia_decisions/control/instance_control.cc
+++ b/packages/zinnia_decisions/control/instance_control.cc
@@ -8,6 +8,7 @@
 #include "zinnia_base/decisions/decision_record.h"
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/fleet_control/subset_selection.h"
+#include "zinnia_decisions/membership/message_size.h"
 #include "zinnia_decisions/once/intent_handler.h"
 
 namespace zinnia {
@@ -17,7 +18,7 @@
 constexpr Duration kPublishLoadsWithin = std::chrono::milliseconds(250);
 constexpr Duration kQuarantineTick = std::chrono::seconds(1);
 constexpr std::size_t kFingerprintsInRumour = 40;
-constexpr std::size_t kMostLeavingForNewcomer = 64;
+constexpr std::size_t kMostRumoursForNewcomer = 512;
 
 Result<void> CheckSettings(const InstanceControlSettings& settings) {
   const Instance& self = settings.membership.self;
@@ -345,13 +346,29 @@
   }
   for (const auto& [server, mark] : m_leaving.marks()) {
     const bool current = mark.incarnation >= m_servers.IncarnationOf(server);
-    if (current && rumours.size() < kMostLeavingForNewcomer) {
+    if (current && rumours.size() < kMostRumoursForNewcomer) {
       rumours.emplace_back(LeavingRumour{server, mark.incarnation});
     }
   }
   return rumours;
 }
 
+std::vector<Rumour> InstanceControl::RumoursForRepair(std::size_t room) {
+  const std::vector<Rumour> all = RumoursForNewcomer();
+  std::vector<Rumour> turn;
+  for (std::size_t taken = 0; taken < all.size(); ++taken) {
+    const Rumour& rumour = all[m_repair_turn % all.size()];
+    const std::size_t size = EstimateSize(rumour);
+    if (size > room && !turn.empty()) {
+      break;
+    }
+    room -= std::min(size, room);
+    turn.push_back(rumour);
+    ++m_repair_turn;
+  }
+  return turn;
+}
+
 void InstanceControl::SpreadDelta(const ConfigurationDelta& delta, bool first_hand) {
   // Not queued: whoever misses it sees the higher revision in a probe and fetches.
   m_membership.SpreadUrgently(ConfigurationRumour{delta}, first_hand, false);
--- a/packages/zinnia_decisions/control/instance_control.h
+++ b/packages/zinnia_decisions/control/instance_control.h
@@ -137,6 +137,7 @@
   void OnRumour(const Rumour& rumour, const Instance& sender) override;
   void OnPeerRevision(const Instance& peer, ConfigurationRevision revision) override;
   std::vector<Rumour> RumoursForNewcomer() const override;
+  std::vector<Rumour> RumoursForRepair(std::size_t room) override;
   void SpreadDelta(const ConfigurationDelta& delta, bool first_hand) override;
   void SpreadRevision() override;
   void OnConfigurationChanged(const Configuration& configuration) override;
@@ -167,6 +168,7 @@
   IntentHandler* m_intent_handler = nullptr;
 
   bool m_list_was_read = false;
+  std::size_t m_repair_turn = 0;
   std::set<BackendServerName> m_subset;
   std::vector<SnapshotListener*> m_snapshot_listeners;
   std::atomic<std::shared_ptr<const FleetSnapshot>> m_snapshot;
--- a/packages/zinnia_decisions/membership/gossip_host.h
+++ b/packages/zinnia_decisions/membership/gossip_host.h
@@ -25,6 +25,9 @@
 
   /** What an instance that was not known before should hear at once. */
   virtual std::vector<Rumour> RumoursForNewcomer() const = 0;
+
+  /** A few of the same, about `room` bytes, taking turns from call to call. */
+  virtual std::vector<Rumour> RumoursForRepair(std::size_t room) = 0;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/membership/gossip_membership.cc
+++ b/packages/zinnia_decisions/membership/gossip_membership.cc
@@ -14,6 +14,7 @@
 constexpr std::size_t kMostRelays = 256;
 constexpr std::size_t kMostNewcomerDatagrams = 8;
 constexpr std::size_t kNewcomerMembers = 32;
+constexpr std::size_t kRepairBytes = 500;
 constexpr Duration kFlushDelay = std::chrono::milliseconds(2);
 constexpr Duration kLeaveRepeat = std::chrono::milliseconds(200);
 
@@ -121,7 +122,7 @@
 // After a cut each side holds the other for dead and would never speak to it again.
 void GossipMembership::ProbeDeadOrSeed() {
   const TimePoint now = m_clock.Now();
-  if (now - m_last_dead_probe < m_settings.dead_probe_interval) {
+  if (now - m_last_dead_probe < m_settings.repair_interval) {
     return;
   }
   m_last_dead_probe = now;
@@ -138,6 +139,19 @@
     const auto& seed = m_settings.seeds[RandomBelow(m_random, m_settings.seeds.size())];
     Send(seed, {ProbeKind::kPing, m_next_sequence++});
   }
+  RepairOnePeer();
+}
+
+// A rumour is sent a bounded number of times, all of which may fall into a short cut or a burst of
+// losses; an instance that missed it would give new work to a leaving server for ever.
+void GossipMembership::RepairOnePeer() {
+  const std::vector<Rumour> rumours = m_host.RumoursForRepair(kRepairBytes);
+  if (rumours.empty()) {
+    return;
+  }
+  for (const Instance& peer : ChooseLive(1, "")) {
+    SendRumours(peer.peer_address, rumours);
+  }
 }
 
 void GossipMembership::ExpireSuspicions() {
@@ -223,7 +237,8 @@
   if (m_stopped || stale || message.sender.name == m_settings.self.name) {
     return;
   }
-  const bool newcomer = known == nullptr || known->instance.start < message.sender.start;
+  const bool was_live = known != nullptr && known->instance.start == message.sender.start &&
+                        known->incarnation > 0 && IsLive(known->state);
   ApplyMember({message.sender, message.sender_incarnation, MemberState::kAlive});
   m_table.NoteRevision(message.sender.name, message.revision);
   for (const Rumour& rumour : message.rumours) {
@@ -236,7 +251,7 @@
   m_host.OnPeerRevision(message.sender, message.revision);
   switch (message.kind) {
     case ProbeKind::kPing:
-      OnPing(message, newcomer);
+      OnPing(message);
       break;
     case ProbeKind::kPingRequest:
       OnPingRequest(message);
@@ -245,18 +260,19 @@
       OnAcknowledgement(message);
       break;
   }
+  const Member* sender = m_table.Find(message.sender.name);
+  if (!was_live && sender != nullptr && IsLive(sender->state)) {
+    WelcomeNewcomer(message.sender);
+  }
 }
 
-void GossipMembership::OnPing(const ProbeMessage& message, bool newcomer) {
+void GossipMembership::OnPing(const ProbeMessage& message) {
   ProbeMessage answer{ProbeKind::kAck, message.sequence};
   const Member* sender = m_table.Find(message.sender.name);
   if (sender != nullptr && sender->state != MemberState::kAlive) {
     answer.rumours.emplace_back(MemberRumour{sender->instance, sender->incarnation, sender->state});
   }
   Send(message.sender.peer_address, std::move(answer));
-  if (newcomer) {
-    WelcomeNewcomer(message.sender);
-  }
 }
 
 void GossipMembership::OnPingRequest(const ProbeMessage& message) {
--- a/packages/zinnia_decisions/membership/gossip_membership.h
+++ b/packages/zinnia_decisions/membership/gossip_membership.h
@@ -24,7 +24,7 @@
   Duration probe_interval = std::chrono::seconds(1);
   Duration acknowledgement_timeout = std::chrono::milliseconds(300);
   Duration suspicion_timeout = std::chrono::seconds(4);
-  Duration dead_probe_interval = std::chrono::seconds(5);
+  Duration repair_interval = std::chrono::seconds(5);
   Duration forget_dead_after = std::chrono::minutes(30);
   std::size_t indirect_probes = 3;
 
@@ -96,13 +96,14 @@
   void StartProbe();
   void ProbeIndirectly();
   void ProbeDeadOrSeed();
+  void RepairOnePeer();
   void ExpireSuspicions();
   const Member* NextTarget();
   std::vector<Instance> ChooseLive(std::size_t count, const InstanceName& except);
 
   void ApplyMember(const MemberRumour& rumour);
   void RefuteIfNeeded(const MemberRumour& rumour);
-  void OnPing(const ProbeMessage& message, bool newcomer);
+  void OnPing(const ProbeMessage& message);
   void OnPingRequest(const ProbeMessage& message);
   void OnAcknowledgement(const ProbeMessage& message);
   void WelcomeNewcomer(const Instance& newcomer);
