--- a/packages/zinnia_apps/daemon/daemon.cc
+++ b/packages/zinnia_apps/daemon/daemon.cc
@@ -83,9 +83,10 @@
 
 Result<Daemon::Secrets> Daemon::ReadSecrets(const InstanceSettings& settings) {
   try {
-    return Secrets{ReadTextFile(settings.cluster_secret_file).value(),
-                   ReadTextFile(settings.resume_secret_file).value(),
-                   ReadTextFile(settings.operator_key_file).value()};
+    return Secrets{
+        ReadSecretFile("cluster_secret_file", settings.cluster_secret_file).value(),
+        ReadSecretFile("resume_secret_file", settings.resume_secret_file).value(),
+        ReadSecretFile("operator_key_file", settings.operator_key_file).value()};
   } catch (const ErrorException& exception) {
     return exception.GetError();
   }
--- a/packages/zinnia_apps/daemon/main.cc
+++ b/packages/zinnia_apps/daemon/main.cc
@@ -62,7 +62,7 @@
       return kExitUsage;
     }
     return Run(arguments["settings"].as<std::string>());
-  } catch (const cxxopts::OptionException& exception) {
+  } catch (const cxxopts::exceptions::exception& exception) {
     fmt::print(stderr, "zinniad: {}; see --help\n", exception.what());
     return kExitUsage;
   }
