--- /dev/null
+++ b/packages/zinnia_decisions/routing/pool_capacity.cc
@@ -0,0 +1,38 @@
+#include "zinnia_decisions/routing/pool_capacity.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "zinnia_decisions/routing/fleet_index.h"
+#include "zinnia_decisions/routing/own_loads.h"
+
+namespace zinnia {
+namespace {
+
+double NarrowestStage(const FleetIndex& index, const IndexedPipeline& pipeline) {
+  double narrowest = std::numeric_limits<double>::infinity();
+  for (const IndexedStage& stage : pipeline.stages) {
+    double tokens_per_second = 0.0;
+    for (const std::uint32_t server : stage.live) {
+      tokens_per_second += index.Servers()[server].rates.decode_tokens_per_second;
+    }
+    narrowest = std::min(narrowest, tokens_per_second);
+  }
+  return narrowest;
+}
+
+}  // namespace
+
+double ConcurrentSessionsFor(const FleetSnapshot& fleet,
+                             const ModelName& model,
+                             double seconds_between_tokens) {
+  OwnLoads none;
+  const FleetIndex index(fleet, none);
+  double tokens_per_second = 0.0;
+  for (const IndexedPipeline& pipeline : index.PipelinesOf(model)) {
+    tokens_per_second += NarrowestStage(index, pipeline);
+  }
+  return tokens_per_second * seconds_between_tokens / index.LiveInstances();
+}
+
+}  // namespace zinnia
--- a/packages/zinnia_decisions/routing/server_rates.cc
+++ b/packages/zinnia_decisions/routing/server_rates.cc
@@ -7,7 +7,10 @@
 
 /** Layers times tokens a second of the fastest kind at full batch. */
 constexpr double kNominalLayerTokensPerSecond = 24'000.0;
-constexpr double kNominalSecondsPerLayer = 0.0002;
+
+/** A step of an empty server takes as long as this many tokens at full batch, because reading the
+    weights is not shared. */
+constexpr double kEmptyStepTokens = 3.0;
 constexpr double kPrefillToDecode = 8.0;
 
 double SpeedOf(AcceleratorKind kind) {
@@ -37,7 +40,7 @@
   const double decode =
       MeasuredOr(view.load.decode_tokens_per_second, kNominalLayerTokensPerSecond * speed / layers);
   const double prefill = MeasuredOr(view.load.prefill_tokens_per_second, kPrefillToDecode * decode);
-  return {.base_step_seconds = kNominalSecondsPerLayer * layers / speed,
+  return {.base_step_seconds = kEmptyStepTokens / decode,
           .decode_tokens_per_second = decode * view.weight,
           .prefill_tokens_per_second = prefill * view.weight};
 }
