--- a/bench/support/flow_bound.h
+++ b/bench/support/flow_bound.h
@@ -16,4 +16,11 @@
 */
 double RequestsPerSecondBound(const FleetPlan& plan, const std::set<BackendServerName>& lost = {});
 
+/** The largest number of requests a second that can be answered when that many are offered, in the
+    plan's mix. Below the bound that is all of them; above it, each model and place may be refused
+    a different part. */
+double CarriedRequestsPerSecond(const FleetPlan& plan,
+                                double offered_per_second,
+                                const std::set<BackendServerName>& lost = {});
+
 }  // namespace zinnia::bench
--- a/packages/zinnia_decisions/routing/completion_chooser.cc
+++ b/packages/zinnia_decisions/routing/completion_chooser.cc
@@ -110,9 +110,9 @@
 
 double CompletionChooser::ExpectedSessions(const FleetIndex& index,
                                            const IndexedServer& server) const {
-  const double own_change = server.own->ChangeSince(server.reported_at);
-  const double all_changes = own_change * index.LiveInstances();
-  return std::max<double>(server.reported_sessions + all_changes, server.own->InFlight());
+  const double own_share = m_settings.trust_in_own_sessions;
+  const double from_own = server.own->InFlight() * index.LiveInstances();
+  return own_share * from_own + (1.0 - own_share) * CorrectedSessions(server);
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/routing/completion_chooser.h
+++ b/packages/zinnia_decisions/routing/completion_chooser.h
@@ -19,6 +19,11 @@
   /** Part of a prompt that a cached prefix is expected to save. */
   double cached_share = 0.5;
 
+  /** The sessions at a server are estimated twice: from its report, which counts everybody's but is
+      late, and from this chooser's own sessions times the number of instances, which is coarse but
+      never late. This is the share of the second. */
+  double trust_in_own_sessions = 0.5;
+
   /** Costs are multiplied by up to 1 + this at random. */
   double noise = 0.02;
 
@@ -31,8 +36,10 @@
     The expected time of a hop grows with the sessions at the server; a further session slows the
     others too, and that slowdown is counted, so that load spreads by rate when it is high and goes
     to fast near servers when it is low. Instances that see the same late report would all run to
-    the same server: each takes its own sends since the report as made by all instances, compares
-    only some servers drawn at random and adds a little noise. Equal prefixes go to the same servers
+    the same server, and then all away from it; one notices load that swings with the period of the
+    reports. So each chooser also counts what it has in flight itself, which is never late, as if
+    the other instances had the same, compares only some servers drawn at random, and adds a little
+    noise. Equal prefixes go to the same servers
     from every instance (rendezvous hashing), unless those are busy.
 
     @see PredictHop, ShortestCompletionChooser
