--- a/packages/zinnia_decisions/admission/fair_admission_controller.cc
+++ b/packages/zinnia_decisions/admission/fair_admission_controller.cc
@@ -17,6 +17,7 @@
 struct FairAdmissionController::Pool {
   std::string name;
   double capacity = std::numeric_limits<double>::infinity();
+  double last_capacity = std::numeric_limits<double>::infinity();
   double in_use = 0.0;
   FairQueue queue;
   ServiceMeter meter;
@@ -74,8 +75,14 @@
 }
 
 void FairAdmissionController::SetPoolCapacity(const std::string& pool, double concurrent_cost) {
-  PoolOf(pool).capacity = concurrent_cost;
-  DispatchLater(PoolOf(pool), Duration::zero());
+  Pool& changed = PoolOf(pool);
+  changed.capacity = concurrent_cost;
+  if (concurrent_cost > 0.0) {
+    changed.last_capacity = concurrent_cost;
+  }
+  if (!changed.queue.Empty()) {
+    DispatchLater(changed, Duration::zero());
+  }
 }
 
 void FairAdmissionController::SetContract(const Organisation& organisation) {
@@ -139,7 +146,12 @@
                                      const AdmissionRequest& request,
                                      const Callback& callback) {
   m_limits.Leave(request.organisation);
-  const double rate = pool.meter.DrainRate(m_clock.Now(), pool.capacity);
+  // While nothing runs at all there is no rate to go by; the one before is the best guess of what
+  // the pool can take when it is back.
+  const bool stopped = pool.capacity <= 0.0;
+  const double rate =
+      pool.meter.DrainRate(m_clock.Now(), stopped ? pool.last_capacity : pool.capacity);
+  const Duration earliest = stopped ? Duration::zero() : PredictWait(pool, request);
   Error error = MakeError(
       kind, fmt::format("pool \"{}\" cannot take the request in time: {} requests are waiting",
                         pool.name, pool.queue.Waiting()));
