Keep one table of HTTP statuses for errors

Cause: the callers' and the operators' servers each had one, under one name, so the daemon did not link. Change: http/problem_status has the table, both use it.

--- a/packages/zinnia_adapters/callers/problem_document.h
+++ b/packages/zinnia_adapters/callers/problem_document.h
@@ -4,6 +4,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <string>
 
+#include "zinnia_adapters/http/problem_status.h"
 #include "zinnia_base/errors/error.h"
 
 namespace zinnia {
@@ -11,9 +12,6 @@
 using CallerRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using CallerResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-/** The HTTP status that stands for this kind of error. */
-unsigned HttpStatusOf(ErrorKind kind);
-
 /** The error with a time to come back, if its kind has one and it has none yet. */
 Error WithRetryAfter(Error error);
 
--- a/packages/zinnia_adapters/operators/operator_api.cc
+++ b/packages/zinnia_adapters/operators/operator_api.cc
@@ -11,6 +11,7 @@
 
 #include "zinnia_adapters/language/command_parser.h"
 #include "zinnia_adapters/metrics/histogram_metrics.h"
+#include "zinnia_adapters/http/problem_status.h"
 #include "zinnia_adapters/operators/problem_document.h"
 #include "zinnia_adapters/operators/readiness_probe.h"
 #include "zinnia_decisions/operators/operator_desk.h"
--- a/packages/zinnia_adapters/operators/problem_document.cc
+++ b/packages/zinnia_adapters/operators/problem_document.cc
@@ -24,42 +24,10 @@
 
 }  // namespace
 
-unsigned HttpStatusOf(ErrorKind kind) {
-  switch (kind) {
-    case ErrorKind::kInvalidRequest:
-    case ErrorKind::kInvalidCommand:
-    case ErrorKind::kInvalidSettings:
-      return 400;
-    case ErrorKind::kUnauthorized:
-      return 401;
-    case ErrorKind::kForbidden:
-      return 403;
-    case ErrorKind::kNotFound:
-    case ErrorKind::kUnknownModel:
-      return 404;
-    case ErrorKind::kRevisionConflict:
-    case ErrorKind::kStoreConflict:
-    case ErrorKind::kStaleEpoch:
-      return 409;
-    case ErrorKind::kPayloadTooLarge:
-      return 413;
-    case ErrorKind::kStoreUnavailable:
-    case ErrorKind::kOverloaded:
-    case ErrorKind::kDraining:
-    case ErrorKind::kPeerUnavailable:
-      return 503;
-    case ErrorKind::kStoreOutcomeUnknown:
-    case ErrorKind::kOutcomeUnknown:
-      return 504;
-    default:
-      return 500;
-  }
-}
-
 std::string WriteProblem(const Error& error, unsigned status) {
-  json::object problem{{"title", NameOf(error.kind)},    {"status", status},
-                       {"detail", error.message},        {"kind", NameOf(error.kind)},
-                       {"message", error.message},       {"remedy", error.remedy},
+  json::object problem{{"title", NameOf(error.kind)},     {"status", status},
+                       {"detail", error.message},         {"kind", NameOf(error.kind)},
+                       {"message", error.message},        {"remedy", error.remedy},
                        {"was_run", NameOf(error.was_run)}};
   if (error.retry_after) {
     problem["retry_after_ms"] = error.retry_after->count();
--- a/packages/zinnia_adapters/operators/problem_document.h
+++ b/packages/zinnia_adapters/operators/problem_document.h
@@ -7,9 +7,6 @@
 
 namespace zinnia {
 
-/** The HTTP status that the operators' server answers an error with. */
-unsigned HttpStatusOf(ErrorKind kind);
-
 /** An error as application/problem+json: title, status, detail, kind, message, remedy, was_run and
     retry_after_ms if there is one. */
 std::string WriteProblem(const Error& error, unsigned status);
--- a/packages/zinnia_apps/daemon/traffic_side.h
+++ b/packages/zinnia_apps/daemon/traffic_side.h
@@ -17,6 +17,7 @@
 class ChannelReports;
 class Clock;
 class CompletionChooser;
+class Configuration;
 class ControlSide;
 class ControlThread;
 class DecisionRecorder;
@@ -31,6 +32,7 @@
 class SuspectClaims;
 class SuspectGate;
 class TrafficThread;
+struct FleetSnapshot;
 
 /** What a traffic side is made with. All references must outlive it. */
 struct TrafficSideParts {
