Make the links lint clean and their tests free of leaks

Cause: clang-tidy refused copies, null-pointer look-alikes and implicit widening; RapidCheck's tables showed up as leaks at the end of each run. Weighed: excepting the leaks hid the tests' own; a generator seeded with RandomSource needs no library tables and gives the same messages every run.

--- a/packages/zinnia_adapters/http/http_client.cc
+++ b/packages/zinnia_adapters/http/http_client.cc
@@ -197,9 +197,8 @@
 }
 
 void HttpClient::Impl::Finish(const std::shared_ptr<Exchange>& exchange, HttpResult result) {
-  m_post([exchange, result = std::move(result)]() mutable {
-    exchange->callback(std::move(result));
-  });
+  m_post(
+      [exchange, result = std::move(result)]() mutable { exchange->callback(std::move(result)); });
 }
 
 HttpClient::HttpClient(const Clock& clock, Post post, HttpClientOptions options)
--- a/packages/zinnia_adapters/http/http_messages.h
+++ b/packages/zinnia_adapters/http/http_messages.h
@@ -30,8 +30,8 @@
 };
 
 /** How far a failed exchange came. kNotSent is a promise: no byte of the request left this process.
-    kNoAnswer: the server may have run it. kBadAnswer: an answer came that is not HTTP or is over the
-    bound; the server may have run it as well. */
+    kNoAnswer: the server may have run it. kBadAnswer: an answer came that is not HTTP or is over
+   the bound; the server may have run it as well. */
 enum class HttpFailureStage { kNotSent, kNoAnswer, kBadAnswer };
 
 constexpr std::string_view NameOf(HttpFailureStage stage) {
--- a/packages/zinnia_adapters/peers/capnp_peer_server.cc
+++ b/packages/zinnia_adapters/peers/capnp_peer_server.cc
@@ -103,9 +103,8 @@
   }
   auto authenticated = std::make_shared<bool>(false);
   auto gate = kj::heap<PeerGate>(m_authenticator, m_listener, m_metrics, authenticated);
-  auto connection =
-      kj::heap<ServedConnection>(kj::mv(stream), kj::mv(gate), m_open_connections,
-                                 m_options.most_bytes_in_flight_per_connection);
+  auto connection = kj::heap<ServedConnection>(kj::mv(stream), kj::mv(gate), m_open_connections,
+                                               m_options.most_bytes_in_flight_per_connection);
   m_tasks.add(connection->network.onDisconnect()
                   .exclusiveJoin(AuthenticationLimit(std::move(authenticated)))
                   .attach(kj::mv(connection)));
--- a/packages/zinnia_adapters/peers/capnp_peer_transport.cc
+++ b/packages/zinnia_adapters/peers/capnp_peer_transport.cc
@@ -94,13 +94,14 @@
                                     Send send,
                                     std::function<void(Result<Value>)> callback) {
   auto sent = std::make_shared<bool>(false);
-  auto call = kj::evalLater([this, to] { return m_connections.Get(to); })
-                  .then([sent, send = std::move(send)](PeerConnectionCache::Shared connection) {
-                    *sent = true;
-                    return send(connection->peer()).attach(kj::cp(connection));
-                  });
-  auto limited = m_io.provider->getTimer().timeoutAfter(m_call_limit.count() * kj::NANOSECONDS,
-                                                        kj::mv(call));
+  auto call = kj::evalLater([this, to] {
+                return m_connections.Get(to);
+              }).then([sent, send = std::move(send)](PeerConnectionCache::Shared connection) {
+    *sent = true;
+    return send(connection->peer()).attach(kj::cp(connection));
+  });
+  auto limited =
+      m_io.provider->getTimer().timeoutAfter(m_call_limit.count() * kj::NANOSECONDS, kj::mv(call));
   m_tasks.add(limited
                   .catch_([to, sent](kj::Exception&& failure) {
                     return Result<Value>(CallError(to, *sent, failure));
--- a/packages/zinnia_adapters/peers/peer_codec.cc
+++ b/packages/zinnia_adapters/peers/peer_codec.cc
@@ -10,13 +10,12 @@
 namespace zinnia {
 namespace {
 
-constexpr std::size_t kLargestPackedBytes =
-    kLargestDatagramBytes - PeerAuthenticator::kCodeBytes;
+constexpr std::size_t kLargestPackedBytes = kLargestDatagramBytes - PeerAuthenticator::kCodeBytes;
 
 /** A packed datagram of a few KB can name megabytes of zeros, and pointers in it can name the same
     bytes many times over. Both are cut off here: seen as memory and time that one small datagram
     costs. In words of 8 bytes. */
-constexpr std::uint64_t kMostWords = 16 * 1024;
+constexpr std::uint64_t kMostWords = 16'384;
 constexpr int kDeepestNesting = 8;
 
 capnp::ReaderOptions DatagramLimits() {
@@ -47,8 +46,8 @@
 
 Result<ProbeMessage> DecodeProbe(std::string_view bytes) {
   try {
-    kj::ArrayInputStream input(
-        kj::ArrayPtr<const kj::byte>(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    kj::ArrayInputStream input(kj::ArrayPtr<const kj::byte>(
+        reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
     capnp::PackedMessageReader reader(input, DatagramLimits());
     ProbeMessage message = wire_conversion::Read(reader.getRoot<wire::Probe>());
     if (input.tryGetReadBuffer().size() > 0) {
--- a/packages/zinnia_adapters/peers/peer_codec.h
+++ b/packages/zinnia_adapters/peers/peer_codec.h
@@ -11,7 +11,7 @@
 
 /** The largest datagram that is sent or taken, authentication code included. Larger ones are cut
     into fragments by the network, each of which can be lost, so senders should stay well below. */
-constexpr std::size_t kLargestDatagramBytes = 8 * 1024;
+constexpr std::size_t kLargestDatagramBytes = 8'192;
 
 /** Packs a probe for a datagram; kPayloadTooLarge if it would not fit in one. */
 Result<std::string> EncodeProbe(const ProbeMessage& message);
--- a/packages/zinnia_adapters/peers/peer_connection.cc
+++ b/packages/zinnia_adapters/peers/peer_connection.cc
@@ -14,6 +14,12 @@
 
 using Purpose = PeerAuthenticator::Purpose;
 
+namespace {
+
+constexpr int kNoDescriptor = -1;
+
+}  // namespace
+
 PeerConnection::PeerConnection(kj::Own<kj::AsyncIoStream> stream)
     : m_stream(kj::mv(stream)),
       m_network(*m_stream, capnp::rpc::twoparty::Side::CLIENT, PeerCallLimits()),
@@ -32,7 +38,7 @@
 }
 
 kj::Promise<void> PeerConnection::Authenticate(
-    std::shared_ptr<const PeerAuthenticator> authenticator) {
+    const std::shared_ptr<const PeerAuthenticator>& authenticator) {
   capnp::MallocMessageBuilder vat_message;
   auto vat = vat_message.initRoot<capnp::rpc::twoparty::VatId>();
   vat.setSide(capnp::rpc::twoparty::Side::SERVER);
@@ -47,9 +53,9 @@
         request.setProof(ToWireData(authenticator->CodeFor(Purpose::kCaller, nonces)));
         return request.send().then([nonces, authenticator](auto&& answer) {
           // A stray process at a peer's address must not be able to grant intents.
-          KJ_REQUIRE(authenticator->Matches(Purpose::kAnswerer, nonces,
-                                           FromWireData(answer.getProof())),
-                     "the peer does not know the cluster secret");
+          KJ_REQUIRE(
+              authenticator->Matches(Purpose::kAnswerer, nonces, FromWireData(answer.getProof())),
+              "the peer does not know the cluster secret");
           return answer.getPeer();
         });
       })
@@ -57,12 +63,13 @@
 }
 
 bool PeerConnection::IsClosed() {
-  KJ_IF_MAYBE(descriptor, m_stream->getFd()) {
-    char byte = 0;
-    const auto count = recv(*descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  const int descriptor = m_stream->getFd().orDefault(kNoDescriptor);
+  if (descriptor == kNoDescriptor) {
+    return false;
   }
-  return false;
+  char byte = 0;
+  const auto count = recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/peers/peer_connection.h
+++ b/packages/zinnia_adapters/peers/peer_connection.h
@@ -29,7 +29,7 @@
   bool IsClosed();
 
  private:
-  kj::Promise<void> Authenticate(std::shared_ptr<const PeerAuthenticator> authenticator);
+  kj::Promise<void> Authenticate(const std::shared_ptr<const PeerAuthenticator>& authenticator);
 
   kj::Own<kj::AsyncIoStream> m_stream;
   capnp::TwoPartyVatNetwork m_network;
--- a/packages/zinnia_adapters/peers/peer_connection_cache.cc
+++ b/packages/zinnia_adapters/peers/peer_connection_cache.cc
@@ -48,7 +48,7 @@
   if (peer.connection) {
     return peer.connection;
   }
-  KJ_IF_MAYBE(connecting, peer.connecting) {
+  KJ_IF_MAYBE (connecting, peer.connecting) {
     return connecting->addBranch();
   }
   KJ_REQUIRE(m_clock.Now() >= peer.not_before, "waiting before the next attempt to connect");
@@ -61,8 +61,8 @@
 kj::Promise<PeerConnectionCache::Shared> PeerConnectionCache::Connect(
     const NetworkAddress& address) {
   const auto limit = m_limits.connect_limit.count() * kj::NANOSECONDS;
-  auto attempt = kj::evalNow(
-      [&] { return PeerConnection::Open(Resolve(m_io, address), m_authenticator); });
+  auto attempt =
+      kj::evalNow([&] { return PeerConnection::Open(Resolve(m_io, address), m_authenticator); });
   return m_io.provider->getTimer()
       .timeoutAfter(limit, kj::mv(attempt))
       .then(
@@ -88,9 +88,9 @@
 
 Duration PeerConnectionCache::BackoffAfter(unsigned failures) {
   const Duration doubled = m_limits.first_backoff * (1U << std::min(failures, kMostDoublings));
-  const Duration longest = std::min(doubled, m_limits.longest_backoff);
-  return longest / 2 + Duration(static_cast<Duration::rep>(
-                           RandomUnit(m_random) * static_cast<double>(longest.count() / 2)));
+  const Duration half = std::min(doubled, m_limits.longest_backoff) / 2;
+  const double spread = RandomUnit(m_random) * static_cast<double>(half.count());
+  return half + Duration(static_cast<Duration::rep>(spread));
 }
 
 void PeerConnectionCache::DropIdle() {
--- a/packages/zinnia_adapters/peers/peer_service.cc
+++ b/packages/zinnia_adapters/peers/peer_service.cc
@@ -15,8 +15,8 @@
 namespace {
 
 /** A callback that may be called at any later time, also after the caller hung up, and the promise
-    that it fulfils. A callback that is dropped uncalled breaks the promise, which the caller sees as
-    kOutcomeUnknown. */
+    that it fulfils. A callback that is dropped uncalled breaks the promise, which the caller sees
+   as kOutcomeUnknown. */
 template <typename Value>
 std::pair<std::function<void(Result<Value>)>, kj::Promise<Result<Value>>> CallbackAndPromise() {
   auto pair = kj::newPromiseAndFulfiller<Result<Value>>();
@@ -38,7 +38,7 @@
   auto [callback, promise] = CallbackAndPromise<IntentReply>();
   m_listener.OnBeginIntent(wire_conversion::Read(context.getParams().getRequest()),
                            std::move(callback));
-  return promise.then([context](Result<IntentReply> result) mutable {
+  return promise.then([context](const Result<IntentReply>& result) mutable {
     auto answer = context.getResults().initResult();
     if (result.has_value()) {
       wire_conversion::Write(answer.initReply(), *result);
@@ -52,7 +52,7 @@
   auto [callback, promise] = CallbackAndPromise<void>();
   m_listener.OnReportOutcome(wire_conversion::Read(context.getParams().getOutcome()),
                              std::move(callback));
-  return promise.then([context](Result<void> result) mutable {
+  return promise.then([context](const Result<void>& result) mutable {
     auto answer = context.getResults().initResult();
     if (result.has_value()) {
       answer.setDone();
--- a/packages/zinnia_adapters/peers/probe_sender.cc
+++ b/packages/zinnia_adapters/peers/probe_sender.cc
@@ -43,8 +43,7 @@
   const boost::asio::ip::udp::endpoint endpoint(ip, to.port);
   const int descriptor = SocketFor(endpoint.protocol().family());
   return sendto(descriptor, datagram.data(), datagram.size(), MSG_DONTWAIT, endpoint.data(),
-                static_cast<socklen_t>(endpoint.size())) ==
-         static_cast<ssize_t>(datagram.size());
+                static_cast<socklen_t>(endpoint.size())) == static_cast<ssize_t>(datagram.size());
 }
 
 int ProbeSender::SocketFor(int family) {
--- a/packages/zinnia_adapters/peers/wire_conversion.cc
+++ b/packages/zinnia_adapters/peers/wire_conversion.cc
@@ -240,9 +240,12 @@
 }
 
 IntentRequest Read(wire::IntentRequest::Reader from) {
-  return {from.getPartition(),      FromWireText(from.getOrganisation()),
-          FromWireText(from.getKey()),  Read(from.getRequest()),
-          FromWireText(from.getAskingInstance()), FromWireText(from.getRequestId())};
+  return {from.getPartition(),
+          FromWireText(from.getOrganisation()),
+          FromWireText(from.getKey()),
+          Read(from.getRequest()),
+          FromWireText(from.getAskingInstance()),
+          FromWireText(from.getRequestId())};
 }
 
 void Write(wire::IntentReply::Builder to, const IntentReply& reply) {
@@ -277,7 +280,8 @@
 
 IntentOutcome Read(wire::IntentOutcome::Reader from) {
   IntentOutcome outcome{from.getPartition(), FromWireText(from.getOrganisation()),
-                        FromWireText(from.getKey()), FromWireText(from.getRequestId()), std::nullopt};
+                        FromWireText(from.getKey()), FromWireText(from.getRequestId()),
+                        std::nullopt};
   if (from.hasAnswer()) {
     outcome.answer = Read(from.getAnswer());
   }
--- a/packages/zinnia_adapters/platform/http_engine_orders.cc
+++ b/packages/zinnia_adapters/platform/http_engine_orders.cc
@@ -117,10 +117,9 @@
     m_post([callback = std::move(callback), server] { callback(UnknownServer(server)); });
     return;
   }
-  HttpRequest request{
-      "POST", "/v1/orders", {{"Content-Type", "application/json"}}, BodyOf(order)};
+  HttpRequest request{"POST", "/v1/orders", {{"Content-Type", "application/json"}}, BodyOf(order)};
   m_client->Send(*address, std::move(request), m_time_limit,
-                 [server, callback = std::move(callback)](HttpResult result) {
+                 [server, callback = std::move(callback)](const HttpResult& result) {
                    callback(OutcomeOf(server, result));
                  });
 }
@@ -136,7 +135,7 @@
   request.target = "/v1/state";
   request.repeatable = true;
   m_client->Send(*address, std::move(request), m_time_limit,
-                 [server, callback = std::move(callback)](HttpResult result) {
+                 [server, callback = std::move(callback)](const HttpResult& result) {
                    callback(StateOf(server, result));
                  });
 }
--- a/packages/zinnia_adapters/platform/http_instance_list.cc
+++ b/packages/zinnia_adapters/platform/http_instance_list.cc
@@ -13,7 +13,8 @@
 constexpr unsigned kOk = 200;
 
 AcceleratorKind ReadAccelerator(const JsonFields& fields) {
-  const std::string name = fields.TextOr("accelerator", std::string(NameOf(AcceleratorKind::kLarge)));
+  const std::string name =
+      fields.TextOr("accelerator", std::string(NameOf(AcceleratorKind::kLarge)));
   const auto kind = AcceleratorKindFromName(name);
   if (!kind) {
     throw ErrorException(
@@ -75,7 +76,7 @@
   request.repeatable = true;
   m_client->Send(
       m_address, std::move(request), m_time_limit,
-      [callback = std::move(callback)](HttpResult result) { callback(ListingOf(result)); });
+      [callback = std::move(callback)](const HttpResult& result) { callback(ListingOf(result)); });
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/platform/http_platform_store.cc
+++ b/packages/zinnia_adapters/platform/http_platform_store.cc
@@ -81,8 +81,8 @@
 }
 
 std::function<void(Result<Done>)> ForDone(PlatformStore::DoneCallback callback) {
-  return [callback = std::move(callback)](Result<Done> result) {
-    callback(result.has_value() ? Result<void>() : Result<void>(std::move(result).error()));
+  return [callback = std::move(callback)](const Result<Done>& result) {
+    callback(result.has_value() ? Result<void>() : Result<void>(result.error()));
   };
 }
 
@@ -149,8 +149,7 @@
        std::move(callback));
 }
 
-void HttpPlatformStore::GrantLease(std::chrono::milliseconds time_to_live,
-                                   LeaseCallback callback) {
+void HttpPlatformStore::GrantLease(std::chrono::milliseconds time_to_live, LeaseCallback callback) {
   Call("/kv/lease/grant", json::serialize(json::object{{"ttl_ms", time_to_live.count()}}),
        StoreAccess::kWrite, m_time_limit, &ReadLease, std::move(callback));
 }
--- a/packages/zinnia_adapters/platform/json_fields.cc
+++ b/packages/zinnia_adapters/platform/json_fields.cc
@@ -10,9 +10,9 @@
 constexpr std::size_t kDeepestNesting = 32;
 
 [[noreturn]] void Refuse(std::string_view name, std::string_view wanted) {
-  throw ErrorException(MakeError(ErrorKind::kInternal, "answer of the platform: field \"" +
-                                                           std::string(name) + "\" is not " +
-                                                           std::string(wanted)));
+  throw ErrorException(MakeError(
+      ErrorKind::kInternal,
+      "answer of the platform: field \"" + std::string(name) + "\" is not " + std::string(wanted)));
 }
 
 const boost::json::object& RequireObject(const boost::json::value& value) {
--- a/packages/zinnia_adapters/platform/store_call.cc
+++ b/packages/zinnia_adapters/platform/store_call.cc
@@ -52,8 +52,8 @@
 }
 
 Error StoreCall::ErrorOf(const HttpResult& result) const {
-  const std::string what = result.has_error() ? result.error().message
-                                              : "status " + std::to_string(result->status);
+  const std::string what =
+      result.has_error() ? result.error().message : "status " + std::to_string(result->status);
   // A read changes nothing, so whatever became of it, it certainly had no effect.
   const bool no_effect = m_parts.access == StoreAccess::kRead || HadNoEffect(result);
   return MakeError(no_effect ? ErrorKind::kStoreUnavailable : ErrorKind::kStoreOutcomeUnknown,
--- a/packages/zinnia_adapters/threads/control_thread.cc
+++ b/packages/zinnia_adapters/threads/control_thread.cc
@@ -63,9 +63,8 @@
 
 void ControlThread::Loop::Start(ControlThread& owner, SetUp set_up) {
   std::promise<void> ready;
-  m_thread = std::thread([this, &owner, &ready, set_up = std::move(set_up)] {
-    Run(owner, set_up, ready);
-  });
+  m_thread = std::thread(
+      [this, &owner, &ready, set_up = std::move(set_up)] { Run(owner, set_up, ready); });
   try {
     ready.get_future().get();
   } catch (...) {
--- a/packages/zinnia_adapters/threads/control_thread.h
+++ b/packages/zinnia_adapters/threads/control_thread.h
@@ -16,14 +16,14 @@
 
 /** The one thread that owns all control state: membership, configuration, partitions, orders.
 
-    Runs a kj event loop, so that the links to peers live on it as well. Start it, then bring work to
-    it with Post; objects that live on it are created in the set-up function and destroyed in the
+    Runs a kj event loop, so that the links to peers live on it as well. Start it, then bring work
+   to it with Post; objects that live on it are created in the set-up function and destroyed in the
     tear-down function, both of which run on the thread itself. Never block on it: every instance's
     failure detection waits for it.
 
-    Reports the gauge `control_thread_lag_ms` every second: the longest time in that second for which
-    a posted call waited or a timer was late. A lag near the failure detector's timeout means that
-    this instance is about to be suspected by its peers, although it runs.
+    Reports the gauge `control_thread_lag_ms` every second: the longest time in that second for
+   which a posted call waited or a timer was late. A lag near the failure detector's timeout means
+   that this instance is about to be suspected by its peers, although it runs.
 
     @see CapnpPeerServer, CapnpPeerTransport
 */
@@ -32,7 +32,8 @@
   using SetUp = std::function<void(ControlThread&)>;
 
   /** Starts the thread and returns when `set_up` is done. An ErrorException that `set_up` throws is
-      the result, any other exception becomes kInternal. `clock` and `metrics` must outlive the thread. */
+      the result, any other exception becomes kInternal. `clock` and `metrics` must outlive the
+     thread. */
   static Result<std::unique_ptr<ControlThread>> Start(const Clock& clock,
                                                       Metrics& metrics,
                                                       SetUp set_up);
@@ -56,8 +57,9 @@
 
   bool IsCurrent() const;
 
-  /** Runs what was posted before, then `tear_down` on the thread, and joins it. Call it from another
-      thread, once. `tear_down` must destroy everything that uses Io() or holds a ScheduledCall. */
+  /** Runs what was posted before, then `tear_down` on the thread, and joins it. Call it from
+     another thread, once. `tear_down` must destroy everything that uses Io() or holds a
+     ScheduledCall. */
   void Stop(std::function<void()> tear_down);
 
  private:
--- a/packages/zinnia_world/fleet/network_address.h
+++ b/packages/zinnia_world/fleet/network_address.h
@@ -16,6 +16,7 @@
   /** Parses "IP:PORT". Fails with kInvalidSettings. */
   static Result<NetworkAddress> Parse(const std::string& text);
   std::string ToString() const;
+  // NOLINTNEXTLINE(modernize-use-nullptr): it takes the generated comparison with 0 for a pointer.
   auto operator<=>(const NetworkAddress&) const = default;
 };
 
--- a/tests/adapters/control_memory_detector.cc
+++ b/tests/adapters/control_memory_detector.cc
@@ -7,8 +7,8 @@
 namespace {
 
 /** CppUTest's leak detector keeps its table without a lock unless told otherwise, and fails tests
-    that allocate on several threads with "Deallocating non-allocated memory". The first exception
-    of kj makes a table that it keeps; made here, no test is blamed for it. */
+    that allocate on several threads with "Deallocating non-allocated memory". kj's first exception
+    makes a table that stays; made here, no test is blamed for it. */
 [[maybe_unused]] const bool kDetectorIsReady = [] {
   const bool refused = zinnia::DecodeProbe("").has_error();
   MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
--- a/tests/adapters/control_peer_calls_test.cc
+++ b/tests/adapters/control_peer_calls_test.cc
@@ -17,8 +17,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-using namespace zinnia;
-
+namespace zinnia {
 namespace {
 
 const NetworkAddress kAnyPort{"127.0.0.1", 0};
@@ -139,11 +138,12 @@
 TEST(PeerCalls, AreAnswered) {
   TestInstance caller(m_clock, "secret");
   TestInstance holder(m_clock, "secret");
-  const IntentReply reply{IntentVerdict::kAnswered, 4, RecordedAnswer{200, "text/plain", "a\0b", true},
-                          900};
+  const IntentReply reply{IntentVerdict::kAnswered, 4,
+                          RecordedAnswer{200, "text/plain", std::string("a\x00z", 3), true}, 900};
   holder.listener.answer = reply;
   CHECK(caller.BeginIntentAt(holder.address()).value() == reply);
-  CHECK((holder.listener.intents[0] == IntentRequest{3, "petrie", "key", {1, 2}, "entry-1", "r-1"}));
+  CHECK(
+      (holder.listener.intents[0] == IntentRequest{3, "petrie", "key", {1, 2}, "entry-1", "r-1"}));
 
   std::promise<Result<ConfigurationDelta>> fetched;
   std::promise<Result<void>> reported;
@@ -248,7 +248,8 @@
   kj::Promise<void> listening = nullptr;
   auto stray = ControlThread::Start(m_clock, metrics, [&](ControlThread& thread) {
                  const sockaddr_in any{AF_INET, 0, {htonl(INADDR_LOOPBACK)}, {}};
-                 receiver = thread.Io().provider->getNetwork().getSockaddr(&any, sizeof(any))->listen();
+                 receiver =
+                     thread.Io().provider->getNetwork().getSockaddr(&any, sizeof(any))->listen();
                  server = std::make_unique<capnp::TwoPartyServer>(kj::heap<StrayGate>());
                  listening = server->listen(*receiver).eagerlyEvaluate(nullptr);
                }).value();
@@ -267,7 +268,8 @@
   TestInstance stranger(m_clock, "another secret");
   TestInstance peer(m_clock, "secret");
   TestInstance holder(m_clock, "secret");
-  RunOn(*stranger.thread, [&] { stranger.transport->SendProbe(holder.address(), ProbeWithSequence(1)); });
+  RunOn(*stranger.thread,
+        [&] { stranger.transport->SendProbe(holder.address(), ProbeWithSequence(1)); });
   RunOn(*peer.thread, [&] { peer.transport->SendProbe(holder.address(), ProbeWithSequence(2)); });
   Await(holder.listener.probe_arrived.get_future());
   holder.Kill();
@@ -296,3 +298,5 @@
   CHECK(caller.BeginIntentAt(holder.address()).error().kind == ErrorKind::kPeerUnavailable);
   LONGS_EQUAL(1, holder.metrics.Counter("peer_connections_refused"));
 }
+
+}  // namespace zinnia
--- a/tests/adapters/control_peer_codec_test.cc
+++ b/tests/adapters/control_peer_codec_test.cc
@@ -1,16 +1,14 @@
-#include "zinnia_adapters/peers/peer_codec.h"
+// g++ 12 wrongly believes that moving a Rumour reads members that were never written.
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
 
-#include <rapidcheck.h>
+#include "zinnia_adapters/peers/peer_codec.h"
 
 #include "zinnia_adapters/peers/peer_authenticator.h"
 #include "zinnia_base/random/random_source.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <CppUTest/MemoryLeakWarningPlugin.h>
-
-using namespace zinnia;
-
+namespace zinnia {
 namespace {
 
 constexpr std::uint64_t kSeed = 20'261'202;
@@ -27,41 +25,37 @@
   message.sender_incarnation = 3;
   message.target = MakeInstance("entry-2");
   message.revision = 99;
-  message.rumours = {
-      MemberRumour{MakeInstance("entry-3"), 8, MemberState::kSuspect},
-      LeavingRumour{"draft-7", 5},
-      CrashRumour{"draft-8", 6, {{1, 2}, {3, 4}}, 250},
-      ConfigurationRumour{
-          {98, 99, {{"organisation/petrie", 99, "{\"weight\":2}"}, {"model/x", 99, std::nullopt}}}}};
+  message.rumours = {MemberRumour{MakeInstance("entry-3"), 8, MemberState::kSuspect},
+                     LeavingRumour{"draft-7", 5}, CrashRumour{"draft-8", 6, {{1, 2}, {3, 4}}, 250},
+                     ConfigurationRumour{{98,
+                                          99,
+                                          {{"organisation/petrie", 99, "{\"weight\":2}"},
+                                           {"model/x", 99, std::nullopt}}}}};
   return message;
 }
 
-rc::Gen<Rumour> AnyRumour() {
-  return rc::gen::exec([]() -> Rumour {
-    const auto name = *rc::gen::string<std::string>();
-    const auto number = *rc::gen::arbitrary<std::uint64_t>();
-    switch (*rc::gen::inRange(0, 4)) {
-      case 0:
-        return MemberRumour{MakeInstance(name), number,
-                            static_cast<MemberState>(*rc::gen::inRange(0, 4))};
-      case 1:
-        return LeavingRumour{name, number};
-      case 2:
-        return CrashRumour{name, number, {{number, ~number}}, static_cast<std::uint32_t>(number)};
-      default:
-        return ConfigurationRumour{{number, number + 1, {{name, number, name}}}};
-    }
-  });
+std::string AnyText(RandomSource& random) {
+  std::string text(RandomBelow(random, 20), ' ');
+  for (char& letter : text) {
+    letter = static_cast<char>(RandomBelow(random, 256));
+  }
+  return text;
 }
 
-bool HoldsForFixedSeed(const std::string& name, void (*property)()) {
-  rc::detail::TestMetadata metadata;
-  metadata.id = name;
-  rc::detail::TestParams params;
-  params.seed = kSeed;
-  const auto result = rc::detail::checkTestable(property, metadata, params);
-  rc::detail::printResultMessage(result, std::cerr);
-  return result.template is<rc::detail::SuccessResult>();
+Rumour AnyRumour(RandomSource& random) {
+  const std::string text = AnyText(random);
+  const std::uint64_t number = random();
+  switch (RandomBelow(random, 4)) {
+    case 0:
+      return MemberRumour{MakeInstance(text), number,
+                          static_cast<MemberState>(RandomBelow(random, 4))};
+    case 1:
+      return LeavingRumour{text, number};
+    case 2:
+      return CrashRumour{text, number, {{number, ~number}}, static_cast<std::uint32_t>(number)};
+    default:
+      return ConfigurationRumour{{number, number + 1, {{text, number, text}}}};
+  }
 }
 
 }  // namespace
@@ -74,19 +68,22 @@
 }
 
 TEST(PeerCodec, GivesBackAnyMessage) {
-  IGNORE_ALL_LEAKS_IN_TEST();  // RapidCheck keeps its configuration for the life of the process.
-  CHECK(HoldsForFixedSeed("any probe survives the way", [] {
+  RandomSource random(kSeed);
+  constexpr int kRounds = 2'000;
+  for (int round = 0; round < kRounds; ++round) {
     ProbeMessage message = MakeProbe();
-    message.sequence = *rc::gen::arbitrary<std::uint64_t>();
-    message.kind = static_cast<ProbeKind>(*rc::gen::inRange(0, 3));
-    if (*rc::gen::arbitrary<bool>()) {
+    message.sequence = random();
+    message.kind = static_cast<ProbeKind>(RandomBelow(random, 3));
+    message.sender.name = AnyText(random);
+    if (RandomBelow(random, 2) == 0) {
       message.target.reset();
     }
-    message.rumours = *rc::gen::container<std::vector<Rumour>>(AnyRumour());
-    const auto bytes = EncodeProbe(message);
-    RC_PRE(bytes.has_value());
-    RC_ASSERT(DecodeProbe(*bytes).value() == message);
-  }));
+    message.rumours.clear();
+    for (std::uint64_t count = RandomBelow(random, 16); count > 0; --count) {
+      message.rumours.push_back(AnyRumour(random));
+    }
+    CHECK(DecodeProbe(EncodeProbe(message).value()).value() == message);
+  }
 }
 
 TEST(PeerCodec, RefusesWhatDoesNotFitInADatagram) {
@@ -118,7 +115,8 @@
   for (int round = 0; round < kRounds; ++round) {
     std::string damaged = bytes;
     for (std::uint64_t flips = 1 + RandomBelow(random, 8); flips > 0; --flips) {
-      damaged[RandomBelow(random, damaged.size())] ^= static_cast<char>(1 << RandomBelow(random, 8));
+      damaged[RandomBelow(random, damaged.size())] ^=
+          static_cast<char>(1 << RandomBelow(random, 8));
     }
     refused += DecodeProbe(damaged).has_error() ? 1 : 0;
   }
@@ -153,3 +151,5 @@
   }
   CHECK_FALSE(PeerAuthenticator("another").OpenDatagram(datagram).has_value());
 }
+
+}  // namespace zinnia
--- a/tests/adapters/control_platform_test.cc
+++ b/tests/adapters/control_platform_test.cc
@@ -11,8 +11,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-using namespace zinnia;
-
+namespace zinnia {
 namespace {
 
 constexpr std::chrono::seconds kTimeLimit{10};
@@ -66,9 +65,7 @@
 
   SystemClock m_clock;
   std::shared_ptr<HttpClient> m_client = std::make_shared<HttpClient>(
-      m_clock,
-      [](auto call) { call(); },
-      HttpClientOptions{.largest_body_bytes = kLargestBody});
+      m_clock, [](auto call) { call(); }, HttpClientOptions{.largest_body_bytes = kLargestBody});
 };
 
 TEST(Platform, StoreCallsSpeakTheProtocol) {
@@ -118,8 +115,8 @@
 // Symptom: as above, seen only after quiet minutes. Events: the store closes a kept connection just
 // as a write goes out on it. Cause: HTTP clients usually repeat a request on a new connection.
 TEST(Platform, AWriteOnAConnectionThatClosesIsNotSentAgain) {
-  ScriptedServer server({ScriptedServer::Json(R"({"version":7})"), "",
-                         ScriptedServer::Json(R"({"version":8})")});
+  ScriptedServer server(
+      {ScriptedServer::Json(R"({"version":7})"), "", ScriptedServer::Json(R"({"version":8})")});
   CHECK(Write(Store({server.address()})).has_value());
   CHECK(Write(Store({server.address()})).error().kind == ErrorKind::kStoreOutcomeUnknown);
   LONGS_EQUAL(2, server.Requests().size());
@@ -127,7 +124,8 @@
 }
 
 TEST(Platform, AReadOnAConnectionThatClosesIsSentAgain) {
-  const std::string found = ScriptedServer::Json(R"({"record":{"key":"a","version":7,"value":"v"}})");
+  const std::string found =
+      ScriptedServer::Json(R"({"record":{"key":"a","version":7,"value":"v"}})");
   ScriptedServer server({found, "", found});
   CHECK(Read(Store({server.address()})).has_value());
   CHECK(Read(Store({server.address()})).has_value());
@@ -140,12 +138,15 @@
   LONGS_EQUAL(7, Write(Store({first.address(), second.address()})).value());
 }
 
-// Symptom: the process crashes, or fills its memory. Events: the store answers what is not HTTP, not
-// JSON, not the right JSON, or far too much. Cause: the answer is used unchecked.
+// Symptom: the process crashes, or fills its memory. Events: the store answers what is not HTTP,
+// not JSON, not the right JSON, or far too much. Cause: the answer is used unchecked.
 TEST(Platform, AWriteWithAnUnreadableAnswerIsUnknown) {
   const std::vector<std::string> answers = {
-      "\x01\x02garbage\r\n\r\n", ScriptedServer::Json("not json"), ScriptedServer::Json("[]"),
-      ScriptedServer::Json(R"({"version":"x"})"), ScriptedServer::Json(std::string(1 << 16, ' ')),
+      "\x01\x02garbage\r\n\r\n",
+      ScriptedServer::Json("not json"),
+      ScriptedServer::Json("[]"),
+      ScriptedServer::Json(R"({"version":"x"})"),
+      ScriptedServer::Json(R"({"version":7,"x":")" + std::string(kLargestBody, 'x') + R"("})"),
       ScriptedServer::Json(std::string(kLargestBody, '['))};
   for (const std::string& answer : answers) {
     ScriptedServer server({answer});
@@ -202,3 +203,5 @@
   CHECK(listing.servers[0].leaving);
   CHECK(read().error().kind == ErrorKind::kStoreUnavailable);
 }
+
+}  // namespace zinnia
--- a/tests/adapters/control_scripted_server.h
+++ b/tests/adapters/control_scripted_server.h
@@ -11,9 +11,9 @@
 
 namespace zinnia {
 
-/** An HTTP server on loopback that reads each request whole and answers it with the next line of its
-    script, whatever bytes that is. An empty line closes the connection without an answer; after the
-    last line it stops listening. Serves one connection at a time. */
+/** An HTTP server on loopback that reads each request whole and answers it with the next line of
+   its script, whatever bytes that is. An empty line closes the connection without an answer; after
+   the last line it stops listening. Serves one connection at a time. */
 class ScriptedServer {
  public:
   explicit ScriptedServer(std::vector<std::string> script)
@@ -59,8 +59,8 @@
   bool ReadRequest(Socket& socket) {
     std::string text;
     boost::system::error_code error;
-    const auto head = boost::asio::read_until(socket, boost::asio::dynamic_buffer(text),
-                                              "\r\n\r\n", error);
+    const auto head =
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(text), "\r\n\r\n", error);
     if (error) {
       return false;
     }
--- a/tests/adapters/control_thread_test.cc
+++ b/tests/adapters/control_thread_test.cc
@@ -8,8 +8,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-using namespace zinnia;
-
+namespace zinnia {
 namespace {
 
 constexpr int kPosters = 4;
@@ -18,12 +17,8 @@
 }  // namespace
 
 TEST_GROUP(ControlThread) {
-  std::unique_ptr<ControlThread> Start(const Clock& clock, ControlThread::SetUp set_up = nullptr) {
-    auto thread = ControlThread::Start(clock, m_metrics, [set_up](ControlThread& started) {
-      if (set_up) {
-        set_up(started);
-      }
-    });
+  std::unique_ptr<ControlThread> Start(const Clock& clock) {
+    auto thread = ControlThread::Start(clock, m_metrics, [](ControlThread&) {});
     return std::move(thread).value();
   }
 
@@ -36,6 +31,7 @@
   std::vector<int> last(kPosters, -1);
   bool in_order = true;
   std::vector<std::thread> posters;
+  posters.reserve(kPosters);
   for (int poster = 0; poster < kPosters; ++poster) {
     posters.emplace_back([&, poster] {
       for (int call = 0; call < kCallsOfEach; ++call) {
@@ -66,7 +62,8 @@
       order.push_back(3);
       done.set_value();
     }));
-    calls.push_back(thread->ScheduleAfter(std::chrono::milliseconds(1), [&] { order.push_back(2); }));
+    calls.push_back(
+        thread->ScheduleAfter(std::chrono::milliseconds(1), [&] { order.push_back(2); }));
     calls.push_back(thread->ScheduleAfter(Duration::zero(), [&] { order.push_back(1); }));
   });
   Await(done.get_future());
@@ -121,9 +118,8 @@
   RunOn(*thread, [] {});  // Both have run now, and the report's timer is due.
   std::unique_ptr<ScheduledCall> later;
   std::promise<void> reported;
-  RunOn(*thread, [&] {
-    later = thread->ScheduleAfter(Duration::zero(), [&] { reported.set_value(); });
-  });
+  RunOn(*thread,
+        [&] { later = thread->ScheduleAfter(Duration::zero(), [&] { reported.set_value(); }); });
   Await(reported.get_future());
   thread->Stop([&] { later.reset(); });
   DOUBLES_EQUAL(1'500.0, m_metrics.HighestGauge("control_thread_lag_ms"), 0.001);
@@ -148,3 +144,5 @@
   CHECK(thread.has_error());
   CHECK(thread.error().kind == ErrorKind::kInvalidSettings);
 }
+
+}  // namespace zinnia
