--- a/packages/zinnia_adapters/threads/control_thread.cc
+++ b/packages/zinnia_adapters/threads/control_thread.cc
@@ -42,6 +42,7 @@
   kj::Promise<void> NextEvent(kj::AsyncIoContext& io, kj::UnixEventPort::FdObserver& observer);
   void RunPosted();
   void RunDueTimers();
+  void RunGuarded(const std::function<void()>& call);
   void NoteLag(TimePoint due);
   void ReportLag();
 
@@ -132,7 +133,7 @@
       return;
     }
     NoteLag(entry->posted_at);
-    entry->call();
+    RunGuarded(entry->call);
   }
   m_more_posted = true;
 }
@@ -141,7 +142,16 @@
   const TimePoint now = m_clock.Now();
   while (auto due = m_timers.TakeDue(now)) {
     NoteLag(due->at);
-    due->call();
+    RunGuarded(due->call);
+  }
+}
+
+/** One call that throws must not take down the process, and with it every session on it. */
+void ControlThread::Loop::RunGuarded(const std::function<void()>& call) {
+  try {
+    call();
+  } catch (const std::exception&) {
+    m_metrics.Count("control_thread_failures");
   }
 }
 
