--- a/packages/zinnia_adapters/threads/control_thread.h
+++ b/packages/zinnia_adapters/threads/control_thread.h
@@ -23,7 +23,8 @@
 
     Reports the gauge `control_thread_lag_ms` every second: the longest time in that second for
    which a posted call waited or a timer was late. A lag near the failure detector's timeout means
-   that this instance is about to be suspected by its peers, although it runs.
+   that this instance is about to be suspected by its peers, although it runs. A call that throws
+    is counted as `control_thread_failures` and dropped.
 
     @see CapnpPeerServer, CapnpPeerTransport
 */
@@ -32,8 +33,8 @@
   using SetUp = std::function<void(ControlThread&)>;
 
   /** Starts the thread and returns when `set_up` is done. An ErrorException that `set_up` throws is
-      the result, any other exception becomes kInternal. `clock` and `metrics` must outlive the
-     thread. */
+      the result, any other exception becomes kInternal; by then it must have destroyed whatever
+     uses Io(). `clock` and `metrics` must outlive the thread. */
   static Result<std::unique_ptr<ControlThread>> Start(const Clock& clock,
                                                       Metrics& metrics,
                                                       SetUp set_up);
--- a/tests/adapters/control_thread_test.cc
+++ b/tests/adapters/control_thread_test.cc
@@ -137,6 +137,16 @@
   LONGS_EQUAL(kCalls, ran_at_tear_down);
 }
 
+// Symptom: all sessions of an instance end at once. Events: one posted call throws. Cause: an
+// exception that leaves a thread's function ends the process.
+TEST(ControlThread, ACallThatThrowsIsCountedAndTheThreadGoesOn) {
+  auto thread = Start(m_system_clock);
+  thread->Post([] { throw ErrorException(MakeError(ErrorKind::kInternal, "a fault")); });
+  RunOn(*thread, [] {});
+  thread->Stop(nullptr);
+  LONGS_EQUAL(1, m_metrics.Counter("control_thread_failures"));
+}
+
 TEST(ControlThread, AFailedSetUpIsTheResult) {
   const auto thread = ControlThread::Start(m_system_clock, m_metrics, [](ControlThread&) {
     throw ErrorException(MakeError(ErrorKind::kInvalidSettings, "no such address"));
