--- a/tests/adapters/control_platform_test.cc
+++ b/tests/adapters/control_platform_test.cc
@@ -135,7 +135,9 @@
 TEST(Platform, TheNextAddressIsTriedWhenTheFirstDidNothing) {
   const RefusingAddress first;
   ScriptedServer second({ScriptedServer::Json(R"({"version":7})")});
-  LONGS_EQUAL(7, Write(Store({first.address(), second.address()})).value());
+  const auto result = Write(Store({first.address(), second.address()}));
+  CHECK(result.has_value());
+  LONGS_EQUAL(7, *result);
 }
 
 // Symptom: the process crashes, or fills its memory. Events: the store answers what is not HTTP,
--- a/tests/adapters/control_scripted_server.h
+++ b/tests/adapters/control_scripted_server.h
@@ -2,6 +2,9 @@
 
 #include <boost/asio.hpp>
 
+#include <sys/socket.h>
+
+#include <atomic>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -21,8 +24,12 @@
         m_address{"127.0.0.1", m_acceptor.local_endpoint().port()},
         m_thread([this, script = std::move(script)] { Run(script); }) {}
 
-  /** Call it only when the client no longer waits: it waits for the script to be played. */
-  ~ScriptedServer() { m_thread.join(); }
+  /** Ends the script where it is, so that a failed test does not wait for the rest of it. */
+  ~ScriptedServer() {
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    ::shutdown(m_connection, SHUT_RDWR);
+    m_thread.join();
+  }
 
   static std::string Json(const std::string& body, const std::string& status = "200 OK") {
     return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
@@ -43,7 +50,12 @@
     auto line = script.begin();
     while (line != script.end()) {
       Socket socket(m_context);
-      m_acceptor.accept(socket);
+      boost::system::error_code refused;
+      m_acceptor.accept(socket, refused);
+      if (refused) {
+        return;
+      }
+      m_connection = socket.native_handle();
       while (line != script.end() && ReadRequest(socket)) {
         const std::string& answer = *line++;
         if (answer.empty()) {
@@ -53,7 +65,6 @@
         boost::asio::write(socket, boost::asio::buffer(answer), error);
       }
     }
-    m_acceptor.close();
   }
 
   bool ReadRequest(Socket& socket) {
@@ -78,6 +89,7 @@
   boost::asio::io_context m_context;
   boost::asio::ip::tcp::acceptor m_acceptor;
   const NetworkAddress m_address;
+  std::atomic<int> m_connection{-1};
   std::mutex m_mutex;
   std::vector<std::string> m_requests;
   std::thread m_thread;
