--- a/packages/zinnia_adapters/peers/peer_connection.cc
+++ b/packages/zinnia_adapters/peers/peer_connection.cc
@@ -18,6 +18,14 @@
 
 constexpr int kNoDescriptor = -1;
 
+/** A stray process at a peer's address must not be able to grant intents. */
+void RequireProof(const PeerAuthenticator& authenticator,
+                  const std::string& nonces,
+                  const std::string& proof) {
+  KJ_REQUIRE(authenticator.Matches(Purpose::kAnswerer, nonces, proof),
+             "the peer does not know the cluster secret");
+}
+
 }  // namespace
 
 PeerConnection::PeerConnection(kj::Own<kj::AsyncIoStream> stream)
@@ -52,10 +60,7 @@
         request.setClientNonce(ToWireData(own_nonce));
         request.setProof(ToWireData(authenticator->CodeFor(Purpose::kCaller, nonces)));
         return request.send().then([nonces, authenticator](auto&& answer) {
-          // A stray process at a peer's address must not be able to grant intents.
-          KJ_REQUIRE(
-              authenticator->Matches(Purpose::kAnswerer, nonces, FromWireData(answer.getProof())),
-              "the peer does not know the cluster secret");
+          RequireProof(*authenticator, nonces, FromWireData(answer.getProof()));
           return answer.getPeer();
         });
       })
