--- a/packages/zinnia_adapters/operators/command_executor.cc
+++ b/packages/zinnia_adapters/operators/command_executor.cc
@@ -91,11 +91,13 @@
       std::move(command));
 }
 
-void CommandExecutor::Run(const HelpCommand&, CommandContext context, Callback callback) {
+void CommandExecutor::Run(const HelpCommand&,
+                          const CommandContext& context,
+                          const Callback& callback) {
   callback(ReplyText(HelpText(), context.format));
 }
 
-void CommandExecutor::Run(ShowCommand command, CommandContext context, Callback callback) {
+void CommandExecutor::Run(ShowCommand command, const CommandContext& context, Callback callback) {
   const TableKind kind = command.table;
   m_desk.Table(kind, [command = std::move(command), format = context.format,
                       callback = std::move(callback)](Result<TableData> table) {
@@ -127,8 +129,8 @@
   const auto against = command.against;
   EditEntry(
       path, against, std::move(context),
-      [command = std::move(command)](const std::optional<std::string>& current)
-          -> Result<std::optional<std::string>> {
+      [command = std::move(command)](
+          const std::optional<std::string>& current) -> Result<std::optional<std::string>> {
         if (current && command.must_be_new) {
           return ErrorWithRemedy(ErrorKind::kInvalidRequest,
                                  fmt::format("{} exists already", command.path),
@@ -139,11 +141,11 @@
       std::move(callback));
 }
 
-void CommandExecutor::Run(RemoveCommand command, CommandContext context, Callback callback) {
+void CommandExecutor::Run(const RemoveCommand& command, CommandContext context, Callback callback) {
   EditEntry(
       command.path, command.against, std::move(context),
-      [path = command.path](const std::optional<std::string>& current)
-          -> Result<std::optional<std::string>> {
+      [path = command.path](
+          const std::optional<std::string>& current) -> Result<std::optional<std::string>> {
         if (!current) {
           return ErrorWithRemedy(ErrorKind::kNotFound, fmt::format("there is no {}", path),
                                  "check the name with 'show configuration'");
@@ -154,7 +156,7 @@
 }
 
 void CommandExecutor::Run(const MoveRoleCommand& command,
-                          CommandContext context,
+                          const CommandContext& context,
                           Callback callback) {
   std::string text = fmt::format("moving {} to {}\n", command.role, command.instance);
   m_desk.MoveRole({command.role, command.instance},
@@ -169,7 +171,7 @@
 }
 
 void CommandExecutor::Run(const ExplainCommand& command,
-                          CommandContext context,
+                          const CommandContext& context,
                           Callback callback) {
   m_desk.Explain(command.kind, command.id,
                  [format = context.format, callback = std::move(callback)](
@@ -193,25 +195,24 @@
                              "add 'against N'; GET /v1/revision gives N"));
     return;
   }
-  m_desk.CurrentEntry(
-      path, [this, path, against = *against, context = std::move(context),
-             make_value = std::move(make_value),
-             callback = std::move(callback)](const Result<CurrentConfigurationEntry>& current) {
-        if (!current) {
-          callback(current.error());
-          return;
-        }
-        if (const Result<void> ground = CheckGround(path, against, *current); !ground) {
-          callback(ground.error());
-          return;
-        }
-        Result<std::optional<std::string>> value = make_value(current->value);
-        if (!value) {
-          callback(value.error());
-          return;
-        }
-        OrderChange(against, {path, std::move(*value)}, context, callback);
-      });
+  m_desk.CurrentEntry(path, [this, path, against = *against, context = std::move(context),
+                             make_value = std::move(make_value), callback = std::move(callback)](
+                                const Result<CurrentConfigurationEntry>& current) {
+    if (!current) {
+      callback(current.error());
+      return;
+    }
+    if (const Result<void> ground = CheckGround(path, against, *current); !ground) {
+      callback(ground.error());
+      return;
+    }
+    Result<std::optional<std::string>> value = make_value(current->value);
+    if (!value) {
+      callback(value.error());
+      return;
+    }
+    OrderChange(against, {path, std::move(*value)}, context, callback);
+  });
 }
 
 void CommandExecutor::OrderChange(ConfigurationRevision against,
--- a/packages/zinnia_adapters/operators/command_executor.h
+++ b/packages/zinnia_adapters/operators/command_executor.h
@@ -42,13 +42,13 @@
   using MakeValue =
       std::function<Result<std::optional<std::string>>(const std::optional<std::string>&)>;
 
-  void Run(const HelpCommand& command, CommandContext context, Callback callback);
-  void Run(ShowCommand command, CommandContext context, Callback callback);
+  void Run(const HelpCommand& command, const CommandContext& context, const Callback& callback);
+  void Run(ShowCommand command, const CommandContext& context, Callback callback);
   void Run(ChangeCommand command, CommandContext context, Callback callback);
   void Run(PutCommand command, CommandContext context, Callback callback);
-  void Run(RemoveCommand command, CommandContext context, Callback callback);
-  void Run(const MoveRoleCommand& command, CommandContext context, Callback callback);
-  void Run(const ExplainCommand& command, CommandContext context, Callback callback);
+  void Run(const RemoveCommand& command, CommandContext context, Callback callback);
+  void Run(const MoveRoleCommand& command, const CommandContext& context, Callback callback);
+  void Run(const ExplainCommand& command, const CommandContext& context, Callback callback);
   void EditEntry(const std::string& path,
                  std::optional<ConfigurationRevision> against,
                  CommandContext context,
--- a/packages/zinnia_adapters/operators/decision_log.cc
+++ b/packages/zinnia_adapters/operators/decision_log.cc
@@ -39,8 +39,8 @@
 
 std::size_t BytesOf(const DecisionRecord& record) {
   // The subject stands twice: in the record and in the index.
-  std::size_t bytes = kBytesBesideText + 2 * record.subject.size() + record.decision.size() +
-                      record.reason.size();
+  std::size_t bytes =
+      kBytesBesideText + 2 * record.subject.size() + record.decision.size() + record.reason.size();
   for (const auto& [name, value] : record.facts) {
     bytes += kBytesBesideFact + name.size() + value.size();
   }
--- a/packages/zinnia_adapters/operators/fleet_tables.cc
+++ b/packages/zinnia_adapters/operators/fleet_tables.cc
@@ -59,19 +59,19 @@
 }
 
 TableData BackendServersTable(const FleetSnapshot& snapshot) {
-  TableData table{{"name", "state", "failure_domain", "accelerator", "pool", "loaded", "weight",
-                   "running", "queued", "in_flight_here", "step_p50_ms", "step_p99_ms",
-                   "checks_fencing", "address"},
-                  {}};
+  TableData table{
+      {"name", "state", "failure_domain", "accelerator", "pool", "loaded", "weight", "running",
+       "queued", "in_flight_here", "step_p50_ms", "step_p99_ms", "checks_fencing", "address"},
+      {}};
   for (const auto& [name, view] : snapshot.servers) {
     const BackendServer& server = view.server;
     const ServerLoad& load = view.load;
-    table.rows.push_back(
-        {name, std::string(NameOf(view.state)), server.failure_domain,
-         std::string(NameOf(server.accelerator)), server.pool, DescribeLoaded(server), view.weight,
-         ToCell(load.reported_running), ToCell(load.reported_queued), ToCell(load.in_flight_here),
-         ToMilliseconds(load.step_time_p50), ToMilliseconds(load.step_time_p99),
-         server.checks_fencing, server.address.ToString()});
+    table.rows.push_back({name, std::string(NameOf(view.state)), server.failure_domain,
+                          std::string(NameOf(server.accelerator)), server.pool,
+                          DescribeLoaded(server), view.weight, ToCell(load.reported_running),
+                          ToCell(load.reported_queued), ToCell(load.in_flight_here),
+                          ToMilliseconds(load.step_time_p50), ToMilliseconds(load.step_time_p99),
+                          server.checks_fencing, server.address.ToString()});
   }
   return table;
 }
@@ -97,8 +97,8 @@
 TableData ModelsTable(const Configuration& configuration) {
   TableData table{{"name", "version", "layers", "max_tokens", "credit_weight"}, {}};
   for (const auto& [name, model] : configuration.models()) {
-    table.rows.push_back({name, model.version, ToCell(model.layers), ToCell(model.max_tokens),
-                          model.credit_weight});
+    table.rows.push_back(
+        {name, model.version, ToCell(model.layers), ToCell(model.max_tokens), model.credit_weight});
   }
   return table;
 }
@@ -111,8 +111,8 @@
     table.rows.push_back({name, service.path_prefix,
                           fmt::format("{}", fmt::join(service.servers, " ")),
                           fmt::format("{}", fmt::join(service.non_idempotent_methods, " ")),
-                          service.requires_idempotency_key,
-                          std::int64_t{service.timeout.count()}, service.credit_weight});
+                          service.requires_idempotency_key, std::int64_t{service.timeout.count()},
+                          service.credit_weight});
   }
   return table;
 }
--- a/packages/zinnia_adapters/operators/operator_api.cc
+++ b/packages/zinnia_adapters/operators/operator_api.cc
@@ -115,7 +115,7 @@
       m_change_id_prefix(options.change_id_prefix),
       m_executor(desk) {}
 
-void OperatorApi::Handle(const OperatorRequest& request, Callback callback) {
+void OperatorApi::Handle(const OperatorRequest& request, const Callback& callback) {
   const std::string_view target = request.target;
   const auto question_mark = target.find('?');
   const std::string_view path = target.substr(0, question_mark);
--- a/packages/zinnia_adapters/operators/operator_api.h
+++ b/packages/zinnia_adapters/operators/operator_api.h
@@ -52,7 +52,7 @@
               const OperatorServerOptions& options);
 
   /** The callback runs exactly once, from inside the call or later, on any thread. */
-  void Handle(const OperatorRequest& request, Callback callback);
+  void Handle(const OperatorRequest& request, const Callback& callback);
 
  private:
   bool HasKey(const OperatorRequest& request) const;
--- a/packages/zinnia_adapters/operators/operator_client.cc
+++ b/packages/zinnia_adapters/operators/operator_client.cc
@@ -29,7 +29,7 @@
 constexpr std::chrono::seconds kConnectTimeout{5};
 // Longer than the server's bound on a command, so that its answer is heard.
 constexpr std::chrono::seconds kAnswerTimeout{45};
-constexpr std::size_t kMostAnswerBytes = 256 * 1'048'576;
+constexpr std::size_t kMostAnswerBytes = 268'435'456;
 
 /** One request and its answer over one connection. */
 class Exchange {
@@ -86,8 +86,7 @@
 
 Result<OperatorClient> OperatorClient::Create(const std::string& url, std::string operator_key) {
   if (!url.starts_with(kScheme)) {
-    return MakeError(ErrorKind::kInvalidSettings,
-                     fmt::format("\"{}\" is not http://IP:PORT", url));
+    return MakeError(ErrorKind::kInvalidSettings, fmt::format("\"{}\" is not http://IP:PORT", url));
   }
   std::string authority = url.substr(kScheme.size());
   if (authority.ends_with('/')) {
@@ -140,8 +139,8 @@
   Exchange exchange;
   if (const error_code error = exchange.Connect(m_address)) {
     Error unreachable =
-        MakeError(ErrorKind::kPeerUnavailable, fmt::format("cannot reach {}: {}",
-                                                           m_address.ToString(), error.message()));
+        MakeError(ErrorKind::kPeerUnavailable,
+                  fmt::format("cannot reach {}: {}", m_address.ToString(), error.message()));
     unreachable.remedy = "check --operators, or name another instance";
     return unreachable;
   }
--- a/packages/zinnia_adapters/operators/operator_connection.cc
+++ b/packages/zinnia_adapters/operators/operator_connection.cc
@@ -42,9 +42,8 @@
 void OperatorConnection::Refuse() {
   Error error = MakeError(ErrorKind::kOverloaded, "too many connections to the operators' server");
   error.remedy = "close idle connections and come back in a few seconds";
-  boost::asio::post(m_stream.get_executor(), [self = shared_from_this(), error] {
-    self->Write(ToResponse(error), false);
-  });
+  boost::asio::post(m_stream.get_executor(),
+                    [self = shared_from_this(), error] { self->Write(ToResponse(error), false); });
 }
 
 void OperatorConnection::Read() {
@@ -52,10 +51,9 @@
   m_parser->body_limit(m_state->options.max_body_bytes);
   m_parser->header_limit(static_cast<std::uint32_t>(m_state->options.max_header_bytes));
   m_stream.expires_after(m_state->options.transfer_timeout);
-  http::async_read(m_stream, m_buffer, *m_parser,
-                   [self = shared_from_this()](const error_code& error, std::size_t) {
-                     self->OnRead(error);
-                   });
+  http::async_read(
+      m_stream, m_buffer, *m_parser,
+      [self = shared_from_this()](const error_code& error, std::size_t) { self->OnRead(error); });
 }
 
 void OperatorConnection::OnRead(const error_code& error) {
@@ -69,14 +67,13 @@
 void OperatorConnection::OnReadError(const error_code& error) {
   if (error == http::error::body_limit || error == http::error::header_limit ||
       error == http::error::buffer_overflow) {
-    Write(ToResponse(MakeError(ErrorKind::kPayloadTooLarge, "the request is too large: " +
-                                                                error.message())),
+    Write(ToResponse(MakeError(ErrorKind::kPayloadTooLarge,
+                               "the request is too large: " + error.message())),
           false);
     return;
   }
   const bool peer_is_gone = error == http::error::end_of_stream ||
-                            error == http::error::partial_message ||
-                            error == beast::error::timeout;
+                            error == http::error::partial_message || error == beast::error::timeout;
   if (peer_is_gone || error.category() != make_error_code(http::error::bad_method).category()) {
     Close();
     return;
@@ -88,8 +85,8 @@
 void OperatorConnection::Dispatch() {
   const auto& message = m_parser->get();
   const OperatorRequest request{std::string(message.method_string()), std::string(message.target()),
-                                std::string(message[http::field::authorization]),
-                                PeerOf(m_stream), message.body()};
+                                std::string(message[http::field::authorization]), PeerOf(m_stream),
+                                message.body()};
   const std::uint64_t number = ++m_requests;
   m_waiting_for = number;
   // The stream's own timeout would close the connection while the desk still works.
@@ -97,10 +94,9 @@
   StartCommandTimer(number);
   // The desk may answer on its own thread, or never; Answer runs on the strand and only once.
   m_state->api.Handle(request, [self = shared_from_this(), number](OperatorResponse response) {
-    boost::asio::post(self->m_stream.get_executor(),
-                      [self, number, response = std::move(response)]() mutable {
-                        self->Answer(number, std::move(response));
-                      });
+    boost::asio::post(
+        self->m_stream.get_executor(),
+        [self, number, response = std::move(response)] { self->Answer(number, response); });
   });
 }
 
@@ -117,7 +113,7 @@
   });
 }
 
-void OperatorConnection::Answer(std::uint64_t request, OperatorResponse response) {
+void OperatorConnection::Answer(std::uint64_t request, const OperatorResponse& response) {
   if (m_waiting_for != request) {
     return;
   }
--- a/packages/zinnia_adapters/operators/operator_connection.h
+++ b/packages/zinnia_adapters/operators/operator_connection.h
@@ -44,7 +44,7 @@
   void OnReadError(const boost::system::error_code& error);
   void Dispatch();
   void StartCommandTimer(std::uint64_t request);
-  void Answer(std::uint64_t request, OperatorResponse response);
+  void Answer(std::uint64_t request, const OperatorResponse& response);
   void Write(const OperatorResponse& response, bool keep_alive);
   void OnWritten(bool keep_alive, const boost::system::error_code& error);
   void Close();
--- a/packages/zinnia_adapters/operators/operator_server.cc
+++ b/packages/zinnia_adapters/operators/operator_server.cc
@@ -34,11 +34,11 @@
   }
 
   void Accept() {
-    m_acceptor.async_accept(asio::make_strand(m_io_context),
-                            [self = shared_from_this()](const error_code& error,
-                                                        tcp::socket socket) {
-                              self->OnAccepted(error, std::move(socket));
-                            });
+    m_acceptor.async_accept(
+        asio::make_strand(m_io_context),
+        [self = shared_from_this()](const error_code& error, tcp::socket socket) {
+          self->OnAccepted(error, std::move(socket));
+        });
   }
 
   void Stop() {
--- a/packages/zinnia_adapters/operators/problem_document.cc
+++ b/packages/zinnia_adapters/operators/problem_document.cc
@@ -57,9 +57,9 @@
 }
 
 std::string WriteProblem(const Error& error, unsigned status) {
-  json::object problem{{"title", NameOf(error.kind)},    {"status", status},
-                       {"detail", error.message},        {"kind", NameOf(error.kind)},
-                       {"message", error.message},       {"remedy", error.remedy},
+  json::object problem{{"title", NameOf(error.kind)},     {"status", status},
+                       {"detail", error.message},         {"kind", NameOf(error.kind)},
+                       {"message", error.message},        {"remedy", error.remedy},
                        {"was_run", NameOf(error.was_run)}};
   if (error.retry_after) {
     problem["retry_after_ms"] = error.retry_after->count();
--- a/packages/zinnia_adapters/operators/readiness_probe.h
+++ b/packages/zinnia_adapters/operators/readiness_probe.h
@@ -4,8 +4,8 @@
 
 namespace zinnia {
 
-/** Says whether the instance may be given callers. Asked by the operators' server for GET /ready, on
-    its threads; must not wait. */
+/** Says whether the instance may be given callers. Asked by the operators' server for GET /ready,
+   on its threads; must not wait. */
 class ReadinessProbe {
  public:
   virtual ~ReadinessProbe() = default;
--- a/packages/zinnia_adapters/operators/table_formatter.cc
+++ b/packages/zinnia_adapters/operators/table_formatter.cc
@@ -22,7 +22,9 @@
   std::string text = ToText(cell);
   std::replace_if(
       text.begin(), text.end(),
-      [](char character) { return static_cast<unsigned char>(character) < ' ' || character == 127; },
+      [](char character) {
+        return static_cast<unsigned char>(character) < ' ' || character == 127;
+      },
       ' ');
   return text;
 }
--- a/packages/zinnia_adapters/operators/table_query.cc
+++ b/packages/zinnia_adapters/operators/table_query.cc
@@ -14,15 +14,18 @@
 std::size_t ColumnOf(const ShowCommand& command, const TableData& table, const std::string& field) {
   const auto found = std::find(table.columns.begin(), table.columns.end(), field);
   if (found == table.columns.end()) {
-    throw ErrorException(MakeError(
-        ErrorKind::kInvalidCommand, fmt::format("{} has no field '{}'; it has {}",
-                                                NameOf(command.table), field,
-                                                fmt::join(table.columns, ", "))));
+    throw ErrorException(
+        MakeError(ErrorKind::kInvalidCommand,
+                  fmt::format("{} has no field '{}'; it has {}", NameOf(command.table), field,
+                              fmt::join(table.columns, ", "))));
   }
   return static_cast<std::size_t>(found - table.columns.begin());
 }
 
-bool HoldsAll(const ShowCommand& command, const TableData& table, const AllOf& all, const Row& row) {
+bool HoldsAll(const ShowCommand& command,
+              const TableData& table,
+              const AllOf& all,
+              const Row& row) {
   return std::all_of(all.begin(), all.end(), [&](const Comparison& comparison) {
     return Matches(comparison, row.at(ColumnOf(command, table, comparison.field)));
   });
@@ -59,8 +62,7 @@
 Result<TableData> ApplyQuery(const ShowCommand& command, TableData table) {
   try {
     CheckFields(command, table);
-    std::erase_if(table.rows,
-                  [&](const Row& row) { return !HoldsAny(command, table, row); });
+    std::erase_if(table.rows, [&](const Row& row) { return !HoldsAny(command, table, row); });
     Sort(command, table);
   } catch (const ErrorException& exception) {
     return exception.GetError();
--- a/packages/zinnia_apps/command_line/arguments.cc
+++ b/packages/zinnia_apps/command_line/arguments.cc
@@ -10,8 +10,8 @@
   options.positional_help("'COMMAND' | shell | check FILE");
   options.add_options()("operators", "the operators' address of any instance",
                         cxxopts::value<std::string>()->default_value("http://127.0.0.1:8081"),
-                        "http://IP:PORT")(
-      "key-file", "the file with the operators' key", cxxopts::value<std::string>(), "FILE")(
+                        "http://IP:PORT")("key-file", "the file with the operators' key",
+                                          cxxopts::value<std::string>(), "FILE")(
       "format", "table or json", cxxopts::value<std::string>()->default_value("table"), "FORMAT")(
       "change-id", "send a change again whose answer was lost", cxxopts::value<std::string>(),
       "ID")("h,help", "print this page")("words", "", cxxopts::value<std::vector<std::string>>());
--- a/packages/zinnia_apps/command_line/shell.cc
+++ b/packages/zinnia_apps/command_line/shell.cc
@@ -17,13 +17,20 @@
 namespace zinnia {
 namespace {
 
-constexpr std::array<std::string_view, 42> kKeywords = {
-    "show",    "create",  "change",       "remove",         "drain",   "undrain", "set",
-    "weight",  "of",      "load",         "model",          "version", "layers",  "on",
-    "move",    "role",    "to",           "instance",       "put",     "explain", "session",
-    "request", "help",    "where",        "and",            "or",      "order",   "by",
-    "desc",    "asc",     "limit",        "as",             "table",   "json",    "against",
-    "pipeline", "service", "organisation", "backend_server", "link",   "contains", "exit"};
+constexpr std::array<std::string_view, 42> kKeywords = {"show",    "create",       "change",
+                                                        "remove",  "drain",        "undrain",
+                                                        "set",     "weight",       "of",
+                                                        "load",    "model",        "version",
+                                                        "layers",  "on",           "move",
+                                                        "role",    "to",           "instance",
+                                                        "put",     "explain",      "session",
+                                                        "request", "help",         "where",
+                                                        "and",     "or",           "order",
+                                                        "by",      "desc",         "asc",
+                                                        "limit",   "as",           "table",
+                                                        "json",    "against",      "pipeline",
+                                                        "service", "organisation", "backend_server",
+                                                        "link",    "contains",     "exit"};
 
 std::vector<std::string_view> AllWords() {
   std::vector<std::string_view> words(kKeywords.begin(), kKeywords.end());
--- a/packages/zinnia_decisions/operators/configuration_change_request.h
+++ b/packages/zinnia_decisions/operators/configuration_change_request.h
@@ -29,8 +29,8 @@
   std::string who;
 };
 
-/** What stands at a path now. `value` is empty for a path that has no entry; `entry_revision` is the
-    revision that wrote or removed the entry (0 if none did), `revision` that of the whole
+/** What stands at a path now. `value` is empty for a path that has no entry; `entry_revision` is
+   the revision that wrote or removed the entry (0 if none did), `revision` that of the whole
     configuration, to order a change against. */
 struct CurrentConfigurationEntry {
   ConfigurationRevision revision = 0;
--- a/tests/operators/command_executor_test.cc
+++ b/tests/operators/command_executor_test.cc
@@ -47,12 +47,12 @@
 }
 
 TEST(CommandExecutor, FiltersSortsAndLimits) {
-  CheckShows("show backend_servers where queued > 3 and state = live or drains = true "
-             "order by queued desc limit 2",
-             "show_filtered.txt");
+  CheckShows(
+      "show backend_servers where queued > 3 and state = live or drains = true "
+      "order by queued desc limit 2",
+      "show_filtered.txt");
   CheckShows("show backend_servers where state = gone", "show_none.txt");
-  CheckShows("show backend_servers where name contains b-1 order by name as json",
-             "show_json.txt");
+  CheckShows("show backend_servers where name contains b-1 order by name as json", "show_json.txt");
 }
 
 TEST(CommandExecutor, AMisspeltFieldIsRefusedAlsoOnAnEmptyTable) {
@@ -73,8 +73,8 @@
   LONGS_EQUAL(41, change.against_revision);
   STRCMP_EQUAL("change-1", change.change_id.c_str());
   STRCMP_EQUAL("tester", change.who.c_str());
-  CHECK(change.edits == (std::vector<ConfigurationEdit>{
-                            {"organisation/x", R"({"weight":2,"priority":3})"}}));
+  CHECK(change.edits ==
+        (std::vector<ConfigurationEdit>{{"organisation/x", R"({"weight":2,"priority":3})"}}));
 }
 
 TEST(CommandExecutor, OrdersMakeTheEntryIfThereIsNone) {
--- a/tests/operators/operator_server_test.cc
+++ b/tests/operators/operator_server_test.cc
@@ -158,8 +158,7 @@
   RunningServer running(options);
   running.metrics.Count("calls");
   CheckStatus("200", "zinnia_calls_total 1\n", running.Call("GET /metrics", "", ""));
-  CheckStatus("200", "zinnia_calls_total 1\n",
-              running.Call("GET /metrics?organisation=a", "", ""));
+  CheckStatus("200", "zinnia_calls_total 1\n", running.Call("GET /metrics?organisation=a", "", ""));
 }
 
 TEST(OperatorServer, SaysWhenItIsNotReady) {
@@ -224,10 +223,9 @@
   running.desk.holds_answers = true;
   tcp::socket socket = running.Connect();
   const std::string body = R"({"command":"remove organisation x against 41"})";
-  const std::string request = "POST /v1/commands HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " +
-                              std::string(kKey) +
-                              "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-                              body;
+  const std::string request =
+      "POST /v1/commands HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + std::string(kKey) +
+      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   boost::asio::write(socket, boost::asio::buffer(request));
   std::string first(1, '\0');
   boost::asio::read(socket, boost::asio::buffer(first));  // The first command has timed out.
@@ -245,6 +243,7 @@
   options.max_connections = 2;
   RunningServer running(options);
   std::vector<tcp::socket> idle;
+  idle.reserve(2);
   for (int index = 0; index < 2; ++index) {
     idle.push_back(running.Connect());
   }
@@ -257,6 +256,5 @@
   options.address.port = running.server->port();
   const auto second = OperatorServer::Start(running.io_context, options, running.desk,
                                             running.metrics, running.probe);
-  STRCMP_CONTAINS("operators_address: cannot listen on 127.0.0.1:",
-                  second.error().message.c_str());
+  STRCMP_CONTAINS("operators_address: cannot listen on 127.0.0.1:", second.error().message.c_str());
 }
