Make two server tests fail without their mechanism

With the close that reads the rest away switched off, and with answers matched only to the connection, all tests still passed: the first looked at the answer alone, which loopback delivers before the reset; in the second the late answer came before the next request. Now the first writes on after the answer, and the fake desk answers the first change when the second reaches it.

--- a/tests/operators/fake_desk.h
+++ b/tests/operators/fake_desk.h
@@ -10,7 +10,8 @@
 namespace zinnia {
 
 /** An OperatorDesk with one entry and one table. It checks changes against the whole revision, as
-    the store does. With `holds_answers`, it never answers changes. */
+    the store does. With `holds_answers`, it answers a change only when the next one
+    comes. */
 class FakeDesk final : public OperatorDesk {
  public:
   void Table(TableKind kind, TableCallback callback) override {
@@ -21,6 +22,9 @@
   void Change(ConfigurationChangeRequest request, ChangeCallback callback) override {
     changes.push_back(request);
     if (holds_answers) {
+      if (held) {
+        held(ConfigurationRevision{42});
+      }
       held = std::move(callback);
     } else if (change_error) {
       callback(*change_error);
--- a/tests/operators/operator_server_test.cc
+++ b/tests/operators/operator_server_test.cc
@@ -185,9 +185,6 @@
 }
 
 TEST(OperatorServer, RefusesWhatIsTooLarge) {
-  // Symptom: the client of a refused request sees a reset instead of the answer that says why.
-  // Sequence: the server answers 413 and closes while most of the body is still unread.
-  // Cause: closing a socket with unread bytes makes the kernel send a reset.
   OperatorServerOptions options = DefaultOptions();
   options.max_body_bytes = 1'000;
   RunningServer running(options);
@@ -197,6 +194,27 @@
               running.Call("GET /" + std::string(20'000, 'x'), ""));
 }
 
+TEST(OperatorServer, ARefusedRequestIsNotReset) {
+  // Symptom: the client of a refused request sees a reset instead of the answer that says why.
+  // Sequence: the server answers 413 and closes while most of the body is still on its way.
+  // Cause: closing a socket with unread bytes makes the kernel send a reset, after which a lost
+  // packet of the answer is not sent again.
+  OperatorServerOptions options = DefaultOptions();
+  options.max_body_bytes = 1'000;
+  RunningServer running(options);
+  tcp::socket socket = running.Connect();
+  const std::string part(100'000, 'x');
+  boost::asio::write(socket, boost::asio::buffer("POST /v1/commands HTTP/1.1\r\nHost: x\r\n"
+                                                 "Content-Length: 400000\r\n\r\n" +
+                                                 part));
+  CheckStatus("413", "payload_too_large", RunningServer::ReadAll(socket));
+  boost::system::error_code error;
+  for (int index = 0; index < 3 && !error; ++index) {
+    boost::asio::write(socket, boost::asio::buffer(part), error);
+  }
+  STRCMP_EQUAL("Success", error.message().c_str());
+}
+
 TEST(OperatorServer, ACommandThatIsNotAnsweredInTimeIsUnknown) {
   // Symptom: an operator's tool hangs, or says "failed" of a change that then takes effect.
   // Sequence: the store is down; the desk keeps the change and answers long after, or never.
@@ -229,9 +247,8 @@
   boost::asio::write(socket, boost::asio::buffer(request));
   std::string first(1, '\0');
   boost::asio::read(socket, boost::asio::buffer(first));  // The first command has timed out.
-  const auto late = running.desk.held;
+  // The desk answers the first one when the second reaches it.
   boost::asio::write(socket, boost::asio::buffer(request));
-  late(ConfigurationRevision{42});
   socket.shutdown(tcp::socket::shutdown_send);
   const std::string answers = first + RunningServer::ReadAll(socket);
   CHECK(answers.find("accepted") == std::string::npos);
