--- a/bench/metrics/metrics_bench.cc
+++ b/bench/metrics/metrics_bench.cc
@@ -18,6 +18,7 @@
 
 std::vector<std::string> Names() {
   std::vector<std::string> names;
+  names.reserve(kOrganisations);
   for (int index = 0; index < kOrganisations; ++index) {
     names.push_back(fmt::format("organisation-{:03}", index));
   }
