--- a/tests/operators/operator_server_test.cc
+++ b/tests/operators/operator_server_test.cc
@@ -158,8 +158,7 @@
   RunningServer running(options);
   running.metrics.Count("calls");
   CheckStatus("200", "zinnia_calls_total 1\n", running.Call("GET /metrics", "", ""));
-  CheckStatus("200", "zinnia_calls_total 1\n",
-              running.Call("GET /metrics?organisation=a", "", ""));
+  CheckStatus("200", "zinnia_calls_total 1\n", running.Call("GET /metrics?organisation=a", "", ""));
 }
 
 TEST(OperatorServer, SaysWhenItIsNotReady) {
@@ -186,9 +185,6 @@
 }
 
 TEST(OperatorServer, RefusesWhatIsTooLarge) {
-  // Symptom: the client of a refused request sees a reset instead of the answer that says why.
-  // Sequence: the server answers 413 and closes while most of the body is still unread.
-  // Cause: closing a socket with unread bytes makes the kernel send a reset.
   OperatorServerOptions options = DefaultOptions();
   options.max_body_bytes = 1'000;
   RunningServer running(options);
@@ -198,6 +194,27 @@
               running.Call("GET /" + std::string(20'000, 'x'), ""));
 }
 
+TEST(OperatorServer, ARefusedRequestIsNotReset) {
+  // Symptom: the client of a refused request sees a reset instead of the answer that says why.
+  // Sequence: the server answers 413 and closes while most of the body is still on its way.
+  // Cause: closing a socket with unread bytes makes the kernel send a reset, after which a lost
+  // packet of the answer is not sent again.
+  OperatorServerOptions options = DefaultOptions();
+  options.max_body_bytes = 1'000;
+  RunningServer running(options);
+  tcp::socket socket = running.Connect();
+  const std::string part(100'000, 'x');
+  boost::asio::write(socket, boost::asio::buffer("POST /v1/commands HTTP/1.1\r\nHost: x\r\n"
+                                                 "Content-Length: 400000\r\n\r\n" +
+                                                 part));
+  CheckStatus("413", "payload_too_large", RunningServer::ReadAll(socket));
+  boost::system::error_code error;
+  for (int index = 0; index < 3 && !error; ++index) {
+    boost::asio::write(socket, boost::asio::buffer(part), error);
+  }
+  STRCMP_EQUAL("Success", error.message().c_str());
+}
+
 TEST(OperatorServer, ACommandThatIsNotAnsweredInTimeIsUnknown) {
   // Symptom: an operator's tool hangs, or says "failed" of a change that then takes effect.
   // Sequence: the store is down; the desk keeps the change and answers long after, or never.
@@ -224,16 +241,14 @@
   running.desk.holds_answers = true;
   tcp::socket socket = running.Connect();
   const std::string body = R"({"command":"remove organisation x against 41"})";
-  const std::string request = "POST /v1/commands HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " +
-                              std::string(kKey) +
-                              "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-                              body;
+  const std::string request =
+      "POST /v1/commands HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + std::string(kKey) +
+      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   boost::asio::write(socket, boost::asio::buffer(request));
   std::string first(1, '\0');
   boost::asio::read(socket, boost::asio::buffer(first));  // The first command has timed out.
-  const auto late = running.desk.held;
+  // The desk answers the first one when the second reaches it.
   boost::asio::write(socket, boost::asio::buffer(request));
-  late(ConfigurationRevision{42});
   socket.shutdown(tcp::socket::shutdown_send);
   const std::string answers = first + RunningServer::ReadAll(socket);
   CHECK(answers.find("accepted") == std::string::npos);
@@ -245,6 +260,7 @@
   options.max_connections = 2;
   RunningServer running(options);
   std::vector<tcp::socket> idle;
+  idle.reserve(2);
   for (int index = 0; index < 2; ++index) {
     idle.push_back(running.Connect());
   }
@@ -257,6 +273,5 @@
   options.address.port = running.server->port();
   const auto second = OperatorServer::Start(running.io_context, options, running.desk,
                                             running.metrics, running.probe);
-  STRCMP_CONTAINS("operators_address: cannot listen on 127.0.0.1:",
-                  second.error().message.c_str());
+  STRCMP_CONTAINS("operators_address: cannot listen on 127.0.0.1:", second.error().message.c_str());
 }
