Make the stand-ins smaller: factories for the simple ones, JSON for exported caches

Four simple ones need no class that others see, so they lie behind one header of factories; an exported cache is checksummed JSON in place of a binary layout of its own. Also pre-sizes vectors that the linter named.

--- a/standins/main.cc
+++ b/standins/main.cc
@@ -9,10 +9,7 @@
 
 #include "engine.h"
 #include "http_server.h"
-#include "instance_list.h"
-#include "plain_service.h"
-#include "store.h"
-#include "weight_store.h"
+#include "platform_standins.h"
 
 namespace zinnia::standins {
 namespace {
@@ -95,17 +92,17 @@
     return std::make_unique<Engine>(context, EngineSettingsOf(options));
   }
   if (kind == "service") {
-    return std::make_unique<PlainService>();
+    return MakePlainService();
   }
   if (kind == "store") {
-    return std::make_unique<Store>(context);
+    return MakeStore(context);
   }
   if (kind == "list") {
-    return std::make_unique<InstanceList>(context, FirstListOf(options));
+    return MakeInstanceList(context, FirstListOf(options));
   }
   if (kind == "weights") {
-    return std::make_unique<WeightStore>(context, options["bytes-per-second"].as<std::uint64_t>(),
-                                         options["bytes-per-layer"].as<std::uint64_t>());
+    return MakeWeightStore(context, options["bytes-per-second"].as<std::uint64_t>(),
+                           options["bytes-per-layer"].as<std::uint64_t>());
   }
   throw std::invalid_argument("unknown kind \"" + kind + "\": see --help");
 }
--- a/standins/session_table.cc
+++ b/standins/session_table.cc
@@ -1,43 +1,23 @@
 #include "session_table.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
-#include <boost/algorithm/hex.hpp>
-#include <cstring>
-#include <iterator>
+#include <boost/json.hpp>
+#include <utility>
 
 #include "zinnia_base/hashing/fingerprint.h"
 
 namespace zinnia::standins {
 
-namespace {
+namespace json = boost::json;
 
-/** The fixed part at the start of an exported cache. */
-struct BlobHeader {
-  std::uint64_t checksum = 0;  // of all that follows
-  std::uint64_t seed = 0;
-  Layers layers;
-  std::uint32_t prompt_tokens = 0;
-  std::uint32_t samples = 0;
-  std::uint64_t token_count = 0;
-  std::uint64_t row_count = 0;
-};
-
-std::uint64_t ChecksumOf(std::string_view bytes, std::uint64_t model_hash) {
-  return Hash64(bytes.substr(sizeof(BlobHeader::checksum)), model_hash);
-}
+namespace {
 
-template <typename Number>
-void AppendAll(std::string& bytes, const std::vector<Number>& numbers) {
-  bytes.append(reinterpret_cast<const char*>(numbers.data()), numbers.size() * sizeof(Number));
-}
+constexpr std::size_t kChecksumDigits = 16;
 
-template <typename Number>
-void TakeAll(std::string_view& bytes, std::uint64_t count, std::vector<Number>& numbers) {
-  numbers.resize(count);
-  if (count > 0) {
-    std::memcpy(numbers.data(), bytes.data(), count * sizeof(Number));
-  }
-  bytes.remove_prefix(count * sizeof(Number));
+std::string ChecksumOf(std::string_view text, std::uint64_t model_hash) {
+  return fmt::format("{:016x}", Hash64(text, model_hash));
 }
 
 }  // namespace
@@ -49,46 +29,30 @@
 }
 
 std::string AttemptCache::Export(std::uint64_t model_hash) const {
-  BlobHeader header{.seed = seed,
-                    .layers = layers,
-                    .prompt_tokens = prompt_tokens,
-                    .samples = samples ? 1U : 0U,
-                    .token_count = tokens.size(),
-                    .row_count = rows.size()};
-  std::string bytes(reinterpret_cast<const char*>(&header), sizeof(header));
-  AppendAll(bytes, tokens);
-  AppendAll(bytes, rows);
-  header.checksum = ChecksumOf(bytes, model_hash);
-  std::memcpy(bytes.data(), &header.checksum, sizeof(header.checksum));
-  std::string blob;
-  blob.reserve(bytes.size() * 2);
-  boost::algorithm::hex_lower(bytes, std::back_inserter(blob));
-  return blob;
+  const std::string text = json::serialize(json::object{{"first_layer", layers.first},
+                                                        {"end_layer", layers.end},
+                                                        {"prompt_tokens", prompt_tokens},
+                                                        {"samples", samples},
+                                                        {"seed", seed},
+                                                        {"tokens", json::value_from(tokens)},
+                                                        {"rows", json::value_from(rows)}});
+  return ChecksumOf(text, model_hash) + text;
 }
 
 std::optional<AttemptCache> AttemptCache::Import(std::string_view blob, std::uint64_t model_hash) {
-  std::string bytes;
-  try {
-    boost::algorithm::unhex(blob, std::back_inserter(bytes));
-  } catch (const boost::algorithm::hex_decode_error&) {
-    return std::nullopt;
-  }
-  BlobHeader header;
-  if (bytes.size() < sizeof(header)) {
-    return std::nullopt;
-  }
-  std::memcpy(&header, bytes.data(), sizeof(header));
-  if (header.checksum != ChecksumOf(bytes, model_hash)) {
+  const std::string_view checksum = blob.substr(0, kChecksumDigits);
+  const std::string_view text = blob.substr(checksum.size());
+  if (checksum != ChecksumOf(text, model_hash)) {
     return std::nullopt;
   }
-  AttemptCache cache{.layers = header.layers,
-                     .prompt_tokens = header.prompt_tokens,
-                     .samples = header.samples != 0,
-                     .seed = header.seed};
-  std::string_view rest = std::string_view(bytes).substr(sizeof(header));
-  TakeAll(rest, header.token_count, cache.tokens);
-  TakeAll(rest, header.row_count, cache.rows);
-  return cache;
+  const json::value whole = json::parse(text);
+  return AttemptCache{.layers = {json::value_to<std::uint32_t>(whole.at("first_layer")),
+                                 json::value_to<std::uint32_t>(whole.at("end_layer"))},
+                      .prompt_tokens = json::value_to<std::uint32_t>(whole.at("prompt_tokens")),
+                      .samples = whole.at("samples").as_bool(),
+                      .seed = json::value_to<std::uint64_t>(whole.at("seed")),
+                      .tokens = json::value_to<std::vector<std::uint32_t>>(whole.at("tokens")),
+                      .rows = json::value_to<std::vector<std::uint64_t>>(whole.at("rows"))};
 }
 
 AttemptCache* Session::Find(std::uint32_t attempt) {
--- a/tests/processes/child_process.cc
+++ b/tests/processes/child_process.cc
@@ -43,6 +43,7 @@
   std::vector<std::string> words = {"setpriv", "--pdeathsig", "KILL", "--", program};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> pointers;
+  pointers.reserve(words.size() + 1);
   for (std::string& word : words) {
     pointers.push_back(word.data());
   }
--- a/tests/processes/engine_standin_test.cc
+++ b/tests/processes/engine_standin_test.cc
@@ -88,6 +88,7 @@
 
   std::string DecodeOver(const std::vector<std::pair<unsigned, unsigned>>& ranges) {
     std::vector<Stage> stages;
+    stages.reserve(ranges.size());
     for (const auto& [first, end] : ranges) {
       stages.push_back(Start(first, end));
     }
--- a/tests/processes/http_client.cc
+++ b/tests/processes/http_client.cc
@@ -6,7 +6,6 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using boost::asio::ip::tcp;
 
 HttpClient::HttpClient(std::string address) : m_address(std::move(address)) {}
 
