Test that a hidden state depends on all earlier positions

With the layer caches taken out of the hash no test failed, so a stage that went on with another session's cache would not have shown in the text. The new test fails without them.

--- a/tests/processes/engine_standin_test.cc
+++ b/tests/processes/engine_standin_test.cc
@@ -113,6 +113,13 @@
   CHECK(text != DecodeOver({{0, 3}, {8, 12}, {3, 8}}));
 }
 
+TEST(EngineStandin, AHiddenStateDependsOnAllEarlierPositions) {
+  Stage stage = Start(0, 4);
+  const json::object one = stage.Step(1, 0, false, R"("prompt":"chumba leo")");
+  const json::object other = stage.Step(2, 0, false, R"("prompt":"kitanda leo")");
+  CHECK(one.at("states").at(1) != other.at("states").at(1));
+}
+
 TEST(EngineStandin, OnlyAStepAtExactlyTheCachedLengthIsRun) {
   // A router repeats a step whose answer came late, and another one overtakes it. Run twice or out
   // of order, the step would change the text of the whole session unnoticed.
