Answer refused steps with their attempt; a malformed step holds up nothing

Overloaded steps were answered with attempt 0, which a router drops as the answer of an older attempt; an exception from a malformed step left the engine with a batch that never ended. Found while reading, after a trial with a full queue.

--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -39,6 +39,15 @@
   return highest;
 }
 
+/** The answer to a step that wasn't run. */
+std::string Refusal(const json::value& step, std::string_view status) {
+  std::uint32_t attempt = 0;
+  ReadNumber(step.as_object(), "attempt", attempt);
+  return fmt::format(R"({{"status":"{}","attempt":{},"length":0,"prompt_tokens":0,"states":[],)"
+                     R"("token":null}})",
+                     status, attempt);
+}
+
 }  // namespace
 
 Engine::Engine(asio::io_context& context, EngineSettings settings)
@@ -98,7 +107,7 @@
   const json::array& steps = batch.body.at("steps").as_array();
   batch.steps = steps.size();
   if (m_queued_steps + batch.steps > m_settings.longest_queue) {
-    AnswerAll(batch, "overloaded");
+    RefuseAll(batch, "overloaded");
     return;
   }
   m_queued_steps += batch.steps;
@@ -120,7 +129,11 @@
   std::uint64_t prefill_positions = 0;
   for (const json::value& step : m_running->body.at("steps").as_array()) {
     answers.append(answers.empty() ? "" : ",");
-    m_runner.Run(step.as_object(), answers, prefill_positions);
+    try {
+      m_runner.Run(step.as_object(), answers, prefill_positions);
+    } catch (const std::exception&) {
+      answers.append(Refusal(step, "rejected"));  // thrown before anything was appended
+    }
   }
   const TimePoint end =
       start + m_settings.batch_time + m_settings.position_time * prefill_positions;
@@ -135,13 +148,10 @@
   m_timer.async_wait(std::move(finish));
 }
 
-void Engine::AnswerAll(const Batch& batch, std::string_view status) const {
+void Engine::RefuseAll(const Batch& batch, std::string_view status) const {
   std::string answers;
-  for (std::size_t index = 0; index < batch.steps; ++index) {
-    fmt::format_to(std::back_inserter(answers),
-                   R"({}{{"status":"{}","attempt":0,"length":0,"prompt_tokens":0,"states":[],)"
-                   R"("token":null}})",
-                   index == 0 ? "" : ",", status);
+  for (const json::value& step : batch.body.at("steps").as_array()) {
+    answers.append(answers.empty() ? "" : ",").append(Refusal(step, status));
   }
   batch.reply(200, fmt::format(R"({{"load":{},"answers":[{}]}})", Load(), answers));
 }
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -53,7 +53,7 @@
 
   void TakeBatch(const std::string& body, Reply reply);
   void StartNext(TimePoint start);
-  void AnswerAll(const Batch& batch, std::string_view status) const;
+  void RefuseAll(const Batch& batch, std::string_view status) const;
   void HandleSessions(const Call& call, const Reply& reply);
   std::string State() const;
 
--- a/tests/processes/engine_standin_test.cc
+++ b/tests/processes/engine_standin_test.cc
@@ -136,6 +136,16 @@
   }
 }
 
+TEST(EngineStandin, ARefusedStepIsAnsweredAndHoldsUpNothing) {
+  Stage full = Start(0, 4, {"--max-queued", "0"});
+  const json::object refused = full.Step(3, 0, false, kPrompt);
+  STRCMP_EQUAL("overloaded", refused.at("status").as_string().c_str());
+  LONGS_EQUAL(3, refused.at("attempt").to_number<int>());
+  Stage stage = Start(0, 4);
+  STRCMP_EQUAL("rejected", stage.Status(1, 0, R"("prompt":"leo","tokens":["x"])").c_str());
+  STRCMP_EQUAL("done", stage.Status(2, 0, kPrompt).c_str());
+}
+
 TEST(EngineStandin, ANewAttemptAdoptsTheCacheAndGoesOnWithTheSameText) {
   std::vector<Stage> stages;
   stages.push_back(Start(0, 6));
