--- a/tests/processes/engine_standin_test.cc
+++ b/tests/processes/engine_standin_test.cc
@@ -88,6 +88,7 @@
 
   std::string DecodeOver(const std::vector<std::pair<unsigned, unsigned>>& ranges) {
     std::vector<Stage> stages;
+    stages.reserve(ranges.size());
     for (const auto& [first, end] : ranges) {
       stages.push_back(Start(first, end));
     }
@@ -112,6 +113,13 @@
   CHECK(text != DecodeOver({{0, 3}, {8, 12}, {3, 8}}));
 }
 
+TEST(EngineStandin, AHiddenStateDependsOnAllEarlierPositions) {
+  Stage stage = Start(0, 4);
+  const json::object one = stage.Step(1, 0, false, R"("prompt":"chumba leo")");
+  const json::object other = stage.Step(2, 0, false, R"("prompt":"kitanda leo")");
+  CHECK(one.at("states").at(1) != other.at("states").at(1));
+}
+
 TEST(EngineStandin, OnlyAStepAtExactlyTheCachedLengthIsRun) {
   // A router repeats a step whose answer came late, and another one overtakes it. Run twice or out
   // of order, the step would change the text of the whole session unnoticed.
@@ -128,6 +136,16 @@
   }
 }
 
+TEST(EngineStandin, ARefusedStepIsAnsweredAndHoldsUpNothing) {
+  Stage full = Start(0, 4, {"--max-queued", "0"});
+  const json::object refused = full.Step(3, 0, false, kPrompt);
+  STRCMP_EQUAL("overloaded", refused.at("status").as_string().c_str());
+  LONGS_EQUAL(3, refused.at("attempt").to_number<int>());
+  Stage stage = Start(0, 4);
+  STRCMP_EQUAL("rejected", stage.Status(1, 0, R"("prompt":"leo","tokens":["x"])").c_str());
+  STRCMP_EQUAL("done", stage.Status(2, 0, kPrompt).c_str());
+}
+
 TEST(EngineStandin, ANewAttemptAdoptsTheCacheAndGoesOnWithTheSameText) {
   std::vector<Stage> stages;
   stages.push_back(Start(0, 6));
