Outlast a freeze of seconds when no spare exists

Cause: with one server for a stage, eight tries at 50 ms steps were used up in 0.6 s, so a freeze of a second failed the sessions of the whole pipeline. Weighed: more recoveries (more load on a broken stage); chosen: pauses that double, during which a spare is still looked for every 50 ms.

--- a/packages/zinnia_decisions/sessions/pipeline_session.h
+++ b/packages/zinnia_decisions/sessions/pipeline_session.h
@@ -60,7 +60,6 @@
   void Recover(StepStatus cause, std::uint32_t hop);
   bool MayStayOn(StepStatus cause, const BackendServerName& server);
   void FindOtherRoute(StepStatus cause, std::uint32_t hop);
-  void WaitForRoute(StepStatus cause, std::uint32_t hop);
   void TakeReplacement(StepStatus cause, std::uint32_t hop, const RouteChoice& choice);
   void NoteWhetherRun(StepStatus status);
   void EndRecovery();
@@ -114,7 +113,8 @@
   std::optional<RecoveryTimes> m_recovery_times;
   TimePoint m_failure_noticed_at{};
   TimePoint m_rebuild_started_at{};
-  std::optional<TimePoint> m_route_wait_ends;
+  TimePoint m_route_wait_ends{};
+  TimePoint m_same_server_at{};
   std::unique_ptr<ScheduledCall> m_route_wait;
 
   bool m_leave_wanted = false;
--- a/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
+++ b/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
@@ -20,6 +20,11 @@
   return error;
 }
 
+bool MayLive(StepStatus cause) {
+  return cause == StepStatus::kTimedOut || cause == StepStatus::kOverloaded ||
+         cause == StepStatus::kConnectionLost;
+}
+
 }  // namespace
 
 void PipelineSession::TakeFailure(const StepAnswer& answer) {
@@ -78,10 +83,10 @@
     return;
   }
   m_routes.Exclude(server);
-  m_route_wait_ends = m_parts.clock.Now() + kLongestRouteWait;
-  if (m_request.deadline) {
-    m_route_wait_ends = std::min(*m_route_wait_ends, *m_request.deadline);
-  }
+  const TimePoint now = m_parts.clock.Now();
+  m_route_wait_ends = now + kLongestRouteWait;
+  // Grows with each recovery, so that the bounded number of them outlasts a freeze of seconds.
+  m_same_server_at = now + kRouteWaitStep * (1U << (m_recoveries - 1));
   FindOtherRoute(cause, hop);
 }
 
@@ -104,30 +109,26 @@
     TakeReplacement(cause, hop, *choice);
     return;
   }
-  if (m_parts.clock.Now() >= *m_route_wait_ends) {
+  const TimePoint now = m_parts.clock.Now();
+  const bool is_late = m_request.deadline && now >= *m_request.deadline;
+  const bool may_live = MayLive(cause);
+  if (is_late || (!may_live && now >= m_route_wait_ends)) {
     Fail(RecoveryFailed("no other backend server holds the layers of " + m_route.hops[hop].server));
     return;
   }
-  WaitForRoute(cause, hop);
-}
-
-void PipelineSession::WaitForRoute(StepStatus cause, std::uint32_t hop) {
-  const bool maybe_alive = cause == StepStatus::kTimedOut || cause == StepStatus::kOverloaded ||
-                           cause == StepStatus::kConnectionLost;
-  m_route_wait = m_parts.scheduler.ScheduleAfter(kRouteWaitStep, [weak = weak_from_this(), cause,
-                                                                  hop, maybe_alive] {
-    const auto self = weak.lock();
-    if (!self || self->IsOver()) {
-      return;
-    }
-    if (!maybe_alive) {
-      self->FindOtherRoute(cause, hop);
-      return;
-    }
-    self->m_records.Write("keep_route", "no other server has these layers and this one may live",
-                          {{"server", self->m_route.hops[hop].server}});
-    self->StartAttempt(self->m_route);
-  });
+  if (may_live && now >= m_same_server_at) {
+    m_records.Write("keep_route", "no other server has these layers and this one may live",
+                    {{"server", m_route.hops[hop].server}});
+    StartAttempt(m_route);
+    return;
+  }
+  m_route_wait =
+      m_parts.scheduler.ScheduleAfter(kRouteWaitStep, [weak = weak_from_this(), cause, hop] {
+        const auto self = weak.lock();
+        if (self && !self->IsOver()) {
+          self->FindOtherRoute(cause, hop);
+        }
+      });
 }
 
 void PipelineSession::TakeReplacement(StepStatus cause,
--- a/packages/zinnia_decisions/sessions/session_driver.h
+++ b/packages/zinnia_decisions/sessions/session_driver.h
@@ -82,6 +82,7 @@
                                                std::optional<ResumePoint> resume,
                                                std::weak_ptr<AnswerListener> listener);
 
+  /** A refusal may reach the listener from inside this call; everything else comes later. */
   virtual void Start() = 0;
   virtual void Cancel() = 0;
 
--- a/tests/sessions/recovery_test.cc
+++ b/tests/sessions/recovery_test.cc
@@ -231,6 +231,18 @@
   CheckWhole();
 }
 
+TEST(Recovery, OnlyServerThatFreezesForSecondsIsWaitedFor) {
+  // Symptom: all sessions of a pipeline without spares fail at a short freeze. Tries in quick
+  // succession used up the session's recoveries before the server woke.
+  world.SetState("b2", BackendServerState::kGone);
+  driver = world.Start(caller);
+  world.time.AdvanceBy(kMidAnswer);
+  world.stages.Freeze("b1");
+  world.time.AdvanceBy(std::chrono::seconds(3));
+  world.stages.Wake("b1");
+  CheckWhole();
+}
+
 TEST(Recovery, RestartedServerMayServeAgain) {
   // Symptom: an answer fails though its server is back. It is the only one with these layers, it
   // failed the session, and it comes up again under the same name with a new incarnation.
