--- a/packages/zinnia_adapters/engines/step_batch.cc
+++ b/packages/zinnia_adapters/engines/step_batch.cc
@@ -18,6 +18,17 @@
   return static_cast<std::uint32_t>(std::get<HiddenInput>(step.input).states.size());
 }
 
+std::size_t BytesOf(const StepRequest& step) {
+  if (const auto* tokens = std::get_if<TokenInput>(&step.input)) {
+    return tokens->prompt.size();
+  }
+  std::size_t bytes = 0;
+  for (const std::string& state : std::get<HiddenInput>(step.input).states) {
+    bytes += state.size();
+  }
+  return bytes;
+}
+
 BatchKind KindOf(const StepRequest& step) {
   if (step.isolated) {
     return BatchKind::kIsolated;
--- a/packages/zinnia_adapters/engines/step_batch.h
+++ b/packages/zinnia_adapters/engines/step_batch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <vector>
@@ -33,6 +34,9 @@
 /** How many positions the step runs; a prompt is estimated by its words. */
 std::uint32_t PositionsOf(const StepRequest& step);
 
+/** Bytes of the step's prompt or states, which are nearly all of what it takes in a request. */
+std::size_t BytesOf(const StepRequest& step);
+
 /** kIsolated, kPrefill (more than one position) or kDecode. */
 BatchKind KindOf(const StepRequest& step);
 
--- a/packages/zinnia_adapters/engines/step_codec.cc
+++ b/packages/zinnia_adapters/engines/step_codec.cc
@@ -10,6 +10,7 @@
 #include <iterator>
 #include <utility>
 
+#include "zinnia_adapters/engines/step_batch.h"
 #include "zinnia_adapters/http/json_text.h"
 
 namespace zinnia {
@@ -152,8 +153,12 @@
 }  // namespace
 
 std::string EncodeSteps(const std::vector<PendingStep>& steps) {
+  std::size_t bytes = 0;
+  for (const PendingStep& pending : steps) {
+    bytes += kTypicalStepBytes + BytesOf(pending.step);
+  }
   std::string out;
-  out.reserve(kTypicalStepBytes * steps.size());
+  out.reserve(bytes);
   out += "{\"steps\":[";
   for (const PendingStep& pending : steps) {
     AppendStep(out, pending.step);
--- a/packages/zinnia_adapters/engines/step_queue.cc
+++ b/packages/zinnia_adapters/engines/step_queue.cc
@@ -10,10 +10,13 @@
   StepBatch batch;
   batch.kind = m_kind;
   std::uint32_t positions = 0;
+  std::size_t bytes = 0;
   const std::size_t most = m_kind == BatchKind::kIsolated ? 1 : kMostSteps;
   while (!m_steps.empty() && batch.steps.size() < most) {
     const std::uint32_t more = PositionsOf(m_steps.front().step);
-    if (!batch.steps.empty() && positions + more > kMostPrefillPositions) {
+    bytes += BytesOf(m_steps.front().step);
+    const bool full = positions + more > kMostPrefillPositions || bytes > kMostBytes;
+    if (full && !batch.steps.empty()) {
       break;
     }
     positions += more;
--- a/tests/adapters/traffic_engine_links_test.cc
+++ b/tests/adapters/traffic_engine_links_test.cc
@@ -1,5 +1,6 @@
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <deque>
@@ -14,6 +15,7 @@
 #include "zinnia_adapters/engines/channel_listener.h"
 #include "zinnia_adapters/engines/http_stage_links.h"
 #include "zinnia_adapters/engines/step_deadline.h"
+#include "zinnia_adapters/engines/step_queue.h"
 #include "zinnia_base/time/virtual_time.h"
 
 #include <CppUTest/TestHarness.h>
@@ -173,6 +175,29 @@
   LONGS_EQUAL(4, batches[2].size());
 }
 
+TEST(TrafficEngineLinks, BatchIsBoundedInStepsAndBytes) {
+  // Symptom: all sessions of a server fail together whenever it is busy. Sequence: many steps
+  // gather, their request grows past the size that the server takes. Cause: batches bounded by
+  // nothing.
+  for (std::uint32_t hop = 0; hop < StepQueue::kMostSteps + 1; ++hop) {
+    Send(hop, MakeStep(1));
+  }
+  CHECK(RunUntil(loop, [this] { return answers->count == StepQueue::kMostSteps + 1; }));
+  // They travel on two connections, so either may arrive first.
+  LONGS_EQUAL(2, batches.size());
+  LONGS_EQUAL(StepQueue::kMostSteps, std::max(batches[0].size(), batches[1].size()));
+  batches.clear();
+
+  StepRequest large = MakeStep(1);
+  large.input = HiddenInput{{std::string(StepQueue::kMostBytes / 2, 'h')}};
+  for (std::uint32_t hop = 1000; hop < 1003; ++hop) {
+    Send(hop, large);
+  }
+  CHECK(RunUntil(loop, [this] { return answers->count == StepQueue::kMostSteps + 4; }));
+  LONGS_EQUAL(2, batches.size());
+  LONGS_EQUAL(2, std::max(batches[0].size(), batches[1].size()));
+}
+
 TEST(TrafficEngineLinks, LongPrefillDoesNotHoldUpTokens) {
   // Symptom: all streams pause while one caller sends a long prompt. Sequence: a prefill of many
   // positions is in flight; decode steps come. Cause: both kinds in the same lanes.
