--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -187,6 +187,9 @@
   m_response.keep_alive(m_keep_alive);
   if (!m_is_head) {
     m_response.prepare_payload();
+  } else if (!m_response.body().empty()) {
+    m_response.content_length(m_response.body().size());
+    m_response.body().clear();
   }
   m_writing = true;
   m_answer_ended = true;
--- a/packages/zinnia_adapters/callers/chat_exchange.cc
+++ b/packages/zinnia_adapters/callers/chat_exchange.cc
@@ -216,9 +216,12 @@
   if (m_finished) {
     return;
   }
+  SendAnswer(usage);
+  if (m_finished) {
+    return;  // the ending was too much for a slow reader, who was cut off
+  }
   m_context.parts.metrics.AddCredit(m_request.organisation, RequestClass::kChat,
                                     m_model.credit_weight);
-  SendAnswer(usage);
   Finish("answered");
 }
 
@@ -235,8 +238,10 @@
   if (m_body.include_usage) {
     ending += m_events->Usage(usage);
   }
-  m_context.responder->SendEvents(ending + ChatEvents::Done());
-  m_context.responder->EndEvents();
+  // Sending may end in OnCallerGone, which lets go of the member.
+  const auto responder = m_context.responder;
+  responder->SendEvents(ending + ChatEvents::Done());
+  responder->EndEvents();
 }
 
 std::string_view ChatExchange::FinishReason(const AnswerUsage& usage) const {
@@ -252,8 +257,9 @@
     told.was_run = WasRun::kUnknown;
   }
   if (m_stream_open) {
-    m_context.responder->SendEvents(ChatEvents::Failure(told));
-    m_context.responder->EndEvents();
+    const auto responder = m_context.responder;
+    responder->SendEvents(ChatEvents::Failure(told));
+    responder->EndEvents();
   } else {
     SendProblem(m_context, told);
   }
@@ -281,7 +287,9 @@
 }
 
 void ChatExchange::Finish(const std::string& outcome) {
-  m_finished = true;
+  if (std::exchange(m_finished, true)) {
+    return;
+  }
   RecordFinished(m_context, RequestClass::kChat, m_body.model, outcome);
   m_grant.reset();
   // Both may be on the call stack below this one: the driver tells its end, the timer has fired.
--- a/packages/zinnia_adapters/engines/engine_channel.cc
+++ b/packages/zinnia_adapters/engines/engine_channel.cc
@@ -61,6 +61,11 @@
       m_queues{StepQueue(BatchKind::kDecode), StepQueue(BatchKind::kPrefill),
                StepQueue(BatchKind::kIsolated)} {}
 
+bool EngineChannel::IsIdle() const {
+  return m_in_flight.empty() && m_late.empty() && m_awaiting_verdict.empty() && !m_probing &&
+         std::ranges::all_of(m_queues, &StepQueue::IsEmpty);
+}
+
 void EngineChannel::Send(PendingStep step) {
   StepQueue& queue = QueueFor(KindOf(step.step));
   if (queue.IsFull()) {
@@ -266,6 +271,10 @@
 
 void EngineChannel::OnProbed(ExchangeFailure failure, std::uint64_t incarnation) {
   m_probing = false;
+  if (m_awaiting_verdict.empty()) {
+    FlushSoon();  // a refused connection gave the verdict before the probe did
+    return;
+  }
   const bool restarted =
       failure == ExchangeFailure::kNone && m_incarnation != 0 && incarnation != m_incarnation;
   if (failure == ExchangeFailure::kRefused || restarted) {
@@ -303,7 +312,11 @@
   for (StepQueue& queue : m_queues) {
     std::ranges::move(queue.TakeAll(), std::back_inserter(steps));
   }
-  m_parts.listener.OnServerCrashed(m_server, std::exchange(m_incarnation, 0), fingerprints);
+  const bool news = !std::exchange(m_down, true) || !fingerprints.empty();
+  const std::uint64_t incarnation = std::exchange(m_incarnation, 0);
+  if (news) {
+    m_parts.listener.OnServerCrashed(m_server, incarnation, fingerprints);
+  }
   AnswerAll(steps, StepStatus::kServerCrashed);
 }
 
@@ -348,6 +361,7 @@
 }
 
 void EngineChannel::MarkRecovered() {
+  m_down = false;
   if (std::exchange(m_suspect, false)) {
     m_parts.listener.OnServerRecovered(m_server);
   }
--- a/packages/zinnia_adapters/engines/engine_channel.h
+++ b/packages/zinnia_adapters/engines/engine_channel.h
@@ -42,6 +42,9 @@
   void Send(PendingStep step);
   SideCalls& Side() { return *m_side; }
 
+  /** Whether it has no steps. An idle channel may be dropped; side calls finish without it. */
+  bool IsIdle() const;
+
  private:
   using BatchPointer = std::shared_ptr<StepBatch>;
 
@@ -90,6 +93,7 @@
   bool m_probing = false;
   bool m_learning = false;
   bool m_suspect = false;
+  bool m_down = false;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/engines/http_stage_links.cc
+++ b/packages/zinnia_adapters/engines/http_stage_links.cc
@@ -8,6 +8,7 @@
 #include "zinnia_adapters/engines/engine_channel.h"
 #include "zinnia_adapters/engines/side_calls.h"
 #include "zinnia_adapters/engines/step_codec.h"
+#include "zinnia_decisions/ports/snapshot_source.h"
 
 namespace zinnia {
 namespace {
@@ -85,7 +86,7 @@
                                std::function<void(Result<std::uint32_t>)> callback) {
   const json::value body = {{"session", session}, {"attempt", attempt}};
   // The target's channel is taken now: when the export is over, these links may be gone.
-  auto target = (ChannelTo(to), m_channels.at(to));
+  const auto target = ChannelTo(to).shared_from_this();
   ChannelTo(from).Side().Call(
       "/v1/cache/export", json::serialize(body), kExportTimeout,
       [target, session, new_attempt,
@@ -115,11 +116,19 @@
 }
 
 EngineChannel& HttpStageLinks::ChannelTo(const BackendServerName& server) {
-  std::shared_ptr<EngineChannel>& channel = m_channels[server];
-  if (!channel) {
-    channel = EngineChannel::Create(m_parts, server);
+  const auto found = m_channels.find(server);
+  if (found != m_channels.end()) {
+    return *found->second;
   }
-  return *channel;
+  DropOldChannels();
+  return *m_channels.emplace(server, EngineChannel::Create(m_parts, server)).first->second;
+}
+
+void HttpStageLinks::DropOldChannels() {
+  const auto snapshot = m_parts.snapshots.Current();
+  std::erase_if(m_channels, [&](const auto& entry) {
+    return !snapshot->servers.contains(entry.first) && entry.second->IsIdle();
+  });
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/engines/http_stage_links.h
+++ b/packages/zinnia_adapters/engines/http_stage_links.h
@@ -42,6 +42,10 @@
  private:
   EngineChannel& ChannelTo(const BackendServerName& server);
 
+  /** Drops idle channels to servers that are no longer in the fleet. Backend servers are replaced
+      all the time; without this their channels would add up over the months. */
+  void DropOldChannels();
+
   const ChannelParts m_parts;
   std::unordered_map<BackendServerName, std::shared_ptr<EngineChannel>> m_channels;
 };
--- a/tests/adapters/traffic_caller_bounds_test.cc
+++ b/tests/adapters/traffic_caller_bounds_test.cc
@@ -114,6 +114,15 @@
   CHECK(fixture.UntilHas(caller, R"({"ready":true,"reasons":[]})"));
 }
 
+TEST(TrafficCallerBounds, HeadHasNoBody) {
+  // Symptom: the next answer on the connection is garbled. Cause: a body sent after HEAD.
+  fixture.StartServer();
+  TestCaller& caller = fixture.Request("HEAD /v1/models", "");
+  caller.Send(CallerServerFixture::Message("GET /healthz", ""));
+  CHECK(fixture.UntilHas(caller, "{\"healthy\":true}"));
+  CHECK_FALSE(caller.Has("swift"));
+}
+
 TEST(TrafficCallerBounds, DrainRefusesNewRequestsAndFinishesOldOnes) {
   // Symptom: a planned stop cuts answers, or a refused booking is made after all. Sequence: a
   // session runs, the drain begins, a booking comes. Cause: drain by closing, or a refusal that was
--- a/tests/adapters/traffic_chat_test.cc
+++ b/tests/adapters/traffic_chat_test.cc
@@ -126,6 +126,21 @@
   LONGS_EQUAL(1, fixture.metrics.counts["callers_cut_off_as_slow_readers"]);
 }
 
+TEST(TrafficChat, SlowReaderIsCutOffByTheEndOfItsAnswer) {
+  // Symptom: the instance crashes. Sequence: the buffer is nearly full, the closing events pass the
+  // bound. Cause: the exchange is told that its caller is gone while it sends the ending.
+  fixture.Chat(R"(,"stream":true)");
+  CHECK(fixture.UntilSession());
+  const auto session = fixture.sessions.back();
+  session->Token(std::string(fixture.limits.most_unsent_bytes - 300, 'x'));
+  CHECK_FALSE(session->cancelled);
+  session->Done();
+  CHECK(session->cancelled);
+  LONGS_EQUAL(0, fixture.metrics.counts["caller_requests_answered"]);
+  LONGS_EQUAL(1, fixture.metrics.counts["caller_requests_caller_gone"]);
+  DOUBLES_EQUAL(0.0, fixture.metrics.credit["kariakoo"], 0.0);
+}
+
 TEST(TrafficChat, DeadlineEndsTheSession) {
   TestCaller& caller = fixture.Chat("", "Zinnia-Deadline-Ms: 800\r\n");
   CHECK(fixture.UntilSession());
