--- a/packages/zinnia_adapters/engines/engine_channel.cc
+++ b/packages/zinnia_adapters/engines/engine_channel.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/field.hpp>
 #include <iterator>
+#include <unordered_set>
 #include <utility>
 
 #include "zinnia_adapters/engines/channel_listener.h"
@@ -38,13 +39,12 @@
 }
 
 std::vector<Fingerprint> FingerprintsOf(const std::vector<std::shared_ptr<StepBatch>>& batches) {
-  std::vector<Fingerprint> fingerprints;
+  std::unordered_set<Fingerprint> distinct;
   for (const auto& batch : batches) {
-    std::ranges::move(FingerprintsOf(*batch), std::back_inserter(fingerprints));
+    const std::vector<Fingerprint> fingerprints = FingerprintsOf(*batch);
+    distinct.insert(fingerprints.begin(), fingerprints.end());
   }
-  std::ranges::sort(fingerprints);
-  fingerprints.erase(std::ranges::unique(fingerprints).begin(), fingerprints.end());
-  return fingerprints;
+  return {distinct.begin(), distinct.end()};
 }
 
 }  // namespace
@@ -123,8 +123,8 @@
   request.set(http::field::content_type, "application/json");
   request.body() = EncodeSteps(batch->steps);
   batch->connection->Exchange(std::move(request), StepDeadline::kCap + kLateGrace,
-                              [self = shared_from_this(), batch](ExchangeOutcome outcome) {
-                                self->OnOutcome(batch, std::move(outcome));
+                              [self = shared_from_this(), batch](const ExchangeOutcome& outcome) {
+                                self->OnOutcome(batch, outcome);
                               });
 }
 
@@ -177,7 +177,7 @@
   }
 }
 
-void EngineChannel::OnOutcome(const BatchPointer& batch, ExchangeOutcome outcome) {
+void EngineChannel::OnOutcome(const BatchPointer& batch, const ExchangeOutcome& outcome) {
   if (batch->answered) {
     OnLateOutcome(batch, outcome);
   } else if (outcome.failure == ExchangeFailure::kNone) {
--- a/packages/zinnia_adapters/engines/engine_channel.h
+++ b/packages/zinnia_adapters/engines/engine_channel.h
@@ -58,7 +58,7 @@
 
   void OnDeadline(const BatchPointer& batch);
   void KeepLate(const BatchPointer& batch);
-  void OnOutcome(const BatchPointer& batch, ExchangeOutcome outcome);
+  void OnOutcome(const BatchPointer& batch, const ExchangeOutcome& outcome);
   void OnResponse(const BatchPointer& batch, const BackendResponse& response);
   void OnLateOutcome(const BatchPointer& batch, const ExchangeOutcome& outcome);
   void DeliverAnswers(const BatchPointer& batch, DecodedAnswers decoded);
--- a/packages/zinnia_adapters/engines/side_calls.cc
+++ b/packages/zinnia_adapters/engines/side_calls.cc
@@ -19,7 +19,7 @@
 
 constexpr Duration kReleaseTimeout = std::chrono::seconds(2);
 
-BackendRequest MakePost(std::string target, std::string body) {
+BackendRequest MakePost(const std::string& target, std::string body) {
   BackendRequest request(http::verb::post, target, 11);
   request.set(http::field::content_type, "application/json");
   request.body() = std::move(body);
@@ -144,7 +144,7 @@
                       });
     return;
   }
-  connection->Exchange(MakePost(std::move(call.target), std::move(call.body)), call.timeout,
+  connection->Exchange(MakePost(call.target, std::move(call.body)), call.timeout,
                        [self = shared_from_this(), connection,
                         callback = std::move(call.callback)](ExchangeOutcome outcome) {
                          --self->m_in_flight;
--- a/packages/zinnia_adapters/http/backend_connection.h
+++ b/packages/zinnia_adapters/http/backend_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/basic_stream.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
