--- /dev/null
+++ b/bench/once/main.cc
@@ -0,0 +1,8 @@
+#include "bench/once/benchmarks.h"
+
+int main() {
+  zinnia::BenchLoad();
+  zinnia::BenchFailures();
+  zinnia::BenchSchedules(std::chrono::seconds(45), 100'000);
+  return 0;
+}
--- a/packages/zinnia_decisions/once/once_coordinator.cc
+++ b/packages/zinnia_decisions/once/once_coordinator.cc
@@ -148,17 +148,18 @@
   const TimePoint sent_at = m_parts.clock.Now();
   ask->timer = m_parts.scheduler.ScheduleAfter(
       m_settings.call_timeout,
-      [this, weak = std::weak_ptr<Ask>(ask), target] { OnCallTimeout(weak.lock(), target); });
+      [this, weak = std::weak_ptr<Ask>(ask)] { OnCallTimeout(weak.lock()); });
   m_parts.peers.BeginIntent(
       target.peer_address, ask->request,
-      WhileAlive(m_alive, [this, ask, round, target, sent_at](Result<IntentReply> result) {
+      WhileAlive(m_alive, [this, ask, round, sent_at](Result<IntentReply> result) {
         PartitionRole* role = RoleOf(ask->request.partition);
         const ErrorKind kind = result ? ErrorKind::kInternal : result.error().kind;
-        const bool refused = kind == ErrorKind::kPeerUnavailable;
+        // A holder that the head still names and that says it holds nothing will not serve either.
+        const bool refused = kind == ErrorKind::kPeerUnavailable || kind == ErrorKind::kStaleEpoch;
         if (refused || kind == ErrorKind::kOutcomeUnknown) {
-          role->NoteUnreachable(target, sent_at, refused);
+          role->NoteUnserved(sent_at, refused);
         } else {
-          role->NoteReachable(target);
+          role->NoteServed();
         }
         OnReply(ask, round, std::move(result));
       }));
@@ -192,12 +193,12 @@
   }
 }
 
-void OnceCoordinator::OnCallTimeout(const AskPointer& ask, const Instance& target) {
+void OnceCoordinator::OnCallTimeout(const AskPointer& ask) {
   if (!ask || !ask->callback) {
     return;
   }
   RoleOf(ask->request.partition)
-      ->NoteUnreachable(target, m_parts.clock.Now() - m_settings.call_timeout, false);
+      ->NoteUnserved(m_parts.clock.Now() - m_settings.call_timeout, false);
   ask->may_be_recorded = true;
   ask->needs_refresh = true;
   Step(ask);
--- a/packages/zinnia_decisions/once/once_coordinator.h
+++ b/packages/zinnia_decisions/once/once_coordinator.h
@@ -83,7 +83,7 @@
   void AskLocally(const AskPointer& ask);
   void AskPeer(const AskPointer& ask, const Instance& target);
   void OnReply(const AskPointer& ask, std::uint32_t round, Result<IntentReply> result);
-  void OnCallTimeout(const AskPointer& ask, const Instance& target);
+  void OnCallTimeout(const AskPointer& ask);
   void RetryLater(const AskPointer& ask);
   void OnDeadline(const AskPointer& ask);
   void Finish(const AskPointer& ask, Result<IntentReply> result);
--- a/packages/zinnia_decisions/once/partition_holder.cc
+++ b/packages/zinnia_decisions/once/partition_holder.cc
@@ -7,6 +7,7 @@
 
 #include "zinnia_base/decisions/decision_record.h"
 #include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/once/alive_guard.h"
 
 namespace zinnia {
 namespace {
@@ -49,7 +50,9 @@
     return callback(StaleEpoch());
   }
   if (const auto decided = DecideNow(request)) {
-    return callback(*decided);
+    const bool may_be_stale = *decided && (*decided)->verdict == IntentVerdict::kStarted;
+    return may_be_stale ? VerifyThenAnswer(std::move(request), std::move(callback))
+                        : callback(*decided);
   }
   if (StoreIsFailing()) {
     return callback(StoreUnavailable("the store does not answer, so nothing can be granted"));
@@ -68,6 +71,35 @@
   Enqueue(std::move(operation));
 }
 
+/** What fails without it: a holder that lost the partition and has had nothing to write since says
+    "outcome unknown" of a key that the new holder has answered or freed. One read, shared by all
+    who wait for it, tells. If it fails, "outcome unknown" is still true of what is known here. */
+void PartitionHolder::VerifyThenAnswer(IntentRequest request, BeginCallback callback) {
+  auto operation = std::make_shared<Operation>();
+  operation->begin = std::move(request);
+  operation->begin_callback = std::move(callback);
+  m_unverified.push_back(std::move(operation));
+  if (m_unverified.size() == 1) {
+    m_parts.store.Get(HeadKey(m_partition),
+                      WhileAlive(m_alive, [this](const Result<std::optional<StoreRecord>>& result) {
+                        OnVerified(result);
+                      }));
+  }
+}
+
+void PartitionHolder::OnVerified(const Result<std::optional<StoreRecord>>& result) {
+  if (!m_has_ended && result && result->has_value() && (*result)->value) {
+    const Result<PartitionHead> head = DecodeHead(*(*result)->value);
+    if (head && head->epoch != m_head.epoch) {
+      return End("another instance swapped the head");
+    }
+  }
+  for (const OperationPointer& operation : std::exchange(m_unverified, {})) {
+    const auto decided = m_has_ended ? std::nullopt : DecideNow(*operation->begin);
+    Answer(*operation, decided.value_or(StaleEpoch()));
+  }
+}
+
 void PartitionHolder::Report(IntentOutcome outcome, ReportCallback callback) {
   if (m_has_ended || m_handing_over) {
     return callback(StaleEpoch());
@@ -264,6 +296,9 @@
 }
 
 void PartitionHolder::OnCommitted(Result<std::uint64_t> result) {
+  if (m_has_ended) {
+    return;
+  }
   if (!result && result.error().kind == ErrorKind::kStoreConflict) {
     return End("another instance sealed the open segment");
   }
@@ -395,6 +430,8 @@
                            reason,
                            {{"epoch", std::to_string(m_head.epoch)}}});
   m_queue.insert(m_queue.end(), m_batch.begin(), m_batch.end());
+  m_queue.insert(m_queue.end(), m_unverified.begin(), m_unverified.end());
+  m_unverified.clear();
   m_batch.clear();
   std::deque<OperationPointer> queue;
   queue.swap(m_queue);
--- a/packages/zinnia_decisions/once/partition_holder.h
+++ b/packages/zinnia_decisions/once/partition_holder.h
@@ -70,6 +70,9 @@
   std::optional<Result<IntentReply>> DecideNow(const IntentRequest& request);
   IntentReply MakeReply(IntentVerdict verdict, const IntentRequest& request) const;
 
+  void VerifyThenAnswer(IntentRequest request, BeginCallback callback);
+  void OnVerified(const Result<std::optional<StoreRecord>>& result);
+
   void Pump();
   void PumpLater(Duration delay);
   Duration CommitDelay();
@@ -84,8 +87,11 @@
   void RefuseBatch(const Error& error);
 
   void Roll();
-  void OnSegmentCreated(Result<std::uint64_t> result, PartitionHead head);
-  void OnHeadSwapped(Result<std::uint64_t> result, PartitionHead head);
+  void CreateSegment(PartitionHead head);
+  void SwapHead(PartitionHead head, std::uint64_t segment_version);
+  void OnHeadSwapped(const Result<std::uint64_t>& result,
+                     const PartitionHead& head,
+                     std::uint64_t segment_version);
   bool NeedsRoll() const;
   bool IsExpired(const std::string& segment) const;
   void DropExpiredSegments(PartitionHead& head);
@@ -118,6 +124,7 @@
   std::vector<std::string> m_expired_segments;
   IntentIndex m_index;
 
+  std::vector<OperationPointer> m_unverified;
   std::deque<OperationPointer> m_queue;
   std::vector<OperationPointer> m_batch;
   std::vector<IntentRecord> m_batch_records;
@@ -137,6 +144,7 @@
   TimePoint m_tokens_at;
   std::unique_ptr<ScheduledCall> m_pump_timer;
   std::unique_ptr<ScheduledCall> m_sweep_timer;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/once/partition_holder_segments.cc
+++ b/packages/zinnia_decisions/once/partition_holder_segments.cc
@@ -18,55 +18,66 @@
   return newest != m_sealed_newest_unix_ms.end() && newest->second + kept < UnixMilliseconds();
 }
 
-/** Makes the next segment before the head names it, as PartitionTakeover does and for its reason:
-    each later write to it expects a version above 0. */
+/** Drops expired segments from the head, and names a new open one if the present one is full. */
 void PartitionHolder::Roll() {
   m_writing = true;
   m_write_started = m_parts.clock.Now();
-  m_rolls += 1;
   PartitionHead head = m_head;
   DropExpiredSegments(head);
+  if (m_body.size() <= m_settings.segment_bytes) {
+    return SwapHead(std::move(head), m_segment_version);
+  }
+  m_rolls += 1;
   head.segments.push_back(fmt::format("{}-{}-{}-v{}-{}", m_head.epoch, m_head.holder.name,
                                       m_head.holder.start, m_segment_version, m_rolls));
+  CreateSegment(std::move(head));
+}
+
+/** Makes the next segment before the head names it, as PartitionTakeover does and for its reason:
+    each later write to it expects a version above 0. */
+void PartitionHolder::CreateSegment(PartitionHead head) {
   m_writer.Write(SegmentPrefix(m_partition) + head.segments.back(), 0,
                  EncodeSegmentHeader({.epoch = m_head.epoch}),
-                 [this, head](Result<std::uint64_t> result) mutable {
-                   OnSegmentCreated(std::move(result), std::move(head));
+                 [this, head](const Result<std::uint64_t>& result) {
+                   if (!result) {
+                     return OnHeadSwapped(result.error(), head, 0);
+                   }
+                   SwapHead(head, *result);
                  });
 }
 
-void PartitionHolder::OnSegmentCreated(Result<std::uint64_t> result, PartitionHead head) {
-  if (!result) {
-    return OnHeadSwapped(result.error(), std::move(head));
-  }
-  const std::uint64_t new_segment_version = *result;
+void PartitionHolder::SwapHead(PartitionHead head, std::uint64_t segment_version) {
   m_writer.Write(HeadKey(m_partition), m_head_version, EncodeHead(head),
-                 [this, head, new_segment_version](Result<std::uint64_t> swapped) mutable {
-                   if (swapped) {
-                     m_segment_version = new_segment_version;
-                   }
-                   OnHeadSwapped(std::move(swapped), std::move(head));
+                 [this, head, segment_version](const Result<std::uint64_t>& result) {
+                   OnHeadSwapped(result, head, segment_version);
                  });
 }
 
 /** After a refusal the new segment stays behind; the next takeover deletes it. */
-void PartitionHolder::OnHeadSwapped(Result<std::uint64_t> result, PartitionHead head) {
+void PartitionHolder::OnHeadSwapped(const Result<std::uint64_t>& result,
+                                    const PartitionHead& head,
+                                    std::uint64_t segment_version) {
+  if (m_has_ended) {
+    return;
+  }
   m_writing = false;
   if (!result && result.error().kind == ErrorKind::kStoreConflict) {
     return End("another instance swapped the head");
   }
-  if (result) {
-    m_sealed_newest_unix_ms[m_head.segments.back()] = m_newest_unix_ms;
-    m_head_version = *result;
-    m_head = std::move(head);
-    m_body.clear();
-    m_newest_unix_ms = 0;
-    m_index.DropExpired(UnixMilliseconds());
-    for (const std::string& segment : std::exchange(m_expired_segments, {})) {
-      DeleteSegment(segment);
-    }
-  } else {
+  if (!result) {
     m_refuse_until = m_parts.clock.Now() + m_settings.store_pause;
+    return Pump();
+  }
+  if (head.segments.back() != m_head.segments.back()) {
+    m_sealed_newest_unix_ms[m_head.segments.back()] = std::exchange(m_newest_unix_ms, 0);
+    m_body.clear();
+  }
+  m_segment_version = segment_version;
+  m_head_version = *result;
+  m_head = head;
+  m_index.DropExpired(UnixMilliseconds());
+  for (const std::string& segment : std::exchange(m_expired_segments, {})) {
+    DeleteSegment(segment);
   }
   Pump();
 }
@@ -99,7 +110,16 @@
   PartitionHead head = m_head;
   head.released = true;
   m_writer.Write(HeadKey(m_partition), m_head_version, EncodeHead(head),
-                 [this](const Result<std::uint64_t>&) { End("handed over for a planned stop"); });
+                 [this](const Result<std::uint64_t>& result) {
+                   if (m_has_ended) {
+                     return;
+                   }
+                   if (result || result.error().kind == ErrorKind::kStoreConflict) {
+                     return End("handed over for a planned stop");
+                   }
+                   m_writing = false;
+                   PumpLater(m_settings.store_pause);
+                 });
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/once/partition_role.cc
+++ b/packages/zinnia_decisions/once/partition_role.cc
@@ -27,7 +27,7 @@
 PartitionRole::~PartitionRole() = default;
 
 std::optional<Instance> PartitionRole::Target(bool trust_membership) const {
-  if (!m_head || IsUnreachable(*m_head)) {
+  if (!m_head || IsUnserved(*m_head)) {
     return std::nullopt;
   }
   const bool ask_holder = IsUsable(*m_head) || (!trust_membership && !m_head->released);
@@ -44,12 +44,14 @@
   });
 }
 
-bool PartitionRole::IsUnreachable(const PartitionHead& head) const {
-  if (!m_unreachable_since || !m_head || head.epoch != m_head->epoch) {
+bool PartitionRole::IsUnserved(const PartitionHead& head) const {
+  const TimePoint now = m_parts.clock.Now();
+  if (!m_unserved_since || !m_head || head.epoch != m_head->epoch ||
+      now - m_last_unserved > 2 * m_settings.takeover_after) {
     return false;
   }
   const auto patience = m_refused ? m_settings.refused_takeover_after : m_settings.takeover_after;
-  return m_parts.clock.Now() - *m_unreachable_since >= patience;
+  return now - *m_unserved_since >= patience;
 }
 
 /** The preferred live instance, leaving out the one that released or lost the partition. */
@@ -79,7 +81,7 @@
   if (head.epoch > 0 && IsSame(head.holder, self)) {
     return true;
   }
-  if (IsUnreachable(head)) {
+  if (IsUnserved(head)) {
     return !paused;
   }
   const std::optional<Instance> preferred = Preferred(head);
@@ -101,7 +103,7 @@
 void PartitionRole::OnTakeoverDone(Result<TakenPartition> result) {
   const std::unique_ptr<PartitionTakeover> takeover = std::move(m_takeover);
   if (takeover->SeenHead() && (!m_head || m_head->epoch < takeover->SeenHead()->epoch)) {
-    m_unreachable_since.reset();
+    m_unserved_since.reset();
   }
   m_head = takeover->SeenHead();
   Result<void> outcome;
@@ -138,17 +140,13 @@
   }
 }
 
-void PartitionRole::NoteUnreachable(const Instance& target, TimePoint since, bool refused) {
-  if (m_head && IsSame(m_head->holder, target)) {
-    m_unreachable_since = std::min(m_unreachable_since.value_or(since), since);
-    m_refused = refused;
-  }
-}
-
-void PartitionRole::NoteReachable(const Instance& target) {
-  if (m_head && IsSame(m_head->holder, target)) {
-    m_unreachable_since.reset();
-  }
+void PartitionRole::NoteUnserved(TimePoint since, bool refused) {
+  // A failure of long ago says nothing of now: without this, one lost call followed by a quiet hour
+  // would move the partition at the next failure.
+  const bool goes_on = m_unserved_since && since - m_last_unserved < 2 * m_settings.takeover_after;
+  m_unserved_since = goes_on ? std::min(*m_unserved_since, since) : since;
+  m_last_unserved = m_parts.clock.Now();
+  m_refused = refused;
 }
 
 void PartitionRole::HandOver(std::function<void()> done) {
--- a/packages/zinnia_decisions/once/partition_role.h
+++ b/packages/zinnia_decisions/once/partition_role.h
@@ -46,9 +46,11 @@
   /** Refreshes if the partition lacks a holder and this instance should be it. */
   void TakeIfPreferred();
 
-  /** `target` has not answered a call made at `since`; `refused` if it could not be reached. */
-  void NoteUnreachable(const Instance& target, TimePoint since, bool refused);
-  void NoteReachable(const Instance& target);
+  /** Nobody who was asked has served a call made at `since`; `refused` if that is certain, because
+      the instance could not be reached or said that it holds nothing. If this goes on, the instance
+      takes the partition over, preferred or not. */
+  void NoteUnserved(TimePoint since, bool refused);
+  void NoteServed() { m_unserved_since.reset(); }
 
   /** Gives the partition up in good order; `done` runs when that is over. */
   void HandOver(std::function<void()> done);
@@ -56,7 +58,7 @@
  private:
   bool IsUsable(const PartitionHead& head) const;
   bool MayTake(const PartitionHead& head) const;
-  bool IsUnreachable(const PartitionHead& head) const;
+  bool IsUnserved(const PartitionHead& head) const;
   std::optional<Instance> Preferred(const PartitionHead& head) const;
   void OnTakeoverDone(Result<TakenPartition> result);
   void OnHolderEnded();
@@ -72,7 +74,8 @@
   std::uint64_t m_takeovers = 0;
   std::vector<RefreshCallback> m_waiting;
   std::optional<TimePoint> m_last_taken;
-  std::optional<TimePoint> m_unreachable_since;
+  std::optional<TimePoint> m_unserved_since;
+  TimePoint m_last_unserved{};
   bool m_refused = false;
   bool m_leaving = false;
   std::function<void()> m_handed_over;
