--- a/packages/zinnia_decisions/once/once_coordinator.h
+++ b/packages/zinnia_decisions/once/once_coordinator.h
@@ -68,6 +68,7 @@
   struct Ask;
   struct Grant;
   using AskPointer = std::shared_ptr<Ask>;
+  using HolderCallback = std::function<void(Result<PartitionHolder*>)>;
 
   OnceCoordinator(OnceParts parts, OnceSettings settings, std::uint64_t seed);
   void OnMembershipChanged() override;
@@ -89,8 +90,7 @@
   void Finish(const AskPointer& ask, Result<IntentReply> result);
   void RememberGrant(const Ask& ask);
 
-  void AnswerBegin(const IntentRequest& request,
-                   const std::function<void(Result<IntentReply>)>& callback);
+  void WithHolder(std::uint32_t partition, HolderCallback callback);
   PartitionRole* RoleOf(std::uint32_t partition);
   std::uint32_t PartitionOf(const OrganisationName& organisation, const std::string& key) const;
   Error Refusal(ErrorKind kind, const char* message) const;
--- a/packages/zinnia_decisions/once/once_coordinator_roles.cc
+++ b/packages/zinnia_decisions/once/once_coordinator_roles.cc
@@ -82,38 +82,44 @@
 
 void OnceCoordinator::OnBeginIntent(IntentRequest request,
                                     std::function<void(Result<IntentReply>)> callback) {
-  PartitionRole* role = RoleOf(request.partition);
+  const std::uint32_t partition = request.partition;
+  WithHolder(partition, [request, callback](Result<PartitionHolder*> holder) {
+    holder ? (*holder)->Begin(request, callback) : callback(holder.error());
+  });
+}
+
+void OnceCoordinator::OnReportOutcome(IntentOutcome outcome,
+                                      std::function<void(Result<void>)> callback) {
+  const std::uint32_t partition = outcome.partition;
+  WithHolder(partition, [outcome, callback](Result<PartitionHolder*> holder) {
+    holder ? (*holder)->Report(outcome, callback) : callback(holder.error());
+  });
+}
+
+/** Serves a peer: as the holder, or after taking the partition over if that is this instance's
+    part. */
+void OnceCoordinator::WithHolder(std::uint32_t partition, HolderCallback callback) {
+  PartitionRole* role = RoleOf(partition);
+  const Error not_held =
+      MakeError(ErrorKind::kStaleEpoch, "this instance does not hold the partition");
   if (role == nullptr || role->Holder() != nullptr || m_leaving) {
-    return AnswerBegin(request, callback);
+    const bool holds = role != nullptr && role->Holder() != nullptr;
+    return callback(holds ? Result<PartitionHolder*>(role->Holder()) : not_held);
   }
   if (m_waiting_for_role >= m_settings.most_queued) {
     return callback(Refusal(ErrorKind::kOverloaded, "too many wait for the partition"));
   }
   m_waiting_for_role += 1;
-  role->Refresh([this, request, callback](const Result<void>& result) {
+  role->Refresh([this, role, not_held, callback](const Result<void>& result) {
     m_waiting_for_role -= 1;
-    result ? AnswerBegin(request, callback) : callback(result.error());
+    if (role->Holder() != nullptr) {
+      return callback(role->Holder());
+    }
+    role->NoteAskedInVain();
+    callback(result ? not_held : result.error());
   });
 }
 
-void OnceCoordinator::AnswerBegin(const IntentRequest& request,
-                                  const std::function<void(Result<IntentReply>)>& callback) {
-  PartitionRole* role = RoleOf(request.partition);
-  if (role != nullptr && role->Holder() != nullptr) {
-    return role->Holder()->Begin(request, callback);
-  }
-  callback(MakeError(ErrorKind::kStaleEpoch, "this instance does not hold the partition"));
-}
-
-void OnceCoordinator::OnReportOutcome(IntentOutcome outcome,
-                                      std::function<void(Result<void>)> callback) {
-  PartitionRole* role = RoleOf(outcome.partition);
-  if (role != nullptr && role->Holder() != nullptr) {
-    return role->Holder()->Report(std::move(outcome), std::move(callback));
-  }
-  callback(MakeError(ErrorKind::kStaleEpoch, "this instance does not hold the partition"));
-}
-
 void OnceCoordinator::HandOver(std::function<void()> done) {
   m_leaving = true;
   auto left = std::make_shared<std::size_t>(m_roles.size() + 1);
--- a/packages/zinnia_decisions/once/partition_holder.cc
+++ b/packages/zinnia_decisions/once/partition_holder.cc
@@ -50,7 +50,9 @@
     return callback(StaleEpoch());
   }
   if (const auto decided = DecideNow(request)) {
-    const bool may_be_stale = *decided && (*decided)->verdict == IntentVerdict::kStarted;
+    // A recorded answer stays true; that a key is taken may have ended since.
+    const bool may_be_stale = *decided && ((*decided)->verdict == IntentVerdict::kStarted ||
+                                           (*decided)->verdict == IntentVerdict::kKeyReused);
     return may_be_stale ? VerifyThenAnswer(std::move(request), std::move(callback))
                         : callback(*decided);
   }
--- a/packages/zinnia_decisions/once/partition_role.cc
+++ b/packages/zinnia_decisions/once/partition_role.cc
@@ -149,6 +149,12 @@
   m_refused = refused;
 }
 
+void PartitionRole::NoteAskedInVain() {
+  if (m_head && !IsUsable(*m_head)) {
+    NoteUnserved(m_parts.clock.Now(), true);
+  }
+}
+
 void PartitionRole::HandOver(std::function<void()> done) {
   m_leaving = true;
   if (!m_holder && !m_takeover) {
--- a/packages/zinnia_decisions/once/partition_role.h
+++ b/packages/zinnia_decisions/once/partition_role.h
@@ -52,6 +52,10 @@
   void NoteUnserved(TimePoint since, bool refused);
   void NoteServed() { m_unserved_since.reset(); }
 
+  /** A peer asked this instance, which does not hold the partition. If the head has no living
+     holder either, whoever is preferred is not doing its part (it may be stopping). */
+  void NoteAskedInVain();
+
   /** Gives the partition up in good order; `done` runs when that is over. */
   void HandOver(std::function<void()> done);
 
--- /dev/null
+++ b/packages/zinnia_decisions/orders/order_role.cc
@@ -0,0 +1,179 @@
+#include "zinnia_decisions/orders/order_role.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "zinnia_base/decisions/decision_record.h"
+#include "zinnia_base/hashing/fingerprint.h"
+#include "zinnia_decisions/membership/membership_view.h"
+#include "zinnia_decisions/once/alive_guard.h"
+
+namespace zinnia {
+namespace {
+
+/** An instance that is not preferred looks at the lease only every so many ticks: enough to take
+    over when views of the membership differ, and cheap for the store. */
+constexpr std::uint64_t kTicksBetweenLooks = 5;
+
+std::uint64_t EpochOf(const std::optional<StoreRecord>& record) {
+  if (!record || !record->value) {
+    return 0;
+  }
+  boost::system::error_code error;
+  const boost::json::value value = boost::json::parse(*record->value, error);
+  const boost::json::object* object = error ? nullptr : value.if_object();
+  const boost::json::value* epoch = object ? object->if_contains("epoch") : nullptr;
+  return epoch && epoch->is_number() ? epoch->to_number<std::uint64_t>() : 0;
+}
+
+}  // namespace
+
+Result<void> CheckOrderSettings(const OrderSettings& settings) {
+  if (settings.lease < 3 * settings.lease_margin) {
+    return MakeError(ErrorKind::kInvalidSettings,
+                     "orders.lease must be at least three times orders.lease_margin");
+  }
+  if (settings.most_loads == 0) {
+    return MakeError(ErrorKind::kInvalidSettings, "orders.most_loads must be at least 1");
+  }
+  return {};
+}
+
+OrderRole::OrderRole(const OrderRoleParts& parts, const OrderSettings& settings, std::string pool)
+    : m_parts(parts),
+      m_settings(settings),
+      m_pool(std::move(pool)),
+      m_writer(parts.store, parts.scheduler, settings.retry_pause) {}
+
+OrderRole::~OrderRole() = default;
+
+void OrderRole::Tick(std::uint64_t least_epoch) {
+  m_least_epoch = std::max(m_least_epoch, least_epoch);
+  if (m_state == State::kHeld) {
+    return MaySend() ? KeepAlive() : StepDown("the lease ran out by this instance's clock");
+  }
+  m_idle_ticks += 1;
+  if (m_state == State::kIdle && (IsPreferred() || m_idle_ticks % kTicksBetweenLooks == 0)) {
+    Acquire();
+  }
+}
+
+bool OrderRole::MaySend() const {
+  return m_state == State::kHeld && m_parts.clock.Now() + m_settings.lease_margin < m_valid_until;
+}
+
+bool OrderRole::IsPreferred() const {
+  const std::uint64_t seed = Hash64(m_pool);
+  const InstanceName& self = m_parts.membership.Self().name;
+  const std::uint64_t own = Hash64(self, seed);
+  const auto live = m_parts.membership.LiveInstances();
+  return std::none_of(live.begin(), live.end(),
+                      [&](const Instance& instance) { return Hash64(instance.name, seed) > own; });
+}
+
+void OrderRole::Acquire() {
+  m_state = State::kAcquiring;
+  m_parts.store.Get(LeaseKey(),
+                    WhileAlive(m_alive, [this](const Result<std::optional<StoreRecord>>& result) {
+                      const bool is_free = result && !(result->has_value() && (*result)->value);
+                      if (!is_free) {
+                        m_state = State::kIdle;
+                        return;
+                      }
+                      GrantLease();
+                    }));
+}
+
+/** The lease is counted from before it is asked for, so that it ends here before it ends there. */
+void OrderRole::GrantLease() {
+  m_lease_asked_at = m_parts.clock.Now();
+  m_parts.store.GrantLease(m_settings.lease,
+                           WhileAlive(m_alive, [this](const Result<StoreLeaseId>& result) {
+                             if (!result) {
+                               m_state = State::kIdle;
+                               return;
+                             }
+                             m_lease = *result;
+                             WriteLeaseKey();
+                           }));
+}
+
+void OrderRole::WriteLeaseKey() {
+  m_parts.store.CompareAndSwap(LeaseKey(), 0, m_parts.membership.Self().name, m_lease,
+                               WhileAlive(m_alive, [this](const Result<std::uint64_t>& result) {
+                                 result ? ReadEpoch() : Abandon();
+                               }));
+}
+
+void OrderRole::ReadEpoch() {
+  m_parts.store.Get(EpochKey(),
+                    WhileAlive(m_alive, [this](const Result<std::optional<StoreRecord>>& result) {
+                      result ? WriteEpoch(*result) : Abandon();
+                    }));
+}
+
+void OrderRole::WriteEpoch(const std::optional<StoreRecord>& record) {
+  const std::uint64_t last = EpochOf(record);
+  const std::uint64_t epoch = std::max(last, m_least_epoch) + 1;
+  const Instance& self = m_parts.membership.Self();
+  const std::string value = boost::json::serialize(boost::json::object{
+      {"epoch", epoch}, {"holder", self.name}, {"start", self.start}, {"lease", m_lease}});
+  const std::uint64_t version = record && record->value ? record->version : 0;
+  m_writer.Write(EpochKey(), version, value,
+                 [this, epoch, last](const Result<std::uint64_t>& result) {
+                   result ? OnAcquired(epoch, last > 0) : Abandon();
+                 });
+}
+
+void OrderRole::OnAcquired(std::uint64_t epoch, bool had_holder) {
+  m_state = State::kHeld;
+  m_epoch = epoch;
+  m_valid_until = m_lease_asked_at + m_settings.lease;
+  // The earlier holder's lease has ended, or its key would still be there; what it sent before may
+  // still be on its way, and may still be started until its validity ends.
+  const auto in_flight = m_settings.valid_for + m_settings.transport_timeout;
+  m_unchecked_from = m_parts.clock.Now() + (had_holder ? in_flight : Duration::zero());
+  Record("take_orders", "the pool's lease was free");
+}
+
+void OrderRole::KeepAlive() {
+  const TimePoint asked_at = m_parts.clock.Now();
+  const StoreLeaseId lease = m_lease;
+  m_parts.store.KeepLeaseAlive(
+      m_lease, WhileAlive(m_alive, [this, asked_at, lease](const Result<void>& result) {
+        if (m_state != State::kHeld || lease != m_lease) {
+          return;
+        }
+        if (result) {
+          m_valid_until = std::max(m_valid_until, asked_at + m_settings.lease);
+        } else if (result.error().kind == ErrorKind::kNotFound) {
+          StepDown("the lease has ended");
+        }
+      }));
+}
+
+void OrderRole::StepDown(const char* reason) {
+  if (m_state == State::kHeld) {
+    Record("leave_orders", reason);
+    Abandon();
+  }
+}
+
+/** Revoking ends the lease-bound key too, also if its write took effect without our knowing. */
+void OrderRole::Abandon() {
+  m_state = State::kIdle;
+  m_parts.store.RevokeLease(m_lease, [](const Result<void>&) {});
+}
+
+void OrderRole::Record(const char* decision, const char* reason) {
+  m_parts.recorder.Record({m_parts.clock.Now(),
+                           "pool " + m_pool,
+                           decision,
+                           reason,
+                           {{"epoch", std::to_string(m_epoch)}}});
+}
+
+}  // namespace zinnia
--- a/tests/once/once_property_test.cc
+++ b/tests/once/once_property_test.cc
@@ -1,37 +1,52 @@
 #include <rapidcheck.h>
 
+#include <sstream>
 #include <string>
 
 #include "tests/once/once_schedule.h"
 
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <CppUTest/TestHarness.h>
 
 namespace zinnia {
 namespace {
 
-TEST_GROUP(OnceProperty){};
+constexpr std::uint64_t kPropertySeed = 20'260'312;
+constexpr int kSchedules = 3'000;
+
+/** Empty if no schedule violates anything, otherwise rapidcheck's report with the seed. */
+std::string CheckSchedules() {
+  rc::detail::TestParams params;
+  params.seed = kPropertySeed;
+  params.maxSuccess = kSchedules;
+  const auto property = rc::detail::toProperty([] {
+    const auto seeds = rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>());
+    const std::uint64_t seed = *rc::gen::noShrink(seeds);
+    RC_LOG() << "seed " << seed;
+    const auto violations = OnceSchedule(seed).Run();
+    RC_ASSERT(violations == std::vector<std::string>{});
+  });
+  const auto result = rc::detail::checkProperty(property, {}, params);
+  std::ostringstream report;
+  rc::detail::printResultMessage(result, report);
+  return result.is<rc::detail::SuccessResult>() ? "" : report.str();
+}
+
+TEST_GROUP(OnceProperty){
+    // rapidcheck keeps what it allocates on first use, which CppUTest would count as leaks.
+    void setup() override{MemoryLeakWarningPlugin::saveAndDisableNewDeleteOverloads();
+}  // namespace
+void teardown() override {
+  MemoryLeakWarningPlugin::restoreNewDeleteOverloads();
+}
+};  // namespace zinnia
 
 // Symptom: a bed is booked twice, or a caller is told something that the service's ledger denies.
 // Events: any mix of paused, killed, replaced and handed-over instances, lost, late and refused
 // store answers, slow store, lost peer replies, wrong membership, late dispatch, resent keys.
 // Cause: whichever step of the protocol does not hold; the seed replays it.
 TEST(OnceProperty, NoScheduleRunsAKeyTwiceOrMisleadsACaller) {
-  IGNORE_ALL_LEAKS_IN_TEST();  // rapidcheck keeps what it allocates on first use.
-  rc::detail::TestParams params;
-  params.seed = 20'260'312;
-  params.maxSuccess = 3'000;
-  const auto result =
-      rc::detail::checkProperty(rc::detail::toProperty([] {
-                                  const auto seed = *rc::gen::noShrink(rc::gen::resize(
-                                      rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()));
-                                  RC_LOG() << "seed " << seed;
-                                  const auto violations = OnceSchedule(seed).Run();
-                                  RC_ASSERT(violations == std::vector<std::string>{});
-                                }),
-                                {}, params);
-  std::ostringstream message;
-  rc::detail::printResultMessage(result, message);
-  CHECK_TEXT(result.template is<rc::detail::SuccessResult>(), message.str().c_str());
+  STRCMP_EQUAL("", CheckSchedules().c_str());
 }
 
 }  // namespace
