--- a/packages/zinnia_decisions/once/once_coordinator.cc
+++ b/packages/zinnia_decisions/once/once_coordinator.cc
@@ -151,13 +151,14 @@
       [this, weak = std::weak_ptr<Ask>(ask)] { OnCallTimeout(weak.lock()); });
   m_parts.peers.BeginIntent(
       target.peer_address, ask->request,
-      WhileAlive(m_alive, [this, ask, round, sent_at](Result<IntentReply> result) {
+      WhileAlive(m_alive, [this, ask, round, target, sent_at](Result<IntentReply> result) {
         PartitionRole* role = RoleOf(ask->request.partition);
         const ErrorKind kind = result ? ErrorKind::kInternal : result.error().kind;
         // A holder that the head still names and that says it holds nothing will not serve either.
         const bool refused = kind == ErrorKind::kPeerUnavailable || kind == ErrorKind::kStaleEpoch;
         if (refused || kind == ErrorKind::kOutcomeUnknown) {
           role->NoteUnserved(sent_at, refused);
+          role->NoteRefusal(target);
         } else {
           role->NoteServed();
         }
--- a/packages/zinnia_decisions/once/outcome_reporter.cc
+++ b/packages/zinnia_decisions/once/outcome_reporter.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kFirstPause{50};
-constexpr std::chrono::milliseconds kLongestPause{5'000};
+constexpr std::chrono::milliseconds kLongestPause{2'000};
 
 /** Whether offering the outcome again cannot change the answer. */
 bool IsFinal(const Result<void>& result) {
@@ -69,6 +69,14 @@
 }
 
 void OutcomeReporter::OnOffered(const ReportPointer& report, const Result<void>& result) {
+  // Whoever says that it holds nothing, or cannot be reached, is as good as no holder.
+  PartitionRole* role = m_role_of(report->outcome.partition);
+  const ErrorKind kind = result ? ErrorKind::kNotFound : result.error().kind;
+  if (kind == ErrorKind::kStaleEpoch || kind == ErrorKind::kPeerUnavailable) {
+    role->NoteUnserved(m_parts.clock.Now(), true);
+  } else if (result) {
+    role->NoteServed();
+  }
   if (IsFinal(result) || m_parts.clock.Now() >= report->give_up_at) {
     return Finish(report, result);
   }
--- a/packages/zinnia_decisions/once/partition_role.cc
+++ b/packages/zinnia_decisions/once/partition_role.cc
@@ -12,6 +12,9 @@
 namespace zinnia {
 namespace {
 
+/** Failures further apart than this many times `takeover_after` are not taken together. */
+constexpr int kEvidenceWindow = 4;
+
 bool IsSame(const Instance& left, const Instance& right) {
   return left.name == right.name && left.start == right.start;
 }
@@ -31,7 +34,8 @@
     return std::nullopt;
   }
   const bool ask_holder = IsUsable(*m_head) || (!trust_membership && !m_head->released);
-  const std::optional<Instance> target = ask_holder ? m_head->holder : Preferred(*m_head);
+  const std::optional<Instance> target =
+      ask_holder ? m_head->holder : Preferred(*m_head, m_refusing);
   const bool is_self = target && IsSame(*target, m_parts.membership.Self());
   return is_self ? std::nullopt : target;
 }
@@ -47,7 +51,7 @@
 bool PartitionRole::IsUnserved(const PartitionHead& head) const {
   const TimePoint now = m_parts.clock.Now();
   if (!m_unserved_since || !m_head || head.epoch != m_head->epoch ||
-      now - m_last_unserved > 2 * m_settings.takeover_after) {
+      now - m_last_unserved > kEvidenceWindow * m_settings.takeover_after) {
     return false;
   }
   const auto patience = m_refused ? m_settings.refused_takeover_after : m_settings.takeover_after;
@@ -55,15 +59,17 @@
 }
 
 /** The preferred live instance, leaving out the one that released or lost the partition. */
-std::optional<Instance> PartitionRole::Preferred(const PartitionHead& head) const {
+std::optional<Instance> PartitionRole::Preferred(const PartitionHead& head,
+                                                 const std::set<InstanceName>& left_out) const {
   std::optional<Instance> best;
   std::uint64_t best_hash = 0;
   for (const Instance& instance : m_parts.membership.LiveInstances()) {
-    const bool left_out = (head.epoch > 0 && IsSame(instance, head.holder)) ||
-                          (m_leaving && IsSame(instance, m_parts.membership.Self()));
+    const bool skipped = left_out.contains(instance.name) ||
+                         (head.epoch > 0 && IsSame(instance, head.holder)) ||
+                         (m_leaving && IsSame(instance, m_parts.membership.Self()));
     const std::uint64_t hash =
         Hash64(fmt::format("{}/{}", instance.name, instance.start), m_partition);
-    if (!left_out && (!best || hash > best_hash)) {
+    if (!skipped && (!best || hash > best_hash)) {
       best = instance;
       best_hash = hash;
     }
@@ -104,6 +110,7 @@
   const std::unique_ptr<PartitionTakeover> takeover = std::move(m_takeover);
   if (takeover->SeenHead() && (!m_head || m_head->epoch < takeover->SeenHead()->epoch)) {
     m_unserved_since.reset();
+    m_refusing.clear();
   }
   m_head = takeover->SeenHead();
   Result<void> outcome;
@@ -143,12 +150,20 @@
 void PartitionRole::NoteUnserved(TimePoint since, bool refused) {
   // A failure of long ago says nothing of now: without this, one lost call followed by a quiet hour
   // would move the partition at the next failure.
-  const bool goes_on = m_unserved_since && since - m_last_unserved < 2 * m_settings.takeover_after;
+  const bool goes_on =
+      m_unserved_since && since - m_last_unserved < kEvidenceWindow * m_settings.takeover_after;
   m_unserved_since = goes_on ? std::min(*m_unserved_since, since) : since;
   m_last_unserved = m_parts.clock.Now();
   m_refused = refused;
 }
 
+void PartitionRole::NoteRefusal(const Instance& target) {
+  m_refusing.insert(target.name);
+  if (m_head && !Preferred(*m_head, m_refusing)) {
+    m_refusing.clear();
+  }
+}
+
 void PartitionRole::NoteAskedInVain() {
   if (m_head && !IsUsable(*m_head)) {
     NoteUnserved(m_parts.clock.Now(), true);
--- a/packages/zinnia_decisions/once/partition_role.h
+++ b/packages/zinnia_decisions/once/partition_role.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "zinnia_base/random/random_source.h"
@@ -52,6 +53,9 @@
   void NoteUnserved(TimePoint since, bool refused);
   void NoteServed() { m_unserved_since.reset(); }
 
+  /** `target` said that it holds nothing: the next one in the order of preference is asked. */
+  void NoteRefusal(const Instance& target);
+
   /** A peer asked this instance, which does not hold the partition. If the head has no living
      holder either, whoever is preferred is not doing its part (it may be stopping). */
   void NoteAskedInVain();
@@ -63,7 +67,8 @@
   bool IsUsable(const PartitionHead& head) const;
   bool MayTake(const PartitionHead& head) const;
   bool IsUnserved(const PartitionHead& head) const;
-  std::optional<Instance> Preferred(const PartitionHead& head) const;
+  std::optional<Instance> Preferred(const PartitionHead& head,
+                                    const std::set<InstanceName>& left_out = {}) const;
   void OnTakeoverDone(Result<TakenPartition> result);
   void OnHolderEnded();
 
@@ -81,6 +86,7 @@
   std::optional<TimePoint> m_unserved_since;
   TimePoint m_last_unserved{};
   bool m_refused = false;
+  std::set<InstanceName> m_refusing;
   bool m_leaving = false;
   std::function<void()> m_handed_over;
 };
--- a/tests/once/once_test.cc
+++ b/tests/once/once_test.cc
@@ -134,6 +134,20 @@
   LONGS_EQUAL(1, RunsOf("k"));
 }
 
+// Events: as above, but the asking instance dies as well, and can report nothing.
+// Cause: the holder told the asker "not run" itself, so it can free the key itself.
+TEST(Once, AHolderFreesALateIntentWithoutItsAsker) {
+  CallAndWait(*other, "warm-up");
+  world.store.faults.lose_answer = 1.0;
+  world.store.faults.effect_late = 1.0;
+  CHECK(CallAndWait(*other, "k")->told == Told::kNotRun);
+  other->Kill();
+  world.store.faults = {};
+  world.Advance(seconds(15));
+  CHECK(CallAndWait(*holder, "k")->told == Told::kAnswered);
+  LONGS_EQUAL(1, RunsOf("k"));
+}
+
 // Symptom: callers hang while the store is down.
 // Events: a long outage; every instance is asked.
 // Cause: nothing can be granted without the store, so the refusal must come at once, as not run.
@@ -242,6 +256,22 @@
   LONGS_EQUAL(1, RunsOf("k"));
 }
 
+// Symptom: keys of some partitions are refused as long as stopped instances are listed as live.
+// Events: two of three instances have given their roles up and still serve callers.
+// Cause: each waits for the preferred instance, which is one that has given up.
+TEST(Once, TheLastInstanceTakesWhatStoppingOnesWereToTake) {
+  OnceWorld stopping(9, 3);
+  stopping.Advance(seconds(1));
+  stopping[0].coordinator().HandOver([] {});
+  stopping[1].coordinator().HandOver([] {});
+  stopping.Advance(seconds(1));
+  for (int i = 0; i < 60; ++i) {
+    const auto request = stopping[i % 2].Call("k" + std::to_string(i), "body");
+    stopping.Advance(seconds(3));
+    CHECK(request->told == Told::kAnswered);
+  }
+}
+
 // Events: an instance starts with another number of partitions in its settings.
 // Cause: it would look for a key in another partition and grant it again.
 TEST(Once, TheStoreDecidesTheNumberOfPartitions) {
--- a/tests/once/orders_test.cc
+++ b/tests/once/orders_test.cc
@@ -165,7 +165,7 @@
 // Events: many engines are empty; the weight store is rate limited.
 // Cause: loads must be few at a time, those first that complete a pipeline.
 TEST(Orders, LoadsAreFewAndThoseThatCompleteAPipelineComeFirst) {
-  for (const char* spare : {"c", "d", "e", "f"}) {
+  for (const char* spare : {"c", "d", "e", "f", "g", "h", "i"}) {
     Want(spare, "v1", 0, 2);
   }
   Want("z", "v1", 2, 4);
@@ -173,7 +173,7 @@
   first.Start(Fleet());
   pool.time.AdvanceBy(seconds(40));
   STRCMP_EQUAL("z", pool.sequence.front().c_str());
-  LONGS_EQUAL(4, pool.sequence.size());
+  LONGS_EQUAL(7, pool.sequence.size());
   CHECK(pool.most_loading <= OrderSettings{}.most_loads);
 }
 
