--- a/packages/zinnia_decisions/once/once_coordinator.h
+++ b/packages/zinnia_decisions/once/once_coordinator.h
@@ -90,7 +90,7 @@
   void Finish(const AskPointer& ask, Result<IntentReply> result);
   void RememberGrant(const Ask& ask);
 
-  void WithHolder(std::uint32_t partition, HolderCallback callback);
+  void WithHolder(std::uint32_t partition, const HolderCallback& callback);
   PartitionRole* RoleOf(std::uint32_t partition);
   std::uint32_t PartitionOf(const OrganisationName& organisation, const std::string& key) const;
   Error Refusal(ErrorKind kind, const char* message) const;
--- a/packages/zinnia_decisions/once/once_coordinator_roles.cc
+++ b/packages/zinnia_decisions/once/once_coordinator_roles.cc
@@ -98,7 +98,7 @@
 
 /** Serves a peer: as the holder, or after taking the partition over if that is this instance's
     part. */
-void OnceCoordinator::WithHolder(std::uint32_t partition, HolderCallback callback) {
+void OnceCoordinator::WithHolder(std::uint32_t partition, const HolderCallback& callback) {
   PartitionRole* role = RoleOf(partition);
   const Error not_held =
       MakeError(ErrorKind::kStaleEpoch, "this instance does not hold the partition");
--- a/packages/zinnia_decisions/once/once_settings.h
+++ b/packages/zinnia_decisions/once/once_settings.h
@@ -59,9 +59,9 @@
   /** How long outcomes are offered to holders before they are given up. */
   std::chrono::milliseconds report_for{600'000};
 
-  std::size_t segment_bytes = 64 * 1024;
-  std::size_t most_write_bytes = 512 * 1024;
-  std::size_t most_answer_bytes = 8 * 1024;
+  std::size_t segment_bytes = std::size_t{64} * 1024;
+  std::size_t most_write_bytes = std::size_t{512} * 1024;
+  std::size_t most_answer_bytes = std::size_t{8} * 1024;
   std::size_t most_entries = 100'000;
   std::size_t most_queued = 1'024;
   std::size_t most_reports = 4'096;
--- a/packages/zinnia_decisions/once/partition_holder.h
+++ b/packages/zinnia_decisions/once/partition_holder.h
@@ -87,8 +87,8 @@
   void RefuseBatch(const Error& error);
 
   void Roll();
-  void CreateSegment(PartitionHead head);
-  void SwapHead(PartitionHead head, std::uint64_t segment_version);
+  void CreateSegment(const PartitionHead& head);
+  void SwapHead(const PartitionHead& head, std::uint64_t segment_version);
   void OnHeadSwapped(const Result<std::uint64_t>& result,
                      const PartitionHead& head,
                      std::uint64_t segment_version);
--- a/packages/zinnia_decisions/once/partition_holder_segments.cc
+++ b/packages/zinnia_decisions/once/partition_holder_segments.cc
@@ -25,17 +25,17 @@
   PartitionHead head = m_head;
   DropExpiredSegments(head);
   if (m_body.size() <= m_settings.segment_bytes) {
-    return SwapHead(std::move(head), m_segment_version);
+    return SwapHead(head, m_segment_version);
   }
   m_rolls += 1;
   head.segments.push_back(fmt::format("{}-{}-{}-v{}-{}", m_head.epoch, m_head.holder.name,
                                       m_head.holder.start, m_segment_version, m_rolls));
-  CreateSegment(std::move(head));
+  CreateSegment(head);
 }
 
 /** Makes the next segment before the head names it, as PartitionTakeover does and for its reason:
     each later write to it expects a version above 0. */
-void PartitionHolder::CreateSegment(PartitionHead head) {
+void PartitionHolder::CreateSegment(const PartitionHead& head) {
   m_writer.Write(SegmentPrefix(m_partition) + head.segments.back(), 0,
                  EncodeSegmentHeader({.epoch = m_head.epoch}),
                  [this, head](const Result<std::uint64_t>& result) {
@@ -46,7 +46,7 @@
                  });
 }
 
-void PartitionHolder::SwapHead(PartitionHead head, std::uint64_t segment_version) {
+void PartitionHolder::SwapHead(const PartitionHead& head, std::uint64_t segment_version) {
   m_writer.Write(HeadKey(m_partition), m_head_version, EncodeHead(head),
                  [this, head, segment_version](const Result<std::uint64_t>& result) {
                    OnHeadSwapped(result, head, segment_version);
--- a/tests/once/fake_store.h
+++ b/tests/once/fake_store.h
@@ -53,7 +53,7 @@
 
   Result<std::uint64_t> Swap(const std::string& key,
                              std::uint64_t expected,
-                             std::optional<std::string> value,
+                             const std::optional<std::string>& value,
                              std::optional<StoreLeaseId> lease) {
     const auto found = records.find(key);
     const std::uint64_t actual = found == records.end() ? 0 : found->second.version;
--- a/tests/once/once_test.cc
+++ b/tests/once/once_test.cc
@@ -34,7 +34,7 @@
 
   std::shared_ptr<CallerRequest> CallAndWait(FakeInstance & instance, const std::string& key,
                                              seconds wait = seconds(3)) {
-    const auto request = instance.Call(key, "body");
+    auto request = instance.Call(key, "body");
     world.Advance(wait);
     return request;
   }
--- a/tests/once/orders_test.cc
+++ b/tests/once/orders_test.cc
@@ -212,8 +212,8 @@
 }
 
 // Symptom: an engine loads an old version although a newer one was ordered.
-// Events: the holder is paused past its lease; another takes over and orders version v2; the old
-// holder, which still wants v1, wakes.
+// Events: the holder is paused past its lease, about to order v2; another takes over and orders v3;
+// the old holder wakes.
 // Cause: a lease that lapsed is not noticed by a holder that sleeps.
 TEST(Orders, AHolderThatWakesIsRefusedByEnginesThatCheckAndStaysSilentToTheOthers) {
   for (const bool checks : {true, false}) {
@@ -225,18 +225,20 @@
   pool.time.AdvanceBy(seconds(20));
   FakeOrderer& old_holder = first.HoldsRole() ? first : second;
   FakeOrderer& new_holder = first.HoldsRole() ? second : first;
-  old_holder.thread().Pause();
+  entries.erase("model/m");  // Nothing keeps the engines from loading in place.
   Want("checking", "v2", 0, 4);
   Want("trusting", "v2", 0, 4);
-  new_holder.Use(Fleet());
-  entries.erase("model/m");  // Nothing keeps the engines from loading in place.
+  old_holder.Use(Fleet());
+  old_holder.thread().Pause();
+  Want("checking", "v3", 0, 4);
+  Want("trusting", "v3", 0, 4);
   new_holder.Use(Fleet());
   pool.time.AdvanceBy(seconds(60));
   CHECK(new_holder.HoldsRole());
   old_holder.thread().Wake();
   pool.time.AdvanceBy(seconds(60));
   for (const auto& [server, engine] : pool.engines) {
-    STRCMP_EQUAL("v2", engine.state.loaded->version.c_str());
+    STRCMP_EQUAL("v3", engine.state.loaded->version.c_str());
     LONGS_EQUAL(2, engine.epochs.size());
     CHECK(engine.epochs[0] < engine.epochs[1]);
   }
