--- a/packages/zinnia_decisions/once/partition_takeover.cc
+++ b/packages/zinnia_decisions/once/partition_takeover.cc
@@ -172,7 +172,7 @@
   segment.header.epoch = m_taken.head.epoch;
   m_writer.Write(SegmentKey(id), m_versions.at(id),
                  EncodeSegmentHeader(segment.header) + segment.body,
-                 [this](Result<std::uint64_t> result) {
+                 [this](const Result<std::uint64_t>& result) {
                    // A conflict: the old holder wrote once more, or a newer one sealed it first.
                    // The list tells which.
                    result ? SealNext() : RetryLater();
--- a/packages/zinnia_decisions/once/settled_writer.cc
+++ b/packages/zinnia_decisions/once/settled_writer.cc
@@ -31,10 +31,10 @@
 void SettledWriter::Send() {
   m_store.CompareAndSwap(
       m_key, m_expected_version, m_value, std::nullopt,
-      WhileAlive(m_alive, [this](Result<std::uint64_t> result) { OnWritten(std::move(result)); }));
+      WhileAlive(m_alive, [this](const Result<std::uint64_t>& result) { OnWritten(result); }));
 }
 
-void SettledWriter::OnWritten(Result<std::uint64_t> result) {
+void SettledWriter::OnWritten(const Result<std::uint64_t>& result) {
   if (result) {
     return Finish(result);
   }
--- a/packages/zinnia_decisions/once/settled_writer.h
+++ b/packages/zinnia_decisions/once/settled_writer.h
@@ -40,7 +40,7 @@
 
  private:
   void Send();
-  void OnWritten(Result<std::uint64_t> result);
+  void OnWritten(const Result<std::uint64_t>& result);
   void ReadBack();
   void OnReadBack(Result<std::optional<StoreRecord>> result);
   void RetryLater(void (SettledWriter::*step)());
--- a/tests/once/once_test.cc
+++ b/tests/once/once_test.cc
@@ -232,6 +232,26 @@
   LONGS_EQUAL(20, world.ledger.runs.size());
 }
 
+// Symptom: a partition moves for one instance's mistake.
+// Events: one instance alone believes that the holder is dead; a third is preferred.
+// Cause: an instance that only follows its own list would take the partition from a living holder.
+TEST(Once, OneMistakenInstanceStillReachesTheHolder) {
+  const auto rank = [](FakeInstance& instance) {
+    return Hash64(instance.Self().name + "/" + std::to_string(instance.Self().start), 0);
+  };
+  FakeInstance* mistaken = other;
+  for (const auto& instance : world.instances) {
+    const bool is_lower = rank(*instance) < rank(*mistaken);
+    mistaken = instance.get() != holder && is_lower ? instance.get() : mistaken;
+  }
+  world.mistaken_instance = mistaken->Self().name;
+  world.missed_instance = holder->Self().name;
+  const auto request = mistaken->Call("k", "body");
+  world.Advance(milliseconds(300));
+  CHECK(request->told == Told::kAnswered);
+  LONGS_EQUAL(1, holder->coordinator().HeldPartitions());
+}
+
 // Events: an instance's thread sleeps between the grant and the dispatch, past the window.
 // Cause: its caller has long gone; the request must not run, and its key must become free.
 TEST(Once, AGrantThatIsTooOldIsNotDispatchedAndFreesTheKey) {
--- a/tests/once/once_world.h
+++ b/tests/once/once_world.h
@@ -148,6 +148,10 @@
   Duration dispatch_delay{};
   std::set<std::string> believed_dead;
   bool sees_killed_as_live = false;
+
+  /** Only `mistaken_instance` believes that `missed_instance` is dead. */
+  std::string mistaken_instance;
+  std::string missed_instance;
 };
 
 inline FakeInstance::FakeInstance(OnceWorld& world,
@@ -169,7 +173,9 @@
   std::vector<Instance> live;
   for (const auto& instance : m_world.instances) {
     const bool dead = (instance->m_thread.IsKilled() && !m_world.sees_killed_as_live) ||
-                      m_world.believed_dead.contains(instance->m_self.name);
+                      m_world.believed_dead.contains(instance->m_self.name) ||
+                      (m_world.mistaken_instance == m_self.name &&
+                       m_world.missed_instance == instance->m_self.name);
     if (instance.get() == this || !dead) {
       live.push_back(instance->m_self);
     }
