--- a/packages/zinnia_decisions/once/partition_role.h
+++ b/packages/zinnia_decisions/once/partition_role.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "zinnia_base/random/random_source.h"
@@ -46,9 +47,18 @@
   /** Refreshes if the partition lacks a holder and this instance should be it. */
   void TakeIfPreferred();
 
-  /** `target` has not answered a call made at `since`; `refused` if it could not be reached. */
-  void NoteUnreachable(const Instance& target, TimePoint since, bool refused);
-  void NoteReachable(const Instance& target);
+  /** Nobody who was asked has served a call made at `since`; `refused` if that is certain, because
+      the instance could not be reached or said that it holds nothing. If this goes on, the instance
+      takes the partition over, preferred or not. */
+  void NoteUnserved(TimePoint since, bool refused);
+  void NoteServed() { m_unserved_since.reset(); }
+
+  /** `target` said that it holds nothing: the next one in the order of preference is asked. */
+  void NoteRefusal(const Instance& target);
+
+  /** A peer asked this instance, which does not hold the partition. If the head has no living
+     holder either, whoever is preferred is not doing its part (it may be stopping). */
+  void NoteAskedInVain();
 
   /** Gives the partition up in good order; `done` runs when that is over. */
   void HandOver(std::function<void()> done);
@@ -56,8 +66,9 @@
  private:
   bool IsUsable(const PartitionHead& head) const;
   bool MayTake(const PartitionHead& head) const;
-  bool IsUnreachable(const PartitionHead& head) const;
-  std::optional<Instance> Preferred(const PartitionHead& head) const;
+  bool IsUnserved(const PartitionHead& head) const;
+  std::optional<Instance> Preferred(const PartitionHead& head,
+                                    const std::set<InstanceName>& left_out = {}) const;
   void OnTakeoverDone(Result<TakenPartition> result);
   void OnHolderEnded();
 
@@ -72,8 +83,10 @@
   std::uint64_t m_takeovers = 0;
   std::vector<RefreshCallback> m_waiting;
   std::optional<TimePoint> m_last_taken;
-  std::optional<TimePoint> m_unreachable_since;
+  std::optional<TimePoint> m_unserved_since;
+  TimePoint m_last_unserved{};
   bool m_refused = false;
+  std::set<InstanceName> m_refusing;
   bool m_leaving = false;
   std::function<void()> m_handed_over;
 };
