Give engines their orders from the daemon, and tell operators 504 for unknown outcomes

Cause: the reconciler of engines was built and tested but nothing created it; and merging the two status tables had turned the operators' 504 into 409 (two tests failed), which would have made an unknown outcome look like a lost race. Change: PoolReconcilers keeps one reconciler for each pool with orders, from ControlSide; the operators' server maps unknown outcomes itself.

--- a/packages/zinnia_adapters/operators/operator_api.cc
+++ b/packages/zinnia_adapters/operators/operator_api.cc
@@ -9,9 +9,9 @@
 #include <optional>
 #include <utility>
 
+#include "zinnia_adapters/http/problem_status.h"
 #include "zinnia_adapters/language/command_parser.h"
 #include "zinnia_adapters/metrics/histogram_metrics.h"
-#include "zinnia_adapters/http/problem_status.h"
 #include "zinnia_adapters/operators/problem_document.h"
 #include "zinnia_adapters/operators/readiness_probe.h"
 #include "zinnia_decisions/operators/operator_desk.h"
@@ -92,6 +92,15 @@
   return CommandBody{*command, *known_format, *change_id};
 }
 
+/** Towards operators 409 tells of a revision conflict and nothing else, so that an unknown outcome
+   is not taken for a change that certainly did not happen. */
+unsigned OperatorStatusOf(ErrorKind kind) {
+  constexpr unsigned kGatewayTimeout = 504;
+  const bool unknown =
+      kind == ErrorKind::kOutcomeUnknown || kind == ErrorKind::kStoreOutcomeUnknown;
+  return unknown ? kGatewayTimeout : HttpStatusOf(kind);
+}
+
 OperatorResponse ToResponse(const CommandReply& reply) {
   const bool is_json = reply.format == OutputFormat::kJson;
   return {200, is_json ? "application/json" : "text/plain; charset=utf-8", reply.text};
@@ -100,7 +109,7 @@
 }  // namespace
 
 OperatorResponse ToResponse(const Error& error) {
-  const unsigned status = HttpStatusOf(error.kind);
+  const unsigned status = OperatorStatusOf(error.kind);
   return {status, "application/problem+json", WriteProblem(error, status)};
 }
 
--- a/packages/zinnia_apps/daemon/control_side.cc
+++ b/packages/zinnia_apps/daemon/control_side.cc
@@ -17,6 +17,7 @@
 #include "zinnia_decisions/once/once_coordinator.h"
 #include "zinnia_decisions/once/once_parts.h"
 #include "zinnia_decisions/once/once_settings.h"
+#include "zinnia_decisions/orders/pool_reconcilers.h"
 
 namespace zinnia {
 namespace {
@@ -78,6 +79,10 @@
                OnceSettings{}, seed)
                .value();
   m_control->SetIntentHandler(m_once.get());
+  m_reconcilers = PoolReconcilers::Create(
+                      {parts.clock, thread, *m_store, m_control->Membership(), parts.recorder},
+                      *m_engine_orders, *m_control, OrderSettings{})
+                      .value();
   m_peer_server = CapnpPeerServer::Listen(thread.Io(), settings.peer_address, authenticator,
                                           *m_control, parts.metrics)
                       .value();
@@ -88,6 +93,7 @@
 ControlSide::~ControlSide() {
   m_peer_server.reset();
   m_control->SetIntentHandler(nullptr);
+  m_reconcilers.reset();
   m_once.reset();
   m_control.reset();
 }
@@ -96,7 +102,12 @@
   return m_once.get();
 }
 
+void ControlSide::OnSnapshot(const FleetSnapshot& snapshot) {
+  m_reconcilers->OnSnapshot(snapshot);
+}
+
 void ControlSide::StopPlanned(std::function<void()> done) {
+  m_reconcilers->Stop();
   m_once->HandOver(
       [this, done = std::move(done)]() mutable { m_control->StopPlanned(std::move(done)); });
 }
--- a/packages/zinnia_apps/daemon/control_side.h
+++ b/packages/zinnia_apps/daemon/control_side.h
@@ -24,6 +24,7 @@
 class Metrics;
 class OnceCoordinator;
 class OnceGate;
+class PoolReconcilers;
 
 /** What the control side is made with. All references must outlive it. */
 struct ControlSideParts {
@@ -36,8 +37,8 @@
   DecisionRecorder& recorder;
 };
 
-/** Everything that lives on the control thread: the control core, the at-most-once coordinator, and
-    their links to peers and platform.
+/** Everything that lives on the control thread: the control core, the at-most-once coordinator, the
+    reconcilers of engines, and their links to peers and platform.
 
     Create, use and destroy it on the control thread. Control().Current() and Control().Quarantine()
     may be called from any thread.
@@ -55,6 +56,9 @@
   /** Hands over what this instance holds and tells its peers that it leaves, then calls back. */
   void StopPlanned(std::function<void()> done);
 
+  /** Tell it each new snapshot. */
+  void OnSnapshot(const FleetSnapshot& snapshot);
+
   void LogServer(const char* event, const std::string& server);
 
  private:
@@ -66,6 +70,7 @@
   std::unique_ptr<CapnpPeerTransport> m_peers;
   std::unique_ptr<InstanceControl> m_control;
   std::unique_ptr<OnceCoordinator> m_once;
+  std::unique_ptr<PoolReconcilers> m_reconcilers;
   std::unique_ptr<CapnpPeerServer> m_peer_server;
 };
 
--- a/packages/zinnia_apps/daemon/daemon.cc
+++ b/packages/zinnia_apps/daemon/daemon.cc
@@ -83,10 +83,9 @@
 
 Result<Daemon::Secrets> Daemon::ReadSecrets(const InstanceSettings& settings) {
   try {
-    return Secrets{
-        ReadSecretFile("cluster_secret_file", settings.cluster_secret_file).value(),
-        ReadSecretFile("resume_secret_file", settings.resume_secret_file).value(),
-        ReadSecretFile("operator_key_file", settings.operator_key_file).value()};
+    return Secrets{ReadSecretFile("cluster_secret_file", settings.cluster_secret_file).value(),
+                   ReadSecretFile("resume_secret_file", settings.resume_secret_file).value(),
+                   ReadSecretFile("operator_key_file", settings.operator_key_file).value()};
   } catch (const ErrorException& exception) {
     return exception.GetError();
   }
@@ -153,7 +152,8 @@
   });
 }
 
-void Daemon::OnSnapshot(std::shared_ptr<const FleetSnapshot>) {
+void Daemon::OnSnapshot(std::shared_ptr<const FleetSnapshot> snapshot) {
+  m_control->OnSnapshot(*snapshot);
   m_control_ready = m_control->Control().IsReady();
   for (const auto& lane : m_lanes) {
     lane->thread.Post([&side = lane->side] {
