Let sessions recover from the loss of a failure domain, and share contracts between instances

Cause: two classes named RetryBudget lived in one namespace, so which one ran was the linker's choice; a tenth of first tries as the budget for recoveries would drop nine in ten sessions when a failure domain goes at once; and every instance enforced a contract's whole rate. Weighed for recoveries: a budget for each server failure (no bound when many fail), or one recovery paid by each session started. The latter was taken: at most twice the load. Change: plain services use the decision core's RetryBudget; recoveries get their own settings; contracts are divided by live instances and traffic threads. Not measured: a domain's loss under load with these settings.

--- a/packages/zinnia_adapters/callers/service_exchange.cc
+++ b/packages/zinnia_adapters/callers/service_exchange.cc
@@ -140,6 +140,7 @@
 
 void ServiceExchange::Dispatch(std::optional<TimePoint> dispatch_before) {
   ServiceCall call;
+  call.organisation = m_context.organisation.name;
   call.contract = m_contract;
   call.request = MakeForwardedRequest();
   call.may_repeat = IsIdempotent();
--- a/packages/zinnia_adapters/services/service_forwarder.cc
+++ b/packages/zinnia_adapters/services/service_forwarder.cc
@@ -50,14 +50,14 @@
 ServiceForwarder::ServiceForwarder(boost::asio::io_context& loop,
                                    const Clock& clock,
                                    const SnapshotSource& snapshots)
-    : m_loop(loop), m_clock(clock), m_snapshots(snapshots) {}
+    : m_loop(loop), m_clock(clock), m_snapshots(snapshots), m_retry_budget(clock) {}
 
 void ServiceForwarder::Forward(ServiceCall call, Callback callback) {
   auto attempt = std::make_shared<Attempt>();
   attempt->give_up_at = m_clock.Now() + call.contract.timeout;
   attempt->call = std::move(call);
   attempt->callback = std::move(callback);
-  m_budgets[attempt->call.contract.name].OnCall();
+  m_retry_budget.OnFirstTry(attempt->call.organisation, attempt->call.contract.name);
   Try(attempt);
 }
 
@@ -136,7 +136,9 @@
     Try(attempt);
   } else {
     attempt->any_sent = true;
-    const bool retry = attempt->call.may_repeat && m_budgets[attempt->call.contract.name].TryTake();
+    const bool retry =
+        attempt->call.may_repeat &&
+        m_retry_budget.TrySpend(attempt->call.organisation, attempt->call.contract.name);
     if (retry) {
       Try(attempt);
     } else {
--- a/packages/zinnia_adapters/services/service_forwarder.h
+++ b/packages/zinnia_adapters/services/service_forwarder.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "zinnia_adapters/http/backend_connection.h"
-#include "zinnia_adapters/services/retry_budget.h"
 #include "zinnia_base/errors/result.h"
+#include "zinnia_decisions/admission/retry_budget.h"
 #include "zinnia_world/contracts/service_contract.h"
 
 namespace zinnia {
@@ -20,6 +20,7 @@
 
 /** A call to a plain service. With `may_repeat` unset it reaches at most one server. */
 struct ServiceCall {
+  OrganisationName organisation;
   ServiceContract contract;
   BackendRequest request;
   bool may_repeat = false;
@@ -72,7 +73,7 @@
   const SnapshotSource& m_snapshots;
   std::map<BackendServerName, std::uint32_t> m_in_flight;
   std::map<BackendServerName, std::vector<std::shared_ptr<BackendConnection>>> m_idle;
-  std::map<ServiceName, RetryBudget> m_budgets;
+  RetryBudget m_retry_budget;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_apps/daemon/traffic_side.cc
+++ b/packages/zinnia_apps/daemon/traffic_side.cc
@@ -30,6 +30,29 @@
 /** Admission counts tokens; capacities come in sessions. */
 constexpr double kTokensOfATypicalSession = 300.0;
 
+/** What sessions may spend on recoveries. Each session that was started pays for one: the loss of a
+    failure domain fails every session that crosses it at the same moment, and with the usual share
+    of a tenth nine in ten of them would be dropped. Recoveries still never outnumber the sessions
+    started by more than `highest`, so a pool that fails every attempt sees at most twice its load.
+ */
+RetryBudgetSettings RecoveryBudget() {
+  RetryBudgetSettings settings;
+  settings.share_of_first_tries = 1.0;
+  settings.initial = 32.0;
+  settings.highest = 2'000.0;
+  return settings;
+}
+
+/** The part of a contract that one traffic thread of one instance enforces. The balancer spreads
+    callers evenly, so each place gets an equal part; a concurrency limit is rounded up, since a
+   part of zero would mean no limit. */
+Organisation ShareOf(Organisation organisation, std::size_t places) {
+  organisation.requests_per_second /= static_cast<double>(places);
+  const auto parts = static_cast<std::uint32_t>(places);
+  organisation.concurrent_requests = (organisation.concurrent_requests + parts - 1) / parts;
+  return organisation;
+}
+
 CallerLimits MakeCallerLimits(const InstanceSettings& settings) {
   CallerLimits limits;
   limits.most_connections = settings.limits.max_connections / settings.traffic_threads;
@@ -51,7 +74,7 @@
   m_chooser = std::make_unique<CompletionChooser>(parts.clock, RandomSource(seed));
   m_admission = std::make_unique<FairAdmissionController>(parts.clock, thread.GetScheduler(),
                                                           RandomSource(seed + 1));
-  m_retry_budget = std::make_unique<RetryBudget>(parts.clock);
+  m_retry_budget = std::make_unique<RetryBudget>(parts.clock, RecoveryBudget());
   m_quarantine = std::make_unique<PublishedQuarantine>(control);
   m_budgeted_gate = std::make_unique<BudgetedRecoveryGate>(*m_retry_budget, *m_quarantine);
   m_gate = std::make_unique<SuspectGate>(control, parts.suspect_claims, *m_budgeted_gate);
@@ -76,20 +99,21 @@
 
 void TrafficSide::OnSnapshot() {
   const auto snapshot = m_parts.control.Control().Current();
-  UpdateContracts(*snapshot->configuration);
+  UpdateContracts(*snapshot);
   UpdateCapacities(*snapshot);
   m_server->LeaveDrainingServers();
 }
 
-void TrafficSide::UpdateContracts(const Configuration& configuration) {
-  if (configuration.revision() == m_revision) {
+void TrafficSide::UpdateContracts(const FleetSnapshot& snapshot) {
+  const Configuration& configuration = *snapshot.configuration;
+  const std::size_t places = snapshot.live_instances * m_parts.settings.traffic_threads;
+  if (configuration.revision() == m_revision && places == m_places) {
     return;
   }
   m_revision = configuration.revision();
+  m_places = places;
   for (const auto& [name, organisation] : configuration.organisations()) {
-    Organisation share = organisation;
-    share.requests_per_second /= m_parts.settings.traffic_threads;
-    m_admission->SetContract(share);
+    m_admission->SetContract(ShareOf(organisation, places));
   }
 }
 
--- a/packages/zinnia_apps/daemon/traffic_side.h
+++ b/packages/zinnia_apps/daemon/traffic_side.h
@@ -17,7 +17,6 @@
 class ChannelReports;
 class Clock;
 class CompletionChooser;
-class Configuration;
 class ControlSide;
 class ControlThread;
 class DecisionRecorder;
@@ -69,11 +68,12 @@
   void OnSnapshot();
 
  private:
-  void UpdateContracts(const Configuration& configuration);
+  void UpdateContracts(const FleetSnapshot& snapshot);
   void UpdateCapacities(const FleetSnapshot& snapshot);
 
   const TrafficSideParts m_parts;
   ConfigurationRevision m_revision = 0;
+  std::size_t m_places = 0;
   std::unique_ptr<ChannelReports> m_reports;
   std::unique_ptr<HttpStageLinks> m_links;
   std::unique_ptr<CompletionChooser> m_chooser;
