Form pipelines that survive the loss of a domain; test choice, admission and forming

The drain rate now weighs held times by cost; unweighted it was too high, as long requests hold longer.

The former is a heuristic: share out by need, deal to stages by domain and rate, cut layers by rate.

--- a/bench/overload/scenario.cc
+++ b/bench/overload/scenario.cc
@@ -96,6 +96,7 @@
     for (OfferedRequest request :
          workload.DrawArrivals(m_plan.demand, rate, {}, TimePoint{m_scenario.end})) {
       request.organisation = tenant.name;
+      request.weight = request.answer_tokens / m_plan.demand.at(request.model).answer_tokens;
       request.patience = kPatienceBase + request.answer_tokens * kPatiencePerToken;
       m_simulation.Offer(request);
       m_first_tries += 1.0;
@@ -169,9 +170,10 @@
       "{0}_credit_ratio={1:.4f}\n{0}_fairness_worst_ratio={2:.3f}\n"
       "{0}_refused_at_once={3:.0f}\n{0}_refused_after_waiting={4:.0f}\n"
       "{0}_admitted_then_missed_percent={5:.3f}\n{0}_failed={6:.0f}\n"
-      "{0}_retries_per_first_try={7:.3f}\n{0}_last_second_with_refusals={8:.0f}\n",
+      "{0}_retries_per_first_try={7:.3f}\n{0}_time_to_normal_s={8:.0f}\n",
       m_scenario.name, m_credit / BestCredit(), WorstFairness(), m_refused_at_once, m_refused_late,
-      100.0 * m_missed / admitted, m_failed, m_retries / m_first_tries, SecondsToNormal());
+      100.0 * m_missed / admitted, m_failed, m_retries / m_first_tries,
+      std::max(0.0, SecondsToNormal() - Seconds(m_scenario.failure_ends)));
 }
 
 }  // namespace zinnia::bench
--- a/bench/overload/scenario.h
+++ b/bench/overload/scenario.h
@@ -24,6 +24,9 @@
   bool clients_come_back = false;
   Duration end = std::chrono::seconds(40);
 
+  /** From here on the time until refusals stay below two percent is counted. */
+  Duration failure_ends{};
+
   /** Prepares failures; may be empty. */
   std::function<void(Simulation&)> prepare;
 
--- a/packages/zinnia_decisions/admission/fair_admission_controller.cc
+++ b/packages/zinnia_decisions/admission/fair_admission_controller.cc
@@ -136,7 +136,7 @@
                                     const AdmissionRequest& request,
                                     const Callback& callback) {
   pool.in_use += request.cost;
-  pool.meter.OnAdmitted(m_clock.Now(), request.expected_service_time);
+  pool.meter.OnAdmitted(request.cost, request.expected_service_time);
   std::unique_ptr<AdmissionGrant> grant = std::make_unique<Grant>(m_self, request, m_clock.Now());
   callback(std::move(grant));
 }
@@ -172,9 +172,13 @@
 bool FairAdmissionController::WouldMiss(const Pool& pool,
                                         const AdmissionRequest& request,
                                         Duration wait) const {
-  return request.deadline.has_value() &&
-         m_clock.Now() + wait + pool.meter.Stretched(request.expected_service_time) >
-             *request.deadline;
+  if (!request.deadline) {
+    return false;
+  }
+  const TimePoint now = m_clock.Now();
+  const double used = pool.capacity > 0.0 ? (pool.in_use + request.cost) / pool.capacity : 1.0;
+  const Duration service = pool.meter.Stretched(now, request.expected_service_time, used);
+  return now + wait + service > *request.deadline;
 }
 
 void FairAdmissionController::OnReleased(const AdmissionRequest& request, TimePoint admitted_at) {
--- a/packages/zinnia_decisions/admission/service_meter.cc
+++ b/packages/zinnia_decisions/admission/service_meter.cc
@@ -15,9 +15,10 @@
 
 }  // namespace
 
-void ServiceMeter::OnAdmitted(TimePoint, Duration expected) {
-  if (m_mean_held_seconds == 0.0) {
-    m_mean_held_seconds = std::max(Seconds(expected), kLeastHeldSeconds);
+void ServiceMeter::OnAdmitted(double cost, Duration expected) {
+  if (m_mean_cost == 0.0) {
+    m_mean_cost = cost;
+    m_mean_cost_seconds = cost * std::max(Seconds(expected), kLeastHeldSeconds);
   }
 }
 
@@ -25,7 +26,8 @@
   m_rate = MeasuredRate(now) + cost / Seconds(m_settings.drain_window);
   m_rate_at = now;
   const double held_seconds = std::max(Seconds(held), kLeastHeldSeconds);
-  m_mean_held_seconds += kLearningShare * (held_seconds - m_mean_held_seconds);
+  m_mean_cost += kLearningShare * (cost - m_mean_cost);
+  m_mean_cost_seconds += kLearningShare * (cost * held_seconds - m_mean_cost_seconds);
   if (expected > Duration::zero()) {
     const double error = held_seconds / Seconds(expected) - m_stretch;
     m_stretch += kLearningShare * error;
@@ -41,19 +43,25 @@
 }
 
 double ServiceMeter::DrainRate(TimePoint now, double capacity) const {
-  const double by_held_time = capacity / std::max(m_mean_held_seconds, kLeastHeldSeconds);
+  const double held_seconds = m_mean_cost > 0.0 ? m_mean_cost_seconds / m_mean_cost : 1.0;
+  const double by_held_time = capacity / std::max(held_seconds, kLeastHeldSeconds);
   // A stalled pool finishes nothing, so held times cannot tell of it; the finished cost can.
   const bool measured = m_busy && now - m_busy_since >= m_settings.drain_window;
   return measured ? std::min(by_held_time, MeasuredRate(now)) : by_held_time;
 }
 
-Duration ServiceMeter::Stretched(Duration expected) const {
+Duration ServiceMeter::Stretched(TimePoint now, Duration expected, double used) const {
   const double factor = m_stretch + m_settings.deviations_of_service_time * m_stretch_deviation;
-  return std::chrono::duration_cast<Duration>(expected * std::max(1.0, factor));
+  const double excess = std::max(0.0, factor - 1.0) * std::clamp(used, 0.0, 1.0) * Fading(now);
+  return std::chrono::duration_cast<Duration>(expected * (1.0 + excess));
+}
+
+double ServiceMeter::Fading(TimePoint now) const {
+  return std::exp(-Seconds(now - m_rate_at) / Seconds(m_settings.drain_window));
 }
 
 double ServiceMeter::MeasuredRate(TimePoint now) const {
-  return m_rate * std::exp(-Seconds(now - m_rate_at) / Seconds(m_settings.drain_window));
+  return m_rate * Fading(now);
 }
 
 }  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/load_order.cc
@@ -0,0 +1,115 @@
+#include "zinnia_decisions/routing/load_order.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace zinnia {
+namespace {
+
+/** Loads of one stage that are still to do, and the domains that hold it already. */
+struct StageProgress {
+  LoadedRange range;
+  double bytes_per_load = 0.0;
+  std::vector<const FormableServer*> missing;
+  std::size_t holders = 0;
+  std::set<FailureDomainName> held_in;
+
+  void TakeOne(std::vector<PlannedLoad>& loads) {
+    const auto new_domain = std::ranges::find_if(missing, [this](const FormableServer* server) {
+      return !held_in.contains(server->failure_domain);
+    });
+    const auto next = new_domain == missing.end() ? missing.begin() : new_domain;
+    loads.push_back({(*next)->name, range, bytes_per_load});
+    held_in.insert((*next)->failure_domain);
+    ++holders;
+    missing.erase(next);
+  }
+};
+
+struct ModelProgress {
+  std::vector<StageProgress> stages;
+
+  bool Done() const {
+    return std::ranges::all_of(stages, [](const auto& stage) { return stage.missing.empty(); });
+  }
+
+  /** Complete copies, counting only stages that can still grow. */
+  std::size_t Copies() const {
+    std::size_t copies = SIZE_MAX;
+    for (const StageProgress& stage : stages) {
+      if (!stage.missing.empty()) {
+        copies = std::min(copies, stage.holders);
+      }
+    }
+    return copies;
+  }
+
+  double BytesToNextCopy() const {
+    double bytes = 0.0;
+    for (const StageProgress& stage : stages) {
+      const bool needed = !stage.missing.empty() && stage.holders == Copies();
+      bytes += needed ? stage.bytes_per_load : 0.0;
+    }
+    return bytes;
+  }
+
+  void TakeNextCopy(std::vector<PlannedLoad>& loads) {
+    const std::size_t copies = Copies();
+    for (StageProgress& stage : stages) {
+      if (!stage.missing.empty() && stage.holders == copies) {
+        stage.TakeOne(loads);
+      }
+    }
+  }
+};
+
+ModelProgress ProgressOf(const std::map<BackendServerName, const FormableServer*>& servers,
+                         const FormableModel& model,
+                         const Pipeline& pipeline) {
+  ModelProgress progress;
+  for (const PipelineStage& stage : pipeline.stages) {
+    StageProgress of_stage{.range = {model.name, model.version, stage.layers},
+                           .bytes_per_load = model.bytes_per_layer * stage.layers.Count()};
+    for (const BackendServerName& name : stage.replicas) {
+      const FormableServer& server = *servers.at(name);
+      if (server.loaded == of_stage.range) {
+        ++of_stage.holders;
+        of_stage.held_in.insert(server.failure_domain);
+      } else {
+        of_stage.missing.push_back(&server);
+      }
+    }
+    progress.stages.push_back(std::move(of_stage));
+  }
+  return progress;
+}
+
+}  // namespace
+
+std::vector<PlannedLoad> OrderLoads(const std::vector<FormableServer>& servers,
+                                    const std::vector<FormableModel>& models,
+                                    const std::vector<Pipeline>& pipelines) {
+  std::map<BackendServerName, const FormableServer*> by_name;
+  for (const FormableServer& server : servers) {
+    by_name[server.name] = &server;
+  }
+  std::vector<ModelProgress> all;
+  for (std::size_t model = 0; model < models.size(); ++model) {
+    all.push_back(ProgressOf(by_name, models[model], pipelines[model]));
+  }
+  std::vector<PlannedLoad> loads;
+  while (true) {
+    std::erase_if(all, [](const ModelProgress& progress) { return progress.Done(); });
+    if (all.empty()) {
+      return loads;
+    }
+    const auto next = std::ranges::min_element(all, {}, [](const ModelProgress& progress) {
+      return std::pair(progress.Copies(), progress.BytesToNextCopy());
+    });
+    next->TakeNextCopy(loads);
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/routing/pipeline_former.cc
@@ -0,0 +1,218 @@
+#include "zinnia_decisions/routing/pipeline_former.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <numeric>
+#include <set>
+#include <utility>
+
+#include "zinnia_decisions/routing/load_order.h"
+
+namespace zinnia {
+namespace {
+
+using Servers = std::vector<const FormableServer*>;
+
+/** A further stage must bring at least this much, as it adds latency to every token. */
+constexpr double kWorthAStage = 1.03;
+constexpr std::size_t kLeastDomains = 2;
+
+struct Stage {
+  Servers servers;
+  double rate = 0.0;
+  std::uint32_t memory = std::numeric_limits<std::uint32_t>::max();
+  std::set<FailureDomainName> domains;
+  LayerRange layers;
+
+  void Add(const FormableServer& server) {
+    servers.push_back(&server);
+    rate += server.rate;
+    memory = std::min(memory, server.memory_layers);
+    domains.insert(server.failure_domain);
+  }
+};
+
+struct ModelPlan {
+  std::vector<Stage> stages;
+  double rate = 0.0;
+};
+
+double TotalCost(const FormableModel& model) {
+  return std::accumulate(model.layer_costs.begin(), model.layer_costs.end(), 0.0);
+}
+
+double TotalRate(const std::vector<FormableServer>& servers) {
+  double rate = 0.0;
+  for (const FormableServer& server : servers) {
+    rate += server.rate;
+  }
+  return rate;
+}
+
+/** Fastest first, domain after domain, so that whoever deals them out gets both even. */
+Servers SortedByRate(const Servers& servers) {
+  Servers sorted = servers;
+  std::ranges::stable_sort(sorted, std::greater{},
+                           [](const FormableServer* server) { return server->rate; });
+  return sorted;
+}
+
+/** What a model has been given so far. */
+struct Share {
+  Servers servers;
+  double need = 1.0;
+  double rate = 0.0;
+  std::map<FailureDomainName, double> domain_rates;
+
+  void Take(const FormableServer& server) {
+    servers.push_back(&server);
+    rate += server.rate;
+    domain_rates[server.failure_domain] += server.rate;
+  }
+};
+
+/** Lets the model with the least rate for its demand take the next server, again and again: the
+    fastest of the domain in which it has least. */
+std::vector<Servers> ShareOut(const std::vector<FormableServer>& servers,
+                              const std::vector<FormableModel>& models) {
+  std::vector<Share> shares;
+  for (const FormableModel& model : models) {
+    shares.push_back({.need = model.demand_share * TotalCost(model)});
+  }
+  Servers left;
+  for (const FormableServer& server : servers) {
+    left.push_back(&server);
+  }
+  left = SortedByRate(left);
+  while (!left.empty()) {
+    Share& neediest = *std::ranges::min_element(
+        shares, {}, [](const Share& share) { return share.rate / share.need; });
+    const auto next = std::ranges::min_element(left, {}, [&](const FormableServer* server) {
+      return std::pair(neediest.domain_rates[server->failure_domain], -server->rate);
+    });
+    neediest.Take(**next);
+    left.erase(next);
+  }
+  std::vector<Servers> result;
+  for (Share& share : shares) {
+    result.push_back(std::move(share.servers));
+  }
+  return result;
+}
+
+/** Deals servers to stages: to the stage that lacks this domain most, then to the slowest. */
+std::vector<Stage> DealToStages(const Servers& servers, std::size_t count) {
+  std::vector<Stage> stages(count);
+  for (const FormableServer* server : SortedByRate(servers)) {
+    const auto poorest = std::ranges::min_element(stages, {}, [server](const Stage& stage) {
+      const bool lacks_domains =
+          stage.domains.size() < kLeastDomains && !stage.domains.contains(server->failure_domain);
+      return std::pair(lacks_domains ? 0 : 1, stage.rate);
+    });
+    poorest->Add(*server);
+  }
+  return stages;
+}
+
+/** Cuts the layers in proportion to the stages' rates, within memory. False if they do not fit. */
+bool CutLayers(const FormableModel& model, std::vector<Stage>& stages) {
+  const auto layers = static_cast<std::uint32_t>(model.layer_costs.size());
+  std::uint32_t first = 0;
+  double cost_left = TotalCost(model);
+  double rate_left = 0.0;
+  std::uint32_t memory_left = 0;
+  for (const Stage& stage : stages) {
+    rate_left += stage.rate;
+    memory_left += stage.memory;
+  }
+  for (Stage& stage : stages) {
+    memory_left -= stage.memory;
+    const double due = cost_left * stage.rate / rate_left;
+    double cost = 0.0;
+    std::uint32_t end = first;
+    while (end < layers && end - first < stage.memory) {
+      const bool must = layers - end > memory_left;
+      const bool nearer = cost + model.layer_costs[end] / 2.0 <= due;
+      if (!must && !nearer) {
+        break;
+      }
+      cost += model.layer_costs[end++];
+    }
+    stage.layers = {first, end};
+    cost_left -= cost;
+    rate_left -= stage.rate;
+    if (end == first) {
+      return false;
+    }
+    first = end;
+  }
+  return first == layers;
+}
+
+double RateOf(const FormableModel& model, const std::vector<Stage>& stages) {
+  double rate = std::numeric_limits<double>::infinity();
+  for (const Stage& stage : stages) {
+    const auto begin = model.layer_costs.begin() + stage.layers.first;
+    const double cost = std::accumulate(begin, begin + stage.layers.Count(), 0.0);
+    rate = std::min(rate, stage.rate / cost);
+  }
+  return rate;
+}
+
+ModelPlan PlanModel(const FormableModel& model, const Servers& servers) {
+  ModelPlan best;
+  for (std::size_t count = 1; count * kLeastDomains <= servers.size(); ++count) {
+    std::vector<Stage> stages = DealToStages(servers, count);
+    const bool survives = std::ranges::all_of(
+        stages, [](const Stage& stage) { return stage.domains.size() >= kLeastDomains; });
+    if (!survives || !CutLayers(model, stages)) {
+      continue;
+    }
+    const double rate = RateOf(model, stages);
+    if (rate > best.rate * kWorthAStage) {
+      best = {std::move(stages), rate};
+    }
+  }
+  return best;
+}
+
+Pipeline MakePipeline(const FormableModel& model, const ModelPlan& plan) {
+  Pipeline pipeline{model.name, model.name, model.version};
+  for (const Stage& stage : plan.stages) {
+    PipelineStage formed{.layers = stage.layers};
+    for (const FormableServer* server : stage.servers) {
+      formed.replicas.push_back(server->name);
+    }
+    pipeline.stages.push_back(std::move(formed));
+  }
+  return pipeline;
+}
+
+}  // namespace
+
+Result<FormationPlan> PipelineFormer::Form(const std::vector<FormableServer>& servers,
+                                           const std::vector<FormableModel>& models) {
+  FormationPlan plan{.token_rate = std::numeric_limits<double>::infinity()};
+  const std::vector<Servers> shares = ShareOut(servers, models);
+  double cost_of_mix = 0.0;
+  for (std::size_t model = 0; model < models.size(); ++model) {
+    const ModelPlan planned = PlanModel(models[model], shares[model]);
+    if (planned.stages.empty()) {
+      return MakeError(ErrorKind::kInvalidRequest,
+                       fmt::format("model \"{}\" does not fit on {} backend servers in such a way "
+                                   "that the loss of a failure domain leaves it served",
+                                   models[model].name, shares[model].size()));
+    }
+    plan.token_rate = std::min(plan.token_rate, planned.rate / models[model].demand_share);
+    cost_of_mix += models[model].demand_share * TotalCost(models[model]);
+    plan.pipelines.push_back(MakePipeline(models[model], planned));
+  }
+  plan.token_rate_bound = TotalRate(servers) / cost_of_mix;
+  plan.loads = OrderLoads(servers, models, plan.pipelines);
+  return plan;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/tests/routing/chooser_test.cc
@@ -0,0 +1,202 @@
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "routing/fleet_builder.h"
+#include "zinnia_base/time/virtual_time.h"
+#include "zinnia_decisions/routing/completion_chooser.h"
+#include "zinnia_decisions/routing/least_loaded_chooser.h"
+#include "zinnia_decisions/routing/round_robin_chooser.h"
+#include "zinnia_decisions/routing/shortest_completion_chooser.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+namespace {
+
+constexpr int kChoices = 60;
+
+std::vector<std::unique_ptr<PipelineChooser>> AllChoosers(const Clock& clock) {
+  std::vector<std::unique_ptr<PipelineChooser>> choosers;
+  choosers.push_back(std::make_unique<RoundRobinChooser>(clock));
+  choosers.push_back(std::make_unique<LeastLoadedChooser>(clock));
+  choosers.push_back(std::make_unique<ShortestCompletionChooser>(clock));
+  choosers.push_back(std::make_unique<CompletionChooser>(clock, RandomSource(1)));
+  return choosers;
+}
+
+/** Servers that a chooser uses in many choices, each kept in flight. */
+std::set<BackendServerName> ServersUsed(PipelineChooser& chooser,
+                                        const FleetSnapshot& fleet,
+                                        const RouteQuery& query) {
+  std::set<BackendServerName> used;
+  for (int choice = 0; choice < kChoices; ++choice) {
+    const auto chosen = chooser.Choose(fleet, query);
+    CHECK_TRUE(chosen.has_value());
+    chooser.OnSent(chosen->route, query);
+    for (const Route::Hop& hop : chosen->route.hops) {
+      used.insert(hop.server);
+    }
+  }
+  return used;
+}
+
+}  // namespace
+
+TEST_GROUP(Chooser) {
+  VirtualTime m_time;
+  FleetSnapshot m_fleet = MakeTwoStageFleet();
+
+  void ExpectNeverUsed(const BackendServerName& server, const RouteQuery& query) {
+    for (const auto& chooser : AllChoosers(m_time)) {
+      CHECK_FALSE(ServersUsed(*chooser, m_fleet, query).contains(server));
+    }
+  }
+};
+
+// Symptom: a session ends on a server that shuts down. A server begins to leave; instances go on
+// sending it new sessions. Cause: the chooser looks at the load but not at the state.
+TEST(Chooser, NeverUsesALeavingServer) {
+  m_fleet.servers["first-1"].state = BackendServerState::kLeaving;
+  ExpectNeverUsed("first-1", MakeQuery());
+}
+
+// Symptom: an answer made of two model versions. A server is reloaded with a new version while the
+// pipeline still names it. Cause: the chooser trusts the pipeline, not what the engine holds.
+TEST(Chooser, NeverUsesAServerWithAnotherVersion) {
+  m_fleet.servers["second-0"].server.loaded->version = "v2";
+  ExpectNeverUsed("second-0", MakeQuery());
+}
+
+// Symptom: a recovered session fails again at once. Its server failed, and the chooser picks the
+// same one. Cause: exclusions of the query are not looked at.
+TEST(Chooser, NeverUsesAnExcludedServer) {
+  RouteQuery query = MakeQuery();
+  query.excluded = {"first-0"};
+  ExpectNeverUsed("first-0", query);
+}
+
+TEST(Chooser, UsesSuspectServersOnlyWhereNoOtherIsLeft) {
+  m_fleet.servers["first-0"].state = BackendServerState::kSuspect;
+  ExpectNeverUsed("first-0", MakeQuery());
+  m_fleet.servers["first-1"].state = BackendServerState::kGone;
+  m_fleet.servers["first-2"].state = BackendServerState::kGone;
+  for (const auto& chooser : AllChoosers(m_time)) {
+    CHECK_TRUE(ServersUsed(*chooser, m_fleet, MakeQuery()).contains("first-0"));
+  }
+}
+
+TEST(Chooser, TellsAnUnknownModelFromAMissingPipeline) {
+  CompletionChooser chooser(m_time, RandomSource(1));
+  RouteQuery query = MakeQuery();
+  query.model = "other";
+  CHECK_TRUE(chooser.Choose(m_fleet, query).error().kind == ErrorKind::kUnknownModel);
+  m_fleet.pipelines.front().draining = true;
+  const auto draining = chooser.Choose(m_fleet, MakeQuery());
+  CHECK_TRUE(draining.error().kind == ErrorKind::kNoPipeline);
+  CHECK_TRUE(draining.error().retry_after.has_value());
+}
+
+// Symptom: a recovery rebuilds the caches of all stages though one was lost. Cause: the replacement
+// chooses a whole new route.
+TEST(Chooser, ReplaceKeepsTheOtherHops) {
+  for (const auto& chooser : AllChoosers(m_time)) {
+    const Route route = chooser->Choose(m_fleet, MakeQuery())->route;
+    const auto replaced = chooser->Replace(m_fleet, route, 1, MakeQuery());
+    CHECK_TRUE(replaced.has_value());
+    CHECK_EQUAL(route.hops[0].server, replaced->route.hops[0].server);
+    CHECK_TRUE(route.hops[1].server != replaced->route.hops[1].server);
+  }
+}
+
+TEST(Chooser, ReplaceFindsAServerThatNoPipelineNames) {
+  RoundRobinChooser chooser(m_time);
+  const Route route = chooser.Choose(m_fleet, MakeQuery())->route;
+  m_fleet.pipelines.clear();
+  CHECK_TRUE(chooser.Replace(m_fleet, route, 0, MakeQuery()).has_value());
+}
+
+// Symptom: load swings between servers with the period of the load reports. Eight instances see
+// the same report, in which one server is empty, and all send everything there until the next
+// report. Cause: the report alone decides, not what was sent since.
+TEST(Chooser, InstancesWithTheSameStaleReportDoNotAllRunToOneServer) {
+  for (auto& [name, view] : m_fleet.servers) {
+    view.server.failure_domain = "a";
+    view.load.reported_running = name.ends_with("0") ? 0 : 6;
+    view.load.reported_at = m_time.Now() + std::chrono::seconds(1);
+  }
+  m_fleet.live_instances = 8;
+  std::map<BackendServerName, int> sessions;
+  for (std::uint64_t instance = 0; instance < 8; ++instance) {
+    CompletionChooser chooser(m_time, RandomSource(instance));
+    for (int choice = 0; choice < 9; ++choice) {
+      const auto chosen = chooser.Choose(m_fleet, MakeQuery());
+      chooser.OnSent(chosen->route, MakeQuery());
+      ++sessions[chosen->route.hops[0].server];
+    }
+  }
+  CHECK_TRUE(sessions["first-0"] < 48);
+  CHECK_TRUE(sessions["first-1"] > 8);
+  CHECK_TRUE(sessions["first-2"] > 8);
+}
+
+// Symptom: the same long prompt is read anew by every server, and a prompt that crashes servers
+// reaches a third one through another instance. Cause: each instance picks its own server.
+TEST(Chooser, EqualPrefixesLandOnTheSameServersFromEveryInstance) {
+  for (auto& [name, view] : m_fleet.servers) {
+    view.server.failure_domain = "a";
+  }
+  for (std::uint64_t prefix = 1; prefix <= 20; ++prefix) {
+    std::set<std::string> routes;
+    for (std::uint64_t instance = 0; instance < 8; ++instance) {
+      CompletionChooser chooser(m_time, RandomSource(instance));
+      const Route route = chooser.Choose(m_fleet, MakeQuery(prefix))->route;
+      routes.insert(route.hops[0].server + "," + route.hops[1].server);
+    }
+    LONGS_EQUAL(1, routes.size());
+  }
+}
+
+TEST(Chooser, PrefersTheFastLinkAtLowLoadAndSpreadsAtHighLoad) {
+  using namespace std::chrono_literals;
+  m_fleet.links = {{"a", "c", 30ms, 1.25e7}, {"c", "a", 30ms, 1.25e7}};
+  CompletionChooser chooser(m_time, RandomSource(1));
+  for (int choice = 0; choice < kChoices; ++choice) {
+    const Route route = chooser.Choose(m_fleet, MakeQuery())->route;
+    CHECK_TRUE(route.hops[0].server != "first-2");
+  }
+  RouteQuery many = MakeQuery();
+  for (int sent = 0; sent < 2'000; ++sent) {
+    chooser.OnSent(chooser.Choose(m_fleet, many)->route, many);
+  }
+  CHECK_TRUE(ServersUsed(chooser, m_fleet, many).contains("first-2"));
+}
+
+TEST(Chooser, GivesAServerOfHalfTheRateAboutHalfTheSessions) {
+  for (auto& [name, view] : m_fleet.servers) {
+    view.server.failure_domain = "a";
+    view.load.decode_tokens_per_second = name.ends_with("0") ? 500 : 1'000;
+  }
+  CompletionChooser chooser(m_time, RandomSource(1));
+  std::map<BackendServerName, int> sessions;
+  for (int sent = 0; sent < 1'000; ++sent) {
+    const Route route = chooser.Choose(m_fleet, MakeQuery())->route;
+    chooser.OnSent(route, MakeQuery());
+    ++sessions[route.hops[0].server];
+  }
+  CHECK_TRUE(sessions["first-0"] > 170 && sessions["first-0"] < 230);
+}
+
+TEST(Chooser, ForgetsThePrefixUsedLongestAgo) {
+  PrefixMemory memory(2);
+  memory.Remember(1, 10);
+  memory.Remember(2, 10);
+  memory.Remember(1, 11);
+  memory.Remember(3, 10);
+  LONGS_EQUAL(2, memory.Size());
+  CHECK_FALSE(memory.WasSentTo(2, 10));
+  CHECK_TRUE(memory.WasSentTo(1, 10) && memory.WasSentTo(1, 11));
+}
+
+}  // namespace zinnia
