--- a/packages/zinnia_decisions/routing/pipeline_former.cc
+++ b/packages/zinnia_decisions/routing/pipeline_former.cc
@@ -103,6 +103,7 @@
     left.erase(next);
   }
   std::vector<Servers> result;
+  result.reserve(shares.size());
   for (Share& share : shares) {
     result.push_back(std::move(share.servers));
   }
