--- a/packages/zinnia_decisions/configuration/configuration_acceptance.cc
+++ b/packages/zinnia_decisions/configuration/configuration_acceptance.cc
@@ -13,8 +13,8 @@
 constexpr Duration kSettleWithin = std::chrono::seconds(10);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(250);
 constexpr std::chrono::milliseconds kComeBackAfter{1000};
-constexpr std::size_t kLargestChange = 512 * 1024;
-constexpr std::size_t kLargestTail = 900 * 1024;
+constexpr std::size_t kLargestChange = 512UL * 1024;
+constexpr std::size_t kLargestTail = 900UL * 1024;
 
 std::size_t SizeOf(const ConfigurationChange& change) {
   std::size_t size = 0;
@@ -49,7 +49,7 @@
                                                                         Clock& clock,
                                                                         Scheduler& scheduler,
                                                                         Callback callback) {
-  const std::shared_ptr<ConfigurationAcceptance> acceptance(new ConfigurationAcceptance(
+  std::shared_ptr<ConfigurationAcceptance> acceptance(new ConfigurationAcceptance(
       std::move(change), host, store, clock, scheduler, std::move(callback)));
   const Result<void> shape = CheckShape(acceptance->m_change);
   if (shape) {
@@ -128,10 +128,10 @@
     Finish(Unavailable("the changes before it are still being compacted"));
     return;
   }
-  Write(std::move(head));
+  Write(head);
 }
 
-void ConfigurationAcceptance::Write(VersionedHead head) {
+void ConfigurationAcceptance::Write(const VersionedHead& head) {
   m_store.WriteHead(
       head, head.head,
       m_guard.Wrap([this, head](const Result<std::uint64_t>& answer) { OnWritten(head, answer); }));
--- a/packages/zinnia_decisions/configuration/configuration_acceptance.h
+++ b/packages/zinnia_decisions/configuration/configuration_acceptance.h
@@ -63,7 +63,7 @@
   void ReadHead();
   void OnHead(Result<VersionedHead> head, ConfigurationRevision known_before);
   void Decide(VersionedHead head);
-  void Write(VersionedHead head);
+  void Write(const VersionedHead& head);
   void OnWritten(VersionedHead written, const Result<std::uint64_t>& answer);
   void TryLater();
   void Finish(Result<ConfigurationRevision> outcome);
--- a/packages/zinnia_decisions/configuration/configuration_keeper.cc
+++ b/packages/zinnia_decisions/configuration/configuration_keeper.cc
@@ -21,7 +21,7 @@
 constexpr Duration kFetchGivenUp = std::chrono::seconds(5);
 constexpr std::size_t kMostAcceptances = 64;
 constexpr std::size_t kLargestRumour = 800;
-constexpr std::size_t kCompactAbove = 32 * 1024;
+constexpr std::size_t kCompactAbove = 32UL * 1024;
 
 // Long enough for every instance to have heard the highest revision before the store is rewritten.
 constexpr Duration kReinstateDelay = std::chrono::seconds(6);
--- a/packages/zinnia_decisions/configuration/configuration_store.cc
+++ b/packages/zinnia_decisions/configuration/configuration_store.cc
@@ -121,7 +121,7 @@
   for (const std::uint32_t shard : touched) {
     writing->shards.emplace_back(shard, ShardToJson(contents[shard]));
   }
-  WriteNextShard(std::move(writing));
+  WriteNextShard(writing);
 }
 
 void ConfigurationStore::Reinstate(const VersionedHead& lost,
@@ -142,10 +142,10 @@
   for (const auto& [shard, entries] : contents) {
     writing->shards.emplace_back(shard, ShardToJson(entries));
   }
-  WriteNextShard(std::move(writing));
+  WriteNextShard(writing);
 }
 
-void ConfigurationStore::WriteNextShard(std::shared_ptr<Writing> writing) {
+void ConfigurationStore::WriteNextShard(const std::shared_ptr<Writing>& writing) {
   if (writing->next == writing->shards.size()) {
     FinishWriting(writing);
     return;
--- a/packages/zinnia_decisions/configuration/configuration_store.h
+++ b/packages/zinnia_decisions/configuration/configuration_store.h
@@ -54,7 +54,7 @@
  private:
   struct Writing;
 
-  void WriteNextShard(std::shared_ptr<Writing> writing);
+  void WriteNextShard(const std::shared_ptr<Writing>& writing);
   void FinishWriting(const std::shared_ptr<Writing>& writing);
   void RebaseWriting(const std::shared_ptr<Writing>& writing);
   void DeleteReplaced(const std::vector<std::string>& keys);
--- a/packages/zinnia_decisions/fleet_control/snapshot_builder.cc
+++ b/packages/zinnia_decisions/fleet_control/snapshot_builder.cc
@@ -7,7 +7,7 @@
 namespace zinnia {
 namespace {
 
-using HeldKey = std::tuple<ModelName, std::string, LayerRange>;
+using HeldKey = std::tuple<ModelName, std::string, std::uint32_t, std::uint32_t>;
 
 /** The servers of the subset by what they hold. */
 std::map<HeldKey, std::vector<BackendServerName>> IndexHeld(const SnapshotInputs& inputs) {
@@ -16,7 +16,7 @@
     const auto row = inputs.servers.rows().find(name);
     if (row != inputs.servers.rows().end() && row->second.server.loaded) {
       const LoadedRange& loaded = *row->second.server.loaded;
-      held[{loaded.model, loaded.version, loaded.layers}].push_back(name);
+      held[{loaded.model, loaded.version, loaded.layers.first, loaded.layers.end}].push_back(name);
     }
   }
   return held;
@@ -72,7 +72,8 @@
     Pipeline pipeline = configured;
     bool any = false;
     for (PipelineStage& stage : pipeline.stages) {
-      const auto holders = held.find({pipeline.model, pipeline.version, stage.layers});
+      const auto holders =
+          held.find({pipeline.model, pipeline.version, stage.layers.first, stage.layers.end});
       std::vector<BackendServerName> usable;
       if (holders != held.end() && stage.replicas.empty()) {
         usable = holders->second;
--- a/packages/zinnia_decisions/quarantine/crash_quarantine.cc
+++ b/packages/zinnia_decisions/quarantine/crash_quarantine.cc
@@ -210,7 +210,8 @@
     rows.push_back(std::move(row));
   }
   std::sort(rows.begin(), rows.end(), [](const QuarantineRow& left, const QuarantineRow& right) {
-    return left.fingerprint < right.fingerprint;
+    return std::pair(left.fingerprint.high, left.fingerprint.low) <
+           std::pair(right.fingerprint.high, right.fingerprint.low);
   });
   return rows;
 }
--- a/packages/zinnia_decisions/quarantine/crash_quarantine.h
+++ b/packages/zinnia_decisions/quarantine/crash_quarantine.h
@@ -23,8 +23,8 @@
   /** A suspect is not started anew within this time of its crash: every instance has heard of the
       crash by then, and agrees on the suspect's owner. */
   Duration hold = std::chrono::seconds(5);
-  std::size_t most_crashes = 256;
-  std::size_t most_fingerprints_per_crash = 256;
+  std::size_t most_crashes = 64;
+  std::size_t most_fingerprints_per_crash = 128;
   std::size_t most_quarantined = 1024;
 };
 
--- a/tests/control/control_fleet.h
+++ b/tests/control/control_fleet.h
@@ -90,12 +90,12 @@
 
   /** Separates the first `count` instances from the others. */
   void Cut(std::size_t count) {
-    std::set<NetworkAddress> first;
+    std::set<std::string> first;
     for (std::size_t index = 0; index < count; ++index) {
-      first.insert(instances[index].peer_address);
+      first.insert(instances[index].peer_address.ToString());
     }
     network.is_cut = [first](const NetworkAddress& from, const NetworkAddress& to) {
-      return first.contains(from) != first.contains(to);
+      return first.contains(from.ToString()) != first.contains(to.ToString());
     };
   }
   void Heal() {
@@ -130,8 +130,9 @@
     if (id.empty()) {
       id = fmt::format("change-{}", ++m_changes);
     }
-    At(index).ChangeConfiguration({std::move(id), against, std::move(paths)},
-                                  [out](Result<ConfigurationRevision> answer) { *out = answer; });
+    At(index).ChangeConfiguration(
+        {std::move(id), against, std::move(paths)},
+        [out](const Result<ConfigurationRevision>& answer) { *out = answer; });
     return out;
   }
 
--- a/tests/control/fake_network.h
+++ b/tests/control/fake_network.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <set>
+#include <string>
+#include <unordered_map>
 #include <utility>
 
 #include "tests/control/process_scheduler.h"
@@ -23,12 +23,14 @@
 
   explicit FakeNetwork(std::uint64_t seed) : m_random(seed) {}
 
-  void Attach(const NetworkAddress& address, Endpoint endpoint) { m_endpoints[address] = endpoint; }
-  void Detach(const NetworkAddress& address) { m_endpoints.erase(address); }
+  void Attach(const NetworkAddress& address, Endpoint endpoint) {
+    m_endpoints[address.ToString()] = endpoint;
+  }
+  void Detach(const NetworkAddress& address) { m_endpoints.erase(address.ToString()); }
 
   /** The endpoint, or null if it is not there or cut off from `from`. */
   Endpoint* Reach(const NetworkAddress& from, const NetworkAddress& to) {
-    const auto found = m_endpoints.find(to);
+    const auto found = m_endpoints.find(to.ToString());
     return found == m_endpoints.end() || is_cut(from, to) ? nullptr : &found->second;
   }
 
@@ -71,7 +73,7 @@
   static constexpr std::size_t kHeaders = 28;
 
   RandomSource m_random;
-  std::map<NetworkAddress, Endpoint> m_endpoints;
+  std::unordered_map<std::string, Endpoint> m_endpoints;
 };
 
 /** One instance's way into the FakeNetwork. */
--- a/tests/control/fake_store.h
+++ b/tests/control/fake_store.h
@@ -92,11 +92,11 @@
                       std::string value,
                       std::optional<StoreLeaseId>,
                       WriteCallback callback) override {
-    Write(std::move(key), expected, std::move(value), std::move(callback));
+    Write(key, expected, value, std::move(callback));
   }
 
   void Delete(std::string key, std::uint64_t expected, WriteCallback callback) override {
-    Write(std::move(key), expected, std::nullopt, std::move(callback));
+    Write(key, expected, std::nullopt, std::move(callback));
   }
 
   void Watch(std::string prefix,
@@ -157,9 +157,9 @@
     });
   }
 
-  void Write(std::string key,
+  void Write(const std::string& key,
              std::uint64_t expected,
-             std::optional<std::string> value,
+             const std::optional<std::string>& value,
              WriteCallback callback) {
     ++m_store.writes;
     m_store.largest_value =
--- a/tests/control/schedule_runner.h
+++ b/tests/control/schedule_runner.h
@@ -2,8 +2,8 @@
 
 #include <fmt/format.h>
 
-#include <array>
 #include <map>
+#include <ostream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,6 +40,11 @@
   std::uint32_t wait_ms = 0;
 };
 
+inline std::ostream& operator<<(std::ostream& out, const ScheduleStep& step) {
+  return out << fmt::format("action {} choice {} wait {} ms", static_cast<int>(step.action),
+                            step.choice, step.wait_ms);
+}
+
 /** Runs a schedule of failures and operators' changes over real control cores, then heals all, and
     says which promise was broken, or nothing. Looks at every instance after every step. */
 class ScheduleRunner {
--- /dev/null
+++ b/tests/control/schedule_test.cc
@@ -0,0 +1,57 @@
+#include <rapidcheck.h>
+
+#include "tests/control/schedule_runner.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+namespace {
+
+rc::Gen<ScheduleStep> AnyStep() {
+  const int last = static_cast<int>(ScheduleAction::kCount);
+  return rc::gen::map(rc::gen::tuple(rc::gen::inRange(0, last * 3 / 2), rc::gen::inRange(0, 1000),
+                                     rc::gen::inRange(0, 3000)),
+                      [](const std::tuple<int, int, int>& drawn) {
+                        const auto [action, choice, wait] = drawn;
+                        const auto named = static_cast<ScheduleAction>(action);
+                        return ScheduleStep{
+                            named < ScheduleAction::kCount ? named : ScheduleAction::kChange,
+                            static_cast<std::uint32_t>(choice), static_cast<std::uint32_t>(wait)};
+                      });
+}
+
+/** The library sets up what it keeps for the life of the process in its first check. Run before the
+    tests, so that their leak check does not take that for a leak. */
+const bool kLibraryIsSetUp = [] {
+  rc::detail::checkTestable([] {}, rc::detail::TestMetadata(), rc::detail::TestParams());
+  return true;
+}();
+
+}  // namespace
+
+TEST_GROUP(Schedules){};
+
+// Symptom: an accepted change is missing on an instance, or comes and goes; a leaving server gets
+// new work. Sequence: any. Cause: whatever the single tests did not think of; the schedule that
+// failed is printed, shrunk.
+TEST(Schedules, PromisesHoldUnderAnySchedule) {
+  CHECK_TRUE(kLibraryIsSetUp);
+  rc::detail::TestParams parameters;
+  parameters.seed = 20'261;
+  parameters.maxSuccess = 60;
+  const auto property = [] {
+    const auto seed = static_cast<std::uint64_t>(*rc::gen::inRange(1, 1'000'000));
+    const auto steps = *rc::gen::container<std::vector<ScheduleStep>>(AnyStep());
+    RC_ASSERT(ScheduleRunner(seed).Run(steps) == "");
+  };
+  rc::detail::TestMetadata metadata;
+  metadata.id = "control schedules";
+  const auto result = rc::detail::checkTestable(property, metadata, parameters);
+  rc::detail::SuccessResult success;
+  if (!result.match(success)) {
+    rc::detail::printResultMessage(result, std::cerr);
+    FAIL("a schedule broke a promise");
+  }
+}
+
+}  // namespace zinnia
