Bound the terms of the control core that grow with the fleet

Causes: at a cold start everybody told everybody of instances that the platform's list shows anyway; each change of a contract grouped all servers and matched all pipelines anew; watch holders read the head again although the watch brings it. List reads and publications of loads now slow down with the fleet's size.

--- a/packages/zinnia_decisions/configuration/configuration_keeper.cc
+++ b/packages/zinnia_decisions/configuration/configuration_keeper.cc
@@ -81,25 +81,29 @@
   m_read_call.reset();
   m_watching = true;
   const ConfigurationRevision known_before = m_state.revision();
-  m_store.ReadHead(m_guard.Wrap([this, known_before](const Result<VersionedHead>& head) {
-    if (!head) {
+  m_store.ReadHead(m_guard.Wrap(
+      [this, known_before](const Result<VersionedHead>& head) { OnHead(head, known_before); }));
+}
+
+void ConfigurationKeeper::OnHead(const Result<VersionedHead>& head,
+                                 ConfigurationRevision known_before) {
+  if (!head) {
+    ReadLater();
+    return;
+  }
+  m_store_failures = 0;
+  CatchUp(*head, known_before, [this, version = head->version](const Result<void>& caught_up) {
+    if (!caught_up && !m_store_went_back) {
       ReadLater();
-      return;
-    }
-    m_store_failures = 0;
-    CatchUp(*head, known_before, [this, version = head->version](const Result<void>& caught_up) {
-      if (!caught_up && !m_store_went_back) {
+    } else if (m_holds_watch) {
+      Watch(version);
+    } else {
+      m_watching = false;
+      if (!IsReady()) {
         ReadLater();
-      } else if (m_holds_watch) {
-        Watch(version);
-      } else {
-        m_watching = false;
-        if (!IsReady()) {
-          ReadLater();
-        }
       }
-    });
-  }));
+    }
+  });
 }
 
 void ConfigurationKeeper::ReadLater() {
@@ -117,21 +121,25 @@
 
 void ConfigurationKeeper::Watch(std::uint64_t after_version) {
   m_watching = true;
+  const ConfigurationRevision known_before = m_state.revision();
   m_store.Watch(after_version, kLongestWatch,
-                m_guard.Wrap([this, after_version](const Result<StoreBatch>& batch) {
-                  OnWatchAnswer(after_version, batch);
+                m_guard.Wrap([this, after_version, known_before](const Result<StoreBatch>& batch) {
+                  OnWatchAnswer(after_version, known_before, batch);
                 }));
 }
 
 // A store that was restored counts its versions from an earlier state: a watch after the version of
 // yesterday would sleep through every change until the count has caught up.
 void ConfigurationKeeper::OnWatchAnswer(std::uint64_t after_version,
+                                        ConfigurationRevision known_before,
                                         const Result<StoreBatch>& batch) {
   if (!batch) {
     ReadLater();
   } else if (!m_holds_watch) {
     m_watching = false;
-  } else if (!batch->records.empty() || batch->version < after_version) {
+  } else if (!batch->records.empty()) {
+    OnHead(ConfigurationStore::HeadFrom(batch->records.front()), known_before);
+  } else if (batch->version < after_version) {
     ReadThenWatch();
   } else {
     Watch(after_version);
--- a/packages/zinnia_decisions/configuration/configuration_keeper.h
+++ b/packages/zinnia_decisions/configuration/configuration_keeper.h
@@ -93,7 +93,10 @@
   void ChooseWatchHolders();
   void ReadThenWatch();
   void Watch(std::uint64_t after_version);
-  void OnWatchAnswer(std::uint64_t after_version, const Result<StoreBatch>& batch);
+  void OnHead(const Result<VersionedHead>& head, ConfigurationRevision known_before);
+  void OnWatchAnswer(std::uint64_t after_version,
+                     ConfigurationRevision known_before,
+                     const Result<StoreBatch>& batch);
   void ReadLater();
   void ApplyTail(const ConfigurationHead& head);
   bool Apply(const ConfigurationDelta& delta);
--- a/packages/zinnia_decisions/configuration/configuration_store.cc
+++ b/packages/zinnia_decisions/configuration/configuration_store.cc
@@ -27,20 +27,21 @@
                   callback(answer.error());
                   return;
                 }
-                VersionedHead versioned;
-                if (*answer && (**answer).value) {
-                  versioned.version = (**answer).version;
-                  Result<ConfigurationHead> head = ConfigurationHead::Parse(*(**answer).value);
-                  if (!head) {
-                    callback(head.error());
-                    return;
-                  }
-                  versioned.head = std::move(*head);
-                }
-                callback(std::move(versioned));
+                callback(*answer ? HeadFrom(**answer) : VersionedHead{});
               });
 }
 
+Result<VersionedHead> ConfigurationStore::HeadFrom(const StoreRecord& record) {
+  if (!record.value) {
+    return VersionedHead{};
+  }
+  Result<ConfigurationHead> head = ConfigurationHead::Parse(*record.value);
+  if (!head) {
+    return head.error();
+  }
+  return VersionedHead{record.version, std::move(*head)};
+}
+
 void ConfigurationStore::WriteHead(const VersionedHead& base,
                                    const ConfigurationHead& head,
                                    PlatformStore::WriteCallback callback) {
--- a/packages/zinnia_decisions/configuration/configuration_store.h
+++ b/packages/zinnia_decisions/configuration/configuration_store.h
@@ -31,6 +31,9 @@
   explicit ConfigurationStore(PlatformStore& store) : m_store(store) {}
 
   void ReadHead(HeadCallback callback);
+
+  /** The head in a record that a watch brought. */
+  static Result<VersionedHead> HeadFrom(const StoreRecord& record);
   void WriteHead(const VersionedHead& base,
                  const ConfigurationHead& head,
                  PlatformStore::WriteCallback callback);
--- a/packages/zinnia_decisions/control/instance_control.cc
+++ b/packages/zinnia_decisions/control/instance_control.cc
@@ -16,6 +16,8 @@
 
 constexpr Duration kPublishWithin = std::chrono::milliseconds(50);
 constexpr Duration kPublishLoadsWithin = std::chrono::milliseconds(250);
+constexpr Duration kPublishLoadsPerServer = std::chrono::microseconds(500);
+constexpr Duration kListIntervalPerInstance = std::chrono::milliseconds(20);
 constexpr Duration kQuarantineTick = std::chrono::seconds(1);
 constexpr std::size_t kFingerprintsInRumour = 40;
 constexpr std::size_t kMostRumoursForNewcomer = 512;
@@ -108,11 +110,22 @@
 }
 
 void InstanceControl::ReadList() {
-  m_list_call = m_ports.scheduler.ScheduleAfter(m_settings.list_interval, [this] { ReadList(); });
+  m_list_call = m_ports.scheduler.ScheduleAfter(ListInterval(), [this] { ReadList(); });
   m_ports.instance_list.Read(
       m_guard.Wrap([this](const Result<InstanceListing>& listing) { OnListing(listing); }));
 }
 
+// With many instances each reads less often: whoever reads a sign first tells the others, and the
+// platform's list would not stand hundreds of full reads a second.
+Duration InstanceControl::ListInterval() const {
+  const auto live = static_cast<std::int64_t>(m_membership.table().LiveCount() + 1);
+  return std::max(m_settings.list_interval, kListIntervalPerInstance * live);
+}
+
+Duration InstanceControl::PublishLoadsWithin() const {
+  return kPublishLoadsWithin + kPublishLoadsPerServer * static_cast<std::int64_t>(m_subset.size());
+}
+
 void InstanceControl::OnListing(const Result<InstanceListing>& listing) {
   if (!listing) {
     m_ports.logger.Log(LogLevel::kWarning, "instance_list_unreadable",
@@ -153,7 +166,7 @@
                                        std::uint32_t running,
                                        std::uint32_t queued) {
   m_servers.OnLoad(server, running, queued, m_ports.clock.Now());
-  WantSnapshot(kPublishLoadsWithin);
+  WantSnapshot(PublishLoadsWithin());
 }
 
 void InstanceControl::ReportServerLeaving(const BackendServerName& server) {
@@ -236,7 +249,9 @@
     }
   }
   m_leaving.SetDrains(std::move(drains));
-  ChooseSubset();
+  if (SubsetDependsOn(configuration)) {
+    ChooseSubset();
+  }
   WantSnapshot(kPublishWithin);
 }
 
@@ -245,10 +260,20 @@
   if (!m_quarantine.IsEmpty()) {
     PublishQuarantine();
   }
-  WantSnapshot(kPublishLoadsWithin);
+  WantSnapshot(PublishLoadsWithin());
+}
+
+// Grouping all servers anew for each change of a contract would be the control thread's largest
+// cost.
+bool InstanceControl::SubsetDependsOn(const Configuration& configuration) const {
+  return !m_subset_configuration ||
+         m_subset_configuration->pipelines() != configuration.pipelines() ||
+         m_subset_configuration->services() != configuration.services() ||
+         m_subset_configuration->server_orders() != configuration.server_orders();
 }
 
 void InstanceControl::ChooseSubset() {
+  m_subset_configuration = m_configuration.Current();
   m_subset = ChooseServers(m_membership.Self().name, m_servers.rows(), *m_configuration.Current());
   std::set<BackendServerName> engines = m_subset;
   for (const auto& [name, service] : m_configuration.Current()->services()) {
--- a/packages/zinnia_decisions/control/instance_control.h
+++ b/packages/zinnia_decisions/control/instance_control.h
@@ -152,7 +152,10 @@
   void TakeCrash(const CrashRumour& rumour, bool first_hand);
   void TickQuarantine();
   void PublishQuarantine();
+  bool SubsetDependsOn(const Configuration& configuration) const;
   void ChooseSubset();
+  Duration ListInterval() const;
+  Duration PublishLoadsWithin() const;
   void WantSnapshot(Duration within);
   void PublishSnapshot();
 
@@ -170,6 +173,7 @@
   bool m_list_was_read = false;
   std::size_t m_repair_turn = 0;
   std::set<BackendServerName> m_subset;
+  std::shared_ptr<const Configuration> m_subset_configuration;
   std::vector<SnapshotListener*> m_snapshot_listeners;
   std::atomic<std::shared_ptr<const FleetSnapshot>> m_snapshot;
   std::atomic<std::shared_ptr<const QuarantineSnapshot>> m_quarantine_picture;
--- a/packages/zinnia_decisions/fleet_control/snapshot_builder.cc
+++ b/packages/zinnia_decisions/fleet_control/snapshot_builder.cc
@@ -57,10 +57,13 @@
 }
 
 void SnapshotBuilder::MatchPipelines(const SnapshotInputs& inputs) {
-  const bool same = m_matched_configuration == inputs.configuration &&
-                    m_matched_topology == inputs.servers.topology() &&
+  const bool same_pipelines = m_matched_configuration == inputs.configuration ||
+                              (m_matched_configuration && m_matched_configuration->pipelines() ==
+                                                              inputs.configuration->pipelines());
+  const bool same = same_pipelines && m_matched_topology == inputs.servers.topology() &&
                     m_matched_subset == inputs.subset;
   if (same) {
+    m_matched_configuration = inputs.configuration;
     return;
   }
   m_matched_configuration = inputs.configuration;
--- a/packages/zinnia_decisions/membership/gossip_membership.cc
+++ b/packages/zinnia_decisions/membership/gossip_membership.cc
@@ -213,10 +213,16 @@
   }
   const Member* before = m_table.Find(rumour.instance.name);
   const bool was_live = before != nullptr && IsLive(before->state);
+  // Everybody reads the platform's list: that a listed instance does live is no news worth sending.
+  const bool listed = before != nullptr && before->incarnation == 0 && was_live &&
+                      rumour.state == MemberState::kAlive &&
+                      before->instance.start == rumour.instance.start;
   if (!m_table.Apply(rumour, m_clock.Now())) {
     return;
   }
-  Spread(rumour);
+  if (!listed) {
+    Spread(rumour);
+  }
   if (was_live != IsLive(rumour.state)) {
     TellListeners();
   }
--- a/packages/zinnia_decisions/membership/gossip_membership.h
+++ b/packages/zinnia_decisions/membership/gossip_membership.h
@@ -30,7 +30,7 @@
 
   /** Peers that hear an urgent rumour at once: from whoever found it, and from those who heard. */
   std::size_t first_fanout = 8;
-  std::size_t fanout = 3;
+  std::size_t fanout = 4;
 };
 
 /** SWIM-style membership: each instance probes one other each interval, whatever their number.
