--- a/packages/zinnia_decisions/control/instance_control.cc
+++ b/packages/zinnia_decisions/control/instance_control.cc
@@ -17,6 +17,7 @@
 constexpr Duration kPublishWithin = std::chrono::milliseconds(50);
 constexpr Duration kPublishLoadsWithin = std::chrono::milliseconds(250);
 constexpr Duration kPublishLoadsPerServer = std::chrono::microseconds(500);
+constexpr Duration kListIntervalPerServer = std::chrono::microseconds(500);
 constexpr Duration kListIntervalPerInstance = std::chrono::milliseconds(20);
 constexpr Duration kQuarantineTick = std::chrono::seconds(1);
 constexpr std::size_t kFingerprintsInRumour = 40;
@@ -119,7 +120,9 @@
 // platform's list would not stand hundreds of full reads a second.
 Duration InstanceControl::ListInterval() const {
   const auto live = static_cast<std::int64_t>(m_membership.table().LiveCount() + 1);
-  return std::max(m_settings.list_interval, kListIntervalPerInstance * live);
+  const auto servers = static_cast<std::int64_t>(m_servers.rows().size());
+  return std::max({m_settings.list_interval, kListIntervalPerInstance * live,
+                   kListIntervalPerServer * servers});
 }
 
 Duration InstanceControl::PublishLoadsWithin() const {
--- a/packages/zinnia_decisions/membership/gossip_membership.cc
+++ b/packages/zinnia_decisions/membership/gossip_membership.cc
@@ -13,7 +13,7 @@
 
 constexpr std::size_t kMostRelays = 256;
 constexpr std::size_t kMostNewcomerDatagrams = 8;
-constexpr std::size_t kNewcomerMembers = 32;
+constexpr std::size_t kNewcomerMembers = 16;
 constexpr std::size_t kRepairBytes = 500;
 constexpr Duration kFlushDelay = std::chrono::milliseconds(2);
 constexpr Duration kLeaveRepeat = std::chrono::milliseconds(200);
@@ -243,8 +243,8 @@
   if (m_stopped || stale || message.sender.name == m_settings.self.name) {
     return;
   }
-  const bool was_live = known != nullptr && known->instance.start == message.sender.start &&
-                        known->incarnation > 0 && IsLive(known->state);
+  const bool was_live =
+      known != nullptr && known->instance.start == message.sender.start && IsLive(known->state);
   ApplyMember({message.sender, message.sender_incarnation, MemberState::kAlive});
   m_table.NoteRevision(message.sender.name, message.revision);
   for (const Rumour& rumour : message.rumours) {
@@ -267,7 +267,10 @@
       break;
   }
   const Member* sender = m_table.Find(message.sender.name);
-  if (!was_live && sender != nullptr && IsLive(sender->state)) {
+  // Only an instance that has just started has no configuration. To greet all that the list had
+  // told of at the first word from each would cost kilobytes a second in a large fleet.
+  const bool fresh = message.revision == 0 && m_host.OwnRevision() > 0;
+  if ((!was_live || fresh) && sender != nullptr && IsLive(sender->state)) {
     WelcomeNewcomer(message.sender);
   }
 }
