--- a/tests/control/membership_test.cc
+++ b/tests/control/membership_test.cc
@@ -124,6 +124,25 @@
   CHECK_TRUE(fleet.MembershipConverged());
 }
 
+// The same with a suspicion that was running when the pause began, refuted while nobody listened.
+TEST(Membership, PausedInstanceGivesASuspectItsTimeAgain) {
+  const NetworkAddress lost = fleet.instances[0].peer_address;
+  fleet.network.is_cut = [lost](const NetworkAddress& from, const NetworkAddress& to) {
+    return from == lost || to == lost;
+  };
+  for (int step = 0; step < 100 && StateOf(fleet, 3, 0) == MemberState::kAlive; ++step) {
+    fleet.time.AdvanceBy(milliseconds(100));
+  }
+  CHECK_TRUE(StateOf(fleet, 3, 0) == MemberState::kSuspect);
+  fleet.Heal();
+  fleet.processes[3]->scheduler.Pause();
+  fleet.network.drop = 1.0;
+  fleet.time.AdvanceBy(seconds(8));
+  fleet.network.drop = 0.0;
+  fleet.processes[3]->scheduler.Resume();
+  CHECK_TRUE(StateOf(fleet, 3, 0) != MemberState::kDead);
+}
+
 TEST(Membership, PlannedStopIsKnownAtOnceAndIsNoSuspicion) {
   bool stopped = false;
   fleet.At(4).StopPlanned([&stopped] { stopped = true; });
