--- a/packages/zinnia_decisions/membership/gossip_membership.cc
+++ b/packages/zinnia_decisions/membership/gossip_membership.cc
@@ -13,7 +13,7 @@
 
 constexpr std::size_t kMostRelays = 256;
 constexpr std::size_t kMostNewcomerDatagrams = 8;
-constexpr std::size_t kNewcomerMembers = 32;
+constexpr std::size_t kNewcomerMembers = 16;
 constexpr std::size_t kRepairBytes = 500;
 constexpr Duration kFlushDelay = std::chrono::milliseconds(2);
 constexpr Duration kLeaveRepeat = std::chrono::milliseconds(200);
@@ -213,10 +213,16 @@
   }
   const Member* before = m_table.Find(rumour.instance.name);
   const bool was_live = before != nullptr && IsLive(before->state);
+  // Everybody reads the platform's list: that a listed instance does live is no news worth sending.
+  const bool listed = before != nullptr && before->incarnation == 0 && was_live &&
+                      rumour.state == MemberState::kAlive &&
+                      before->instance.start == rumour.instance.start;
   if (!m_table.Apply(rumour, m_clock.Now())) {
     return;
   }
-  Spread(rumour);
+  if (!listed) {
+    Spread(rumour);
+  }
   if (was_live != IsLive(rumour.state)) {
     TellListeners();
   }
@@ -237,8 +243,8 @@
   if (m_stopped || stale || message.sender.name == m_settings.self.name) {
     return;
   }
-  const bool was_live = known != nullptr && known->instance.start == message.sender.start &&
-                        known->incarnation > 0 && IsLive(known->state);
+  const bool was_live =
+      known != nullptr && known->instance.start == message.sender.start && IsLive(known->state);
   ApplyMember({message.sender, message.sender_incarnation, MemberState::kAlive});
   m_table.NoteRevision(message.sender.name, message.revision);
   for (const Rumour& rumour : message.rumours) {
@@ -261,7 +267,10 @@
       break;
   }
   const Member* sender = m_table.Find(message.sender.name);
-  if (!was_live && sender != nullptr && IsLive(sender->state)) {
+  // Only an instance that has just started has no configuration. To greet all that the list had
+  // told of at the first word from each would cost kilobytes a second in a large fleet.
+  const bool fresh = message.revision == 0 && m_host.OwnRevision() > 0;
+  if ((!was_live || fresh) && sender != nullptr && IsLive(sender->state)) {
     WelcomeNewcomer(message.sender);
   }
 }
@@ -385,7 +394,9 @@
   const std::vector<Rumour> rumours = std::exchange(m_urgent, {});
   const bool first_hand = std::exchange(m_urgent_first_hand, false);
   m_flush_call.reset();
-  const std::size_t fanout = first_hand ? m_settings.first_fanout : m_settings.fanout;
+  const std::size_t doublings = std::bit_width(m_table.LiveCount() + 1);
+  const std::size_t onward = std::clamp<std::size_t>(doublings, 4, m_settings.fanout + 2) - 2;
+  const std::size_t fanout = first_hand ? m_settings.first_fanout : onward;
   for (const Instance& peer : ChooseLive(fanout, "")) {
     SendRumours(peer.peer_address, rumours);
   }
