Let bench_control run at any number of instances

Cause: the bytes a second at 940 instances are a straight line through a fan-out that stops growing at 64, so the line overstates them; a run at 940 itself decides. Change: the numbers can be given.

--- a/bench/control/main.cc
+++ b/bench/control/main.cc
@@ -262,11 +262,18 @@
 }  // namespace
 }  // namespace zinnia
 
-/** bench_control: a line for each run, then the target's figures. */
-int main() {
+/** bench_control: a line for each run, then the target's figures.
+    bench_control N...: only a line for each of these numbers of instances, in the small world. */
+int main(int argc, char** argv) {
   using zinnia::Measure;
   using zinnia::Measured;
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  if (argc > 1) {
+    for (int argument = 1; argument < argc; ++argument) {
+      Measure(std::strtoul(argv[argument], nullptr, 10), zinnia::kSmallWorld);
+    }
+    return 0;
+  }
   const Measured today = Measure(9, 9 / zinnia::kTargetInstances);
   std::vector<Measured> points;
   for (const std::size_t instances : {10, 30, 100, 300}) {
