Be ready only once the engines have told what they hold

Cause: the demo's first five requests were refused with no_pipeline: an instance said it was ready as soon as it had its configuration and the list, while the layer ranges of its engines were unknown. Ruled out: the configuration being late (all instances were at the newest revision). Measured: the new test failed before (0 replicas at ready, 1 expected) and passes now; 55 control tests pass. The second new test, of a silent engine, passed before as well: it guards the time limit and is not a proof.

--- a/packages/zinnia_adapters/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace zinnia {}
--- a/packages/zinnia_apps/daemon/daemon_operator_desk.cc
+++ b/packages/zinnia_apps/daemon/daemon_operator_desk.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "control_side.h"
@@ -166,6 +168,11 @@
 void DaemonOperatorDesk::Explain(ExplainKind kind, std::string id, ExplainCallback callback) {
   std::vector<DecisionRecord> records =
       m_parts.decisions.Find(fmt::format("{} {}", NameOf(kind), id));
+  if (kind == ExplainKind::kRequest) {
+    // The session of a request goes by the request's id, unless it resumes an older one.
+    std::ranges::move(m_parts.decisions.Find("session " + id), std::back_inserter(records));
+    std::ranges::stable_sort(records, {}, &DecisionRecord::at);
+  }
   if (records.empty()) {
     callback(MakeError(ErrorKind::kNotFound,
                        fmt::format("this instance keeps no decision about {} \"{}\"; ask the "
--- a/packages/zinnia_decisions/control/instance_control.cc
+++ b/packages/zinnia_decisions/control/instance_control.cc
@@ -19,6 +19,8 @@
 constexpr Duration kPublishLoadsPerServer = std::chrono::microseconds(500);
 constexpr Duration kListIntervalPerServer = std::chrono::microseconds(500);
 constexpr Duration kListIntervalPerInstance = std::chrono::milliseconds(20);
+constexpr Duration kLongestWaitForEngines = std::chrono::seconds(10);
+constexpr Duration kReadinessInterval = std::chrono::milliseconds(250);
 constexpr Duration kQuarantineTick = std::chrono::seconds(1);
 constexpr std::size_t kFingerprintsInRumour = 40;
 constexpr std::size_t kMostRumoursForNewcomer = 512;
@@ -305,12 +307,27 @@
                        m_settings.membership.self.failure_domain,
                        m_membership.table().LiveCount() + 1, m_ports.clock.Now()});
   m_snapshot.store(snapshot);
+  UpdateReadiness();
   const std::vector<SnapshotListener*> listeners = m_snapshot_listeners;
   for (SnapshotListener* listener : listeners) {
     listener->OnSnapshot(snapshot);
   }
 }
 
+void InstanceControl::UpdateReadiness() {
+  if (m_ready || !m_configuration.IsReady() || !m_list_was_read) {
+    return;
+  }
+  const TimePoint now = m_ports.clock.Now();
+  if (!m_waits_for_engines_since) {
+    m_waits_for_engines_since = now;
+  }
+  m_ready = m_poller.HasAskedAll() || now - *m_waits_for_engines_since >= kLongestWaitForEngines;
+  if (!m_ready) {
+    WantSnapshot(kReadinessInterval);
+  }
+}
+
 std::vector<InstanceRow> InstanceControl::LiveInstanceRows() const {
   std::vector<InstanceRow> rows;
   rows.push_back({m_membership.Self(), MemberState::kAlive, m_configuration.revision()});
--- a/packages/zinnia_decisions/control/instance_control.h
+++ b/packages/zinnia_decisions/control/instance_control.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -97,8 +98,12 @@
   void AddSnapshotListener(SnapshotListener& listener);
   void RemoveSnapshotListener(SnapshotListener& listener);
 
-  /** Whether a configuration is in force and the platform's list was read once. */
-  bool IsReady() const { return m_configuration.IsReady() && m_list_was_read; }
+  /** Whether callers can be served: a configuration is in force, the platform's list was read, and
+      the engines have told what they hold (or had ten seconds to). Stays true once it was.
+
+      Without the last, a new instance refuses its first callers with kNoPipeline, though all others
+      could serve them. */
+  bool IsReady() const { return m_ready; }
 
   MembershipView& Membership() { return m_membership; }
   ConfigurationView& ConfigurationInForce() { return m_configuration; }
@@ -158,6 +163,7 @@
   Duration PublishLoadsWithin() const;
   void WantSnapshot(Duration within);
   void PublishSnapshot();
+  void UpdateReadiness();
 
   const InstanceControlSettings m_settings;
   InstanceControlPorts m_ports;
@@ -171,6 +177,8 @@
   IntentHandler* m_intent_handler = nullptr;
 
   bool m_list_was_read = false;
+  std::optional<TimePoint> m_waits_for_engines_since;
+  bool m_ready = false;
   std::size_t m_repair_turn = 0;
   std::set<BackendServerName> m_subset;
   std::shared_ptr<const Configuration> m_subset_configuration;
--- a/packages/zinnia_decisions/fleet_control/engine_poller.h
+++ b/packages/zinnia_decisions/fleet_control/engine_poller.h
@@ -35,6 +35,9 @@
   /** Servers to ask from now on. New ones are asked first. */
   void SetServers(std::set<BackendServerName> servers);
 
+  /** Whether every server has answered, or failed to, since it was given to SetServers. */
+  bool HasAskedAll() const { return m_never_asked.empty(); }
+
  private:
   void Tick();
   void Ask(const BackendServerName& server);
@@ -46,6 +49,7 @@
   std::set<BackendServerName> m_servers;
   std::vector<BackendServerName> m_turn;
   std::set<BackendServerName> m_waiting;
+  std::set<BackendServerName> m_never_asked;
   double m_credit = 0.0;
   std::unique_ptr<ScheduledCall> m_tick_call;
   CallbackGuard m_guard;
--- a/tests/control/leaving_test.cc
+++ b/tests/control/leaving_test.cc
@@ -189,6 +189,35 @@
   CHECK_EQUAL(2, snapshot->live_instances);
 }
 
+// Symptom: callers get no_pipeline from an instance that has just started, though others could
+// serve. Sequence: the instance has its configuration and the list; the balancer sends to it at
+// once. Cause: it was ready before its engines had told what they hold.
+TEST(Fleet, AnInstanceThatStartsIsReadyOnceItsEnginesHaveAnswered) {
+  fleet.AddServer("b-0", {0, 16});
+  fleet.StartAll();
+  fleet.time.AdvanceBy(seconds(3));
+  fleet.Change(0, 0, {{"pipeline/p", R"({"model":"model","version":"v1","stages":[
+                    {"first_layer":0,"end_layer":16,"replicas":["b-0"]}]})"}});
+  fleet.time.AdvanceBy(seconds(3));
+  fleet.Restart(1);
+  for (int elapsed = 0; elapsed < 5'000 && !fleet.At(1).IsReady(); elapsed += 10) {
+    fleet.time.AdvanceBy(std::chrono::milliseconds(10));
+  }
+  CHECK_TRUE(fleet.At(1).IsReady());
+  CHECK_EQUAL(1, fleet.At(1).Current()->pipelines.size());
+  CHECK_EQUAL(1, fleet.At(1).Current()->pipelines[0].stages[0].replicas.size());
+}
+
+// Symptom: a whole fleet that never becomes ready. Cause: one engine that does not answer.
+TEST(Fleet, AnEngineThatIsSilentDoesNotKeepAnInstanceFromBeingReady) {
+  fleet.AddServer("b-0", {0, 16});
+  fleet.engines.states.erase("b-0");
+  fleet.StartAll();
+  fleet.Change(0, 0, {{"model/m", R"({"version":"v1","layers":16})"}});
+  fleet.time.AdvanceBy(seconds(20));
+  CHECK_TRUE(fleet.At(1).IsReady());
+}
+
 TEST(Fleet, LoadReportsArePublishedAtABoundedRate) {
   fleet.AddServer("b-0", {0, 8});
   fleet.StartAll();
