--- a/packages/zinnia_decisions/configuration/configuration_keeper.h
+++ b/packages/zinnia_decisions/configuration/configuration_keeper.h
@@ -25,7 +25,7 @@
  public:
   virtual ~ConfigurationSpreader() = default;
 
-  /** A delta small enough for a datagram. `first_hand`: read from the store or accepted here. */
+  /** A delta small enough for a datagram. `first_hand`: accepted here. */
   virtual void SpreadDelta(const ConfigurationDelta& delta, bool first_hand) = 0;
 
   /** The new revision alone, when the content is too large: peers fetch it. */
@@ -93,7 +93,10 @@
   void ChooseWatchHolders();
   void ReadThenWatch();
   void Watch(std::uint64_t after_version);
-  void OnWatchAnswer(std::uint64_t after_version, const Result<StoreBatch>& batch);
+  void OnHead(const Result<VersionedHead>& head, ConfigurationRevision known_before);
+  void OnWatchAnswer(std::uint64_t after_version,
+                     ConfigurationRevision known_before,
+                     const Result<StoreBatch>& batch);
   void ReadLater();
   void ApplyTail(const ConfigurationHead& head);
   bool Apply(const ConfigurationDelta& delta);
--- a/packages/zinnia_decisions/configuration/configuration_store.cc
+++ b/packages/zinnia_decisions/configuration/configuration_store.cc
@@ -27,20 +27,21 @@
                   callback(answer.error());
                   return;
                 }
-                VersionedHead versioned;
-                if (*answer && (**answer).value) {
-                  versioned.version = (**answer).version;
-                  Result<ConfigurationHead> head = ConfigurationHead::Parse(*(**answer).value);
-                  if (!head) {
-                    callback(head.error());
-                    return;
-                  }
-                  versioned.head = std::move(*head);
-                }
-                callback(std::move(versioned));
+                callback(*answer ? HeadFrom(**answer) : VersionedHead{});
               });
 }
 
+Result<VersionedHead> ConfigurationStore::HeadFrom(const StoreRecord& record) {
+  if (!record.value) {
+    return VersionedHead{};
+  }
+  Result<ConfigurationHead> head = ConfigurationHead::Parse(*record.value);
+  if (!head) {
+    return head.error();
+  }
+  return VersionedHead{record.version, std::move(*head)};
+}
+
 void ConfigurationStore::WriteHead(const VersionedHead& base,
                                    const ConfigurationHead& head,
                                    PlatformStore::WriteCallback callback) {
@@ -121,7 +122,7 @@
   for (const std::uint32_t shard : touched) {
     writing->shards.emplace_back(shard, ShardToJson(contents[shard]));
   }
-  WriteNextShard(std::move(writing));
+  WriteNextShard(writing);
 }
 
 void ConfigurationStore::Reinstate(const VersionedHead& lost,
@@ -142,10 +143,10 @@
   for (const auto& [shard, entries] : contents) {
     writing->shards.emplace_back(shard, ShardToJson(entries));
   }
-  WriteNextShard(std::move(writing));
+  WriteNextShard(writing);
 }
 
-void ConfigurationStore::WriteNextShard(std::shared_ptr<Writing> writing) {
+void ConfigurationStore::WriteNextShard(const std::shared_ptr<Writing>& writing) {
   if (writing->next == writing->shards.size()) {
     FinishWriting(writing);
     return;
--- a/packages/zinnia_decisions/configuration/configuration_store.h
+++ b/packages/zinnia_decisions/configuration/configuration_store.h
@@ -31,6 +31,9 @@
   explicit ConfigurationStore(PlatformStore& store) : m_store(store) {}
 
   void ReadHead(HeadCallback callback);
+
+  /** The head in a record that a watch brought. */
+  static Result<VersionedHead> HeadFrom(const StoreRecord& record);
   void WriteHead(const VersionedHead& base,
                  const ConfigurationHead& head,
                  PlatformStore::WriteCallback callback);
@@ -54,7 +57,7 @@
  private:
   struct Writing;
 
-  void WriteNextShard(std::shared_ptr<Writing> writing);
+  void WriteNextShard(const std::shared_ptr<Writing>& writing);
   void FinishWriting(const std::shared_ptr<Writing>& writing);
   void RebaseWriting(const std::shared_ptr<Writing>& writing);
   void DeleteReplaced(const std::vector<std::string>& keys);
