Send a token's event at once, without an asynchronous write for each

Cause: a profile of zinniad under 1,000 streams (perf, 499 Hz, 5 s) showed the kernel's send at 28%, the allocator at 13%, and about 15% in Beast and Asio around one asynchronous write a token: a timer set and cancelled, a handler allocated, another turn of the loop.

Change: a connection first sends what the socket takes without waiting; only the rest goes by an asynchronous write with its timeout. The parser and the read buffer of a request are let go when its answer begins. Weighed: gathering writes over a turn of the loop gains nothing here, since each connection has one session and so one event a turn.

--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "zinnia_adapters/callers/caller_connection.h"
 
+#include <fmt/format.h>
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
@@ -7,6 +8,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <iterator>
 #include <utility>
 
 #include "zinnia_adapters/callers/caller_exchange.h"
@@ -40,6 +42,20 @@
   return got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
+/** Sends what the socket takes without waiting and returns how much that was. An error counts as
+    nothing sent: the next asynchronous write meets it again and reports it. */
+std::size_t SendWithoutWaiting(asio::ip::tcp::socket& socket, std::string_view bytes) {
+  const auto sent =
+      send(socket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+}
+
+void AppendChunk(std::string& out, std::string_view data) {
+  fmt::format_to(std::back_inserter(out), "{:x}\r\n", data.size());
+  out += data;
+  out += "\r\n";
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket,
@@ -145,6 +161,10 @@
 
 void CallerConnection::RunExchange() {
   CallerRequest request = m_parser->release();
+  // An answer takes minutes, and thousands of connections wait for theirs: each would keep the
+  // buffers that its request needed.
+  m_parser.reset();
+  m_buffer.shrink_to_fit();
   m_keep_alive = request.keep_alive();
   m_is_head = request.method() == http::verb::head;
   m_answer_ended = false;
@@ -223,7 +243,7 @@
   if (m_closed) {
     return;
   }
-  m_waiting_events += events;
+  AppendChunk(m_waiting_events, events);
   if (m_waiting_events.size() + m_events_being_written.size() > m_limits.most_unsent_bytes) {
     m_owner.CountConnectionEvent("callers_cut_off_as_slow_readers");
     Close();
@@ -243,11 +263,19 @@
 }
 
 void CallerConnection::WriteEvents() {
+  // Nearly always the socket takes a token's event at once. An asynchronous write for each would
+  // cost a timer, a handler and another turn of the loop, more than the rest of the token's way.
+  const std::size_t sent = SendWithoutWaiting(m_stream.socket(), m_waiting_events);
+  if (sent == m_waiting_events.size()) {
+    m_waiting_events.clear();
+    return;
+  }
+  m_waiting_events.erase(0, sent);
   m_writing = true;
   m_events_being_written = std::exchange(m_waiting_events, {});
   m_stream.expires_after(m_limits.write_timeout);
   asio::async_write(
-      m_stream, http::make_chunk(asio::buffer(m_events_being_written)),
+      m_stream, asio::buffer(m_events_being_written),
       [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
         self->m_events_being_written.clear();
         self->OnWritten(error);
@@ -270,17 +298,24 @@
   }
   if (error) {
     Close();
-  } else if (!m_waiting_events.empty()) {
+    return;
+  }
+  if (!m_waiting_events.empty()) {
     WriteEvents();
-  } else if (m_answer_ended && m_head_serializer) {
+  }
+  if (m_writing || !m_answer_ended) {
+    return;
+  }
+  if (m_head_serializer) {
     WriteEndOfEvents();
-  } else if (m_answer_ended) {
+  } else {
     FinishRequest();
   }
 }
 
 void CallerConnection::FinishRequest() {
   m_exchange.reset();
+  m_waiting_events = {};
   if (m_keep_alive && !m_owner.IsDraining()) {
     WaitForRequest();
     return;
