Measure how fast backend servers are, and rest capacity on it

Cause: ServerLoad's step times and rates were never filled, so routing and admission went by nominal rates of the accelerator kind, whatever a server really did.

Weighed: tokens a second as they pass (understates a server at low load, and admission would shrink to it); the mean time of a batch for each size (counts waits behind other instances' batches, which are then shared out between the instances once more); the least time seen lately for each range of sizes, and a line through them (taken). The line is read off at 64 steps, and 512 positions of prefill, whatever sizes occurred, so the figure corrects itself as load grows; it is unknown until sizes four times apart were seen.

Change: each engine channel times its batches from the later of their sending and the answer before, as an engine runs one after the other, and tells the rates four times a second; the control core keeps them in ServerLoad (additive: ReportServerRates, ServerTable::OnRates, empty_step_time).

--- a/bench/engine_link/main.cc
+++ b/bench/engine_link/main.cc
@@ -13,6 +13,7 @@
 #include "zinnia_adapters/threads/traffic_thread.h"
 #include "zinnia_base/time/system_clock.h"
 #include "zinnia_decisions/ports/snapshot_source.h"
+#include "zinnia_world/fleet/server_rates_report.h"
 
 namespace zinnia {
 namespace {
@@ -28,6 +29,7 @@
   void OnServerSuspect(const BackendServerName&) override { ++suspects; }
   void OnServerRecovered(const BackendServerName&) override {}
   void OnServerLoad(const BackendServerName&, std::uint32_t, std::uint32_t) override { ++batches; }
+  void OnServerRates(const BackendServerName&, const ServerRatesReport&) override {}
   void OnServerLeaving(const BackendServerName&) override {}
   std::uint64_t batches = 0;
   std::uint64_t suspects = 0;
--- a/packages/zinnia_adapters/engines/channel_listener.h
+++ b/packages/zinnia_adapters/engines/channel_listener.h
@@ -8,6 +8,8 @@
 
 namespace zinnia {
 
+struct ServerRatesReport;
+
 /** Hears what the engine links notice of backend servers. Called on the traffic thread, so it must
     not wait: an implementation posts to the control thread.
 
@@ -30,6 +32,9 @@
   virtual void OnServerLoad(const BackendServerName& server,
                             std::uint32_t running,
                             std::uint32_t queued) = 0;
+
+  /** How fast the server was measured to be, now and then while it answers. */
+  virtual void OnServerRates(const BackendServerName& server, const ServerRatesReport& rates) = 0;
   virtual void OnServerLeaving(const BackendServerName& server) = 0;
 };
 
--- a/packages/zinnia_adapters/engines/engine_channel.cc
+++ b/packages/zinnia_adapters/engines/engine_channel.cc
@@ -11,12 +11,19 @@
 #include "zinnia_adapters/engines/side_calls.h"
 #include "zinnia_adapters/engines/step_codec.h"
 #include "zinnia_decisions/ports/snapshot_source.h"
+#include "zinnia_world/fleet/server_rates_report.h"
 
 namespace zinnia {
 namespace {
 
 namespace http = boost::beast::http;
 
+constexpr Duration kTellRatesEvery = std::chrono::milliseconds(250);
+
+/** Batch sizes for which rates are told: common sizes of a busy engine. */
+constexpr std::uint32_t kFullDecodeBatch = 64;
+constexpr std::uint32_t kFullPrefillBatch = 512;
+
 StepStatus StatusOfFailedCall(unsigned http_status) {
   return http_status == 503 || http_status == 429 ? StepStatus::kOverloaded : StepStatus::kRejected;
 }
@@ -195,6 +202,7 @@
   KeepConnection(batch->connection);
   MarkRecovered();
   FlushSoon();
+  const TimePoint last_answer = std::exchange(m_answered_at, m_parts.clock.Now());
   if (response.result_int() != 200) {
     AnswerAll(batch->steps, StatusOfFailedCall(response.result_int()));
     return;
@@ -204,9 +212,38 @@
     AnswerAll(batch->steps, StepStatus::kRejected);
     return;
   }
+  MeasureBatch(*batch, last_answer);
   DeliverAnswers(batch, std::move(*decoded));
 }
 
+void EngineChannel::MeasureBatch(const StepBatch& batch, TimePoint last_answer) {
+  // An engine runs one batch after the other: a batch that was sent while another ran has waited
+  // for that one first. Counted from its sending it would seem to take twice as long.
+  const Duration took = m_answered_at - std::max(batch.sent_at, last_answer);
+  if (batch.kind == BatchKind::kDecode) {
+    m_decode_times.Observe(took, static_cast<std::uint32_t>(batch.steps.size()));
+  } else if (batch.kind == BatchKind::kPrefill) {
+    m_prefill_times.Observe(took, batch.units);
+  }
+  if (m_answered_at - m_rates_told_at >= kTellRatesEvery) {
+    m_rates_told_at = m_answered_at;
+    TellRates();
+  }
+}
+
+void EngineChannel::TellRates() {
+  ServerRatesReport rates;
+  rates.step_time_p50 = m_decode_deadline.Quantile(0.50);
+  rates.step_time_p99 = m_decode_deadline.Quantile(0.99);
+  rates.decode_tokens_per_second = m_decode_times.UnitsPerSecond(kFullDecodeBatch);
+  rates.prefill_tokens_per_second = m_prefill_times.UnitsPerSecond(kFullPrefillBatch);
+  if (const auto line = m_decode_times.Fit()) {
+    rates.empty_step_time =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(line->base_seconds));
+  }
+  m_parts.listener.OnServerRates(m_server, rates);
+}
+
 void EngineChannel::OnLateOutcome(const BatchPointer& batch, const ExchangeOutcome& outcome) {
   if (std::erase(m_late, batch) == 0) {
     return;  // closed by this channel
@@ -312,6 +349,9 @@
   for (StepQueue& queue : m_queues) {
     std::ranges::move(queue.TakeAll(), std::back_inserter(steps));
   }
+  // Whoever comes back under this name may be another machine.
+  m_decode_times = {};
+  m_prefill_times = {};
   const bool news = !std::exchange(m_down, true) || !fingerprints.empty();
   const std::uint64_t incarnation = std::exchange(m_incarnation, 0);
   if (news) {
--- a/packages/zinnia_adapters/engines/engine_channel.h
+++ b/packages/zinnia_adapters/engines/engine_channel.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <vector>
 
+#include "zinnia_adapters/engines/batch_times.h"
 #include "zinnia_adapters/engines/channel_parts.h"
 #include "zinnia_adapters/engines/pending_step.h"
 #include "zinnia_adapters/engines/step_batch.h"
@@ -61,6 +62,8 @@
   void OnOutcome(const BatchPointer& batch, const ExchangeOutcome& outcome);
   void OnResponse(const BatchPointer& batch, const BackendResponse& response);
   void OnLateOutcome(const BatchPointer& batch, const ExchangeOutcome& outcome);
+  void MeasureBatch(const StepBatch& batch, TimePoint last_answer);
+  void TellRates();
   void DeliverAnswers(const BatchPointer& batch, DecodedAnswers decoded);
   void OnBroken(const BatchPointer& batch, ExchangeFailure failure);
 
@@ -84,6 +87,10 @@
   std::vector<StepQueue> m_queues;
   StepDeadline m_decode_deadline;
   StepDeadline m_prefill_deadline;
+  BatchTimes m_decode_times;
+  BatchTimes m_prefill_times;
+  TimePoint m_answered_at{};
+  TimePoint m_rates_told_at{};
   std::vector<BatchPointer> m_in_flight;
   std::vector<BatchPointer> m_late;
   std::vector<BatchPointer> m_awaiting_verdict;
--- a/packages/zinnia_apps/daemon/channel_reports.cc
+++ b/packages/zinnia_apps/daemon/channel_reports.cc
@@ -4,6 +4,7 @@
 
 #include "control_side.h"
 #include "zinnia_decisions/control/instance_control.h"
+#include "zinnia_world/fleet/server_rates_report.h"
 
 namespace zinnia {
 namespace {
@@ -45,6 +46,11 @@
   });
 }
 
+void ChannelReports::OnServerRates(const BackendServerName& server,
+                                   const ServerRatesReport& rates) {
+  m_to_control([this, server, rates] { m_control.Control().ReportServerRates(server, rates); });
+}
+
 void ChannelReports::OnServerLeaving(const BackendServerName& server) {
   m_to_control([this, server] { m_control.Control().ReportServerLeaving(server); });
 }
--- a/packages/zinnia_apps/daemon/channel_reports.h
+++ b/packages/zinnia_apps/daemon/channel_reports.h
@@ -29,6 +29,7 @@
   void OnServerLoad(const BackendServerName& server,
                     std::uint32_t running,
                     std::uint32_t queued) override;
+  void OnServerRates(const BackendServerName& server, const ServerRatesReport& rates) override;
   void OnServerLeaving(const BackendServerName& server) override;
 
  private:
--- a/packages/zinnia_decisions/control/instance_control.cc
+++ b/packages/zinnia_decisions/control/instance_control.cc
@@ -174,6 +174,12 @@
   WantSnapshot(PublishLoadsWithin());
 }
 
+void InstanceControl::ReportServerRates(const BackendServerName& server,
+                                        const ServerRatesReport& rates) {
+  m_servers.OnRates(server, rates);
+  WantSnapshot(kPublishLoadsWithin);
+}
+
 void InstanceControl::ReportServerLeaving(const BackendServerName& server) {
   MarkLeaving(server, m_servers.IncarnationOf(server), LeavingSource::kEngine);
 }
--- a/packages/zinnia_decisions/control/instance_control.h
+++ b/packages/zinnia_decisions/control/instance_control.h
@@ -25,6 +25,7 @@
 class InstanceList;
 class IntentHandler;
 class Logger;
+struct ServerRatesReport;
 
 /** Settings of the control core. */
 struct InstanceControlSettings {
@@ -109,6 +110,9 @@
                         std::uint32_t running,
                         std::uint32_t queued);
 
+  /** The links measured how fast a server is. */
+  void ReportServerRates(const BackendServerName& server, const ServerRatesReport& rates);
+
   /** An engine answered that it is leaving. */
   void ReportServerLeaving(const BackendServerName& server);
 
--- a/packages/zinnia_decisions/fleet_control/server_table.cc
+++ b/packages/zinnia_decisions/fleet_control/server_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "zinnia_world/fleet/server_rates_report.h"
+
 namespace zinnia {
 namespace {
 
@@ -14,6 +16,13 @@
 /** With fewer of the known servers on the list than this share, the list itself is in doubt. */
 constexpr double kCredibleShare = 0.5;
 
+template <typename Figure>
+void TakeIfKnown(const Figure& measured, Figure& kept) {
+  if (measured > Figure{}) {
+    kept = measured;
+  }
+}
+
 }  // namespace
 
 bool ServerTable::OnListing(const InstanceListing& listing) {
@@ -138,6 +147,19 @@
   }
 }
 
+void ServerTable::OnRates(const BackendServerName& server, const ServerRatesReport& rates) {
+  const auto found = m_rows.find(server);
+  if (found == m_rows.end()) {
+    return;
+  }
+  ServerLoad& load = found->second.load;
+  TakeIfKnown(rates.step_time_p50, load.step_time_p50);
+  TakeIfKnown(rates.step_time_p99, load.step_time_p99);
+  TakeIfKnown(rates.empty_step_time, load.empty_step_time);
+  TakeIfKnown(rates.decode_tokens_per_second, load.decode_tokens_per_second);
+  TakeIfKnown(rates.prefill_tokens_per_second, load.prefill_tokens_per_second);
+}
+
 void ServerTable::NotePoll(const BackendServerName& server, TimePoint now) {
   const auto found = m_rows.find(server);
   if (found != m_rows.end()) {
--- a/packages/zinnia_decisions/fleet_control/server_table.h
+++ b/packages/zinnia_decisions/fleet_control/server_table.h
@@ -9,6 +9,8 @@
 
 namespace zinnia {
 
+struct ServerRatesReport;
+
 /** What is known of one backend server, from the list and from the engine itself. */
 struct ServerRow {
   BackendServer server;
@@ -44,6 +46,9 @@
               std::uint32_t queued,
               TimePoint now);
 
+  /** How fast the server was measured to be; figures that are not known leave the old ones. */
+  void OnRates(const BackendServerName& server, const ServerRatesReport& rates);
+
   void NotePoll(const BackendServerName& server, TimePoint now);
 
   /** Live, suspect or gone; leaving is not decided here. @see LeavingTracker */
--- a/packages/zinnia_decisions/routing/server_rates.cc
+++ b/packages/zinnia_decisions/routing/server_rates.cc
@@ -40,7 +40,8 @@
   const double decode =
       MeasuredOr(view.load.decode_tokens_per_second, kNominalLayerTokensPerSecond * speed / layers);
   const double prefill = MeasuredOr(view.load.prefill_tokens_per_second, kPrefillToDecode * decode);
-  return {.base_step_seconds = kEmptyStepTokens / decode,
+  const double measured_step = std::chrono::duration<double>(view.load.empty_step_time).count();
+  return {.base_step_seconds = MeasuredOr(measured_step, kEmptyStepTokens / decode),
           .decode_tokens_per_second = decode * view.weight,
           .prefill_tokens_per_second = prefill * view.weight};
 }
--- a/packages/zinnia_world/fleet/server_load.h
+++ b/packages/zinnia_world/fleet/server_load.h
@@ -16,6 +16,7 @@
   std::uint32_t in_flight_here = 0;
   Duration step_time_p50{};
   Duration step_time_p99{};
+  Duration empty_step_time{};
   double prefill_tokens_per_second = 0.0;
   double decode_tokens_per_second = 0.0;
 };
--- a/tests/adapters/traffic_engine_links_test.cc
+++ b/tests/adapters/traffic_engine_links_test.cc
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
 #include "zinnia_adapters/engines/step_deadline.h"
 #include "zinnia_adapters/engines/step_queue.h"
 #include "zinnia_base/time/virtual_time.h"
+#include "zinnia_world/fleet/server_rates_report.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -53,12 +55,16 @@
                     std::uint32_t queued) override {
     load = fmt::format("{} {} {}", server, running, queued);
   }
+  void OnServerRates(const BackendServerName&, const ServerRatesReport& told) override {
+    rates = told;
+  }
   void OnServerLeaving(const BackendServerName& server) override {
     log.push_back("leaving " + server);
   }
   std::vector<std::string> log;
   std::vector<Fingerprint> blamed;
   std::string load;
+  std::optional<ServerRatesReport> rates;
 };
 
 std::string AnswersTo(const json::array& steps, const std::string& status) {
@@ -199,6 +205,40 @@
   LONGS_EQUAL(2, std::max(batches[0].size(), batches[1].size()));
 }
 
+TEST(TrafficEngineLinks, BatchThatWaitedBehindAnotherIsMeasuredWithoutTheWait) {
+  // Symptom: servers seem half as fast as they are under load. Sequence: two batches are in flight,
+  // the engine runs one after the other, both are timed from their sending. Cause: the second one's
+  // time holds the first one's.
+  constexpr int kRounds = 40;
+  const auto take = [](std::size_t steps) {
+    return std::chrono::milliseconds(2) + std::chrono::microseconds(100) * steps;
+  };
+  hold = true;
+  std::uint32_t hop = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    held.clear();
+    batches.clear();
+    for (const std::size_t steps : {1, 8}) {
+      const std::size_t sent = batches.size();
+      for (std::size_t step = 0; step < steps; ++step) {
+        Send(hop++, MakeStep(1));
+      }
+      CHECK(RunUntil(loop, [&] { return batches.size() == sent + 1; }));
+    }
+    for (std::size_t batch = 0; batch < 2; ++batch) {
+      time.AdvanceBy(take(batches[batch].size()));
+      const std::size_t answered = answers->count + batches[batch].size();
+      AnswerHeld(batch);
+      CHECK(RunUntil(loop, [&] { return answers->count == answered; }));
+    }
+    time.AdvanceBy(std::chrono::milliseconds(50));
+  }
+  CHECK(events.rates.has_value());
+  DOUBLES_EQUAL(64 / 0.0084, events.rates->decode_tokens_per_second, 64 / 0.0084 * 0.01);
+  CHECK(events.rates->empty_step_time > std::chrono::microseconds(1'950));
+  CHECK(events.rates->step_time_p50 > std::chrono::milliseconds(2));
+}
+
 TEST(TrafficEngineLinks, LongPrefillDoesNotHoldUpTokens) {
   // Symptom: all streams pause while one caller sends a long prompt. Sequence: a prefill of many
   // positions is in flight; decode steps come. Cause: both kinds in the same lanes.
--- a/tests/control/leaving_test.cc
+++ b/tests/control/leaving_test.cc
@@ -1,5 +1,6 @@
 #include "tests/control/control_fleet.h"
 #include "zinnia_decisions/fleet_control/subset_selection.h"
+#include "zinnia_world/fleet/server_rates_report.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -203,6 +204,26 @@
   CHECK_TRUE(fleet.At(0).Current()->sequence - before <= 6);
 }
 
+TEST(Fleet, MeasuredRatesStandBesideTheLoadAndUnknownOnesReplaceNothing) {
+  fleet.AddServer("b-0", {0, 8});
+  fleet.StartAll();
+  fleet.time.AdvanceBy(seconds(3));
+  ServerRatesReport rates;
+  rates.step_time_p50 = milliseconds(2);
+  rates.decode_tokens_per_second = 32'000.0;
+  fleet.At(0).ReportServerRates("b-0", rates);
+  // Another traffic thread, which has seen too little to know the rate.
+  rates.step_time_p50 = milliseconds(3);
+  rates.decode_tokens_per_second = 0.0;
+  fleet.At(0).ReportServerRates("b-0", rates);
+  fleet.At(0).ReportServerLoad("b-0", 3, 4);
+  fleet.time.AdvanceBy(milliseconds(300));
+  const ServerLoad load = fleet.At(0).Current()->servers.at("b-0").load;
+  DOUBLES_EQUAL(32'000.0, load.decode_tokens_per_second, 0.0);
+  CHECK_TRUE(load.step_time_p50 == milliseconds(3));
+  LONGS_EQUAL(4, load.reported_queued);
+}
+
 TEST(Fleet, SubsetsAreStableOverlappingAndMixed) {
   std::map<BackendServerName, ServerRow> rows;
   for (int server = 0; server < 600; ++server) {
