--- a/packages/zinnia_adapters/engines/engine_channel.cc
+++ b/packages/zinnia_adapters/engines/engine_channel.cc
@@ -21,15 +21,22 @@
   return http_status == 503 || http_status == 429 ? StepStatus::kOverloaded : StepStatus::kRejected;
 }
 
-void AnswerStep(const PendingStep& pending, StepStatus status) {
+void AnswerStep(const PendingStep& pending, StepStatus status, bool never_sent = false) {
   if (const auto listener = pending.listener.lock()) {
     StepAnswer answer;
     answer.status = status;
     answer.attempt = pending.step.attempt;
+    answer.never_sent = never_sent;
     listener->OnStepAnswer(pending.hop, std::move(answer));
   }
 }
 
+void AnswerUnsent(const std::vector<PendingStep>& steps) {
+  for (const PendingStep& pending : steps) {
+    AnswerStep(pending, StepStatus::kServerCrashed, true);
+  }
+}
+
 std::vector<Fingerprint> FingerprintsOf(const StepBatch& batch) {
   std::vector<Fingerprint> fingerprints = batch.fingerprints;
   for (const PendingStep& pending : batch.steps) {
@@ -252,7 +259,7 @@
     // Nothing of this batch was sent, so its requests cannot be what crashed the server.
     const std::vector<PendingStep> steps = std::exchange(batch->steps, {});
     DeclareCrashed();
-    AnswerAll(steps, StepStatus::kServerCrashed);
+    AnswerUnsent(steps);
     return;
   }
   m_awaiting_verdict.push_back(batch);
@@ -290,7 +297,7 @@
 void EngineChannel::DeclareCrashed() {
   std::vector<BatchPointer> blamed = std::exchange(m_awaiting_verdict, {});
   std::ranges::move(std::exchange(m_late, {}), std::back_inserter(blamed));
-  std::vector<PendingStep> steps;
+  std::vector<PendingStep> unsent;
   for (const BatchPointer& batch : std::exchange(m_in_flight, {})) {
     batch->answered = true;
     batch->deadline.reset();
@@ -299,18 +306,19 @@
     if (batch->connection->IsConnected()) {
       blamed.push_back(batch);
     } else {
-      std::ranges::move(batch->steps, std::back_inserter(steps));
+      std::ranges::move(batch->steps, std::back_inserter(unsent));
     }
     batch->connection->Close();
   }
   const std::vector<Fingerprint> fingerprints = FingerprintsOf(blamed);
+  std::vector<PendingStep> steps;
   for (const BatchPointer& batch : blamed) {
     std::ranges::move(batch->steps, std::back_inserter(steps));
     batch->connection->Close();
   }
   m_idle.clear();
   for (StepQueue& queue : m_queues) {
-    std::ranges::move(queue.TakeAll(), std::back_inserter(steps));
+    std::ranges::move(queue.TakeAll(), std::back_inserter(unsent));
   }
   const bool news = !std::exchange(m_down, true) || !fingerprints.empty();
   const std::uint64_t incarnation = std::exchange(m_incarnation, 0);
@@ -318,6 +326,7 @@
     m_parts.listener.OnServerCrashed(m_server, incarnation, fingerprints);
   }
   AnswerAll(steps, StepStatus::kServerCrashed);
+  AnswerUnsent(unsent);
 }
 
 void EngineChannel::DeclareConnectionLost() {
--- a/packages/zinnia_decisions/ports/step.h
+++ b/packages/zinnia_decisions/ports/step.h
@@ -96,6 +96,10 @@
   std::uint32_t prompt_tokens = 0;
   std::vector<std::string> states;
   std::optional<SampledToken> token;
+
+  /** With kServerCrashed: the server was gone before the step was sent, so its request cannot be
+      what crashed it. */
+  bool never_sent = false;
 };
 
 }  // namespace zinnia
