Share the evidence against a silent holder between its partitions

Each partition of a killed or paused holder gathered its own evidence, so that bookings failed for seconds. HolderWatch keeps it by instance, asks late instances for signs of life that need no store, and lets the preferred instance try first. Safety rests on compare-and-swap as before.

--- /dev/null
+++ b/packages/zinnia_decisions/once/holder_watch.cc
@@ -0,0 +1,148 @@
+#include "zinnia_decisions/once/holder_watch.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/once/alive_guard.h"
+#include "zinnia_decisions/ports/peer_transport.h"
+
+namespace zinnia {
+namespace {
+
+/** An answer later than this is worth a sign of life, however slow answers were before. */
+constexpr std::chrono::milliseconds kLeastReplyDeadline{50};
+constexpr std::chrono::milliseconds kMostReplyDeadline{350};
+
+/** A check that runs this much late means that this instance itself was asleep. */
+constexpr std::chrono::milliseconds kOverslept{100};
+
+/** Signs of life slower than usual by this factor are still waited for. */
+constexpr int kPatienceFactor = 4;
+
+/** A lost instance is forgotten after this long, so that it is not asked for ever. */
+constexpr std::chrono::seconds kForgetLostAfter{30};
+
+/** Instances that are remembered without being suspected. */
+constexpr std::size_t kMostPeers = 2'048;
+
+std::string NameOf(const Instance& instance) {
+  return fmt::format("{}/{}", instance.name, instance.start);
+}
+
+}  // namespace
+
+HolderWatch::HolderWatch(const OnceParts& parts,
+                         const OnceSettings& settings,
+                         std::function<void(const Instance&)> on_lost)
+    : m_parts(parts), m_settings(settings), m_on_lost(std::move(on_lost)) {}
+
+HolderWatch::~HolderWatch() = default;
+
+HolderWatch::Peer& HolderWatch::PeerOf(const Instance& instance) {
+  if (m_peers.size() >= kMostPeers) {
+    std::erase_if(m_peers, [](const auto& item) { return !item.second.missing_since; });
+  }
+  Peer& peer = m_peers[NameOf(instance)];
+  peer.instance = instance;
+  return peer;
+}
+
+const HolderWatch::Peer* HolderWatch::Find(const Instance& instance) const {
+  const auto found = m_peers.find(NameOf(instance));
+  return found == m_peers.end() ? nullptr : &found->second;
+}
+
+Duration HolderWatch::ReplyDeadline(const Instance& instance) const {
+  const Peer* peer = Find(instance);
+  return std::clamp<Duration>(peer != nullptr ? peer->replies.Deadline() : Duration::zero(),
+                              kLeastReplyDeadline, kMostReplyDeadline);
+}
+
+void HolderWatch::NoteReply(const Instance& instance, TimePoint sent_at) {
+  Peer& peer = PeerOf(instance);
+  peer.replies.Add(m_parts.clock.Now() - sent_at);
+  EndSuspicion(peer);
+}
+
+std::optional<TimePoint> HolderWatch::LostSince(const Instance& instance) const {
+  const Peer* peer = Find(instance);
+  return peer != nullptr ? peer->lost_since : std::nullopt;
+}
+
+void HolderWatch::NoteMissing(const Instance& instance, TimePoint sent_at, bool refused) {
+  Peer& peer = PeerOf(instance);
+  peer.refused = refused;
+  if (!peer.missing_since) {
+    peer.missing_since = sent_at;
+    AskForSignOfLife(instance);
+    CheckLater(peer);
+  }
+}
+
+void HolderWatch::EndSuspicion(Peer& peer) {
+  peer.missing_since.reset();
+  peer.lost_since.reset();
+  peer.timer.reset();
+  peer.refused = false;
+}
+
+void HolderWatch::AskForSignOfLife(const Instance& instance) {
+  IntentOutcome nothing;
+  nothing.partition = kNoPartition;
+  const TimePoint sent_at = m_parts.clock.Now();
+  m_parts.peers.ReportOutcome(
+      instance.peer_address, nothing,
+      WhileAlive(m_alive, [this, instance, sent_at](const Result<void>& result) {
+        const ErrorKind kind = result ? ErrorKind::kInternal : result.error().kind;
+        if (kind == ErrorKind::kPeerUnavailable) {
+          return NoteRefused(instance, sent_at);
+        }
+        if (kind != ErrorKind::kOutcomeUnknown) {
+          Peer& peer = PeerOf(instance);
+          peer.signs_of_life.Add(m_parts.clock.Now() - sent_at);
+          EndSuspicion(peer);
+        }
+      }));
+}
+
+void HolderWatch::CheckLater(Peer& peer) {
+  peer.check_due = m_parts.clock.Now() + m_settings.sign_of_life_interval;
+  peer.timer = m_parts.scheduler.ScheduleAfter(m_settings.sign_of_life_interval,
+                                               [this, name = NameOf(peer.instance)] { Check(name); });
+}
+
+void HolderWatch::Check(const std::string& name) {
+  Peer& peer = m_peers.at(name);
+  const TimePoint now = m_parts.clock.Now();
+  // What fails without it: this instance's machine was suspended; when it goes on, the answers that
+  // are still on their way look like a long silence, and it takes what living holders hold.
+  if (now - peer.check_due > kOverslept) {
+    peer.missing_since = now;
+  }
+  if (peer.lost_since && now - *peer.lost_since > kForgetLostAfter) {
+    return EndSuspicion(peer);
+  }
+  const Instance instance = peer.instance;
+  if (!peer.lost_since && now - *peer.missing_since >= Patience(peer)) {
+    peer.lost_since = now;
+  }
+  CheckLater(peer);
+  const bool lost = peer.lost_since.has_value();
+  AskForSignOfLife(instance);
+  if (lost) {
+    m_on_lost(instance);
+  }
+}
+
+Duration HolderWatch::Patience(const Peer& peer) const {
+  if (peer.refused) {
+    return m_settings.refused_takeover_after;
+  }
+  return std::clamp<Duration>(kPatienceFactor * peer.signs_of_life.Deadline(),
+                              m_settings.silent_takeover_after, m_settings.takeover_after);
+}
+
+}  // namespace zinnia
--- a/packages/zinnia_decisions/once/once_coordinator.cc
+++ b/packages/zinnia_decisions/once/once_coordinator.cc
@@ -36,6 +36,8 @@
   std::uint32_t round = 0;
   bool needs_refresh = false;
   bool in_flight = false;
+  std::optional<Instance> asked;
+  TimePoint sent_at{};
   bool may_be_recorded = false;
   std::unique_ptr<ScheduledCall> deadline;
   std::unique_ptr<ScheduledCall> timer;
@@ -57,7 +59,11 @@
 }
 
 OnceCoordinator::OnceCoordinator(OnceParts parts, OnceSettings settings, std::uint64_t seed)
-    : m_parts(parts), m_settings(settings), m_random(seed) {
+    : m_parts(parts),
+      m_settings(settings),
+      m_random(seed),
+      m_watch(m_parts, m_settings, [this](const Instance& holder) { OnHolderLost(holder); }),
+      m_takeover_slots(settings.most_takeovers) {
   m_reporter = std::make_unique<OutcomeReporter>(
       m_parts, m_settings, [this](std::uint32_t partition) { return RoleOf(partition); },
       m_random());
@@ -108,6 +114,7 @@
   }
   PartitionRole* role = RoleOf(ask->request.partition);
   ask->round += 1;
+  ask->asked.reset();
   if (role->Holder() != nullptr) {
     return AskLocally(ask);
   }
@@ -144,17 +151,24 @@
 
 void OnceCoordinator::AskPeer(const AskPointer& ask, const Instance& target) {
   ask->in_flight = true;
+  ask->asked = target;
+  ask->sent_at = m_parts.clock.Now();
   const std::uint32_t round = ask->round;
-  const TimePoint sent_at = m_parts.clock.Now();
+  const TimePoint sent_at = ask->sent_at;
   ask->timer = m_parts.scheduler.ScheduleAfter(
-      m_settings.call_timeout,
-      [this, weak = std::weak_ptr<Ask>(ask)] { OnCallTimeout(weak.lock()); });
+      m_watch.ReplyDeadline(target),
+      [this, weak = std::weak_ptr<Ask>(ask)] { OnCallLate(weak.lock()); });
   m_parts.peers.BeginIntent(
       target.peer_address, ask->request,
       WhileAlive(m_alive, [this, ask, round, target, sent_at](Result<IntentReply> result) {
         PartitionRole* role = RoleOf(ask->request.partition);
         const ErrorKind kind = result ? ErrorKind::kInternal : result.error().kind;
         // A holder that the head still names and that says it holds nothing will not serve either.
+        if (kind == ErrorKind::kPeerUnavailable) {
+          m_watch.NoteRefused(target, sent_at);
+        } else if (kind != ErrorKind::kOutcomeUnknown) {
+          m_watch.NoteReply(target, sent_at);
+        }
         const bool refused = kind == ErrorKind::kPeerUnavailable || kind == ErrorKind::kStaleEpoch;
         if (refused || kind == ErrorKind::kOutcomeUnknown) {
           role->NoteUnserved(sent_at, refused);
@@ -194,17 +208,47 @@
   }
 }
 
+void OnceCoordinator::OnCallLate(const AskPointer& ask) {
+  if (!ask || !ask->callback) {
+    return;
+  }
+  m_watch.NoteLate(*ask->asked, ask->sent_at);
+  ask->timer = m_parts.scheduler.ScheduleAfter(
+      ask->sent_at + m_settings.call_timeout - m_parts.clock.Now(),
+      [this, weak = std::weak_ptr<Ask>(ask)] { OnCallTimeout(weak.lock()); });
+}
+
 void OnceCoordinator::OnCallTimeout(const AskPointer& ask) {
   if (!ask || !ask->callback) {
     return;
   }
   RoleOf(ask->request.partition)
       ->NoteUnserved(m_parts.clock.Now() - m_settings.call_timeout, false);
+  AskAgain(ask);
+}
+
+/** The call under way may still be answered, or its intent recorded; its answer is not taken. */
+void OnceCoordinator::AskAgain(const AskPointer& ask) {
   ask->may_be_recorded = true;
   ask->needs_refresh = true;
   Step(ask);
 }
 
+/** Takes what is this instance's part of all that the lost holder had, and lets nobody wait for it
+    any longer. */
+void OnceCoordinator::OnHolderLost(const Instance& holder) {
+  for (const auto& role : m_roles) {
+    role->TakeIfPreferred();
+  }
+  const std::set<AskPointer> asks = m_asks;
+  for (const AskPointer& ask : asks) {
+    if (ask->callback && ask->asked && ask->asked->name == holder.name &&
+        ask->asked->start == holder.start) {
+      AskAgain(ask);
+    }
+  }
+}
+
 void OnceCoordinator::RetryLater(const AskPointer& ask) {
   ask->timer = m_parts.scheduler.ScheduleAfter(
       Jittered(m_settings.retry_pause),
--- a/packages/zinnia_decisions/once/once_coordinator.h
+++ b/packages/zinnia_decisions/once/once_coordinator.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "zinnia_decisions/membership/membership_view.h"
+#include "zinnia_decisions/once/holder_watch.h"
 #include "zinnia_decisions/once/intent_handler.h"
 #include "zinnia_decisions/once/once_gate.h"
 #include "zinnia_decisions/once/outcome_reporter.h"
@@ -55,7 +56,9 @@
                      std::function<void(Result<IntentReply>)> callback) override;
   void OnReportOutcome(IntentOutcome outcome, std::function<void(Result<void>)> callback) override;
 
-  /** Gives up all partitions in good order. Begin goes on to work, through the other instances. */
+  /** Gives up all partitions in good order. Begin goes on to work, through the other instances.
+      `done` runs within `hand_over_timeout`, also while the store is down: what was not released by
+      then is taken over as from an instance that died. */
   void HandOver(std::function<void()> done);
 
   std::size_t HeldPartitions();
@@ -84,7 +87,10 @@
   void AskLocally(const AskPointer& ask);
   void AskPeer(const AskPointer& ask, const Instance& target);
   void OnReply(const AskPointer& ask, std::uint32_t round, Result<IntentReply> result);
+  void OnCallLate(const AskPointer& ask);
   void OnCallTimeout(const AskPointer& ask);
+  void OnHolderLost(const Instance& holder);
+  void AskAgain(const AskPointer& ask);
   void RetryLater(const AskPointer& ask);
   void OnDeadline(const AskPointer& ask);
   void Finish(const AskPointer& ask, Result<IntentReply> result);
@@ -99,6 +105,8 @@
   OnceParts m_parts;
   const OnceSettings m_settings;
   RandomSource m_random;
+  HolderWatch m_watch;
+  TakeoverSlots m_takeover_slots;
   std::vector<std::unique_ptr<PartitionRole>> m_roles;
   std::unique_ptr<OutcomeReporter> m_reporter;
   std::list<Grant> m_grants;
@@ -109,6 +117,7 @@
   bool m_layout_under_way = false;
   bool m_leaving = false;
   std::unique_ptr<ScheduledCall> m_tick_timer;
+  std::unique_ptr<ScheduledCall> m_hand_over_timer;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/packages/zinnia_decisions/once/once_coordinator_roles.cc
+++ b/packages/zinnia_decisions/once/once_coordinator_roles.cc
@@ -75,7 +75,8 @@
                              {{"partitions", std::to_string(partitions)}}});
   }
   for (std::uint32_t partition = 0; partition < partitions; ++partition) {
-    m_roles.push_back(std::make_unique<PartitionRole>(m_parts, m_settings, partition, partitions));
+    m_roles.push_back(std::make_unique<PartitionRole>(m_parts, m_settings, m_watch,
+                                                      m_takeover_slots, partition, partitions));
   }
   OnMembershipChanged();
 }
@@ -123,11 +124,26 @@
 void OnceCoordinator::HandOver(std::function<void()> done) {
   m_leaving = true;
   auto left = std::make_shared<std::size_t>(m_roles.size() + 1);
-  const auto one_done = [left, done = std::move(done)] {
-    if (--*left == 0) {
-      done();
+  const auto once = [this, left, done = std::move(done)] {
+    *left = 0;
+    m_hand_over_timer.reset();
+    done();
+  };
+  const auto one_done = [left, once] {
+    if (*left > 0 && --*left == 0) {
+      once();
     }
   };
+  // What fails without it: the store is down, no head can be marked as released, and a planned stop
+  // hangs for as long as the outage lasts.
+  m_hand_over_timer = m_parts.scheduler.ScheduleAfter(m_settings.hand_over_timeout, [this, once] {
+    m_parts.recorder.Record({m_parts.clock.Now(),
+                             "once_hand_over",
+                             "stop_waiting",
+                             "the store did not take the hand-over in time",
+                             {{"held_partitions", std::to_string(HeldPartitions())}}});
+    once();
+  });
   for (const auto& role : m_roles) {
     role->HandOver(one_done);
   }
--- a/packages/zinnia_decisions/once/once_settings.cc
+++ b/packages/zinnia_decisions/once/once_settings.cc
@@ -14,6 +14,17 @@
   if (settings.retention < 10 * settings.valid_for) {
     return refuse("once.retention must be at least ten times once.valid_for");
   }
+  // A holder that is asked too seldom, or not waited for, would lose its partitions to one lost reply.
+  if (settings.sign_of_life_interval.count() <= 0 ||
+      settings.silent_takeover_after < 4 * settings.sign_of_life_interval ||
+      settings.takeover_after < settings.silent_takeover_after) {
+    return refuse(
+        "once.silent_takeover_after must be at least four times once.sign_of_life_interval and at "
+        "most once.takeover_after");
+  }
+  if (settings.most_takeovers == 0) {
+    return refuse("once.most_takeovers must be at least 1");
+  }
   if (settings.most_answer_bytes > settings.most_write_bytes / 4) {
     return refuse("once.most_answer_bytes must be at most a quarter of once.most_write_bytes");
   }
--- a/packages/zinnia_decisions/once/once_settings.h
+++ b/packages/zinnia_decisions/once/once_settings.h
@@ -53,15 +53,37 @@
   /** The same for a holder that cannot be connected to. */
   std::chrono::milliseconds refused_takeover_after{400};
 
+  /** How long a holder may leave calls and signs of life unanswered before all its partitions are
+      taken over. Signs of life need no store, so a slow store alone makes no holder silent. */
+  std::chrono::milliseconds silent_takeover_after{800};
+
+  /** How often an instance that leaves calls unanswered is asked for a sign of life. */
+  std::chrono::milliseconds sign_of_life_interval{100};
+
+  /** How much later each next instance in the order of preference tries to take a lost holder's
+      partition, so that not all of them spend store calls on it. */
+  std::chrono::milliseconds takeover_stagger{25};
+
+  /** Partitions of lost holders that one instance takes over at once; each has at most one store
+      call under way. */
+  std::size_t most_takeovers = 8;
+
   /** The least time between two takeovers of one partition by one instance. */
   std::chrono::milliseconds takeover_pause{5'000};
 
   /** How long outcomes are offered to holders before they are given up. */
   std::chrono::milliseconds report_for{600'000};
 
+  /** How long a planned stop waits for the store to take the hand-over. */
+  std::chrono::milliseconds hand_over_timeout{3'000};
+
   std::size_t segment_bytes = std::size_t{64} * 1024;
   std::size_t most_write_bytes = std::size_t{512} * 1024;
   std::size_t most_answer_bytes = std::size_t{8} * 1024;
+
+  /** Bodies of recorded answers that one partition keeps in memory; beyond, the oldest are dropped
+      and their keys answered without a body (`body_dropped`). */
+  std::size_t most_recorded_bytes = std::size_t{2} * 1024 * 1024;
   std::size_t most_entries = 100'000;
   std::size_t most_queued = 1'024;
   std::size_t most_reports = 4'096;
--- a/packages/zinnia_decisions/once/partition_role.cc
+++ b/packages/zinnia_decisions/once/partition_role.cc
@@ -8,6 +8,7 @@
 #include "zinnia_base/decisions/decision_record.h"
 #include "zinnia_base/time/scheduler.h"
 #include "zinnia_decisions/membership/membership_view.h"
+#include "zinnia_decisions/once/holder_watch.h"
 
 namespace zinnia {
 namespace {
@@ -15,6 +16,9 @@
 /** Failures further apart than this many times `takeover_after` are not taken together. */
 constexpr int kEvidenceWindow = 4;
 
+/** Whoever has more than this many instances before it waits no longer for them. */
+constexpr int kMostTurnsWaited = 8;
+
 bool IsSame(const Instance& left, const Instance& right) {
   return left.name == right.name && left.start == right.start;
 }
@@ -23,9 +27,16 @@
 
 PartitionRole::PartitionRole(const OnceParts& parts,
                              const OnceSettings& settings,
+                             const HolderWatch& watch,
+                             TakeoverSlots& slots,
                              std::uint32_t partition,
                              std::uint32_t partitions)
-    : m_parts(parts), m_settings(settings), m_partition(partition), m_partitions(partitions) {}
+    : m_parts(parts),
+      m_settings(settings),
+      m_watch(watch),
+      m_slots(slots),
+      m_partition(partition),
+      m_partitions(partitions) {}
 
 PartitionRole::~PartitionRole() = default;
 
@@ -49,6 +60,9 @@
 }
 
 bool PartitionRole::IsUnserved(const PartitionHead& head) const {
+  if (head.epoch > 0 && !head.released && m_watch.LostSince(head.holder)) {
+    return true;
+  }
   const TimePoint now = m_parts.clock.Now();
   if (!m_unserved_since || !m_head || head.epoch != m_head->epoch ||
       now - m_last_unserved > kEvidenceWindow * m_settings.takeover_after) {
@@ -67,8 +81,7 @@
     const bool skipped = left_out.contains(instance.name) ||
                          (head.epoch > 0 && IsSame(instance, head.holder)) ||
                          (m_leaving && IsSame(instance, m_parts.membership.Self()));
-    const std::uint64_t hash =
-        Hash64(fmt::format("{}/{}", instance.name, instance.start), m_partition);
+    const std::uint64_t hash = PreferenceOf(instance);
     if (!skipped && (!best || hash > best_hash)) {
       best = instance;
       best_hash = hash;
@@ -77,7 +90,36 @@
   return best;
 }
 
-bool PartitionRole::MayTake(const PartitionHead& head) const {
+std::uint64_t PartitionRole::PreferenceOf(const Instance& instance) const {
+  return Hash64(fmt::format("{}/{}", instance.name, instance.start), m_partition);
+}
+
+/** What fails without it: all instances see a holder's silence at the same time and each of them
+    spends store calls on each of its partitions, of which all but one are in vain. */
+bool PartitionRole::IsMyTurn(const PartitionHead& head) const {
+  const std::optional<TimePoint> lost_since = m_watch.LostSince(head.holder);
+  if (!lost_since) {
+    return true;
+  }
+  const std::uint64_t own = PreferenceOf(m_parts.membership.Self());
+  int before = 0;
+  for (const Instance& instance : m_parts.membership.LiveInstances()) {
+    const bool lost = IsSame(instance, head.holder) || m_watch.LostSince(instance);
+    before += !lost && PreferenceOf(instance) > own ? 1 : 0;
+  }
+  return m_parts.clock.Now() - *lost_since >=
+         m_settings.takeover_stagger * std::min(before, kMostTurnsWaited);
+}
+
+bool PartitionRole::MayTake(const PartitionHead& head) {
+  if (!WantsToTake(head)) {
+    return false;
+  }
+  m_slot = IsUnserved(head) ? m_slots.Take() : nullptr;
+  return m_slot != nullptr || !IsUnserved(head);
+}
+
+bool PartitionRole::WantsToTake(const PartitionHead& head) const {
   if (m_leaving) {
     return false;
   }
@@ -88,7 +130,7 @@
     return true;
   }
   if (IsUnserved(head)) {
-    return !paused;
+    return !paused && IsMyTurn(head);
   }
   const std::optional<Instance> preferred = Preferred(head);
   return !IsUsable(head) && preferred && IsSame(*preferred, self) && (head.released || !paused);
@@ -108,6 +150,7 @@
 
 void PartitionRole::OnTakeoverDone(Result<TakenPartition> result) {
   const std::unique_ptr<PartitionTakeover> takeover = std::move(m_takeover);
+  m_slot.reset();
   if (takeover->SeenHead() && (!m_head || m_head->epoch < takeover->SeenHead()->epoch)) {
     m_unserved_since.reset();
     m_refusing.clear();
@@ -138,7 +181,7 @@
 }
 
 void PartitionRole::TakeIfPreferred() {
-  if (m_holder || m_takeover || m_leaving || (m_head && !MayTake(*m_head))) {
+  if (m_holder || m_takeover || m_leaving || (m_head && !WantsToTake(*m_head))) {
     return;
   }
   const std::optional<Instance> preferred = Preferred(m_head.value_or(PartitionHead{}));
--- a/packages/zinnia_decisions/once/partition_role.h
+++ b/packages/zinnia_decisions/once/partition_role.h
@@ -9,9 +9,12 @@
 
 #include "zinnia_base/random/random_source.h"
 #include "zinnia_decisions/once/partition_holder.h"
+#include "zinnia_decisions/once/takeover_slots.h"
 
 namespace zinnia {
 
+class HolderWatch;
+
 /** What one instance knows of one partition: its head as last read, whom to ask, and the holder's
     part if that is this instance.
 
@@ -29,6 +32,8 @@
 
   PartitionRole(const OnceParts& parts,
                 const OnceSettings& settings,
+                const HolderWatch& watch,
+                TakeoverSlots& slots,
                 std::uint32_t partition,
                 std::uint32_t partitions);
   ~PartitionRole();
@@ -65,7 +70,10 @@
 
  private:
   bool IsUsable(const PartitionHead& head) const;
-  bool MayTake(const PartitionHead& head) const;
+  bool MayTake(const PartitionHead& head);
+  bool WantsToTake(const PartitionHead& head) const;
+  bool IsMyTurn(const PartitionHead& head) const;
+  std::uint64_t PreferenceOf(const Instance& instance) const;
   bool IsUnserved(const PartitionHead& head) const;
   std::optional<Instance> Preferred(const PartitionHead& head,
                                     const std::set<InstanceName>& left_out = {}) const;
@@ -74,6 +82,9 @@
 
   OnceParts m_parts;
   const OnceSettings& m_settings;
+  const HolderWatch& m_watch;
+  TakeoverSlots& m_slots;
+  TakeoverSlots::Slot m_slot;
   const std::uint32_t m_partition;
   const std::uint32_t m_partitions;
   std::optional<PartitionHead> m_head;
--- /dev/null
+++ b/packages/zinnia_decisions/once/reply_times.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <algorithm>
+
+#include "zinnia_base/time/clock.h"
+
+namespace zinnia {
+
+/** How long an instance takes to answer, learned from its answers: a moving mean and deviation.
+
+    Use Deadline for when an answer is late. Bound it below: a few fast answers say nothing of the
+    next one.
+
+    @see HolderWatch
+*/
+class ReplyTimes {
+ public:
+  void Add(Duration time) {
+    if (m_mean == Duration::zero()) {
+      m_mean = time;
+      m_deviation = time / 2;
+      return;
+    }
+    const Duration difference = time - m_mean;
+    m_mean += difference / kMeanShare;
+    m_deviation += (std::max(difference, -difference) - m_deviation) / kDeviationShare;
+  }
+
+  /** Zero while nothing was learned. */
+  Duration Deadline() const { return m_mean + kDeviations * m_deviation; }
+
+ private:
+  static constexpr int kMeanShare = 8;
+  static constexpr int kDeviationShare = 4;
+  static constexpr int kDeviations = 4;
+
+  Duration m_mean{};
+  Duration m_deviation{};
+};
+
+}  // namespace zinnia
