Keep stopping instances served, and tell silence apart from the asker's own sleep

Failures now count from when they were noticed. A peer that asks in vain makes this instance ask the holder for a sign of life.

--- a/packages/zinnia_decisions/once/once_coordinator.cc
+++ b/packages/zinnia_decisions/once/once_coordinator.cc
@@ -38,6 +38,7 @@
   std::string caller_request_id;
   std::function<void(Result<IntentReply>)> callback;
   std::uint32_t round = 0;
+  std::uint32_t peers_asked = 0;
   bool needs_refresh = false;
   bool in_flight = false;
   std::optional<Instance> asked;
@@ -123,7 +124,9 @@
   if (role->Holder() != nullptr) {
     return AskLocally(ask);
   }
-  const std::optional<Instance> target = role->Target(ask->round % 2 == 1);
+  // By turns the head's holder and the one that should hold it. Rounds do not count: each second one
+  // only reads the head, and one of the two would never be asked.
+  const std::optional<Instance> target = role->Target(ask->peers_asked % 2 == 0);
   if (!target || std::exchange(ask->needs_refresh, false)) {
     return RefreshFor(ask);
   }
@@ -157,6 +160,7 @@
 void OnceCoordinator::AskPeer(const AskPointer& ask, const Instance& target) {
   ask->in_flight = true;
   ask->asked = target;
+  ask->peers_asked += 1;
   ask->sent_at = m_parts.clock.Now();
   const std::uint32_t round = ask->round;
   const TimePoint sent_at = ask->sent_at;
--- a/packages/zinnia_decisions/once/partition_role.cc
+++ b/packages/zinnia_decisions/once/partition_role.cc
@@ -27,7 +27,7 @@
 
 PartitionRole::PartitionRole(const OnceParts& parts,
                              const OnceSettings& settings,
-                             const HolderWatch& watch,
+                             HolderWatch& watch,
                              TakeoverSlots& slots,
                              std::uint32_t partition,
                              std::uint32_t partitions)
@@ -41,10 +41,14 @@
 PartitionRole::~PartitionRole() = default;
 
 std::optional<Instance> PartitionRole::Target(bool trust_membership) const {
-  if (!m_head || IsUnserved(*m_head)) {
+  // An instance that gives its roles up cannot take the partition itself, so it goes on asking, by
+  // turns the preferred instance and the holder, which may be well after all.
+  const bool unserved = m_head && IsUnserved(*m_head);
+  if (!m_head || (unserved && !m_leaving)) {
     return std::nullopt;
   }
-  const bool ask_holder = IsUsable(*m_head) || (!trust_membership && !m_head->released);
+  const bool ask_holder =
+      !m_head->released && (!trust_membership || (!unserved && IsUsable(*m_head)));
   const std::optional<Instance> target =
       ask_holder ? m_head->holder : Preferred(*m_head, m_refusing);
   const bool is_self = target && IsSame(*target, m_parts.membership.Self());
@@ -202,7 +206,9 @@
   // would move the partition at the next failure.
   const bool goes_on =
       m_unserved_since && since - m_last_unserved < kEvidenceWindow * m_settings.takeover_after;
-  m_unserved_since = goes_on ? std::min(*m_unserved_since, since) : since;
+  // Counted from when the first failure was noticed, not from its call: an asker whose machine slept
+  // notices late, and the holder may have answered at once.
+  m_unserved_since = goes_on ? *m_unserved_since : m_parts.clock.Now();
   m_last_unserved = m_parts.clock.Now();
   m_refused = refused;
 }
@@ -215,8 +221,11 @@
 }
 
 void PartitionRole::NoteAskedInVain() {
+  const TimePoint now = m_parts.clock.Now();
   if (m_head && !IsUsable(*m_head)) {
-    NoteUnserved(m_parts.clock.Now(), true);
+    NoteUnserved(now, true);
+  } else if (m_head && !m_leaving) {
+    m_watch.NoteLate(m_head->holder, now);
   }
 }
 
--- a/packages/zinnia_decisions/once/partition_role.h
+++ b/packages/zinnia_decisions/once/partition_role.h
@@ -32,7 +32,7 @@
 
   PartitionRole(const OnceParts& parts,
                 const OnceSettings& settings,
-                const HolderWatch& watch,
+                HolderWatch& watch,
                 TakeoverSlots& slots,
                 std::uint32_t partition,
                 std::uint32_t partitions);
@@ -62,7 +62,8 @@
   void NoteRefusal(const Instance& target);
 
   /** A peer asked this instance, which does not hold the partition. If the head has no living
-     holder either, whoever is preferred is not doing its part (it may be stopping). */
+     holder either, whoever is preferred is not doing its part (it may be stopping). Otherwise the
+      peer may have found the holder silent, so it is asked for a sign of life. */
   void NoteAskedInVain();
 
   /** Gives the partition up in good order; `done` runs when that is over. */
@@ -82,7 +83,7 @@
 
   OnceParts m_parts;
   const OnceSettings& m_settings;
-  const HolderWatch& m_watch;
+  HolderWatch& m_watch;
   TakeoverSlots& m_slots;
   TakeoverSlots::Slot m_slot;
   const std::uint32_t m_partition;
--- a/tests/once/once_test.cc
+++ b/tests/once/once_test.cc
@@ -292,6 +292,28 @@
   }
 }
 
+// Symptom: bookings through an instance that is being stopped fail until it is gone.
+// Events: it gives its roles up; afterwards the holder dies. It asks the dead holder at each turn.
+// Cause: the turns of asking the preferred instance fell on rounds that only read the head.
+TEST(Once, AStoppingInstanceReachesTheNextHolderAfterAKill) {
+  for (const auto& leaving : world.instances) {
+    OnceWorld stopping(7, 3, OnePartition());
+    stopping.Advance(seconds(1));
+    FakeInstance& holds = stopping.Holder();
+    FakeInstance* asker = stopping.Find(leaving->Self().peer_address);
+    if (asker == &holds) {
+      continue;
+    }
+    asker->Call("warm-up", "body");
+    stopping.Advance(seconds(1));
+    asker->coordinator().HandOver([] {});
+    holds.Kill();
+    const auto request = asker->Call("k", "body");
+    stopping.Advance(seconds(3));
+    CHECK(request->told == Told::kAnswered);
+  }
+}
+
 // Events: an instance starts with another number of partitions in its settings.
 // Cause: it would look for a key in another partition and grant it again.
 TEST(Once, TheStoreDecidesTheNumberOfPartitions) {
--- /dev/null
+++ b/tests/once/takeover_test.cc
@@ -0,0 +1,137 @@
+#include <algorithm>
+#include <string>
+
+#include "tests/once/once_world.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(OnceTakeover) {
+  OnceWorld world{17, 5};
+  FakeInstance* holder = nullptr;
+  FakeInstance* caller = nullptr;
+
+  void setup() override {
+    world.Advance(seconds(1));
+    holder = &world.Holder();
+    caller = holder == &world[0] ? &world[1] : &world[0];
+    CallAll(*caller, "warm-up");
+    world.Advance(seconds(3));
+  }
+
+  /** Enough keys that every partition gets some. */
+  void CallAll(FakeInstance & instance, const std::string& prefix) {
+    for (int i = 0; i < 100; ++i) {
+      instance.Call(prefix + std::to_string(i), "body");
+    }
+  }
+
+  /** A booking every 50 ms through all instances but `left_out`; how many were not answered. */
+  int RefusedOf(int bookings, const FakeInstance* left_out) {
+    std::vector<std::shared_ptr<CallerRequest>> requests;
+    for (int i = 0; i < bookings; ++i) {
+      FakeInstance* instance = &world[i % world.instances.size()];
+      instance = instance == left_out ? caller : instance;
+      requests.push_back(instance->Call("k" + std::to_string(world.next_request), "body"));
+      world.Advance(milliseconds(50));
+    }
+    world.Advance(seconds(5));
+    return static_cast<int>(std::count_if(
+        requests.begin(), requests.end(),
+        [](const auto& request) { return request->told != Told::kAnswered; }));
+  }
+
+  std::size_t HeldByLiving() {
+    std::size_t held = 0;
+    for (const auto& instance : world.instances) {
+      held += instance->thread().IsKilled() ? 0 : instance->coordinator().HeldPartitions();
+    }
+    return held;
+  }
+};
+
+// Symptom: bookings fail for seconds after an instance was killed.
+// Events: the holder of several partitions is killed and still listed as live; one booking meets
+// it. Cause: each partition waits until it has been asked for often enough itself.
+TEST(OnceTakeover, OneBookingIsEnoughToTakeAllPartitionsOfAKilledHolder) {
+  CHECK(holder->coordinator().HeldPartitions() > 1);
+  world.sees_killed_as_live = true;
+  holder->Kill();
+  int asked = 0;
+  while (HeldByLiving() < 16 && asked < 20) {
+    caller->Call("meets" + std::to_string(asked++), "body");
+  }
+  world.Advance(milliseconds(1'000));
+  LONGS_EQUAL(16, HeldByLiving());
+}
+
+// Events: as above, but the holder is paused and 20 bookings a second arrive everywhere.
+// Cause: without shared evidence and signs of life, some wait longer than their caller.
+TEST(OnceTakeover, NoBookingIsRefusedBecauseAHolderSleeps) {
+  holder->thread().Pause();
+  LONGS_EQUAL(0, RefusedOf(100, holder));
+}
+
+// Symptom: partitions move for no reason while the store is slow.
+// Events: each store call goes from 3 ms to `slow`; nobody is lost.
+// Cause: a holder that waits for the store answers late; only its signs of life tell it from a
+// silent one.
+TEST(OnceTakeover, ASlowStoreMovesNoPartition) {
+  for (const milliseconds slow : {milliseconds(3), milliseconds(50), milliseconds(300)}) {
+    world.store.faults.one_way = Duration(slow) / 2;
+    const std::size_t before = world.Count("take_over");
+    LONGS_EQUAL(0, RefusedOf(400, nullptr));
+    LONGS_EQUAL(before, world.Count("take_over"));
+  }
+}
+
+// Symptom: a partition goes round all instances after its holder slept once.
+// Events: the holder is paused; calls to it are given up seconds later, when others hold already.
+// Cause: the old failures counted against the new holder.
+TEST(OnceTakeover, LateFailuresOfTheOldHolderDoNotMoveThePartitionAgain) {
+  const std::size_t held = holder->coordinator().HeldPartitions();
+  const std::size_t before = world.Count("take_over");
+  holder->thread().Pause();
+  RefusedOf(400, holder);
+  LONGS_EQUAL(before + held, world.Count("take_over"));
+}
+
+// Symptom: an instance takes everything when its machine wakes.
+// Events: the machines of a holder and of an asker are suspended for 3 s with calls on their way.
+// Cause: to the timers of the asker the silence looks as long as the suspension.
+TEST(OnceTakeover, AnAskerThatSleptItselfTakesNothing) {
+  const std::size_t before = world.Count("take_over");
+  holder->thread().Pause();
+  CallAll(*caller, "on its way");
+  world.Advance(milliseconds(200));
+  caller->thread().Pause();
+  world.Advance(seconds(3));
+  caller->thread().Wake();
+  holder->thread().Wake();
+  world.Advance(seconds(3));
+  LONGS_EQUAL(before, world.Count("take_over"));
+}
+
+// Symptom: a planned stop hangs.
+// Events: the store is down when the instance is stopped.
+// Cause: the release of its partitions cannot be written.
+TEST(OnceTakeover, APlannedStopDuringAnOutageEnds) {
+  world.store.faults.outage = true;
+  int done = 0;
+  holder->coordinator().HandOver([&] { done += 1; });
+  world.Advance(seconds(2));
+  LONGS_EQUAL(0, done);
+  world.Advance(seconds(2));
+  LONGS_EQUAL(1, done);
+  world.store.faults.outage = false;
+  world.Advance(seconds(10));
+  LONGS_EQUAL(1, done);
+}
+
+}  // namespace
+}  // namespace zinnia
