Count a session at one server at a time when routes are compared

Cause: a session counted as if it were in the batch of all servers of its route, so pipelines of two stages ran batches of 13 to 16 while three-stage ones ran 4 to 8 (95 and 120 percent load). The bench prints goodput in time and a curve over the capacity.

--- a/bench/routing/flow_meter.cc
+++ b/bench/routing/flow_meter.cc
@@ -18,10 +18,11 @@
   }
 }
 
-void FlowMeter::OnAnswered(const OfferedRequest&, bool steady) {
+void FlowMeter::OnAnswered(const OfferedRequest& request, bool steady) {
   if (IsMeasured()) {
     m_answered += 1.0;
     m_in_time += steady ? 1.0 : 0.0;
+    m_tokens_in_time += steady ? request.answer_tokens : 0.0;
   }
 }
 
@@ -37,6 +38,10 @@
   return m_tokens / Seconds(m_end - m_begin);
 }
 
+double FlowMeter::TokensPerSecondInTime() const {
+  return m_tokens_in_time / Seconds(m_end - m_begin);
+}
+
 double FlowMeter::InTimePercent() const {
   return 100.0 * m_in_time / std::max(1.0, m_answered);
 }
--- a/bench/routing/flow_meter.h
+++ b/bench/routing/flow_meter.h
@@ -18,6 +18,9 @@
   void OnFailed(const OfferedRequest& request) override;
 
   double TokensPerSecond() const;
+
+  /** Tokens a second of the answers that kept both limits from their first token to their last. */
+  double TokensPerSecondInTime() const;
   double FirstTokenP95Milliseconds() const { return P95Milliseconds(m_first_tokens); }
   double BetweenTokensP95Milliseconds() const { return P95Milliseconds(m_between_tokens); }
   double InTimePercent() const;
@@ -35,6 +38,7 @@
   double m_tokens = 0.0;
   double m_answered = 0.0;
   double m_in_time = 0.0;
+  double m_tokens_in_time = 0.0;
   double m_refused = 0.0;
 };
 
--- a/bench/routing/main.cc
+++ b/bench/routing/main.cc
@@ -49,6 +49,7 @@
   ChooserFactory factory;
   double load = 0.0;
   Duration lag = std::chrono::seconds(1);
+  double capacity_seconds = SimulationSettings{}.capacity_seconds;
 };
 
 /** The common ground of all runs. */
@@ -67,6 +68,7 @@
   SimulationSettings settings;
   settings.make_chooser = run.factory;
   settings.load_lag = run.lag;
+  settings.capacity_seconds = run.capacity_seconds;
   settings.seed = kSeed;
   Simulation simulation(ground.plan, settings, meter);
   meter.SetClock(simulation.Time());
@@ -85,9 +87,10 @@
   return fmt::format(
       "{0}_bound_ratio={1:.4f}\n{0}_first_token_p95_ms={2:.1f}\n"
       "{0}_between_tokens_p95_ms={3:.1f}\n{0}_in_time_percent={4:.1f}\n"
-      "{0}_refused_percent={5:.1f}\n",
+      "{0}_goodput_in_time_ratio={5:.4f}\n{0}_refused_percent={6:.1f}\n",
       run.name, meter.TokensPerSecond() / due, meter.FirstTokenP95Milliseconds(),
-      meter.BetweenTokensP95Milliseconds(), meter.InTimePercent(), meter.RefusedPercent());
+      meter.BetweenTokensP95Milliseconds(), meter.InTimePercent(),
+      meter.TokensPerSecondInTime() / due, meter.RefusedPercent());
 }
 
 std::vector<Run> AllRuns() {
@@ -106,14 +109,22 @@
                       std::chrono::milliseconds(lag)});
     }
   }
+  for (const int milliseconds : {20, 25, 28, 30, 35, 40, 50}) {
+    for (const int load : {95, 120}) {
+      runs.push_back({fmt::format("capacity_{}ms_{}", milliseconds, load), Chosen().factory,
+                      load / 100.0, std::chrono::seconds(1), milliseconds / 1'000.0});
+    }
+  }
   return runs;
 }
 
-void RunAll() {
+/** Runs whose name begins with `prefix`; the costs only without one. */
+void RunAll(const std::string& prefix) {
   const Ground ground;
   fmt::print("bound_requests_per_second={:.2f}\nbound_tokens_per_second={:.0f}\n", ground.bound,
              ground.bound * ground.plan.demand.begin()->second.answer_tokens);
-  const std::vector<Run> runs = AllRuns();
+  std::vector<Run> runs = AllRuns();
+  std::erase_if(runs, [&](const Run& run) { return !run.name.starts_with(prefix); });
   for (std::size_t first = 0; first < runs.size(); first += kRunsAtOnce) {
     std::vector<std::future<std::string>> results;
     for (std::size_t run = first; run < std::min(runs.size(), first + kRunsAtOnce); ++run) {
@@ -124,14 +135,16 @@
       fmt::print("{}", result.get());
     }
   }
-  PrintChoiceCost();
-  PrintFormingFigures();
+  if (prefix.empty()) {
+    PrintChoiceCost();
+    PrintFormingFigures();
+  }
 }
 
 }  // namespace
 }  // namespace zinnia::bench
 
-int main() {
-  zinnia::bench::RunAll();
+int main(int count, char** arguments) {
+  zinnia::bench::RunAll(count > 1 ? arguments[1] : "");
   return 0;
 }
--- a/packages/zinnia_decisions/routing/completion_chooser.h
+++ b/packages/zinnia_decisions/routing/completion_chooser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <map>
+
 #include "zinnia_base/random/random_source.h"
 #include "zinnia_decisions/routing/indexed_chooser.h"
 #include "zinnia_decisions/routing/prefix_memory.h"
@@ -33,6 +35,12 @@
 
 /** Chooses routes by expected completion and by what the choice costs everybody else.
 
+    How often a session comes past its servers depends on how long a token takes through the whole
+    pipeline, and that on the load of its servers; the time between tokens of each pipeline is
+    worked out anew with every snapshot from the one before. Without it the sessions of a route
+    count as if they were at all its servers at once; one notices pipelines of few stages that run
+    full batches while longer ones have room.
+
     The expected time of a hop grows with the sessions at the server; a further session slows the
     others too, and that slowdown is counted, so that load spreads by rate when it is high and goes
     to fast near servers when it is low. Instances that see the same late report would all run to
@@ -53,6 +61,7 @@
  protected:
   std::vector<std::size_t> PipelineOrder(const RouteQuery& query, std::size_t count) override;
   std::size_t ComparedPipelines() const override { return m_settings.compared_pipelines; }
+  void OnIndexed(const FleetIndex& index) override;
   StagePick PickServer(const StageQuestion& question) override;
   void OnRouteUsed(const Route& route, const RouteQuery& query) override;
   std::string_view Reason() const override {
@@ -63,11 +72,14 @@
   void DrawCompared(const StageQuestion& question);
   std::uint32_t HomeOfPrefix(const StageQuestion& question) const;
   double CostOf(const StageQuestion& question, std::uint32_t candidate, bool probably_cached) const;
+  double CycleOf(const PipelineName& pipeline) const;
+  double NextCycle(const FleetIndex& index, const IndexedPipeline& pipeline) const;
   double ExpectedSessions(const FleetIndex& index, const IndexedServer& server) const;
 
   RandomSource m_random;
   const CompletionChooserSettings m_settings;
   PrefixMemory m_prefixes;
+  std::map<PipelineName, double> m_cycles;
   std::vector<std::uint32_t> m_compared;
 };
 
--- a/packages/zinnia_decisions/routing/completion_model.cc
+++ b/packages/zinnia_decisions/routing/completion_model.cc
@@ -1,5 +1,7 @@
 #include "zinnia_decisions/routing/completion_model.h"
 
+#include <algorithm>
+
 #include "zinnia_decisions/routing/fleet_index.h"
 
 namespace zinnia {
@@ -9,6 +11,16 @@
 constexpr double kStateBytes = 16'384.0;
 constexpr double kTokenBytes = 64.0;
 
+/** Tokens of a full batch, for what an iteration costs whatever is in it. */
+constexpr double kFullBatch = 16.0;
+
+/** Part of an empty server's step that does not come from the one token in it. */
+constexpr double kBaseShareOfEmptyStep = 0.7;
+
+/** A token arrives in the middle of an iteration on average. */
+constexpr double kIterationsUntilDone = 1.5;
+constexpr double kHighestUse = 0.95;
+
 double LinkSeconds(const FleetIndex& index,
                    const IndexedServer& server,
                    HopPosition position,
@@ -26,10 +38,22 @@
                          HopPosition position,
                          const RouteQuery& query) {
   const ServerRates& rates = server.rates;
+  const double links = LinkSeconds(index, server, position, 1.0);
   return {.prefill = query.prompt_tokens / rates.prefill_tokens_per_second +
                      LinkSeconds(index, server, position, query.prompt_tokens),
-          .base_per_token = rates.base_step_seconds + LinkSeconds(index, server, position, 1.0),
+          .base_per_token = rates.base_step_seconds + links,
+          .links_per_token = links,
           .load_per_session = 1.0 / rates.decode_tokens_per_second};
 }
 
+double StepSeconds(const ServerRates& rates, double sessions, double cycle_seconds) {
+  const double base = kBaseShareOfEmptyStep * rates.base_step_seconds;
+  const double per_token = 1.0 / rates.decode_tokens_per_second - base / kFullBatch;
+  const double use = sessions * per_token / cycle_seconds;
+  const double curved = std::min(use, kHighestUse);
+  const double room = 1.0 - curved;
+  const double iteration = base / room + (use - curved) * base / (room * room);
+  return kIterationsUntilDone * iteration;
+}
+
 }  // namespace zinnia
