Ask again when the probe of a broken connection is cut

Cause: a process that crashes accepts connections for a moment while it goes down. The probe that decides between crash and lost connection was then cut itself, and that was taken for a lost connection: nobody was blamed, the session tried the server again, met a refusal, and took its poison to the next one.

Now a cut probe is repeated every 20 ms, at most 10 times, before the connection counts as lost. Weighed: blaming on a cut probe; a network cut would then quarantine healthy requests.

--- a/packages/zinnia_adapters/engines/engine_channel.cc
+++ b/packages/zinnia_adapters/engines/engine_channel.cc
@@ -267,9 +267,13 @@
 }
 
 void EngineChannel::Probe() {
-  if (std::exchange(m_probing, true)) {
-    return;
+  if (!std::exchange(m_probing, true)) {
+    m_cut_probes = 0;
+    SendProbe();
   }
+}
+
+void EngineChannel::SendProbe() {
   m_side->ReadIncarnation(kProbeTimeout, [self = shared_from_this()](ExchangeFailure failure,
                                                                      std::uint64_t incarnation) {
     self->OnProbed(failure, incarnation);
@@ -277,6 +281,20 @@
 }
 
 void EngineChannel::OnProbed(ExchangeFailure failure, std::uint64_t incarnation) {
+  // A process that is going down still takes a connection for a moment, and then cuts it. Taken for
+  // a verdict, that is a lost connection: the request which crashed the server is not blamed, and
+  // goes on to crash the next one.
+  const bool is_cut = failure == ExchangeFailure::kLost || failure == ExchangeFailure::kUnreachable;
+  if (is_cut && !m_awaiting_verdict.empty() && m_cut_probes < kMostCutProbes) {
+    ++m_cut_probes;
+    m_probe_again =
+        m_parts.scheduler.ScheduleAfter(kProbeAgainAfter, [weak = weak_from_this()] {
+          if (const auto self = weak.lock()) {
+            self->SendProbe();
+          }
+        });
+    return;
+  }
   m_probing = false;
   if (m_awaiting_verdict.empty()) {
     FlushSoon();  // a refused connection gave the verdict before the probe did
--- a/packages/zinnia_adapters/engines/engine_channel.h
+++ b/packages/zinnia_adapters/engines/engine_channel.h
@@ -34,6 +34,8 @@
 class EngineChannel : public std::enable_shared_from_this<EngineChannel> {
  public:
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
+  static constexpr Duration kProbeAgainAfter = std::chrono::milliseconds(20);
+  static constexpr std::uint32_t kMostCutProbes = 10;
   static constexpr Duration kLateGrace = std::chrono::seconds(20);
   static constexpr std::size_t kMostLateBatches = 4;
 
@@ -65,6 +67,7 @@
   void OnBroken(const BatchPointer& batch, ExchangeFailure failure);
 
   void Probe();
+  void SendProbe();
   void OnProbed(ExchangeFailure failure, std::uint64_t incarnation);
   void DeclareCrashed();
   void DeclareConnectionLost();
@@ -88,6 +91,8 @@
   std::vector<BatchPointer> m_late;
   std::vector<BatchPointer> m_awaiting_verdict;
   std::vector<std::shared_ptr<BackendConnection>> m_idle;
+  std::unique_ptr<ScheduledCall> m_probe_again;
+  std::uint32_t m_cut_probes = 0;
   std::uint64_t m_incarnation = 0;
   bool m_flush_posted = false;
   bool m_probing = false;
--- a/tests/adapters/traffic_engine_links_test.cc
+++ b/tests/adapters/traffic_engine_links_test.cc
@@ -13,6 +13,7 @@
 #include "tests/adapters/traffic_loop.h"
 #include "tests/adapters/traffic_scripted_server.h"
 #include "zinnia_adapters/engines/channel_listener.h"
+#include "zinnia_adapters/engines/engine_channel.h"
 #include "zinnia_adapters/engines/http_stage_links.h"
 #include "zinnia_adapters/engines/step_deadline.h"
 #include "zinnia_adapters/engines/step_queue.h"
@@ -83,6 +84,7 @@
   std::uint64_t incarnation = 7;
   std::string status = "done";
   bool hold = false;
+  bool cut_probes = false;
   std::vector<json::array> batches;
   std::deque<ScriptedServer::Received> held;
   ScriptedServer server{loop,
@@ -95,6 +97,10 @@
   }
 
   void OnRequest(const ScriptedServer::Received& received) {
+    if (received.request.target() == "/v1/state" && cut_probes) {
+      received.drop();
+      return;
+    }
     if (received.request.target() == "/v1/state") {
       received.answer(200, fmt::format(R"({{"incarnation":{}}})", incarnation));
       return;
@@ -279,6 +285,27 @@
   STRCMP_EQUAL("crashed b-1 incarnation 7", events.log.back().c_str());
 }
 
+TEST(TrafficEngineLinks, ProbeThatIsCutIsNoVerdict) {
+  // Symptom: a request crashes all servers of a stage, one after the other. Sequence: the process
+  // that dies still accepts the probe's connection and cuts it; then it is gone. Cause: the cut
+  // probe was taken for a lost connection, so nobody was blamed.
+  WarmUp();
+  hold = true;
+  Send(0, MakeStep(1));
+  CHECK(RunUntil(loop, [this] { return batches.size() == 1; }));
+  cut_probes = true;
+  held[0].drop();
+  CHECK(RunUntil(loop, [this] { return server.targets.size() == 4; }));
+  server.Crash();
+  CHECK(RunUntil(loop, [this] {
+    time.AdvanceBy(EngineChannel::kProbeAgainAfter);
+    return answers->count == 1;
+  }));
+  CHECK(StepStatus::kServerCrashed == answers->StatusOf(0));
+  CHECK_FALSE(answers->answers[0][0].never_sent);
+  LONGS_EQUAL(1, events.blamed.size());
+}
+
 TEST(TrafficEngineLinks, NewIncarnationIsACrash) {
   // Symptom: a request that kills engines is never quarantined. Sequence: the engine dies and its
   // supervisor starts it at once, so that the reconnection is not refused. Cause: only refusal
@@ -317,6 +344,7 @@
   Send(0, MakeStep(1));
   CHECK(RunUntil(loop, [this] { return answers->count == 1; }));
   CHECK(StepStatus::kServerCrashed == answers->StatusOf(0));
+  CHECK_TRUE(answers->answers[0][0].never_sent);
   LONGS_EQUAL(0, events.blamed.size());
 }
 
