--- a/bench/recovery/main.cc
+++ b/bench/recovery/main.cc
@@ -1,9 +1,10 @@
-#include "config_everywhere.h"
-#include "recovery_after_failures.h"
-
+#include <array>
 #include <cstdlib>
 #include <iostream>
 
+#include "config_everywhere.h"
+#include "recovery_after_failures.h"
+
 /** Real processes on loopback: how long callers wait after a failure, and how long a change of the
     configuration takes to be in force on every instance. */
 int main() {
--- a/tests/processes/streamed_answer.h
+++ b/tests/processes/streamed_answer.h
@@ -9,13 +9,13 @@
 
 /** What a caller got for a streamed draft, or of its refusal. */
 struct StreamedAnswer {
-  unsigned status = 0;               // 0: no header came
-  std::vector<std::string> tokens;   // texts, the end token's empty one included
+  unsigned status = 0;              // 0: no header came
+  std::vector<std::string> tokens;  // texts, the end token's empty one included
   std::string last_event_id;
   std::string session;
-  bool done = false;                 // the stream said that it is over
+  bool done = false;  // the stream said that it is over
   int recoveries = 0;
-  std::string error_kind;            // of a refusal or of an error in the stream
+  std::string error_kind;  // of a refusal or of an error in the stream
   std::string was_run;
   std::string detail;
 
