--- a/packages/zinnia_adapters/engines/engine_channel.h
+++ b/packages/zinnia_adapters/engines/engine_channel.h
@@ -34,8 +34,8 @@
 class EngineChannel : public std::enable_shared_from_this<EngineChannel> {
  public:
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
-  static constexpr Duration kProbeAgainAfter = std::chrono::milliseconds(20);
-  static constexpr std::uint32_t kMostCutProbes = 10;
+  static constexpr Duration kProbeAgainAfter = std::chrono::milliseconds(5);
+  static constexpr std::uint32_t kMostCutProbes = 40;
   static constexpr Duration kLateGrace = std::chrono::seconds(20);
   static constexpr std::size_t kMostLateBatches = 4;
 
