Test that a reader who falls behind gets every event once and in order

The direct send of a token's event may be taken in part. Seen to fail without the cut of what was sent ("CHECK(caller.Received().size() < kTokens * kTokenBytes + kMostBesideTokens) failed").

--- a/tests/adapters/traffic_chat_test.cc
+++ b/tests/adapters/traffic_chat_test.cc
@@ -112,6 +112,37 @@
   LONGS_EQUAL(0, fixture.server->InFlight());
 }
 
+TEST(TrafficChat, ReaderWhoFallsBehindGetsEveryEventOnceAndInOrder) {
+  // Symptom: words missing from, or twice in, an answer. Sequence: the reader falls behind, the
+  // socket takes a part of an event, more events come before the rest is out. Cause: the rest is
+  // counted from the wrong byte, or later events pass it.
+  constexpr int kTokens = 16;
+  constexpr std::size_t kTokenBytes = 500'000;
+  constexpr std::size_t kMostBesideTokens = 20'000;
+  fixture.limits.most_unsent_bytes = 2 * kTokens * kTokenBytes;
+  fixture.server.reset();
+  fixture.StartServer();
+  TestCaller& caller = fixture.Chat(R"(,"stream":true)");
+  CHECK(fixture.UntilSession());
+  const auto session = fixture.sessions.back();
+  session->Token("first");
+  CHECK(fixture.UntilHas(caller, "first"));
+  // The reader shares this loop: while it does not run, nothing is read.
+  for (char token = 'a'; token < 'a' + kTokens; ++token) {
+    session->Token(std::string(kTokenBytes, token));
+  }
+  session->Done();
+  CHECK(fixture.Until([&] { return caller.Received().ends_with("[DONE]\n\n\r\n0\r\n\r\n"); }));
+  CHECK(caller.Received().size() < kTokens * kTokenBytes + kMostBesideTokens);
+  std::size_t at = 0;
+  for (char token = 'a'; token < 'a' + kTokens; ++token) {
+    at = caller.Received().find(std::string(kTokenBytes, token), at);
+    CHECK(at != std::string::npos);
+    at += kTokenBytes;
+    CHECK(caller.Received()[at] == '"');
+  }
+}
+
 TEST(TrafficChat, SlowReaderIsCutOffAtTheBound) {
   // Symptom: an instance runs out of memory. Sequence: a caller stops reading, tokens go on coming.
   // Cause: an unbounded buffer.
