--- a/tests/adapters/traffic_chat_test.cc
+++ b/tests/adapters/traffic_chat_test.cc
@@ -116,10 +116,10 @@
   // Symptom: words missing from, or twice in, an answer. Sequence: the reader falls behind, the
   // socket takes a part of an event, more events come before the rest is out. Cause: the rest is
   // counted from the wrong byte, or later events pass it.
-  constexpr int kTokens = 16;
+  constexpr std::string_view kTokens = "abcdefghijklmnop";
   constexpr std::size_t kTokenBytes = 500'000;
   constexpr std::size_t kMostBesideTokens = 20'000;
-  fixture.limits.most_unsent_bytes = 2 * kTokens * kTokenBytes;
+  fixture.limits.most_unsent_bytes = 2 * kTokens.size() * kTokenBytes;
   fixture.server.reset();
   fixture.StartServer();
   TestCaller& caller = fixture.Chat(R"(,"stream":true)");
@@ -128,14 +128,14 @@
   session->Token("first");
   CHECK(fixture.UntilHas(caller, "first"));
   // The reader shares this loop: while it does not run, nothing is read.
-  for (char token = 'a'; token < 'a' + kTokens; ++token) {
+  for (const char token : kTokens) {
     session->Token(std::string(kTokenBytes, token));
   }
   session->Done();
   CHECK(fixture.Until([&] { return caller.Received().ends_with("[DONE]\n\n\r\n0\r\n\r\n"); }));
-  CHECK(caller.Received().size() < kTokens * kTokenBytes + kMostBesideTokens);
+  CHECK(caller.Received().size() < kTokens.size() * kTokenBytes + kMostBesideTokens);
   std::size_t at = 0;
-  for (char token = 'a'; token < 'a' + kTokens; ++token) {
+  for (const char token : kTokens) {
     at = caller.Received().find(std::string(kTokenBytes, token), at);
     CHECK(at != std::string::npos);
     at += kTokenBytes;
