Let an organisation below its share send two requests close together

Cause: under a flood by another one, organisations below their share were refused only for their wait (kOverloaded, about half of them after waiting), none for a deadline. A second request close behind the first counted as if the organisation were ahead of its share. Change: work of an organisation that sent less starts one request before the present virtual time.

--- a/packages/zinnia_decisions/admission/fair_queue.cc
+++ b/packages/zinnia_decisions/admission/fair_queue.cc
@@ -9,6 +9,9 @@
 
 constexpr std::size_t kRememberedOrganisations = 4'096;
 
+/** How many requests of its share an organisation can save up by not sending. */
+constexpr double kSavedRequests = 1.0;
+
 }  // namespace
 
 std::size_t FairQueue::WaitingOf(const OrganisationName& organisation) const {
@@ -48,10 +51,12 @@
   m_virtual_time = std::max(m_virtual_time, Enter(m_queues[organisation], cost, weight));
 }
 
-double FairQueue::CostAhead(const OrganisationName& organisation) const {
+double FairQueue::CostAhead(const OrganisationName& organisation,
+                            double cost,
+                            double weight) const {
   const auto own = m_queues.find(organisation);
   const double own_finish = own == m_queues.end() ? 0.0 : own->second.finish_tag;
-  const double start = std::max(m_virtual_time, own_finish);
+  const double start = std::max(EarliestStart(cost, weight), own_finish);
   double ahead = own == m_queues.end() ? 0.0 : own->second.waiting_cost;
   for (const auto& [name, queue] : m_queues) {
     if (name != organisation && !queue.work.empty()) {
@@ -80,11 +85,15 @@
 
 double FairQueue::Enter(OrganisationQueue& queue, double cost, double weight) {
   queue.weight = weight;
-  const double start_tag = std::max(m_virtual_time, queue.finish_tag);
+  const double start_tag = std::max(EarliestStart(cost, weight), queue.finish_tag);
   queue.finish_tag = start_tag + cost / weight;
   return start_tag;
 }
 
+double FairQueue::EarliestStart(double cost, double weight) const {
+  return m_virtual_time - kSavedRequests * cost / weight;
+}
+
 FairQueue::Queues::const_iterator FairQueue::FindNext() const {
   auto next = m_queues.end();
   for (auto queue = m_queues.begin(); queue != m_queues.end(); ++queue) {
--- a/packages/zinnia_decisions/admission/fair_queue.h
+++ b/packages/zinnia_decisions/admission/fair_queue.h
@@ -20,9 +20,10 @@
 /** Start-time fair queueing between organisations.
 
     Each piece of work gets a start tag in virtual time: the end of the organisation's work before
-    it, or the present virtual time if it had none. The lowest tag is next. An organisation's tags
-    advance by cost over weight, so that organisations that always have work waiting get shares in
-    proportion to their weights, whoever sends more, and one that was idle gets no credit for it.
+    it, or one request before the present virtual time if it sent less than its share. The lowest
+    tag is next. An organisation's tags advance by cost over weight, so that organisations that
+    always have work waiting get shares in proportion to their weights, whoever sends more, and one
+    that was idle gets credit for one request only.
 
     @see FairAdmissionController
 */
@@ -43,7 +44,7 @@
 
   /** Cost that is expected to be admitted before new work of this organisation would be, counting
       what the others will still send to keep their queues filled. */
-  double CostAhead(const OrganisationName& organisation) const;
+  double CostAhead(const OrganisationName& organisation, double cost, double weight) const;
 
   /** Takes out all work for which `is_hopeless` holds. */
   std::deque<WaitingWork> TakeOut(const std::function<bool(const WaitingWork&)>& is_hopeless);
@@ -57,6 +58,10 @@
   };
   using Queues = std::map<OrganisationName, OrganisationQueue>;
 
+  /** Work of an organisation that sent less than its share starts before the present virtual time.
+      Otherwise two requests that happen to come close together count as a flood; one notices
+      refusals of organisations that stay below their share while another one floods. */
+  double EarliestStart(double cost, double weight) const;
   double Enter(OrganisationQueue& queue, double cost, double weight);
   Queues::const_iterator FindNext() const;
   void ForgetIdle();
--- a/tests/routing/admission_test.cc
+++ b/tests/routing/admission_test.cc
@@ -8,6 +8,7 @@
 #include "zinnia_decisions/admission/budgeted_recovery_gate.h"
 #include "zinnia_decisions/admission/credit_ledger.h"
 #include "zinnia_decisions/admission/fair_admission_controller.h"
+#include "zinnia_decisions/admission/fair_queue.h"
 #include "zinnia_decisions/admission/retry_budget.h"
 #include "zinnia_decisions/quarantine/quarantine_view.h"
 
@@ -86,6 +87,27 @@
   DOUBLES_EQUAL(0.25, m_admitted["single"] / all, 0.05);
 }
 
+// Symptom: an organisation below its share is refused while another one floods. Two of its requests
+// come close together. Cause: the second counts as if the organisation were ahead of its share.
+TEST(Admission, TwoRequestsCloseTogetherAreNotAFlood) {
+  FairQueue queue;
+  const auto push = [&queue](const OrganisationName& organisation) {
+    queue.Push({{.organisation = organisation}, {}, {}}, 1.0);
+  };
+  for (int request = 0; request < 6; ++request) {
+    push("flood");
+  }
+  for (int request = 0; request < 3; ++request) {
+    queue.PopNext();
+  }
+  push("modest");
+  push("modest");
+  const OrganisationName first = queue.PopNext().request.organisation;
+  const OrganisationName second = queue.PopNext().request.organisation;
+  CHECK_EQUAL(OrganisationName("modest"), first);
+  CHECK_EQUAL(OrganisationName("modest"), second);
+}
+
 // Symptom: callers wait until their deadline and get nothing. Queues are long, everybody is taken
 // into them. Cause: nobody works out at arrival that the wait alone passes the deadline.
 TEST(Admission, RefusesAtOnceWhatCannotBeInTime) {
