--- a/bench/once/benchmarks.h
+++ b/bench/once/benchmarks.h
@@ -7,9 +7,17 @@
 
 namespace zinnia {
 
-/** Seeded failure schedules from seed 1 on, until `most` were run or `budget` of real time is over.
-    Prints schedules_run and violations; each violation goes to standard error with its seed. */
-void BenchSchedules(std::chrono::steady_clock::duration budget, std::uint64_t most);
+/** Which failure schedules are run, and for how long at most. */
+struct ScheduleRun {
+  std::uint64_t first_seed = 1;
+  std::uint64_t most = 100'000;
+  std::chrono::steady_clock::duration budget = std::chrono::seconds(45);
+  unsigned threads = 4;
+};
+
+/** Seeded failure schedules. Prints schedules_run, violations and the rate; each violation goes to
+    standard error with its seed. */
+void BenchSchedules(const ScheduleRun& run);
 
 /** Store calls and added latency of bookings at a steady rate, in virtual time. */
 void BenchLoad();
--- a/bench/once/load.cc
+++ b/bench/once/load.cc
@@ -13,7 +13,8 @@
 struct LoadResult {
   double reads_per_booking = 0.0;
   double writes_per_booking = 0.0;
-  double calls_per_second = 0.0;
+  double reads_per_second = 0.0;
+  double writes_per_second = 0.0;
   double answered_percent = 0.0;
   double p50_ms = 0.0;
   double p99_ms = 0.0;
@@ -52,8 +53,8 @@
   const auto count = static_cast<double>(requests.size());
   result.reads_per_booking = static_cast<double>(world.store.reads - reads) / count;
   result.writes_per_booking = static_cast<double>(world.store.writes - writes) / count;
-  result.calls_per_second =
-      static_cast<double>(world.store.reads + world.store.writes - reads - writes) / seconds;
+  result.reads_per_second = static_cast<double>(world.store.reads - reads) / seconds;
+  result.writes_per_second = static_cast<double>(world.store.writes - writes) / seconds;
   result.answered_percent = 100.0 * static_cast<double>(latencies.size()) / count;
   result.p50_ms = Percentile(latencies, 0.50);
   result.p99_ms = Percentile(latencies, 0.99);
@@ -65,7 +66,8 @@
   const std::string suffix = fmt::format("_at_{}_per_second", per_second);
   fmt::print("once_store_reads_per_booking{}={:.3f}\n", suffix, result.reads_per_booking);
   fmt::print("once_store_writes_per_booking{}={:.3f}\n", suffix, result.writes_per_booking);
-  fmt::print("once_store_calls_per_second{}={:.1f}\n", suffix, result.calls_per_second);
+  fmt::print("once_store_reads_per_s{}={:.2f}\n", suffix, result.reads_per_second);
+  fmt::print("once_store_writes_per_s{}={:.2f}\n", suffix, result.writes_per_second);
   fmt::print("once_answered_percent{}={:.2f}\n", suffix, result.answered_percent);
   fmt::print("once_added_latency_p50_ms{}={:.2f}\n", suffix, result.p50_ms);
   fmt::print("once_added_latency_p99_ms{}={:.2f}\n", suffix, result.p99_ms);
--- a/packages/zinnia_decisions/once/intent_index.cc
+++ b/packages/zinnia_decisions/once/intent_index.cc
@@ -10,7 +10,31 @@
 
 void IntentIndex::Apply(IntentRecord record) {
   std::string key = KeyOf(record.organisation, record.key);
-  m_records[std::move(key)] = std::move(record);
+  Entry& entry = m_records[key];
+  ForgetBody(entry);
+  entry = {std::move(record), m_next_sequence++};
+  if (entry.record.answer && !entry.record.answer->body.empty()) {
+    m_body_bytes += entry.record.answer->body.size();
+    m_bodies.emplace(entry.sequence, std::move(key));
+    DropOldestBodies();
+  }
+}
+
+void IntentIndex::ForgetBody(const Entry& entry) {
+  if (m_bodies.erase(entry.sequence) > 0) {
+    m_body_bytes -= entry.record.answer->body.size();
+  }
+}
+
+/** What fails without it: answers of some KB each for the whole retention take more memory than an
+    instance has, all the more on one that holds the partitions of several. */
+void IntentIndex::DropOldestBodies() {
+  while (m_body_bytes > m_most_body_bytes) {
+    Entry& oldest = m_records.at(m_bodies.begin()->second);
+    ForgetBody(oldest);
+    oldest.record.answer->body = std::string();
+    oldest.record.answer->body_dropped = true;
+  }
 }
 
 std::optional<Result<IntentVerdict>> IntentIndex::Decide(const IntentRequest& request,
@@ -38,12 +62,16 @@
 const IntentRecord* IntentIndex::Find(const OrganisationName& organisation,
                                       const std::string& key) const {
   const auto found = m_records.find(KeyOf(organisation, key));
-  return found == m_records.end() ? nullptr : &found->second;
+  return found == m_records.end() ? nullptr : &found->second.record;
 }
 
 void IntentIndex::DropExpired(std::int64_t now_unix_ms) {
   std::erase_if(m_records, [&](const auto& item) {
-    return item.second.recorded_unix_ms + m_retention_ms < now_unix_ms;
+    const bool expired = item.second.record.recorded_unix_ms + m_retention_ms < now_unix_ms;
+    if (expired) {
+      ForgetBody(item.second);
+    }
+    return expired;
   });
 }
 
--- a/packages/zinnia_decisions/once/intent_index.h
+++ b/packages/zinnia_decisions/once/intent_index.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -17,7 +19,10 @@
 */
 class IntentIndex {
  public:
-  explicit IntentIndex(std::int64_t retention_ms) : m_retention_ms(retention_ms) {}
+  /** Keeps at most `most_body_bytes` of recorded answers: beyond, the oldest bodies are dropped and
+      their keys answered with `body_dropped`. */
+  IntentIndex(std::int64_t retention_ms, std::size_t most_body_bytes)
+      : m_retention_ms(retention_ms), m_most_body_bytes(most_body_bytes) {}
 
   void Apply(IntentRecord record);
 
@@ -37,12 +42,26 @@
   void DropExpired(std::int64_t now_unix_ms);
 
   std::size_t size() const { return m_records.size(); }
+  std::size_t body_bytes() const { return m_body_bytes; }
 
   static std::string KeyOf(const OrganisationName& organisation, const std::string& key);
 
  private:
+  struct Entry {
+    IntentRecord record;
+    std::uint64_t sequence = 0;
+  };
+
+  void ForgetBody(const Entry& entry);
+  void DropOldestBodies();
+
   std::int64_t m_retention_ms;
-  std::unordered_map<std::string, IntentRecord> m_records;
+  std::size_t m_most_body_bytes;
+  std::size_t m_body_bytes = 0;
+  std::uint64_t m_next_sequence = 0;
+  std::unordered_map<std::string, Entry> m_records;
+  /** The keys whose answers have a body, oldest first. */
+  std::map<std::uint64_t, std::string> m_bodies;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/once/once_coordinator.cc
+++ b/packages/zinnia_decisions/once/once_coordinator.cc
@@ -8,6 +8,7 @@
 #include "zinnia_base/decisions/decision_record.h"
 #include "zinnia_base/time/scheduler.h"
 #include "zinnia_decisions/once/alive_guard.h"
+#include "zinnia_decisions/once/once_ask.h"
 #include "zinnia_decisions/ports/peer_transport.h"
 
 namespace zinnia {
@@ -32,23 +33,6 @@
 
 }  // namespace
 
-/** One call of Begin until its callback has run. */
-struct OnceCoordinator::Ask {
-  IntentRequest request;
-  std::string caller_request_id;
-  std::function<void(Result<IntentReply>)> callback;
-  std::uint32_t round = 0;
-  std::uint32_t peers_asked = 0;
-  bool needs_refresh = false;
-  bool in_flight = false;
-  std::optional<Instance> asked;
-  bool looked_who_holds = false;
-  TimePoint sent_at{};
-  bool may_be_recorded = false;
-  std::unique_ptr<ScheduledCall> deadline;
-  std::unique_ptr<ScheduledCall> timer;
-};
-
 struct OnceCoordinator::Grant {
   std::string name;
   std::string attempt;
@@ -87,11 +71,16 @@
 void OnceCoordinator::Begin(IntentRequest request,
                             std::function<void(Result<IntentReply>)> callback) {
   if (m_roles.empty()) {
-    return callback(
-        Refusal(ErrorKind::kStoreUnavailable, "the store's layout has not been read yet"));
+    const Error error =
+        Refusal(ErrorKind::kStoreUnavailable, "the store's layout has not been read yet");
+    RecordRefusal(request.request_id, error);
+    return callback(error);
   }
   if (m_asks.size() >= m_settings.most_queued) {
-    return callback(Refusal(ErrorKind::kOverloaded, "too many non-idempotent requests at once"));
+    const Error error =
+        Refusal(ErrorKind::kOverloaded, "too many non-idempotent requests at once");
+    RecordRefusal(request.request_id, error);
+    return callback(error);
   }
   Step(MakeAsk(std::move(request), std::move(callback)));
 }
@@ -107,6 +96,8 @@
   ask->request.asking_instance = self.name;
   ask->request.request_id = fmt::format("{}/{}/{}", self.name, self.start, m_next_attempt++);
   ask->callback = std::move(callback);
+  ask->begun_at = m_parts.clock.Now();
+  RecordBegin(*ask);
   ask->deadline = m_parts.scheduler.ScheduleAfter(
       m_settings.begin_timeout,
       [this, weak = std::weak_ptr<Ask>(ask)] { OnDeadline(weak.lock()); });
@@ -295,6 +286,7 @@
   ask->deadline.reset();
   ask->timer.reset();
   m_asks.erase(ask);
+  RecordVerdict(*ask, result);
   if (!result) {
     Error error = result.error();
     error.was_run = WasRun::kNo;
@@ -331,6 +323,7 @@
   if (found == m_grants_by_request.end()) {
     return callback(MakeError(ErrorKind::kNotFound, "no grant of this request is open here"));
   }
+  callback = RecordingOutcome(outcome.request_id, outcome.answer.has_value(), std::move(callback));
   outcome.request_id = found->second->attempt;
   outcome.partition = PartitionOf(outcome.organisation, outcome.key);
   m_grants.erase(found->second);
--- a/packages/zinnia_decisions/once/once_coordinator.h
+++ b/packages/zinnia_decisions/once/once_coordinator.h
@@ -96,6 +96,13 @@
   void OnDeadline(const AskPointer& ask);
   void Finish(const AskPointer& ask, Result<IntentReply> result);
   void RememberGrant(const Ask& ask);
+  void RecordBegin(const Ask& ask);
+  void RecordVerdict(const Ask& ask, const Result<IntentReply>& result);
+  void RecordRefusal(const std::string& request_id, const Error& error);
+  std::function<void(Result<void>)> RecordingOutcome(const std::string& request_id,
+                                                     bool has_answer,
+                                                     std::function<void(Result<void>)> callback);
+  std::string HolderName(std::uint32_t partition);
 
   void WithHolder(std::uint32_t partition, const HolderCallback& callback);
   PartitionRole* RoleOf(std::uint32_t partition);
--- a/packages/zinnia_decisions/once/partition_role.h
+++ b/packages/zinnia_decisions/once/partition_role.h
@@ -41,6 +41,9 @@
   /** Null if this instance does not hold the partition. */
   PartitionHolder* Holder() { return m_holder.get(); }
 
+  /** The head as it was last read; nothing if it was not, or if this instance gave it up. */
+  const std::optional<PartitionHead>& KnownHead() const { return m_head; }
+
   /** Whom to ask; nothing if Refresh has to come first. Without `trust_membership` the head's
       holder is asked even if it is believed dead: the belief may be wrong. */
   std::optional<Instance> Target(bool trust_membership) const;
--- a/packages/zinnia_decisions/once/partition_takeover.cc
+++ b/packages/zinnia_decisions/once/partition_takeover.cc
@@ -29,7 +29,8 @@
       m_sequence(sequence),
       m_may_take(std::move(may_take)),
       m_writer(parts.store, parts.scheduler, settings.retry_pause),
-      m_taken{.index = IntentIndex((settings.retention + settings.clock_skew).count())} {}
+      m_taken{.index = IntentIndex((settings.retention + settings.clock_skew).count(),
+                                   settings.most_recorded_bytes)} {}
 
 PartitionTakeover::~PartitionTakeover() = default;
 
--- a/tests/once/fake_store.h
+++ b/tests/once/fake_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -38,6 +39,9 @@
   std::map<std::string, StoreLeaseId> leased_keys;
   std::uint64_t reads = 0;
   std::uint64_t writes = 0;
+  std::uint64_t creations = 0;
+  std::size_t writes_under_way = 0;
+  std::size_t most_writes_under_way = 0;
 
   void EndLeases() {
     std::erase_if(leases, [this](const auto& lease) { return lease.second.first <= time.Now(); });
@@ -99,6 +103,7 @@
                       std::string value,
                       std::optional<StoreLeaseId> lease,
                       WriteCallback callback) override {
+    m_store.creations += expected_version == 0 ? 1 : 0;
     Write<std::uint64_t>([this, key = std::move(key), expected_version, value = std::move(value),
                           lease] { return m_store.Swap(key, expected_version, value, lease); },
                          std::move(callback));
@@ -166,7 +171,11 @@
   template <typename Value>
   void Write(std::function<Result<Value>()> write, Answered<Value> callback) {
     m_store.writes += 1;
+    m_store.writes_under_way += 1;
+    m_store.most_writes_under_way =
+        std::max(m_store.most_writes_under_way, m_store.writes_under_way);
     m_store.postman.Post(m_store.faults.one_way, [this, write, callback] {
+      m_store.writes_under_way -= 1;
       m_store.EndLeases();
       if (m_store.faults.outage) {
         return Answer<Value>(Unavailable(), callback);
--- a/tests/once/once_test.cc
+++ b/tests/once/once_test.cc
@@ -296,8 +296,10 @@
 // Events: it gives its roles up; afterwards the holder dies. It asks the dead holder at each turn.
 // Cause: the turns of asking the preferred instance fell on rounds that only read the head.
 TEST(Once, AStoppingInstanceReachesTheNextHolderAfterAKill) {
-  for (const auto& leaving : world.instances) {
+  for (std::size_t i = 0; i < 2 * world.instances.size(); ++i) {
+    const auto& leaving = world.instances[i / 2];
     OnceWorld stopping(7, 3, OnePartition());
+    stopping.sees_killed_as_live = i % 2 == 1;
     stopping.Advance(seconds(1));
     FakeInstance& holds = stopping.Holder();
     FakeInstance* asker = stopping.Find(leaving->Self().peer_address);
@@ -335,6 +337,52 @@
   CHECK(segment->header.sealed);
 }
 
+// Symptom: an instance that holds many partitions runs out of memory.
+// Events: answers of some KB each are recorded for the whole retention.
+// Cause: only their number was bounded.
+TEST(Once, TheOldestBodiesOfRecordedAnswersAreDroppedAndSaidToBe) {
+  IntentIndex index(1'000, 250);
+  for (int i = 0; i < 4; ++i) {
+    IntentRecord record{"org", "k" + std::to_string(i), {}, "attempt", IntentState::kAnswered, 5};
+    record.answer = RecordedAnswer{200, "text/plain", std::string(100, 'x')};
+    index.Apply(record);
+    index.Apply(record);
+  }
+  LONGS_EQUAL(200, index.body_bytes());
+  for (int i = 0; i < 4; ++i) {
+    const RecordedAnswer& answer = *index.Find("org", "k" + std::to_string(i))->answer;
+    CHECK_EQUAL(i < 2, answer.body_dropped);
+    LONGS_EQUAL(i < 2 ? 0 : 100, answer.body.size());
+  }
+  index.DropExpired(10'000);
+  LONGS_EQUAL(0, index.body_bytes());
+}
+
+// Symptom: `explain request` of a booking says nothing of why it ran or was refused.
+TEST(Once, TheDecisionsAboutABookingAreRecordedInOrder) {
+  const auto decisions_about = [](FakeInstance& instance, const std::string& id) {
+    std::string decisions;
+    for (const DecisionRecord& record : instance.decisions) {
+      decisions += record.subject == "request " + id ? record.decision + " " : "";
+    }
+    return decisions;
+  };
+  const auto first = CallAndWait(*other, "k");
+  STRCMP_EQUAL("begin_once grant_once record_outcome ",
+               decisions_about(*other, first->id).c_str());
+  const auto again = CallAndWait(*holder, "k");
+  STRCMP_EQUAL("begin_once give_recorded_answer ", decisions_about(*holder, again->id).c_str());
+  world.dispatch_delay = seconds(11);
+  const auto unused = CallAndWait(*other, "k2", seconds(15));
+  STRCMP_EQUAL("begin_once grant_once free_key ", decisions_about(*other, unused->id).c_str());
+  world.store.faults.outage = true;
+  const auto refused = CallAndWait(*other, "k3");
+  STRCMP_EQUAL("begin_once refuse_once ", decisions_about(*other, refused->id).c_str());
+  const DecisionRecord& last = other->decisions.back();
+  STRCMP_CONTAINS("error=\"store_unavailable\"", Describe(last).c_str());
+  STRCMP_CONTAINS("commit_wait_ms=", Describe(last).c_str());
+}
+
 TEST(Once, KeysAreForgottenAndSegmentsDeletedAfterTheRetention) {
   world.settings.segment_bytes = 500;
   CallAndWait(*other, "k");
--- a/tests/once/takeover_test.cc
+++ b/tests/once/takeover_test.cc
@@ -90,6 +90,78 @@
   }
 }
 
+// Events: as above, with store calls so slow that no booking is answered in time.
+TEST(OnceTakeover, AStoreTooSlowForBookingsMovesNoPartition) {
+  world.store.faults.one_way = milliseconds(400);
+  const std::size_t before = world.Count("take_over");
+  RefusedOf(200, nullptr);
+  LONGS_EQUAL(before, world.Count("take_over"));
+}
+
+// Symptom: bookings through some instances hang long after the others are served again.
+// Events: a holder is paused and its partitions are taken over; then an instance asks the old one.
+// Cause: it waits as long as the first one did, although it could have read the head.
+TEST(OnceTakeover, WhoeverMissedATakeoverFindsTheNewHolderSoon) {
+  FakeInstance* late = nullptr;
+  for (const auto& instance : world.instances) {
+    late = instance.get() != holder && instance.get() != caller ? instance.get() : late;
+  }
+  CallAll(*late, "late warm-up");
+  world.Advance(seconds(3));
+  holder->thread().Pause();
+  CallAll(*caller, "meets");
+  world.Advance(seconds(3));
+  const TimePoint asked_at = world.time.Now();
+  std::vector<std::shared_ptr<CallerRequest>> requests;
+  for (int i = 0; i < 100; ++i) {
+    requests.push_back(late->Call("late" + std::to_string(i), "body"));
+  }
+  world.Advance(seconds(3));
+  for (const auto& request : requests) {
+    CHECK(request->told == Told::kAnswered);
+    CHECK(request->told_at - asked_at < milliseconds(600));
+  }
+}
+
+// Symptom: the store is flooded by takeovers when a holder of many partitions is lost.
+// Events: one instance of two is killed, both are listed as live.
+// Cause: all its partitions are taken over at the same time.
+TEST(OnceTakeover, FewPartitionsAreTakenOverAtOnce) {
+  OnceSettings settings;
+  settings.most_takeovers = 2;
+  OnceWorld pair(17, 2, settings);
+  pair.Advance(seconds(1));
+  FakeInstance& lost = pair.Holder();
+  FakeInstance& asker = &lost == &pair[0] ? pair[1] : pair[0];
+  for (int i = 0; i < 100; ++i) {
+    asker.Call("warm-up" + std::to_string(i), "body");
+    pair.Advance(milliseconds(100));
+  }
+  const std::size_t held = lost.coordinator().HeldPartitions();
+  CHECK(held > 4);
+  pair.sees_killed_as_live = true;
+  lost.Kill();
+  asker.coordinator().OnReportOutcome({}, [](const Result<void>&) {});
+  pair.store.most_writes_under_way = 0;
+  pair.Advance(seconds(3));
+  LONGS_EQUAL(16, asker.coordinator().HeldPartitions());
+  CHECK(pair.store.most_writes_under_way <= 2);
+}
+
+// Symptom: a lost holder costs the store several times what its partitions need.
+// Events: all instances meet a paused holder at the same moment.
+// Cause: each of them tries to take each partition, and all but one lose.
+TEST(OnceTakeover, InstancesTakeTurnsAtALostHoldersPartitions) {
+  const std::size_t held = holder->coordinator().HeldPartitions();
+  holder->thread().Pause();
+  const std::uint64_t before = world.store.creations;
+  for (const auto& instance : world.instances) {
+    CallAll(*instance, instance->Self().name);
+  }
+  world.Advance(milliseconds(1'500));
+  LONGS_EQUAL(held, world.store.creations - before);
+}
+
 // Symptom: a partition goes round all instances after its holder slept once.
 // Events: the holder is paused; calls to it are given up seconds later, when others hold already.
 // Cause: the old failures counted against the new holder.
@@ -112,6 +184,7 @@
   caller->thread().Pause();
   world.Advance(seconds(3));
   caller->thread().Wake();
+  world.Advance(milliseconds(20));
   holder->thread().Wake();
   world.Advance(seconds(3));
   LONGS_EQUAL(before, world.Count("take_over"));
