--- a/packages/zinnia_decisions/once/once_coordinator.h
+++ b/packages/zinnia_decisions/once/once_coordinator.h
@@ -86,6 +86,10 @@
   void RefreshFor(const AskPointer& ask);
   void AskLocally(const AskPointer& ask);
   void AskPeer(const AskPointer& ask, const Instance& target);
+  void NoteReply(std::uint32_t partition,
+                 const Instance& target,
+                 TimePoint sent_at,
+                 const Result<IntentReply>& result);
   void OnReply(const AskPointer& ask, std::uint32_t round, Result<IntentReply> result);
   void OnCallLate(const AskPointer& ask);
   void OnCallTimeout(const AskPointer& ask);
--- /dev/null
+++ b/packages/zinnia_decisions/once/once_coordinator_asks.cc
@@ -0,0 +1,204 @@
+#include <set>
+#include <utility>
+
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/once/alive_guard.h"
+#include "zinnia_decisions/once/once_ask.h"
+#include "zinnia_decisions/once/once_coordinator.h"
+#include "zinnia_decisions/ports/peer_transport.h"
+
+/** The part of OnceCoordinator that finds the holder for one Begin and asks it, again if need be. */
+namespace zinnia {
+namespace {
+
+bool IsSameStart(const Instance& left, const Instance& right) {
+  return left.name == right.name && left.start == right.start;
+}
+
+}  // namespace
+
+void OnceCoordinator::Step(const AskPointer& ask) {
+  if (!ask || !ask->callback) {
+    return;
+  }
+  PartitionRole* role = RoleOf(ask->request.partition);
+  ask->round += 1;
+  ask->asked.reset();
+  if (role->Holder() != nullptr) {
+    return AskLocally(ask);
+  }
+  // By turns the head's holder and the one that should hold it. Rounds do not count: each second one
+  // only reads the head, and one of the two would never be asked.
+  const std::optional<Instance> target = role->Target(ask->peers_asked % 2 == 0);
+  if (!target || std::exchange(ask->needs_refresh, false)) {
+    return RefreshFor(ask);
+  }
+  AskPeer(ask, *target);
+}
+
+void OnceCoordinator::RefreshFor(const AskPointer& ask) {
+  PartitionRole* role = RoleOf(ask->request.partition);
+  role->Refresh([this, ask, role](const Result<void>& result) {
+    if (!ask->callback) {
+      return;
+    }
+    if (!result && result.error().kind == ErrorKind::kStoreUnavailable) {
+      return Finish(ask, Refusal(ErrorKind::kStoreUnavailable, "the partition cannot be read"));
+    }
+    const bool can_go_on = role->Holder() != nullptr || role->Target(true);
+    can_go_on ? Step(ask) : RetryLater(ask);
+  });
+}
+
+void OnceCoordinator::AskLocally(const AskPointer& ask) {
+  ask->in_flight = true;
+  const std::uint32_t round = ask->round;
+  RoleOf(ask->request.partition)
+      ->Holder()
+      ->Begin(ask->request, WhileAlive(m_alive, [this, ask, round](Result<IntentReply> result) {
+                OnReply(ask, round, std::move(result));
+              }));
+}
+
+void OnceCoordinator::AskPeer(const AskPointer& ask, const Instance& target) {
+  ask->in_flight = true;
+  ask->asked = target;
+  ask->peers_asked += 1;
+  ask->sent_at = m_parts.clock.Now();
+  const std::uint32_t round = ask->round;
+  const TimePoint sent_at = ask->sent_at;
+  ask->timer = m_parts.scheduler.ScheduleAfter(
+      m_watch.ReplyDeadline(target),
+      [this, weak = std::weak_ptr<Ask>(ask)] { OnCallLate(weak.lock()); });
+  m_parts.peers.BeginIntent(
+      target.peer_address, ask->request,
+      WhileAlive(m_alive, [this, ask, round, target, sent_at](Result<IntentReply> result) {
+        NoteReply(ask->request.partition, target, sent_at, result);
+        OnReply(ask, round, std::move(result));
+      }));
+}
+
+/** Learns from what a peer said, or did not say, about its being there and about the partition. */
+void OnceCoordinator::NoteReply(std::uint32_t partition,
+                                const Instance& target,
+                                TimePoint sent_at,
+                                const Result<IntentReply>& result) {
+  PartitionRole* role = RoleOf(partition);
+  const ErrorKind kind = result ? ErrorKind::kInternal : result.error().kind;
+  if (kind == ErrorKind::kPeerUnavailable) {
+    m_watch.NoteRefused(target, sent_at);
+  } else if (kind != ErrorKind::kOutcomeUnknown) {
+    m_watch.NoteReply(target, sent_at);
+  }
+  // A holder that the head still names and that says it holds nothing will not serve either.
+  const bool refused = kind == ErrorKind::kPeerUnavailable || kind == ErrorKind::kStaleEpoch;
+  if (refused || kind == ErrorKind::kOutcomeUnknown) {
+    role->NoteUnserved(sent_at, refused);
+    role->NoteRefusal(target);
+  } else {
+    role->NoteServed();
+  }
+}
+
+/** Takes the answer of the newest call only. A grant that comes later than that is not lost: the
+    same attempt asks again and gets it again, or reports it as unused. */
+void OnceCoordinator::OnReply(const AskPointer& ask,
+                              std::uint32_t round,
+                              Result<IntentReply> result) {
+  if (!ask->callback || round != ask->round) {
+    return;
+  }
+  ask->timer.reset();
+  ask->in_flight = false;
+  if (result) {
+    return Finish(ask, std::move(result));
+  }
+  switch (result.error().kind) {
+    case ErrorKind::kStoreOutcomeUnknown:
+      ask->may_be_recorded = true;
+      return Finish(ask, std::move(result));
+    case ErrorKind::kStaleEpoch:
+    case ErrorKind::kPeerUnavailable:
+    case ErrorKind::kOutcomeUnknown:
+      ask->may_be_recorded |= result.error().kind != ErrorKind::kPeerUnavailable;
+      ask->needs_refresh = true;
+      return RetryLater(ask);
+    default:
+      Finish(ask, std::move(result));
+  }
+}
+
+void OnceCoordinator::OnCallLate(const AskPointer& ask) {
+  if (!ask || !ask->callback) {
+    return;
+  }
+  m_watch.NoteLate(*ask->asked, ask->sent_at);
+  ask->timer = m_parts.scheduler.ScheduleAfter(
+      ask->sent_at + m_settings.call_timeout - m_parts.clock.Now(),
+      [this, weak = std::weak_ptr<Ask>(ask)] { OnCallTimeout(weak.lock()); });
+}
+
+void OnceCoordinator::OnCallTimeout(const AskPointer& ask) {
+  if (!ask || !ask->callback) {
+    return;
+  }
+  RoleOf(ask->request.partition)
+      ->NoteUnserved(m_parts.clock.Now() - m_settings.call_timeout, false);
+  AskAgain(ask);
+}
+
+/** The call under way may still be answered, or its intent recorded; its answer is not taken. */
+void OnceCoordinator::AskAgain(const AskPointer& ask) {
+  ask->may_be_recorded = true;
+  ask->needs_refresh = true;
+  Step(ask);
+}
+
+/** Once the holder is lost, takes what is this instance's part of all that it had, and lets nobody
+    wait for it any longer. Before that, looks whether others have taken it already. */
+void OnceCoordinator::OnHolderSilent(const Instance& holder) {
+  const bool lost = m_watch.LostSince(holder).has_value();
+  if (lost) {
+    OnMembershipChanged();
+  }
+  const std::set<AskPointer> asks = m_asks;
+  for (const AskPointer& ask : asks) {
+    if (ask->callback && ask->asked && IsSameStart(*ask->asked, holder)) {
+      lost ? AskAgain(ask) : LookWhoHolds(ask);
+    }
+  }
+}
+
+/** What fails without it: an instance that has not asked the lost holder before waits as long as the
+    first one did, although the partition was taken over meanwhile. One read for each booking that
+    meets a silent holder. */
+void OnceCoordinator::LookWhoHolds(const AskPointer& ask) {
+  if (std::exchange(ask->looked_who_holds, true)) {
+    return;
+  }
+  PartitionRole* role = RoleOf(ask->request.partition);
+  role->Refresh([this, ask, role, round = ask->round](const Result<void>&) {
+    if (!ask->callback || !ask->asked || round != ask->round) {
+      return;
+    }
+    const std::optional<Instance> target = role->Target(true);
+    if (role->Holder() != nullptr || (target && !IsSameStart(*target, *ask->asked))) {
+      AskAgain(ask);
+    }
+  });
+}
+
+void OnceCoordinator::RetryLater(const AskPointer& ask) {
+  ask->timer = m_parts.scheduler.ScheduleAfter(
+      Jittered(m_settings.retry_pause),
+      [this, weak = std::weak_ptr<Ask>(ask)] { Step(weak.lock()); });
+}
+
+void OnceCoordinator::OnDeadline(const AskPointer& ask) {
+  if (ask && ask->callback) {
+    Finish(ask, Refusal(ErrorKind::kPeerUnavailable,
+                        "the holder of the key's partition did not answer in time"));
+  }
+}
+
+}  // namespace zinnia
