--- a/packages/zinnia_decisions/once/once_coordinator.cc
+++ b/packages/zinnia_decisions/once/once_coordinator.cc
@@ -73,8 +73,7 @@
     return callback(error);
   }
   if (m_asks.size() >= m_settings.most_queued) {
-    const Error error =
-        Refusal(ErrorKind::kOverloaded, "too many non-idempotent requests at once");
+    const Error error = Refusal(ErrorKind::kOverloaded, "too many non-idempotent requests at once");
     RecordRefusal(request.request_id, error);
     return callback(error);
   }
--- a/packages/zinnia_decisions/once/once_coordinator_asks.cc
+++ b/packages/zinnia_decisions/once/once_coordinator_asks.cc
@@ -7,7 +7,8 @@
 #include "zinnia_decisions/once/once_coordinator.h"
 #include "zinnia_decisions/ports/peer_transport.h"
 
-/** The part of OnceCoordinator that finds the holder for one Begin and asks it, again if need be. */
+/** The part of OnceCoordinator that finds the holder for one Begin and asks it, again if need be.
+ */
 namespace zinnia {
 namespace {
 
@@ -24,11 +25,12 @@
   PartitionRole* role = RoleOf(ask->request.partition);
   ask->round += 1;
   ask->asked.reset();
+  ask->timer.reset();
   if (role->Holder() != nullptr) {
     return AskLocally(ask);
   }
-  // By turns the head's holder and the one that should hold it. Rounds do not count: each second one
-  // only reads the head, and one of the two would never be asked.
+  // By turns the head's holder and the one that should hold it. Rounds do not count: each second
+  // one only reads the head, and one of the two would never be asked.
   const std::optional<Instance> target = role->Target(ask->peers_asked % 2 == 0);
   if (!target || std::exchange(ask->needs_refresh, false)) {
     return RefreshFor(ask);
@@ -93,7 +95,7 @@
   // A holder that the head still names and that says it holds nothing will not serve either.
   const bool refused = kind == ErrorKind::kPeerUnavailable || kind == ErrorKind::kStaleEpoch;
   if (refused || kind == ErrorKind::kOutcomeUnknown) {
-    role->NoteUnserved(sent_at, refused);
+    role->NoteUnserved(target, sent_at, refused);
     role->NoteRefusal(target);
   } else {
     role->NoteServed();
@@ -142,8 +144,7 @@
   if (!ask || !ask->callback) {
     return;
   }
-  RoleOf(ask->request.partition)
-      ->NoteUnserved(m_parts.clock.Now() - m_settings.call_timeout, false);
+  RoleOf(ask->request.partition)->NoteUnserved(*ask->asked, ask->sent_at, false);
   AskAgain(ask);
 }
 
@@ -169,9 +170,9 @@
   }
 }
 
-/** What fails without it: an instance that has not asked the lost holder before waits as long as the
-    first one did, although the partition was taken over meanwhile. One read for each booking that
-    meets a silent holder. */
+/** What fails without it: an instance that has not asked the lost holder before waits as long as
+   the first one did, although the partition was taken over meanwhile. One read for each booking
+   that meets a silent holder. */
 void OnceCoordinator::LookWhoHolds(const AskPointer& ask) {
   if (std::exchange(ask->looked_who_holds, true)) {
     return;
--- a/packages/zinnia_decisions/once/once_coordinator_records.cc
+++ b/packages/zinnia_decisions/once/once_coordinator_records.cc
@@ -6,8 +6,8 @@
 #include "zinnia_decisions/once/once_ask.h"
 #include "zinnia_decisions/once/once_coordinator.h"
 
-/** The part of OnceCoordinator that says what was decided about a request: a fixed number of records
-    for each request with a key, on the instance that its caller asked. */
+/** The part of OnceCoordinator that says what was decided about a request: a fixed number of
+   records for each request with a key, on the instance that its caller asked. */
 namespace zinnia {
 namespace {
 
@@ -87,20 +87,24 @@
     const std::string& request_id,
     bool has_answer,
     std::function<void(Result<void>)> callback) {
-  return [this, request_id, has_answer, callback = std::move(callback)](const Result<void>& result) {
-    DecisionRecord record{m_parts.clock.Now(), Subject(request_id), "record_outcome",
-                          "the answer is durable and is given to whoever repeats the key", {}};
-    if (!result) {
-      record.decision = "give_up_outcome";
-      record.reason = result.error().message;
-      record.facts.emplace_back("error", std::string(NameOf(result.error().kind)));
-    } else if (!has_answer) {
-      record.decision = "free_key";
-      record.reason = "the grant was not used, so the key may be granted again";
-    }
-    m_parts.recorder.Record(std::move(record));
-    callback(result);
-  };
+  return
+      [this, request_id, has_answer, callback = std::move(callback)](const Result<void>& result) {
+        DecisionRecord record{m_parts.clock.Now(),
+                              Subject(request_id),
+                              "record_outcome",
+                              "the answer is durable and is given to whoever repeats the key",
+                              {}};
+        if (!result) {
+          record.decision = "give_up_outcome";
+          record.reason = result.error().message;
+          record.facts.emplace_back("error", std::string(NameOf(result.error().kind)));
+        } else if (!has_answer) {
+          record.decision = "free_key";
+          record.reason = "the grant was not used, so the key may be granted again";
+        }
+        m_parts.recorder.Record(std::move(record));
+        callback(result);
+      };
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/once/outcome_reporter.cc
+++ b/packages/zinnia_decisions/once/outcome_reporter.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/membership/membership_view.h"
 #include "zinnia_decisions/once/alive_guard.h"
 #include "zinnia_decisions/ports/peer_transport.h"
 
@@ -25,7 +26,7 @@
   Callback callback;
   TimePoint give_up_at;
   std::chrono::milliseconds pause = kFirstPause;
-  std::uint32_t offers = 0;
+  std::uint32_t peers_offered = 0;
   bool needs_refresh = false;
   std::unique_ptr<ScheduledCall> timer;
 };
@@ -55,25 +56,32 @@
   if (role == nullptr) {
     return OfferLater(report);
   }
-  report->offers += 1;
-  const auto offered = WhileAlive(
-      m_alive, [this, report](const Result<void>& result) { OnOffered(report, result); });
+  const auto offered_to = [this, &report](const Instance& target) {
+    return WhileAlive(m_alive, [this, report, target](const Result<void>& result) {
+      OnOffered(report, target, result);
+    });
+  };
   if (PartitionHolder* holder = role->Holder()) {
-    return holder->Report(report->outcome, offered);
+    return holder->Report(report->outcome, offered_to(m_parts.membership.Self()));
   }
-  const std::optional<Instance> target = role->Target(report->offers % 2 == 1);
+  // By turns, as OnceCoordinator asks; only what was sent to a peer counts as a turn.
+  const std::optional<Instance> target = role->Target(report->peers_offered % 2 == 0);
   if (target && !std::exchange(report->needs_refresh, false)) {
+    report->peers_offered += 1;
+    const auto offered = offered_to(*target);
     return m_parts.peers.ReportOutcome(target->peer_address, report->outcome, offered);
   }
   role->Refresh(WhileAlive(m_alive, [this, report](const Result<void>&) { OfferLater(report); }));
 }
 
-void OutcomeReporter::OnOffered(const ReportPointer& report, const Result<void>& result) {
+void OutcomeReporter::OnOffered(const ReportPointer& report,
+                                const Instance& target,
+                                const Result<void>& result) {
   // Whoever says that it holds nothing, or cannot be reached, is as good as no holder.
   PartitionRole* role = m_role_of(report->outcome.partition);
   const ErrorKind kind = result ? ErrorKind::kNotFound : result.error().kind;
   if (kind == ErrorKind::kStaleEpoch || kind == ErrorKind::kPeerUnavailable) {
-    role->NoteUnserved(m_parts.clock.Now(), true);
+    role->NoteUnserved(target, m_parts.clock.Now(), true);
   } else if (result) {
     role->NoteServed();
   }
--- a/packages/zinnia_decisions/once/outcome_reporter.h
+++ b/packages/zinnia_decisions/once/outcome_reporter.h
@@ -41,7 +41,7 @@
   using ReportPointer = std::shared_ptr<Report>;
 
   void Offer(const ReportPointer& report);
-  void OnOffered(const ReportPointer& report, const Result<void>& result);
+  void OnOffered(const ReportPointer& report, const Instance& target, const Result<void>& result);
   void OfferLater(const ReportPointer& report);
   void Finish(const ReportPointer& report, const Result<void>& result);
 
--- a/packages/zinnia_decisions/once/partition_holder_commits.cc
+++ b/packages/zinnia_decisions/once/partition_holder_commits.cc
@@ -4,8 +4,8 @@
 #include "zinnia_base/time/scheduler.h"
 #include "zinnia_decisions/once/partition_holder.h"
 
-/** The part of PartitionHolder that makes intents and outcomes durable: batches of them, written when
-    the budget allows, and what each write's result means for them. */
+/** The part of PartitionHolder that makes intents and outcomes durable: batches of them, written
+   when the budget allows, and what each write's result means for them. */
 namespace zinnia {
 
 void PartitionHolder::Pump() {
--- a/packages/zinnia_decisions/once/partition_role.cc
+++ b/packages/zinnia_decisions/once/partition_role.cc
@@ -195,19 +195,24 @@
   }
 }
 
-void PartitionRole::NoteUnserved(TimePoint since, bool refused) {
-  // What fails without it: a call to a paused holder is given up seconds after others have taken the
-  // partition; counted against the new holder, it is at once old enough to take it away again, and
-  // the partition goes from instance to instance.
+void PartitionRole::NoteUnserved(const Instance& target, TimePoint since, bool refused) {
+  // What fails without it: a call to a paused holder is given up seconds after others have taken
+  // the partition; counted against the new holder, it is at once old enough to take it away again,
+  // and the partition goes from instance to instance.
   if (since < m_epoch_seen_at) {
     return;
   }
+  // That another instance holds nothing says nothing against a living holder: a stopping instance
+  // that asks both by turns would believe for ever that the holder serves nobody.
+  if (m_head && IsUsable(*m_head) && !IsSame(target, m_head->holder)) {
+    return;
+  }
   // A failure of long ago says nothing of now: without this, one lost call followed by a quiet hour
   // would move the partition at the next failure.
   const bool goes_on =
       m_unserved_since && since - m_last_unserved < kEvidenceWindow * m_settings.takeover_after;
-  // Counted from when the first failure was noticed, not from its call: an asker whose machine slept
-  // notices late, and the holder may have answered at once.
+  // Counted from when the first failure was noticed, not from its call: an asker whose machine
+  // slept notices late, and the holder may have answered at once.
   m_unserved_since = goes_on ? *m_unserved_since : m_parts.clock.Now();
   m_last_unserved = m_parts.clock.Now();
   m_refused = refused;
@@ -223,7 +228,7 @@
 void PartitionRole::NoteAskedInVain() {
   const TimePoint now = m_parts.clock.Now();
   if (m_head && !IsUsable(*m_head)) {
-    NoteUnserved(now, true);
+    NoteUnserved(m_parts.membership.Self(), now, true);
   } else if (m_head && !m_leaving) {
     m_watch.NoteLate(m_head->holder, now);
   }
--- a/tests/once/once_property_test.cc
+++ b/tests/once/once_property_test.cc
@@ -53,8 +53,8 @@
 
 // Symptom: a key that is free again answers "unknown" or "reused" for the whole retention (66197,
 // 76643); a stopping instance never reaches the next holder (42460, 45341).
-// Events: 66197: the first call of a Begin is delayed at the holder, the second is told that the key
-// is taken by another attempt; that one is freed, and the delayed call is granted after all.
+// Events: 66197: the first call of a Begin is delayed at the holder, the second is told that the
+// key is taken by another attempt; that one is freed, and the delayed call is granted after all.
 // Cause: only a Begin that ended in an error reported its attempt as unused.
 TEST(OnceProperty, SchedulesThatFailedOnceHold) {
   for (const std::uint64_t seed : {17'248, 42'460, 45'341, 66'197, 76'643}) {
--- a/tests/once/once_test.cc
+++ b/tests/once/once_test.cc
@@ -368,8 +368,7 @@
     return decisions;
   };
   const auto first = CallAndWait(*other, "k");
-  STRCMP_EQUAL("begin_once grant_once record_outcome ",
-               decisions_about(*other, first->id).c_str());
+  STRCMP_EQUAL("begin_once grant_once record_outcome ", decisions_about(*other, first->id).c_str());
   const auto again = CallAndWait(*holder, "k");
   STRCMP_EQUAL("begin_once give_recorded_answer ", decisions_about(*holder, again->id).c_str());
   world.dispatch_delay = seconds(11);
--- a/tests/once/takeover_test.cc
+++ b/tests/once/takeover_test.cc
@@ -41,9 +41,9 @@
       world.Advance(milliseconds(50));
     }
     world.Advance(seconds(5));
-    return static_cast<int>(std::count_if(
-        requests.begin(), requests.end(),
-        [](const auto& request) { return request->told != Told::kAnswered; }));
+    return static_cast<int>(
+        std::count_if(requests.begin(), requests.end(),
+                      [](const auto& request) { return request->told != Told::kAnswered; }));
   }
 
   std::size_t HeldByLiving() {
