--- a/tests/once/takeover_test.cc
+++ b/tests/once/takeover_test.cc
@@ -113,6 +113,7 @@
   world.Advance(seconds(3));
   const TimePoint asked_at = world.time.Now();
   std::vector<std::shared_ptr<CallerRequest>> requests;
+  requests.reserve(100);
   for (int i = 0; i < 100; ++i) {
     requests.push_back(late->Call("late" + std::to_string(i), "body"));
   }
