Keep one rule for which failures count against a holder

The check of when the epoch was first seen became redundant with the rule that only the holder's own failures count; LateFailuresOfTheOldHolderDoNotMoveThePartitionAgain fails without the latter.

--- a/packages/zinnia_decisions/once/partition_role.cc
+++ b/packages/zinnia_decisions/once/partition_role.cc
@@ -158,7 +158,6 @@
   if (takeover->SeenHead() && (!m_head || m_head->epoch < takeover->SeenHead()->epoch)) {
     m_unserved_since.reset();
     m_refusing.clear();
-    m_epoch_seen_at = m_parts.clock.Now();
   }
   m_head = takeover->SeenHead();
   Result<void> outcome;
@@ -196,14 +195,10 @@
 }
 
 void PartitionRole::NoteUnserved(const Instance& target, TimePoint since, bool refused) {
-  // What fails without it: a call to a paused holder is given up seconds after others have taken
-  // the partition; counted against the new holder, it is at once old enough to take it away again,
-  // and the partition goes from instance to instance.
-  if (since < m_epoch_seen_at) {
-    return;
-  }
-  // That another instance holds nothing says nothing against a living holder: a stopping instance
-  // that asks both by turns would believe for ever that the holder serves nobody.
+  // What fails without it: a call to a paused holder is given up seconds after others have taken the
+  // partition; counted against the new holder, it is at once old enough to take it away again, and
+  // the partition goes from instance to instance. And a stopping instance that asks a third one by
+  // turns would believe for ever that the living holder serves nobody.
   if (m_head && IsUsable(*m_head) && !IsSame(target, m_head->holder)) {
     return;
   }
--- a/packages/zinnia_decisions/once/partition_role.h
+++ b/packages/zinnia_decisions/once/partition_role.h
@@ -100,7 +100,6 @@
   std::optional<TimePoint> m_last_taken;
   std::optional<TimePoint> m_unserved_since;
   TimePoint m_last_unserved{};
-  TimePoint m_epoch_seen_at{};
   bool m_refused = false;
   std::set<InstanceName> m_refusing;
   bool m_leaving = false;
