--- a/packages/zinnia_decisions/once/holder_watch.cc
+++ b/packages/zinnia_decisions/once/holder_watch.cc
@@ -113,8 +113,8 @@
 
 void HolderWatch::CheckLater(Peer& peer, Duration delay) {
   peer.check_due = m_parts.clock.Now() + delay;
-  peer.timer = m_parts.scheduler.ScheduleAfter(
-      delay, [this, name = NameOf(peer.instance)] { Check(name); });
+  peer.timer =
+      m_parts.scheduler.ScheduleAfter(delay, [this, name = NameOf(peer.instance)] { Check(name); });
 }
 
 void HolderWatch::Check(const std::string& name) {
--- a/packages/zinnia_decisions/once/holder_watch.h
+++ b/packages/zinnia_decisions/once/holder_watch.h
@@ -22,13 +22,15 @@
 
 /** What this instance knows of the silence of others; one for all partitions.
 
-    What fails without it: each partition of a lost holder gathers its own evidence, so that bookings
-    fail for seconds, or a shorter patience takes partitions from holders whose store is slow.
+    What fails without it: each partition of a lost holder gathers its own evidence, so that
+   bookings fail for seconds, or a shorter patience takes partitions from holders whose store is
+   slow.
 
     Once an answer is late, or a call was refused, the instance is asked for signs of life, which
-    need no store. Any answer to any call ends the suspicion. Without one, the instance is lost after
-    `silent_takeover_after` (longer if its signs of life were slow before), or after
-    `refused_takeover_after` if connections are refused. Wrong belief costs a takeover, never safety.
+    need no store. Any answer to any call ends the suspicion. Without one, the instance is lost
+   after `silent_takeover_after` (longer if its signs of life were slow before), or after
+    `refused_takeover_after` if connections are refused. Wrong belief costs a takeover, never
+   safety.
 
     @see PartitionRole, ReplyTimes
 */
@@ -46,7 +48,9 @@
 
   /** An answer came, whatever it says. */
   void NoteReply(const Instance& instance, TimePoint sent_at);
-  void NoteLate(const Instance& instance, TimePoint sent_at) { NoteMissing(instance, sent_at, false); }
+  void NoteLate(const Instance& instance, TimePoint sent_at) {
+    NoteMissing(instance, sent_at, false);
+  }
   void NoteRefused(const Instance& instance, TimePoint sent_at) {
     NoteMissing(instance, sent_at, true);
   }
--- a/packages/zinnia_decisions/once/once_settings.cc
+++ b/packages/zinnia_decisions/once/once_settings.cc
@@ -14,7 +14,8 @@
   if (settings.retention < 10 * settings.valid_for) {
     return refuse("once.retention must be at least ten times once.valid_for");
   }
-  // A holder that is asked too seldom, or not waited for, would lose its partitions to one lost reply.
+  // A holder that is asked too seldom, or not waited for, would lose its partitions to one lost
+  // reply.
   if (settings.sign_of_life_interval.count() <= 0 ||
       settings.silent_takeover_after < 4 * settings.sign_of_life_interval ||
       settings.takeover_after < settings.silent_takeover_after) {
--- a/packages/zinnia_decisions/once/partition_role.cc
+++ b/packages/zinnia_decisions/once/partition_role.cc
@@ -195,10 +195,10 @@
 }
 
 void PartitionRole::NoteUnserved(const Instance& target, TimePoint since, bool refused) {
-  // What fails without it: a call to a paused holder is given up seconds after others have taken the
-  // partition; counted against the new holder, it is at once old enough to take it away again, and
-  // the partition goes from instance to instance. And a stopping instance that asks a third one by
-  // turns would believe for ever that the living holder serves nobody.
+  // What fails without it: a call to a paused holder is given up seconds after others have taken
+  // the partition; counted against the new holder, it is at once old enough to take it away again,
+  // and the partition goes from instance to instance. And a stopping instance that asks a third one
+  // by turns would believe for ever that the living holder serves nobody.
   if (m_head && IsUsable(*m_head) && !IsSame(target, m_head->holder)) {
     return;
   }
