--- a/packages/zinnia_decisions/once/once_coordinator.h
+++ b/packages/zinnia_decisions/once/once_coordinator.h
@@ -86,6 +86,10 @@
   void RefreshFor(const AskPointer& ask);
   void AskLocally(const AskPointer& ask);
   void AskPeer(const AskPointer& ask, const Instance& target);
+  void NoteReply(std::uint32_t partition,
+                 const Instance& target,
+                 TimePoint sent_at,
+                 const Result<IntentReply>& result);
   void OnReply(const AskPointer& ask, std::uint32_t round, Result<IntentReply> result);
   void OnCallLate(const AskPointer& ask);
   void OnCallTimeout(const AskPointer& ask);
@@ -96,6 +100,13 @@
   void OnDeadline(const AskPointer& ask);
   void Finish(const AskPointer& ask, Result<IntentReply> result);
   void RememberGrant(const Ask& ask);
+  void RecordBegin(const Ask& ask);
+  void RecordVerdict(const Ask& ask, const Result<IntentReply>& result);
+  void RecordRefusal(const std::string& request_id, const Error& error);
+  std::function<void(Result<void>)> RecordingOutcome(const std::string& request_id,
+                                                     bool has_answer,
+                                                     std::function<void(Result<void>)> callback);
+  std::string HolderName(std::uint32_t partition);
 
   void WithHolder(std::uint32_t partition, const HolderCallback& callback);
   PartitionRole* RoleOf(std::uint32_t partition);
--- a/packages/zinnia_decisions/once/partition_role.h
+++ b/packages/zinnia_decisions/once/partition_role.h
@@ -41,6 +41,9 @@
   /** Null if this instance does not hold the partition. */
   PartitionHolder* Holder() { return m_holder.get(); }
 
+  /** The head as it was last read; nothing if it was not, or if this instance gave it up. */
+  const std::optional<PartitionHead>& KnownHead() const { return m_head; }
+
   /** Whom to ask; nothing if Refresh has to come first. Without `trust_membership` the head's
       holder is asked even if it is believed dead: the belief may be wrong. */
   std::optional<Instance> Target(bool trust_membership) const;
@@ -52,10 +55,10 @@
   /** Refreshes if the partition lacks a holder and this instance should be it. */
   void TakeIfPreferred();
 
-  /** Nobody who was asked has served a call made at `since`; `refused` if that is certain, because
+  /** `target` has not served a call made at `since`; `refused` if that is certain, because
       the instance could not be reached or said that it holds nothing. If this goes on, the instance
       takes the partition over, preferred or not. */
-  void NoteUnserved(TimePoint since, bool refused);
+  void NoteUnserved(const Instance& target, TimePoint since, bool refused);
   void NoteServed() { m_unserved_since.reset(); }
 
   /** `target` said that it holds nothing: the next one in the order of preference is asked. */
@@ -97,7 +100,6 @@
   std::optional<TimePoint> m_last_taken;
   std::optional<TimePoint> m_unserved_since;
   TimePoint m_last_unserved{};
-  TimePoint m_epoch_seen_at{};
   bool m_refused = false;
   std::set<InstanceName> m_refusing;
   bool m_leaving = false;
