--- a/bench/control/main.cc
+++ b/bench/control/main.cc
@@ -61,7 +61,8 @@
 
   std::vector<ChangedPath> Configuration() const {
     std::vector<ChangedPath> paths;
-    paths.reserve(static_cast<std::size_t>(m_organisations) + static_cast<std::size_t>(m_pipelines));
+    paths.reserve(static_cast<std::size_t>(m_organisations) +
+                  static_cast<std::size_t>(m_pipelines));
     for (int organisation = 0; organisation < m_organisations; ++organisation) {
       paths.push_back(Organisation(organisation, 1));
     }
--- a/packages/zinnia_apps/command_line/arguments.cc
+++ b/packages/zinnia_apps/command_line/arguments.cc
@@ -1,7 +1,7 @@
 #include "zinnia_apps/command_line/arguments.h"
 
-// Commands hold commas (JSON). With the default delimiter, cxxopts splits a command at each of them and
-// the parser is given a truncated object; '\0' never occurs in an argument.
+// Commands hold commas (JSON). With the default delimiter, cxxopts splits a command at each of them
+// and the parser is given a truncated object; '\0' never occurs in an argument.
 #define CXXOPTS_VECTOR_DELIMITER '\0'
 #include <cxxopts.hpp>
 
--- a/packages/zinnia_apps/daemon/traffic_side.cc
+++ b/packages/zinnia_apps/daemon/traffic_side.cc
@@ -25,8 +25,9 @@
 namespace {
 
 /** How long a token may take through a pipeline when it is as full as admission lets it be. Callers
-    expect 35 ms for 95 in 100; at 26 ms that held in bench_routing at 95 percent load (97.9 in 100, 0.931
-    of the bound answered), at 35 ms 70.0 in 100 with 0.970 of the bound (docs/design/routing.md). */
+    expect 35 ms for 95 in 100; at 26 ms that held in bench_routing at 95 percent load (97.9 in 100,
+   0.931 of the bound answered), at 35 ms 70.0 in 100 with 0.970 of the bound
+   (docs/design/routing.md). */
 constexpr double kSecondsBetweenTokens = 0.026;
 
 /** Admission counts tokens; capacities come in sessions. */
--- a/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
+++ b/packages/zinnia_decisions/sessions/pipeline_session_recovery.cc
@@ -36,8 +36,8 @@
     Fail(MakeError(ErrorKind::kBackendRejected, "backend server " + server + " refused a step"));
     return;
   }
-  // A server that was dead before the step came counts for nothing against the request. Otherwise an
-  // answer whose two servers die together is refused as one that crashes servers.
+  // A server that was dead before the step came counts for nothing against the request. Otherwise
+  // an answer whose two servers die together is refused as one that crashes servers.
   if (answer.status == StepStatus::kServerCrashed && !answer.never_sent) {
     m_crashed_servers.insert(server);
     m_isolated_until_tokens = m_answer.Tokens().size() + 1;
