--- a/packages/zinnia_adapters/engines/engine_channel.cc
+++ b/packages/zinnia_adapters/engines/engine_channel.cc
@@ -287,12 +287,11 @@
   const bool is_cut = failure == ExchangeFailure::kLost || failure == ExchangeFailure::kUnreachable;
   if (is_cut && !m_awaiting_verdict.empty() && m_cut_probes < kMostCutProbes) {
     ++m_cut_probes;
-    m_probe_again =
-        m_parts.scheduler.ScheduleAfter(kProbeAgainAfter, [weak = weak_from_this()] {
-          if (const auto self = weak.lock()) {
-            self->SendProbe();
-          }
-        });
+    m_probe_again = m_parts.scheduler.ScheduleAfter(kProbeAgainAfter, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->SendProbe();
+      }
+    });
     return;
   }
   m_probing = false;
--- a/tests/processes/system_planned_stop_test.cc
+++ b/tests/processes/system_planned_stop_test.cc
@@ -4,6 +4,8 @@
 #include <atomic>
 #include <csignal>
 #include <future>
+#include <memory>
+#include <thread>
 
 #include "fleet_fixture.h"
 #include "polling.h"
@@ -153,6 +155,8 @@
   std::atomic<bool> stop = false;
   LightStream stream(m_fleet, text);
   auto faults = std::async(std::launch::async, [&] { return stream.Run(stop); });
+  // A check that fails leaves the test here, and the future waits for its thread.
+  const std::shared_ptr<void> stop_at_the_end(nullptr, [&](void*) { stop = true; });
   for (std::size_t instance = 0; instance < kInstances; ++instance) {
     const int answers = stream.Answers();
     m_fleet.Instance(instance).process->Signal(SIGTERM);
--- a/tests/processes/system_poison_test.cc
+++ b/tests/processes/system_poison_test.cc
@@ -33,9 +33,8 @@
   CHECK_FALSE(m_fleet.Chat(0, poison).done);
   std::vector<std::future<StreamedAnswer>> again;
   for (const std::size_t instance : {0, 1, 2, 0, 1, 2}) {
-    again.push_back(std::async(std::launch::async, [&, instance] {
-      return m_fleet.Chat(instance, poison);
-    }));
+    again.push_back(
+        std::async(std::launch::async, [&, instance] { return m_fleet.Chat(instance, poison); }));
   }
   for (auto& answer : again) {
     CHECK_FALSE(answer.get().done);
