--- a/tests/processes/fleet_fixture.cc
+++ b/tests/processes/fleet_fixture.cc
@@ -153,7 +153,7 @@
 }
 
 std::string Fleet::WriteFile(const std::string& name, const std::string& text) const {
-  const std::string path = (m_folder / name).string();
+  std::string path = (m_folder / name).string();
   std::ofstream(path) << text;
   return path;
 }
--- a/tests/processes/system_booking_test.cc
+++ b/tests/processes/system_booking_test.cc
@@ -119,6 +119,7 @@
   const auto body = [](int number) { return fmt::format(R"({{"bed":{}}})", number); };
   Fleet::Control(m_fleet.Store(), R"({"delay_ms":300})");
   std::vector<std::future<HttpAnswer>> first;
+  first.reserve(kKeys);
   for (int number = 0; number < kKeys; ++number) {
     first.push_back(BookLater(1, key(number), body(number)));
   }
@@ -128,6 +129,7 @@
   m_fleet.Instance(1).process->Signal(SIGSTOP);
   Fleet::Control(m_fleet.Store(), kPromptAnswers);
   std::vector<std::future<HttpAnswer>> second;
+  second.reserve(kKeys);
   for (int number = 0; number < kKeys; ++number) {
     second.push_back(std::async(std::launch::async, [&, number] {
       return BookUntilDecided(number % 2 == 0 ? 0 : 2, key(number), body(number));
--- a/tests/processes/system_configuration_test.cc
+++ b/tests/processes/system_configuration_test.cc
@@ -59,6 +59,7 @@
     CHECK_TRUE(InForce(instance, revision, 1'000));
   }
   std::vector<std::future<HttpAnswer>> answers;
+  answers.reserve(kOperators);
   for (int number = 0; number < kOperators; ++number) {
     answers.push_back(std::async(std::launch::async, [=, this] {
       return m_fleet.Command(static_cast<std::size_t>(number % 3),
