Make the service's silence outlast any pause of a busy machine

The test that kills an instance between dispatch and answer relied on the signal coming within the 1.5 s that the service took; now the service gives no answer until the instance is dead.

--- a/tests/processes/system_booking_test.cc
+++ b/tests/processes/system_booking_test.cc
@@ -17,7 +17,8 @@
 constexpr const char* kLoseNextAnswer = R"({"lose_answers_next":1,"only":"/bookings"})";
 
 /** Long enough that the caller, or a signal, comes before the service's answer. */
-constexpr const char* kSlowAnswers = R"({"delay_ms":1500})";
+constexpr const char* kSlowAnswers = R"({"delay_ms":3000})";
+constexpr const char* kNoAnswers = R"({"delay_ms":600000})";
 constexpr const char* kPromptAnswers = R"({"delay_ms":0})";
 
 }  // namespace
@@ -107,11 +108,12 @@
   // Events: the instance dispatched and is killed before the answer; the caller sends the key
   // through another instance. The dead one may have held the key's partition too.
   // Cause: the right to run was known to the dead instance only.
-  Fleet::Control(m_fleet.Service(), kSlowAnswers);
+  Fleet::Control(m_fleet.Service(), kNoAnswers);
   auto first = BookLater(0, "k");
   CHECK_TRUE(IsDispatched());
   m_fleet.Instance(0).process->Signal(SIGKILL);
   CHECK_FALSE(first.get().whole);
+  Fleet::Control(m_fleet.Service(), kPromptAnswers);
   STRCMP_EQUAL("outcome_unknown/unknown", ProblemOf(BookUntilDecided(1, "k")).c_str());
   STRCMP_EQUAL("outcome_unknown/unknown", ProblemOf(BookUntilDecided(2, "k")).c_str());
   LONGS_EQUAL(1, m_fleet.Bookings());
