Read secrets without a false warning of the compiler

Cause: g++ 12 warned of array bounds in a moved short string. Change: the trimming has a function of its own.

--- a/packages/zinnia_adapters/settings/text_file.cc
+++ b/packages/zinnia_adapters/settings/text_file.cc
@@ -18,6 +18,12 @@
   return error;
 }
 
+std::string Trimmed(const std::string& text) {
+  const auto first = text.find_first_not_of(kWhiteSpace);
+  const auto last = text.find_last_not_of(kWhiteSpace);
+  return first == std::string::npos ? std::string() : text.substr(first, last - first + 1);
+}
+
 }  // namespace
 
 Result<std::string> ReadTextFile(const std::string& file_name) {
@@ -42,13 +48,8 @@
     error.message = field + ": " + error.message;
     return error;
   }
-  const auto first = text->find_first_not_of(kWhiteSpace);
-  const auto last = text->find_last_not_of(kWhiteSpace);
-  std::string secret;
-  if (first != std::string::npos) {
-    secret = text->substr(first, last - first + 1);
-  }
-  if (secret.size() < kLeastSecretBytes) {
+  Result<std::string> secret = Trimmed(*text);
+  if (secret->size() < kLeastSecretBytes) {
     return FileError(
         fmt::format("{}: {} holds fewer than {} bytes", field, file_name, kLeastSecretBytes),
         "write a random secret of at least 16 characters into the file");
