--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -220,14 +220,19 @@
 }
 
 void CallerConnection::StartEvents(const std::string& request_id) {
+  StreamHead head(http::status::ok, 11);
+  head.set(http::field::content_type, "text/event-stream");
+  head.set(http::field::cache_control, "no-store");
+  head.set("X-Request-Id", request_id);
+  StartStream(std::move(head));
+}
+
+void CallerConnection::StartStream(StreamHead head) {
   if (m_closed) {
     return;
   }
   m_answer_ended = false;
-  m_events_head = EventsHead(http::status::ok, 11);
-  m_events_head.set(http::field::content_type, "text/event-stream");
-  m_events_head.set(http::field::cache_control, "no-store");
-  m_events_head.set("X-Request-Id", request_id);
+  m_events_head = std::move(head);
   m_keep_alive = m_keep_alive && !m_owner.IsDraining();
   m_events_head.keep_alive(m_keep_alive);
   m_events_head.chunked(true);
@@ -262,6 +267,11 @@
   }
 }
 
+void CallerConnection::CutOff() {
+  m_exchange.reset();
+  Close();
+}
+
 void CallerConnection::WriteEvents() {
   // Nearly always the socket takes a token's event at once. An asynchronous write for each would
   // cost a timer, a handler and another turn of the loop, more than the rest of the token's way.
--- a/packages/zinnia_adapters/callers/caller_connection.h
+++ b/packages/zinnia_adapters/callers/caller_connection.h
@@ -59,13 +59,14 @@
 
   void SendWhole(CallerResponse response) override;
   void StartEvents(const std::string& request_id) override;
+  void StartStream(StreamHead head) override;
   void SendEvents(std::string_view events) override;
   void EndEvents() override;
+  void CutOff() override;
 
  private:
   using Stream = boost::beast::basic_stream<boost::asio::ip::tcp, boost::asio::any_io_executor>;
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-  using EventsHead = boost::beast::http::response<boost::beast::http::empty_body>;
 
   void WaitForRequest();
   void ReadHeader();
@@ -88,7 +89,7 @@
   std::optional<Parser> m_parser;
   std::shared_ptr<CallerExchange> m_exchange;
   CallerResponse m_response;
-  EventsHead m_events_head;
+  StreamHead m_events_head;
   std::optional<boost::beast::http::response_serializer<boost::beast::http::empty_body>>
       m_head_serializer;
   std::string m_waiting_events;
--- a/packages/zinnia_adapters/callers/caller_server.cc
+++ b/packages/zinnia_adapters/callers/caller_server.cc
@@ -1,7 +1,6 @@
 #include "zinnia_adapters/callers/caller_server.h"
 
 #include <fmt/format.h>
-#include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/field.hpp>
@@ -13,6 +12,7 @@
 #include "zinnia_adapters/callers/key_digest.h"
 #include "zinnia_adapters/callers/plain_documents.h"
 #include "zinnia_adapters/callers/service_exchange.h"
+#include "zinnia_adapters/http/listening_socket.h"
 #include "zinnia_adapters/services/service_forwarder.h"
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/ports/metrics.h"
@@ -92,34 +92,6 @@
   return Fixed(context, std::move(response));
 }
 
-Result<tcp::acceptor> Listen(asio::io_context& loop, const NetworkAddress& address) {
-  boost::system::error_code error;
-  const auto ip = asio::ip::make_address(address.ip, error);
-  tcp::acceptor acceptor(loop);
-  const tcp::endpoint endpoint(ip, address.port);
-  using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-  if (!error) {
-    acceptor.open(endpoint.protocol(), error);
-  }
-  if (!error) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.set_option(ReusePort(true), error);
-  }
-  if (!error) {
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return MakeError(ErrorKind::kInvalidSettings,
-                     fmt::format("callers' address {}: {}", address.ToString(), error.message()));
-  }
-  return acceptor;
-}
-
 }  // namespace
 
 Result<std::unique_ptr<CallerServer>> CallerServer::Create(CallerServerParts parts,
--- /dev/null
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp
@@ -0,0 +1,53 @@
+@0xb8f3d6a1c2e94f57;
+
+# What instances on a platform with a store of its own tell each other: what they have in flight,
+# which servers they found stalled, and what the store said. Only ever add fields at the end: during
+# an upgrade, instances of two versions run side by side.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("zinnia::wire");
+
+struct NewsServerUse {
+  server @0 :Text;
+  requests @1 :UInt32;
+  tokenLayers @2 :Float64;
+}
+
+struct NewsStall {
+  server @0 :Text;
+  ageMs @1 :UInt32;
+}
+
+struct NewsInstance {
+  name @0 :Text;
+  ip @1 :Text;
+  port @2 :UInt16;
+  failureDomain @3 :Text;
+  start @4 :UInt64;
+}
+
+struct NewsReport {
+  instance @0 :NewsInstance;
+  revision @1 :UInt64;
+  uses @2 :List(NewsServerUse);
+  stalls @3 :List(NewsStall);
+  leaving @4 :Bool;
+}
+
+struct NewsRecord {
+  key @0 :Text;
+  revision @1 :UInt64;
+  removed @2 :Bool;
+  value @3 :Data;
+}
+
+struct NewsDelta {
+  complete @0 :Bool;
+  revision @1 :UInt64;
+  records @2 :List(NewsRecord);
+}
+
+interface FleetNews {
+  # The answer holds what the caller lacks of the store's records; it is empty if it lacks nothing.
+  exchange @0 (report :NewsReport) -> (delta :NewsDelta);
+}
--- /dev/null
+++ b/packages/zinnia_adapters/fleet_news/news_codec.cc
@@ -0,0 +1,96 @@
+#include "zinnia_adapters/fleet_news/news_codec.h"
+
+#include <string>
+
+namespace zinnia::news_codec {
+namespace {
+
+std::string ToText(capnp::Text::Reader text) {
+  return {text.begin(), text.size()};
+}
+
+capnp::Data::Reader ToData(const std::string& bytes) {
+  return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+std::string FromData(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+}  // namespace
+
+void Write(wire::NewsReport::Builder to, const NewsReport& report) {
+  auto instance = to.initInstance();
+  instance.setName(report.instance.name);
+  instance.setIp(report.instance.peer_address.ip);
+  instance.setPort(report.instance.peer_address.port);
+  instance.setFailureDomain(report.instance.failure_domain);
+  instance.setStart(report.instance.start);
+  to.setRevision(report.revision);
+  to.setLeaving(report.leaving);
+  auto uses = to.initUses(static_cast<unsigned>(report.uses.size()));
+  unsigned index = 0;
+  for (const auto& [server, use] : report.uses) {
+    auto row = uses[index++];
+    row.setServer(server);
+    row.setRequests(use.requests);
+    row.setTokenLayers(use.token_layers);
+  }
+  auto stalls = to.initStalls(static_cast<unsigned>(report.stalls.size()));
+  for (unsigned stall = 0; stall < report.stalls.size(); ++stall) {
+    stalls[stall].setServer(report.stalls[stall].server);
+    stalls[stall].setAgeMs(static_cast<std::uint32_t>(report.stalls[stall].age.count()));
+  }
+}
+
+NewsReport Read(wire::NewsReport::Reader from) {
+  NewsReport report;
+  const auto instance = from.getInstance();
+  report.instance.name = ToText(instance.getName());
+  report.instance.peer_address = {ToText(instance.getIp()), instance.getPort()};
+  report.instance.failure_domain = ToText(instance.getFailureDomain());
+  report.instance.start = instance.getStart();
+  report.revision = from.getRevision();
+  report.leaving = from.getLeaving();
+  for (const auto use : from.getUses()) {
+    report.uses[ToText(use.getServer())] = {use.getRequests(), use.getTokenLayers()};
+  }
+  for (const auto stall : from.getStalls()) {
+    report.stalls.push_back(
+        {ToText(stall.getServer()), std::chrono::milliseconds(stall.getAgeMs())});
+  }
+  return report;
+}
+
+void Write(wire::NewsDelta::Builder to, const MirrorDelta& delta) {
+  to.setComplete(delta.complete);
+  to.setRevision(delta.revision);
+  auto records = to.initRecords(static_cast<unsigned>(delta.records.size()));
+  for (unsigned index = 0; index < delta.records.size(); ++index) {
+    const MirroredRecord& record = delta.records[index];
+    records[index].setKey(record.key);
+    records[index].setRevision(record.revision);
+    records[index].setRemoved(!record.value);
+    if (record.value) {
+      records[index].setValue(ToData(*record.value));
+    }
+  }
+}
+
+MirrorDelta Read(wire::NewsDelta::Reader from) {
+  MirrorDelta delta;
+  delta.complete = from.getComplete();
+  delta.revision = from.getRevision();
+  for (const auto record : from.getRecords()) {
+    MirroredRecord read;
+    read.key = ToText(record.getKey());
+    read.revision = record.getRevision();
+    if (!record.getRemoved()) {
+      read.value = FromData(record.getValue());
+    }
+    delta.records.push_back(std::move(read));
+  }
+  return delta;
+}
+
+}  // namespace zinnia::news_codec
--- /dev/null
+++ b/packages/zinnia_adapters/fleet_news/news_codec.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "zinnia_adapters/fleet_news/fleet_news.capnp.h"
+#include "zinnia_decisions/forwarding/mirrored_record.h"
+#include "zinnia_decisions/forwarding/news_report.h"
+
+/** Between the messages of fleet_news.capnp and the core's types. */
+namespace zinnia::news_codec {
+
+void Write(wire::NewsReport::Builder to, const NewsReport& report);
+NewsReport Read(wire::NewsReport::Reader from);
+void Write(wire::NewsDelta::Builder to, const MirrorDelta& delta);
+MirrorDelta Read(wire::NewsDelta::Reader from);
+
+}  // namespace zinnia::news_codec
--- /dev/null
+++ b/packages/zinnia_adapters/fleet_news/news_server.cc
@@ -0,0 +1,104 @@
+#include "zinnia_adapters/fleet_news/news_server.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <utility>
+
+#include "zinnia_adapters/fleet_news/news_codec.h"
+#include "zinnia_adapters/peers/peer_limits.h"
+#include "zinnia_decisions/ports/news_transport.h"
+
+namespace zinnia {
+namespace {
+
+/** Wait after a failed accept, which without it would spin while all descriptors are in use. */
+constexpr auto kAcceptPause = 100 * kj::MILLISECONDS;
+
+class NewsService final : public wire::FleetNews::Server {
+ public:
+  explicit NewsService(NewsListener& listener) : m_listener(listener) {}
+
+  kj::Promise<void> exchange(ExchangeContext context) override {
+    const MirrorDelta delta = m_listener.OnNews(news_codec::Read(context.getParams().getReport()));
+    news_codec::Write(context.getResults().initDelta(), delta);
+    return kj::READY_NOW;
+  }
+
+ private:
+  NewsListener& m_listener;
+};
+
+struct ServedConnection {
+  ServedConnection(kj::Own<kj::AsyncIoStream> accepted, NewsListener& listener)
+      : stream(kj::mv(accepted)),
+        network(*stream, capnp::rpc::twoparty::Side::SERVER, PeerCallLimits()),
+        rpc(capnp::makeRpcServer(network,
+                                 wire::FleetNews::Client(kj::heap<NewsService>(listener)))) {}
+
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+};
+
+}  // namespace
+
+class NewsServer::Impl final : private kj::TaskSet::ErrorHandler {
+ public:
+  Impl(kj::AsyncIoContext& io, kj::Own<kj::ConnectionReceiver> acceptor, NewsListener& listener)
+      : m_io(io), m_listener(listener), m_acceptor(kj::mv(acceptor)), m_tasks(*this) {
+    m_tasks.add(Accept());
+  }
+
+ private:
+  kj::Promise<void> Accept() {
+    return m_acceptor->accept()
+        .then([this](kj::Own<kj::AsyncIoStream> stream) {
+          auto connection = kj::heap<ServedConnection>(kj::mv(stream), m_listener);
+          m_tasks.add(connection->network.onDisconnect().attach(kj::mv(connection)));
+        })
+        .catch_([this](kj::Exception&&) {
+          return m_io.provider->getTimer().afterDelay(kAcceptPause);
+        })
+        .then([this] { return Accept(); });
+  }
+
+  /** A broken connection is its caller's to notice; here it just ends. */
+  void taskFailed(kj::Exception&&) override {}
+
+  kj::AsyncIoContext& m_io;
+  NewsListener& m_listener;
+  kj::Own<kj::ConnectionReceiver> m_acceptor;
+  kj::TaskSet m_tasks;
+};
+
+Result<std::unique_ptr<NewsServer>> NewsServer::Listen(kj::AsyncIoContext& io,
+                                                       const NetworkAddress& address,
+                                                       NewsListener& listener) {
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(address.ip, error);
+  if (error) {
+    return MakeError(ErrorKind::kInvalidSettings, "peer_address is not IP:PORT");
+  }
+  const boost::asio::ip::tcp::endpoint endpoint(ip, address.port);
+  kj::Own<kj::ConnectionReceiver> acceptor;
+  const auto failure = kj::runCatchingExceptions([&] {
+    acceptor = io.provider->getNetwork()
+                   .getSockaddr(endpoint.data(), static_cast<unsigned>(endpoint.size()))
+                   ->listen();
+  });
+  KJ_IF_MAYBE (exception, failure) {
+    return MakeError(ErrorKind::kInvalidSettings,
+                     "cannot listen on peer_address " + address.ToString() + ": " +
+                         exception->getDescription().cStr());
+  }
+  return std::unique_ptr<NewsServer>(
+      new NewsServer(std::make_unique<Impl>(io, kj::mv(acceptor), listener)));
+}
+
+NewsServer::NewsServer(std::unique_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+NewsServer::~NewsServer() = default;
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/engine_calls.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "zinnia_base/errors/result.h"
+#include "zinnia_world/fleet/network_address.h"
+#include "zinnia_world/forwarding/path_part.h"
+
+namespace zinnia {
+
+/** What the first server of a path says about the work that passes through it. */
+struct EngineReport {
+  /** Names of the servers on paths from here that do not go on. */
+  std::vector<BackendServerName> stalled_servers;
+};
+
+/** Calls to engines beside requests. Callbacks run later, once, on the traffic thread. */
+class EngineCalls {
+ public:
+  virtual ~EngineCalls() = default;
+
+  virtual void ReadReport(const PathPart& first,
+                          std::function<void(Result<EngineReport>)> callback) = 0;
+
+  /** Moves a running request to another path with the same first part. Its memory stays where the
+      part stays; new parts read the tokens so far. Fails with kNotFound if it does not run there,
+      kBackendRejected if a part has no room, kOutcomeUnknown if there is no answer. */
+  virtual void Reroute(const std::string& request_id,
+                       const LayerPath& path,
+                       std::function<void(Result<void>)> callback) = 0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -0,0 +1,662 @@
+#include "zinnia_adapters/forwarding/forward_exchange.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/beast/http/field.hpp>
+#include <utility>
+
+#include "zinnia_adapters/callers/problem_document.h"
+#include "zinnia_adapters/forwarding/server_connection.h"
+#include "zinnia_adapters/forwarding/server_connection_pool.h"
+#include "zinnia_adapters/forwarding/stall_inquiry.h"
+#include "zinnia_adapters/services/header_filter.h"
+#include "zinnia_base/logging/logger.h"
+#include "zinnia_decisions/forwarding/forwarding_view.h"
+#include "zinnia_decisions/forwarding/load_book.h"
+#include "zinnia_decisions/forwarding/path_finder.h"
+#include "zinnia_decisions/forwarding/plain_server_chooser.h"
+#include "zinnia_decisions/forwarding/route_table.h"
+#include "zinnia_decisions/forwarding/server_health.h"
+#include "zinnia_decisions/forwarding/shared_retry_budget.h"
+#include "zinnia_decisions/ports/metrics.h"
+
+namespace zinnia {
+namespace {
+
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+/** A connection to a sound server is there within a few milliseconds; a dark one never answers. */
+constexpr Duration kConnectLimit = milliseconds(250);
+
+/** How long a server that could not be reached gets no requests. */
+constexpr Duration kUnreachableExclusion = milliseconds(1'500);
+
+/** How long a server that others named as stalled gets no requests: about until the stall ends or
+    its entry lapses. */
+constexpr Duration kStalledExclusion = milliseconds(3'000);
+
+/** A server that refuses for want of room is left alone about as long as its reports lag. */
+constexpr Duration kFullExclusion = milliseconds(200);
+
+/** A server that is not what the view says is left until its new entry has arrived. */
+constexpr Duration kMisdirectedExclusion = milliseconds(1'000);
+
+/** Without an event for this long, a running stream is looked into. Events come every 30 to 60 ms,
+    and callers leave after two seconds. */
+constexpr Duration kSilenceOfStream = milliseconds(250);
+
+/** The same before the first event, when prompts wait for each other. */
+constexpr Duration kSilenceBeforeFirstEvent = milliseconds(600);
+
+/** Pause between two looks into the same silent stream. */
+constexpr Duration kAskAgainAfter = milliseconds(120);
+
+/** A server whose report failed after this silence is left. */
+constexpr Duration kSilenceOfDeadServer = milliseconds(400);
+
+/** Kept connections may be this old. A request that cannot be repeated takes only fresh ones: a
+    server may have dropped an idle one without a sign, and the request would be lost. */
+constexpr Duration kIdleForRepeatable = std::chrono::seconds(8);
+constexpr Duration kIdleForOnce = milliseconds(800);
+
+/** Less time than this is not worth sending a request for. */
+constexpr Duration kLeastTimeLeft = milliseconds(30);
+
+/** Callers that were refused for want of room come back spread over this time. */
+constexpr double kRetryAfterLeastSeconds = 0.25;
+constexpr double kRetryAfterSpreadSeconds = 0.75;
+
+constexpr unsigned kStatusMisdirected = 421;
+
+bool IsSuccess(unsigned status) {
+  return status >= 200 && status < 300;
+}
+
+/** Statuses that promise that a request was not run. */
+bool IsPromise(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::string Milliseconds(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+std::string DescribePath(const LayerPath& path) {
+  std::string text;
+  for (const PathPart& part : path) {
+    text += fmt::format("{}{}={}-{}", text.empty() ? "" : ",", part.server, part.layers.first,
+                        part.layers.end);
+  }
+  return text;
+}
+
+Error NotRun(ErrorKind kind, std::string message) {
+  Error error = MakeError(kind, std::move(message));
+  error.was_run = WasRun::kNo;
+  return error;
+}
+
+Error PerhapsRun(ErrorKind kind, std::string message) {
+  Error error = MakeError(kind, std::move(message));
+  error.was_run = WasRun::kUnknown;
+  return error;
+}
+
+}  // namespace
+
+ForwardExchange::ForwardExchange(const ForwardingParts& parts,
+                                 CallerRequest request,
+                                 std::shared_ptr<Responder> responder,
+                                 std::function<void(ForwardExchange&)> on_end)
+    : m_parts(parts),
+      m_request(std::move(request)),
+      m_responder(std::move(responder)),
+      m_on_end(std::move(on_end)),
+      m_started_at(parts.clock.Now()) {}
+
+ForwardExchange::~ForwardExchange() = default;
+
+std::string ForwardExchange::Describe() const {
+  return fmt::format("request {} at {}", m_facts.id, m_server.empty() ? "no server" : m_server);
+}
+
+void ForwardExchange::Start() {
+  m_facts = m_parts.codec.ReadRequest(m_request);
+  if (const auto error = FindRoute()) {
+    Answer(*error);
+    return;
+  }
+  milliseconds limit = m_route->timeout;
+  if (m_facts.deadline) {
+    limit = std::min(limit, *m_facts.deadline);
+  }
+  m_deadline = m_started_at + limit;
+  m_service = ChooseService();
+  m_parts.retries.OnRequest(m_service);
+  if (!ChooseServer()) {
+    Answer(NotRun(ErrorKind::kOverloaded, "no server of " + m_service + " has room"));
+    return;
+  }
+  Send();
+}
+
+std::optional<Error> ForwardExchange::FindRoute() {
+  const auto view = m_parts.view();
+  if (!view->rules) {
+    return NotRun(ErrorKind::kStoreUnavailable, "this instance knows no configuration yet");
+  }
+  m_route = view->routes->Find(m_request[http::field::host], m_request.target());
+  if (!m_route) {
+    return MakeError(ErrorKind::kNotFound, "no route fits the host and path");
+  }
+  if (!view->rules->keys_required) {
+    return std::nullopt;
+  }
+  const auto organisation = view->rules->organisation_by_key.find(m_facts.api_key);
+  if (organisation != view->rules->organisation_by_key.end()) {
+    m_organisation = organisation->second;
+  } else if (!m_route->is_public) {
+    return MakeError(ErrorKind::kUnauthorized, "the key is not known");
+  }
+  return std::nullopt;
+}
+
+ServiceName ForwardExchange::ChooseService() {
+  std::uint64_t sum = 0;
+  for (const WeightedService& choice : m_route->services) {
+    sum += choice.weight;
+  }
+  if (sum == 0) {
+    return m_route->services.empty() ? ServiceName() : m_route->services.front().service;
+  }
+  std::uint64_t point = RandomBelow(m_parts.random, sum);
+  for (const WeightedService& choice : m_route->services) {
+    if (point < choice.weight) {
+      return choice.service;
+    }
+    point -= choice.weight;
+  }
+  return m_route->services.back().service;
+}
+
+bool ForwardExchange::ChooseServer() {
+  const auto view = m_parts.view();
+  const auto service = view->rules->services.find(m_service);
+  const bool layered = service != view->rules->services.end() && service->second.engine &&
+                       service->second.engine->IsLayered();
+  if (layered) {
+    return ChoosePath();
+  }
+  const auto server = m_parts.plain_servers.Choose(*view, m_service, m_avoided);
+  if (!server) {
+    return false;
+  }
+  m_server = *server;
+  m_server_address = view->servers.at(*server).address;
+  m_path.clear();
+  Reserve({{m_server, m_server_address, {}}});
+  return true;
+}
+
+bool ForwardExchange::ChoosePath() {
+  const auto view = m_parts.view();
+  const EngineProfile& engine = *view->rules->services.at(m_service).engine;
+  GenerationSize size;
+  size.prompt_tokens = m_facts.prompt_tokens;
+  size.answer_tokens = m_facts.expected_answer_tokens.value_or(
+      static_cast<std::uint32_t>(engine.usual_answer_tokens));
+  if (m_facts.most_answer_tokens > 0) {
+    size.answer_tokens = std::min<double>(size.answer_tokens, m_facts.most_answer_tokens);
+  }
+  const auto found =
+      m_parts.paths.Find(*view, m_service, size, m_parts.own_failure_domain, m_avoided);
+  if (!found) {
+    return false;
+  }
+  m_path = found->path;
+  m_server = m_path.front().server;
+  m_server_address = m_path.front().address;
+  Reserve(m_path);
+  return true;
+}
+
+void ForwardExchange::Reserve(const LayerPath& path) {
+  ReleaseReservations();
+  const auto view = m_parts.view();
+  double tokens = m_facts.prompt_tokens;
+  const auto service = view->rules->services.find(m_service);
+  if (service != view->rules->services.end() && service->second.engine) {
+    tokens += m_facts.expected_answer_tokens.value_or(
+        static_cast<std::uint32_t>(service->second.engine->usual_answer_tokens));
+  }
+  for (const PathPart& part : path) {
+    const double token_layers = tokens * part.layers.Count();
+    m_parts.loads.Add(part.server, token_layers);
+    m_reservations.push_back({part.server, token_layers});
+  }
+}
+
+void ForwardExchange::ReleaseReservations() {
+  for (const Reservation& reservation : std::exchange(m_reservations, {})) {
+    m_parts.loads.Remove(reservation.server, reservation.token_layers);
+  }
+}
+
+Duration ForwardExchange::TimeLeft() const {
+  return m_deadline - m_parts.clock.Now();
+}
+
+void ForwardExchange::Send() {
+  ServerConnection::Request request = m_request;
+  RemoveHopByHopFields(request);
+  ForwardingMarks marks;
+  marks.deadline_left = std::chrono::duration_cast<milliseconds>(TimeLeft());
+  marks.server = m_server;
+  marks.organisation = m_organisation;
+  marks.path = m_path;
+  marks.last_event_id =
+      m_events.LastEventId() ? m_events.LastEventId() : m_facts.last_event_id;
+  m_parts.codec.MarkRequest(request, marks);
+  request.keep_alive(true);
+  request.prepare_payload();
+
+  m_has_answer = false;
+  m_is_streaming = false;
+  m_body.clear();
+  m_events.DropPart();
+  m_last_progress = m_parts.clock.Now();
+  ++m_history.servers_reached;
+  m_connection = m_parts.connections.Take(m_server, m_server_address,
+                                          m_route->MayRepeat() ? kIdleForRepeatable : kIdleForOnce);
+  m_parts.logger.Log(LogLevel::kInfo, "request_sent",
+                     {{"request", m_facts.id},
+                      {"route", m_route->name},
+                      {"server", m_server},
+                      {"path", DescribePath(m_path)},
+                      {"send", std::to_string(m_history.servers_reached)},
+                      {"deadline_left_ms", Milliseconds(TimeLeft())},
+                      {"revision", std::to_string(m_parts.view()->revision)},
+                      {"kept_connection", m_connection->IsReusable() ? "yes" : "no"}});
+  m_connection->Send(std::move(request), weak_from_this(), kConnectLimit);
+}
+
+void ForwardExchange::OnServerAnswerHead(unsigned status, const http::fields& fields) {
+  m_has_answer = true;
+  m_status = status;
+  m_fields = fields;
+  m_answer_facts = m_parts.codec.ReadAnswer(status, fields);
+  m_last_progress = m_parts.clock.Now();
+  const bool foreign =
+      !m_answer_facts.request_id.empty() && m_answer_facts.request_id != m_facts.id;
+  if (foreign) {
+    AbandonServer("an answer to another request arrived");
+    return;
+  }
+  if (!IsSuccess(status)) {
+    return;
+  }
+  if (!m_answer_facts.is_signed || fields.count(http::field::content_encoding) > 0) {
+    AbandonServer("the answer is not the server's own");
+    return;
+  }
+  if (m_route->repeatability == Repeatability::kStream) {
+    OnStreamHead(status, fields);
+  }
+}
+
+void ForwardExchange::OnStreamHead(unsigned status, const http::fields& fields) {
+  m_is_streaming = true;
+  if (std::exchange(m_stream_started, true)) {
+    return;
+  }
+  StreamHead head(static_cast<http::status>(status), 11);
+  static_cast<http::fields&>(head) = fields;
+  RemoveHopByHopFields(head);
+  head.erase(http::field::content_length);
+  m_responder->StartStream(std::move(head));
+}
+
+void ForwardExchange::OnServerAnswerBody(std::string_view bytes) {
+  if (!m_is_streaming) {
+    m_body.append(bytes);
+    return;
+  }
+  const std::string events = m_events.Take(bytes);
+  if (events.empty()) {
+    return;
+  }
+  const TimePoint now = m_parts.clock.Now();
+  if (std::exchange(m_first_event_sent, true)) {
+    m_longest_gap = std::max(m_longest_gap, now - m_last_progress);
+  } else {
+    m_first_event_after = now - m_started_at;
+    m_parts.metrics.Observe(m_organisation, RequestClass::kChat, Measure::kFirstToken,
+                            m_first_event_after);
+  }
+  m_last_progress = now;
+  m_responder->SendEvents(events);
+}
+
+void ForwardExchange::OnServerAnswerEnd() {
+  if (m_connection) {
+    m_parts.connections.Keep(m_server, std::exchange(m_connection, nullptr));
+  }
+  if (!m_is_streaming) {
+    OnWholeAnswer();
+    return;
+  }
+  if (m_events.HasPart()) {
+    OnSendEnded(SendOutcome::kUnknown, "the stream ended within an event");
+    return;
+  }
+  m_parts.health.OnOutcome(m_server, true);
+  m_responder->EndEvents();
+  End("streamed");
+}
+
+void ForwardExchange::OnWholeAnswer() {
+  if (m_answer_facts.not_run || m_status == kStatusMisdirected) {
+    OnNotRun();
+    return;
+  }
+  if (IsSuccess(m_status)) {
+    m_parts.health.OnOutcome(m_server, true);
+    PassOnWholeAnswer();
+    return;
+  }
+  OnSendEnded(SendOutcome::kServerFailed, fmt::format("status {}", m_status));
+}
+
+void ForwardExchange::OnNotRun() {
+  const bool misdirected = m_status == kStatusMisdirected;
+  BackendServerName at_fault = m_server;
+  for (const PathPart& part : m_path) {
+    if (part.address.ToString() == m_answer_facts.server_at_fault) {
+      at_fault = part.server;
+    }
+  }
+  if (!m_path.empty() || misdirected) {
+    m_parts.health.Exclude(at_fault, misdirected ? kMisdirectedExclusion : kFullExclusion);
+  }
+  m_avoided.insert(at_fault);
+  SendAgainOrGiveUp(SendOutcome::kNotRun,
+                    fmt::format("status {} of {}, not run", m_status, at_fault));
+}
+
+void ForwardExchange::OnServerFailed(AnswerFailure failure, std::string_view reason) {
+  m_connection.reset();
+  if (failure == AnswerFailure::kNotSent) {
+    m_parts.health.Exclude(m_server, kUnreachableExclusion);
+    ++m_history.not_sent;
+    --m_history.servers_reached;
+    m_avoided.insert(m_server);
+    SendAgainOrGiveUp(SendOutcome::kNotSent, reason);
+    return;
+  }
+  OnSendEnded(SendOutcome::kUnknown, reason);
+}
+
+void ForwardExchange::OnSendEnded(SendOutcome outcome, std::string_view reason) {
+  m_parts.health.OnOutcome(m_server, false);
+  m_avoided.insert(m_server);
+  SendAgainOrGiveUp(outcome, reason);
+}
+
+void ForwardExchange::SendAgainOrGiveUp(SendOutcome outcome, std::string_view reason) {
+  if (m_ended) {
+    return;
+  }
+  m_history.time_left = TimeLeft() > kLeastTimeLeft;
+  m_history.has_alternative = true;
+  const BackendServerName failed = m_server;
+  NextStep step = DecideNextStep(*m_route, outcome, m_history);
+  if (step == NextStep::kSendAgain) {
+    const bool allowed = outcome == SendOutcome::kNotSent ||
+                         m_parts.retries.TrySpend(m_service, m_parts.view()->live_instances);
+    m_history.has_alternative = allowed && ChooseServer();
+    step = DecideNextStep(*m_route, outcome, m_history);
+  }
+  if (outcome == SendOutcome::kUnknown || outcome == SendOutcome::kServerFailed) {
+    m_history.may_have_run = true;
+  }
+  m_parts.logger.Log(LogLevel::kInfo,
+                     step == NextStep::kSendAgain ? "request_sent_again" : "request_given_up",
+                     {{"request", m_facts.id},
+                      {"server", failed},
+                      {"reason", std::string(reason)},
+                      {"servers_reached", std::to_string(m_history.servers_reached)},
+                      {"may_have_run", m_history.may_have_run ? "yes" : "no"},
+                      {"time_left_ms", Milliseconds(TimeLeft())}});
+  if (step == NextStep::kSendAgain) {
+    Send();
+  } else {
+    GiveUp(step, reason);
+  }
+}
+
+void ForwardExchange::GiveUp(NextStep step, std::string_view reason) {
+  if (m_stream_started) {
+    m_responder->CutOff();
+    End("cut_off");
+    return;
+  }
+  switch (step) {
+    case NextStep::kRefuse:
+      Answer(NotRun(ErrorKind::kOverloaded, std::string(reason)));
+      return;
+    case NextStep::kPassOn:
+      // A status that promises "not run" may not go out for a request that has run.
+      if (IsPromise(m_status)) {
+        Answer(PerhapsRun(ErrorKind::kBackendUnavailable, std::string(reason)));
+      } else {
+        PassOnWholeAnswer();
+      }
+      return;
+    case NextStep::kFail:
+    case NextStep::kSendAgain:
+      Answer(PerhapsRun(ErrorKind::kBackendUnavailable, std::string(reason)));
+      return;
+  }
+}
+
+void ForwardExchange::PassOnWholeAnswer() {
+  CallerResponse response(static_cast<http::status>(m_status), 11);
+  static_cast<http::fields&>(response) = m_fields;
+  RemoveHopByHopFields(response);
+  response.erase(http::field::content_length);
+  response.body() = std::move(m_body);
+  m_parts.metrics.Observe(m_organisation, RequestClass::kServiceCall, Measure::kWholeAnswer,
+                          m_parts.clock.Now() - m_started_at);
+  m_responder->SendWhole(std::move(response));
+  End(fmt::format("status_{}", m_status));
+}
+
+void ForwardExchange::Answer(const Error& error) {
+  CallerResponse response = MakeProblemResponse(error);
+  if (error.was_run == WasRun::kUnknown) {
+    response.result(error.kind == ErrorKind::kBackendTimeout ? http::status::gateway_timeout
+                                                             : http::status::bad_gateway);
+    response.erase(http::field::retry_after);
+  } else if (IsPromise(response.result_int())) {
+    const double seconds =
+        kRetryAfterLeastSeconds + kRetryAfterSpreadSeconds * RandomUnit(m_parts.random);
+    response.set(http::field::retry_after, fmt::format("{:.2f}", seconds));
+  }
+  m_parts.metrics.Count(fmt::format("forward_{}", NameOf(error.kind)));
+  m_parts.logger.Log(LogLevel::kInfo, "request_refused",
+                     {{"request", m_facts.id},
+                      {"kind", std::string(NameOf(error.kind))},
+                      {"reason", error.message},
+                      {"was_run", std::string(NameOf(error.was_run))},
+                      {"status", std::to_string(response.result_int())},
+                      {"revision", std::to_string(m_parts.view()->revision)}});
+  m_responder->SendWhole(std::move(response));
+  End("refused");
+}
+
+void ForwardExchange::End(std::string_view outcome) {
+  if (std::exchange(m_ended, true)) {
+    return;
+  }
+  if (m_connection) {
+    std::exchange(m_connection, nullptr)->Close();
+  }
+  ReleaseReservations();
+  m_parts.logger.Log(LogLevel::kInfo, "request_ended",
+                     {{"request", m_facts.id},
+                      {"outcome", std::string(outcome)},
+                      {"server", m_server},
+                      {"first_event_ms", Milliseconds(m_first_event_after)},
+                      {"longest_gap_ms", Milliseconds(m_longest_gap)},
+                      {"last_event", std::to_string(m_events.LastEventId().value_or(0))},
+                      {"ms", Milliseconds(m_parts.clock.Now() - m_started_at)}});
+  m_on_end(*this);
+}
+
+void ForwardExchange::OnCallerGone() {
+  End("caller_gone");
+}
+
+void ForwardExchange::Tick() {
+  if (m_ended || !m_route) {
+    return;
+  }
+  if (m_parts.clock.Now() >= m_deadline) {
+    OnDeadline();
+    return;
+  }
+  if (!m_path.empty() && m_connection) {
+    CheckSilence();
+  }
+}
+
+void ForwardExchange::OnDeadline() {
+  if (m_stream_started) {
+    m_responder->CutOff();
+    End("deadline");
+    return;
+  }
+  Answer(PerhapsRun(ErrorKind::kBackendTimeout, "the time for the answer is over"));
+}
+
+void ForwardExchange::CheckSilence() {
+  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  const Duration limit = m_first_event_sent ? kSilenceOfStream : kSilenceBeforeFirstEvent;
+  const bool asked_lately = m_parts.clock.Now() - m_asked_at < kAskAgainAfter;
+  if (silent >= limit && !m_asking && !m_rerouting && !asked_lately) {
+    AskForStall();
+  }
+}
+
+void ForwardExchange::AskForStall() {
+  m_asking = true;
+  m_asked_at = m_parts.clock.Now();
+  m_parts.stalls.Ask(m_path.front(), [weak = weak_from_this()](const Result<EngineReport>& report) {
+    const auto self = weak.lock();
+    if (self && !self->m_ended) {
+      self->m_asking = false;
+      self->OnReport(report);
+    }
+  });
+}
+
+void ForwardExchange::OnReport(const Result<EngineReport>& report) {
+  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  if (silent < kSilenceOfStream || !m_connection) {
+    return;
+  }
+  if (!report) {
+    if (silent >= kSilenceOfDeadServer) {
+      m_parts.health.Exclude(m_server, kStalledExclusion);
+      m_parts.report_stalled(m_server);
+    }
+    return;
+  }
+  const std::vector<BackendServerName> stalled = report->stalled_servers;
+  for (const BackendServerName& server : stalled) {
+    m_parts.health.Exclude(server, kStalledExclusion);
+    m_parts.report_stalled(server);
+  }
+}
+
+void ForwardExchange::OnServerStalled(const BackendServerName& server) {
+  const bool concerned = std::any_of(m_path.begin(), m_path.end(), [&](const PathPart& part) {
+    return part.server == server;
+  });
+  if (m_ended || !m_connection || !concerned || m_rerouting) {
+    return;
+  }
+  if (server == m_path.front().server) {
+    AbandonServer("the first server is silent");
+    return;
+  }
+  Reroute("a server on the path is stalled");
+}
+
+void ForwardExchange::OnViewChanged() {
+  if (m_ended || m_path.size() < 2 || !m_connection || m_rerouting) {
+    return;
+  }
+  const auto view = m_parts.view();
+  const bool leaving = std::any_of(m_path.begin() + 1, m_path.end(), [&](const PathPart& part) {
+    const auto server = view->servers.find(part.server);
+    return server == view->servers.end() || server->second.draining;
+  });
+  if (leaving) {
+    Reroute("a server on the path is leaving");
+  }
+}
+
+void ForwardExchange::Reroute(std::string_view reason) {
+  const auto view = m_parts.view();
+  GenerationSize size;
+  size.prompt_tokens = m_facts.prompt_tokens;
+  size.answer_tokens = m_facts.expected_answer_tokens.value_or(0);
+  const auto found = m_parts.paths.Find(*view, m_service, size, m_parts.own_failure_domain, {},
+                                        m_path.front());
+  m_parts.logger.Log(LogLevel::kInfo, "request_rerouted",
+                     {{"request", m_facts.id},
+                      {"reason", std::string(reason)},
+                      {"from", DescribePath(m_path)},
+                      {"to", found ? DescribePath(found->path) : "no path"},
+                      {"silent_ms", Milliseconds(m_parts.clock.Now() - m_last_progress)}});
+  if (!found) {
+    return;
+  }
+  m_rerouting = true;
+  m_parts.engine_calls.Reroute(
+      m_facts.id, found->path,
+      [weak = weak_from_this(), path = found->path](const Result<void>& result) {
+        const auto self = weak.lock();
+        if (self && !self->m_ended) {
+          self->OnRerouted(path, result);
+        }
+      });
+}
+
+void ForwardExchange::OnRerouted(const LayerPath& path, const Result<void>& result) {
+  m_rerouting = false;
+  if (result) {
+    m_path = path;
+    Reserve(path);
+    m_last_progress = m_parts.clock.Now();
+    return;
+  }
+  m_parts.logger.Log(LogLevel::kWarning, "reroute_failed",
+                     {{"request", m_facts.id}, {"reason", zinnia::Describe(result.error())}});
+  if (m_connection && m_parts.clock.Now() - m_last_progress >= kSilenceOfDeadServer) {
+    AbandonServer("the path could not be changed");
+  }
+}
+
+/** Gives up the present send, whatever the server still does with it. */
+void ForwardExchange::AbandonServer(std::string_view reason) {
+  if (m_connection) {
+    std::exchange(m_connection, nullptr)->Close();
+  }
+  OnSendEnded(SendOutcome::kUnknown, reason);
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "zinnia_adapters/callers/caller_exchange.h"
+#include "zinnia_adapters/callers/responder.h"
+#include "zinnia_adapters/forwarding/engine_calls.h"
+#include "zinnia_adapters/forwarding/forwarding_parts.h"
+#include "zinnia_adapters/forwarding/message_codec.h"
+#include "zinnia_adapters/forwarding/server_answer_listener.h"
+#include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/event_splitter.h"
+#include "zinnia_decisions/forwarding/retry_policy.h"
+#include "zinnia_world/forwarding/forward_route.h"
+
+namespace zinnia {
+
+class ServerConnection;
+
+/** One request on its way to a server and its answer back.
+
+    What it never does: run a non-idempotent request at two servers, say "not run" of one that may
+    have run, or pass on bytes that are not the whole answer of one server as if they were. A stream
+    that may be resumed goes on at another server after the last whole event.
+
+    Tick must be called every few tens of milliseconds: it ends the request at its deadline and
+    notices streams that fell silent.
+*/
+class ForwardExchange final : public CallerExchange,
+                              public ServerAnswerListener,
+                              public std::enable_shared_from_this<ForwardExchange> {
+ public:
+  ForwardExchange(const ForwardingParts& parts,
+                  CallerRequest request,
+                  std::shared_ptr<Responder> responder,
+                  std::function<void(ForwardExchange&)> on_end);
+  ~ForwardExchange() override;
+
+  void Start() override;
+  void OnCallerGone() override;
+  std::string Describe() const override;
+
+  void Tick();
+
+  /** A server is known not to go on; acts if this request depends on it. */
+  void OnServerStalled(const BackendServerName& server);
+
+  /** The view changed: leaves servers that are draining, if that can be done. */
+  void OnViewChanged();
+
+  void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) override;
+  void OnServerAnswerBody(std::string_view bytes) override;
+  void OnServerAnswerEnd() override;
+  void OnServerFailed(AnswerFailure failure, std::string_view reason) override;
+
+ private:
+  struct Reservation {
+    BackendServerName server;
+    double token_layers = 0.0;
+  };
+
+  std::optional<Error> FindRoute();
+  ServiceName ChooseService();
+  bool ChooseServer();
+  bool ChoosePath();
+  void Send();
+  Duration TimeLeft() const;
+  void Reserve(const LayerPath& path);
+  void ReleaseReservations();
+
+  void OnStreamHead(unsigned status, const boost::beast::http::fields& fields);
+  void OnWholeAnswer();
+  void OnNotRun();
+  void OnSendEnded(SendOutcome outcome, std::string_view reason);
+  void SendAgainOrGiveUp(SendOutcome outcome, std::string_view reason);
+  void GiveUp(NextStep step, std::string_view reason);
+  void PassOnWholeAnswer();
+  void Answer(const Error& error);
+  void End(std::string_view outcome);
+  void OnDeadline();
+
+  void CheckSilence();
+  void AskForStall();
+  void OnReport(const Result<EngineReport>& report);
+  void Reroute(std::string_view reason);
+  void OnRerouted(const LayerPath& path, const Result<void>& result);
+  void AbandonServer(std::string_view reason);
+
+  const ForwardingParts& m_parts;
+  const CallerRequest m_request;
+  const std::shared_ptr<Responder> m_responder;
+  std::function<void(ForwardExchange&)> m_on_end;
+  const TimePoint m_started_at;
+  RequestFacts m_facts;
+  std::shared_ptr<const ForwardRoute> m_route;
+  OrganisationName m_organisation;
+  ServiceName m_service;
+  TimePoint m_deadline{};
+
+  BackendServerName m_server;
+  NetworkAddress m_server_address;
+  LayerPath m_path;
+  std::vector<Reservation> m_reservations;
+  std::shared_ptr<ServerConnection> m_connection;
+  std::set<BackendServerName> m_avoided;
+  SendHistory m_history;
+
+  unsigned m_status = 0;
+  boost::beast::http::fields m_fields;
+  AnswerFacts m_answer_facts;
+  std::string m_body;
+  EventSplitter m_events;
+  bool m_is_streaming = false;   // The present answer is a stream.
+  bool m_stream_started = false; // The caller has the head of a stream.
+  bool m_first_event_sent = false;
+  bool m_has_answer = false;
+  bool m_rerouting = false;
+  bool m_asking = false;
+  bool m_ended = false;
+  TimePoint m_last_progress{};
+  TimePoint m_asked_at{};
+  Duration m_first_event_after{};
+  Duration m_longest_gap{};
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -0,0 +1,182 @@
+#include "zinnia_adapters/forwarding/forward_server.h"
+
+#include <utility>
+
+#include "zinnia_adapters/forwarding/server_connection_pool.h"
+#include "zinnia_adapters/http/listening_socket.h"
+#include "zinnia_base/logging/logger.h"
+#include "zinnia_decisions/forwarding/forwarding_view.h"
+#include "zinnia_decisions/ports/metrics.h"
+
+namespace zinnia {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/** Deadlines and silences are noticed this late at most; the pauses that count are 200 ms. */
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+
+/** Unused connections are looked through once in so many ticks: every second. */
+constexpr std::uint64_t kTicksBetweenSweeps = 20;
+
+constexpr Duration kAcceptAgainAfter = std::chrono::milliseconds(100);
+
+}  // namespace
+
+Result<std::unique_ptr<ForwardServer>> ForwardServer::Create(asio::io_context& loop,
+                                                             Scheduler& scheduler,
+                                                             ForwardingParts parts,
+                                                             const NetworkAddress& address) {
+  Result<tcp::acceptor> acceptor = Listen(loop, address);
+  if (!acceptor) {
+    return acceptor.error();
+  }
+  std::unique_ptr<ForwardServer> server(
+      new ForwardServer(scheduler, std::move(parts), std::move(*acceptor)));
+  server->Accept();
+  server->ScheduleTick();
+  return server;
+}
+
+ForwardServer::ForwardServer(Scheduler& scheduler, ForwardingParts parts, tcp::acceptor acceptor)
+    : m_scheduler(scheduler), m_parts(std::move(parts)), m_acceptor(std::move(acceptor)) {}
+
+ForwardServer::~ForwardServer() {
+  CutOff();
+}
+
+void ForwardServer::Accept() {
+  m_acceptor.async_accept([this, alive = std::weak_ptr<bool>(m_alive)](
+                              const boost::system::error_code& error, tcp::socket socket) {
+    if (!alive.expired()) {
+      OnAccepted(error, std::move(socket));
+    }
+  });
+}
+
+void ForwardServer::OnAccepted(const boost::system::error_code& error, tcp::socket socket) {
+  if (error == asio::error::operation_aborted) {
+    return;
+  }
+  if (error) {
+    // Out of descriptors: accepting again at once would spin on the same error.
+    m_parts.metrics.Count("caller_accepts_failed");
+    m_accept_again = m_scheduler.ScheduleAfter(kAcceptAgainAfter, [this] { Accept(); });
+    return;
+  }
+  if (m_connections.size() >= m_limits.most_connections) {
+    m_parts.metrics.Count("caller_connections_refused");
+    socket.close();
+  } else {
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_limits, *this);
+    m_connections.emplace(connection.get(), connection);
+    connection->Start();
+  }
+  Accept();
+}
+
+void ForwardServer::ScheduleTick() {
+  m_tick = m_scheduler.ScheduleAfter(kTickInterval, [this] {
+    Tick();
+    ScheduleTick();
+  });
+}
+
+std::vector<std::shared_ptr<ForwardExchange>> ForwardServer::Exchanging() const {
+  std::vector<std::shared_ptr<ForwardExchange>> exchanges;
+  exchanges.reserve(m_exchanges.size());
+  for (const auto& [key, exchange] : m_exchanges) {
+    exchanges.push_back(exchange);
+  }
+  return exchanges;
+}
+
+void ForwardServer::Tick() {
+  for (const auto& exchange : Exchanging()) {
+    exchange->Tick();
+  }
+  if (++m_ticks % kTicksBetweenSweeps == 0) {
+    m_parts.connections.DropUnused(m_parts.view()->servers);
+  }
+}
+
+std::shared_ptr<CallerExchange> ForwardServer::CreateExchange(
+    CallerRequest request,
+    std::shared_ptr<Responder> responder) {
+  auto exchange = std::make_shared<ForwardExchange>(
+      m_parts, std::move(request), std::move(responder),
+      [this](ForwardExchange& ended) { m_exchanges.erase(&ended); });
+  m_exchanges.emplace(exchange.get(), exchange);
+  return exchange;
+}
+
+void ForwardServer::OnConnectionClosed(CallerConnection& connection) {
+  m_connections.erase(&connection);
+}
+
+void ForwardServer::CountConnectionEvent(std::string_view event) {
+  m_parts.metrics.Count(event);
+}
+
+void ForwardServer::OnViewChanged() {
+  const auto view = m_parts.view();
+  if (view->rules) {
+    const CallerBounds& bounds = view->rules->caller_bounds;
+    m_limits.most_header_bytes = bounds.most_header_bytes;
+    m_limits.most_body_bytes = bounds.most_body_bytes;
+    m_limits.header_timeout = bounds.header_timeout;
+    m_limits.idle_timeout = bounds.idle_timeout;
+  }
+  for (const auto& exchange : Exchanging()) {
+    exchange->OnViewChanged();
+  }
+}
+
+void ForwardServer::OnServerStalled(const BackendServerName& server) {
+  for (const auto& exchange : Exchanging()) {
+    exchange->OnServerStalled(server);
+  }
+}
+
+void ForwardServer::BeginDrain() {
+  m_draining = true;
+}
+
+void ForwardServer::StopAccepting() {
+  m_draining = true;
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  const auto connections = m_connections;
+  for (const auto& [key, connection] : connections) {
+    connection->CloseIfIdle();
+  }
+}
+
+std::size_t ForwardServer::InFlight() const {
+  std::size_t count = m_exchanges.size();
+  for (const auto& [key, connection] : m_connections) {
+    count += connection->HasUnsentAnswer() ? 1 : 0;
+  }
+  return count;
+}
+
+std::vector<std::string> ForwardServer::Describe() const {
+  std::vector<std::string> lines;
+  for (const auto& [key, exchange] : m_exchanges) {
+    lines.push_back(exchange->Describe());
+  }
+  return lines;
+}
+
+void ForwardServer::CutOff() {
+  m_draining = true;
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  const auto connections = m_connections;
+  for (const auto& [key, connection] : connections) {
+    connection->Close();
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/forwarding_parts.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "zinnia_base/random/random_source.h"
+#include "zinnia_world/names/names.h"
+
+namespace zinnia {
+
+class Clock;
+class EngineCalls;
+class LoadBook;
+class Logger;
+class MessageCodec;
+class Metrics;
+class PathFinder;
+class PlainServerChooser;
+class ServerConnectionPool;
+class ServerHealth;
+class SharedRetryBudget;
+class StallInquiry;
+struct ForwardingView;
+
+/** What the requests of one traffic thread share. All references must outlive the requests. */
+struct ForwardingParts {
+  const Clock& clock;
+  Logger& logger;
+  Metrics& metrics;
+  const MessageCodec& codec;
+  EngineCalls& engine_calls;
+  LoadBook& loads;
+  ServerHealth& health;
+  const PathFinder& paths;
+  const PlainServerChooser& plain_servers;
+  SharedRetryBudget& retries;
+  ServerConnectionPool& connections;
+  StallInquiry& stalls;
+  RandomSource& random;
+  FailureDomainName own_failure_domain;
+  std::function<std::shared_ptr<const ForwardingView>()> view;
+
+  /** Tells all requests, and later all peers, that a server does not go on. */
+  std::function<void(const BackendServerName&)> report_stalled;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -0,0 +1,75 @@
+#include "zinnia_adapters/forwarding/forwarding_traffic.h"
+
+#include <utility>
+
+#include "zinnia_adapters/threads/traffic_thread.h"
+#include "zinnia_base/logging/logger.h"
+
+namespace zinnia {
+namespace {
+
+/** How long a server that a peer found stalled gets no requests, counted from when it was seen. */
+constexpr Duration kStalledExclusion = std::chrono::milliseconds(3'000);
+
+}  // namespace
+
+ForwardingTraffic::ForwardingTraffic(TrafficThread& thread, ForwardingTrafficParts parts)
+    : m_parts(std::move(parts)),
+      m_view(std::make_shared<const ForwardingView>()),
+      m_random(m_parts.random_seed),
+      m_loads(m_parts.clock),
+      m_health(m_parts.clock),
+      m_paths(m_loads, m_health),
+      m_plain_servers(m_loads, m_health, m_random),
+      m_retries(m_parts.clock, m_parts.retry_budget),
+      m_connections(thread.Loop(), m_parts.clock),
+      m_stalls(m_parts.engine_calls, m_parts.clock),
+      m_server(ForwardServer::Create(thread.Loop(),
+                                     thread.GetScheduler(),
+                                     MakeParts(),
+                                     m_parts.callers_address)
+                   .value()) {}
+
+ForwardingParts ForwardingTraffic::MakeParts() {
+  return {m_parts.clock,
+          m_parts.logger,
+          m_parts.metrics,
+          m_parts.codec,
+          m_parts.engine_calls,
+          m_loads,
+          m_health,
+          m_paths,
+          m_plain_servers,
+          m_retries,
+          m_connections,
+          m_stalls,
+          m_random,
+          m_parts.own_failure_domain,
+          [this] { return m_view; },
+          [this](const BackendServerName& server) { OnStalledHere(server); }};
+}
+
+void ForwardingTraffic::SetView(std::shared_ptr<const ForwardingView> view) {
+  m_view = std::move(view);
+  m_server->OnViewChanged();
+}
+
+void ForwardingTraffic::SetPeerUses(const InstanceName& instance, LoadBook::Uses uses) {
+  m_loads.SetPeerUses(instance, std::move(uses));
+}
+
+void ForwardingTraffic::OnStalledHere(const BackendServerName& server) {
+  m_parts.logger.Log(LogLevel::kInfo, "server_stalled", {{"server", server}, {"seen_by", "self"}});
+  m_parts.tell_stall(server);
+  m_server->OnServerStalled(server);
+}
+
+void ForwardingTraffic::OnPeerStall(const BackendServerName& server, Duration age) {
+  m_parts.logger.Log(LogLevel::kInfo, "server_stalled", {{"server", server}, {"seen_by", "peer"}});
+  if (age < kStalledExclusion) {
+    m_health.Exclude(server, kStalledExclusion - age);
+    m_server->OnServerStalled(server);
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "zinnia_adapters/forwarding/engine_calls.h"
+#include "zinnia_adapters/forwarding/forward_server.h"
+#include "zinnia_adapters/forwarding/message_codec.h"
+#include "zinnia_adapters/forwarding/server_connection_pool.h"
+#include "zinnia_adapters/forwarding/stall_inquiry.h"
+#include "zinnia_base/errors/result.h"
+#include "zinnia_decisions/forwarding/forwarding_view.h"
+#include "zinnia_decisions/forwarding/load_book.h"
+#include "zinnia_decisions/forwarding/path_finder.h"
+#include "zinnia_decisions/forwarding/plain_server_chooser.h"
+#include "zinnia_decisions/forwarding/server_health.h"
+#include "zinnia_decisions/forwarding/shared_retry_budget.h"
+
+namespace zinnia {
+
+class TrafficThread;
+
+/** What a ForwardingTraffic is made with. All references must outlive it. */
+struct ForwardingTrafficParts {
+  Clock& clock;
+  Logger& logger;
+  Metrics& metrics;
+  const MessageCodec& codec;
+  EngineCalls& engine_calls;
+  FailureDomainName own_failure_domain;
+  NetworkAddress callers_address;
+  SharedRetryBudgetSettings retry_budget;
+  std::uint64_t random_seed = 0;
+
+  /** Called on the traffic thread when a server was found stalled here. */
+  std::function<void(const BackendServerName&)> tell_stall;
+};
+
+/** Everything that forwarding keeps on the traffic thread. Create, use and destroy it there. */
+class ForwardingTraffic {
+ public:
+  /** Throws ErrorException with kInvalidSettings if the callers' address cannot be listened on. */
+  ForwardingTraffic(TrafficThread& thread, ForwardingTrafficParts parts);
+
+  ForwardServer& Server() { return *m_server; }
+
+  void SetView(std::shared_ptr<const ForwardingView> view);
+  void SetPeerUses(const InstanceName& instance, LoadBook::Uses uses);
+  void OnPeerStall(const BackendServerName& server, Duration age);
+  void SetRetryBudget(SharedRetryBudgetSettings settings) { m_retries.SetSettings(settings); }
+
+  /** What this instance has in flight, for its peers. */
+  const LoadBook::Uses& OwnUses() const { return m_loads.Own(); }
+
+ private:
+  ForwardingParts MakeParts();
+  void OnStalledHere(const BackendServerName& server);
+
+  const ForwardingTrafficParts m_parts;
+  std::shared_ptr<const ForwardingView> m_view;
+  RandomSource m_random;
+  LoadBook m_loads;
+  ServerHealth m_health;
+  PathFinder m_paths;
+  PlainServerChooser m_plain_servers;
+  SharedRetryBudget m_retries;
+  ServerConnectionPool m_connections;
+  StallInquiry m_stalls;
+  std::unique_ptr<ForwardServer> m_server;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/stall_inquiry.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "zinnia_adapters/forwarding/engine_calls.h"
+#include "zinnia_base/time/clock.h"
+
+namespace zinnia {
+
+/** Asks first servers which servers behind them are stalled, once for all requests that want to
+    know: when a stage dies, dozens of streams fall silent together, and each call is priced. */
+class StallInquiry {
+ public:
+  using Callback = std::function<void(const Result<EngineReport>&)>;
+
+  StallInquiry(EngineCalls& calls, const Clock& clock) : m_calls(calls), m_clock(clock) {}
+
+  void Ask(const PathPart& first, Callback callback);
+
+ private:
+  /** A report is this old at most when it is used again. */
+  static constexpr Duration kReportLifetime = std::chrono::milliseconds(60);
+
+  struct Inquiry {
+    bool in_flight = false;
+    TimePoint answered_at{};
+    Result<EngineReport> report = EngineReport();
+    std::vector<Callback> waiting;
+  };
+
+  EngineCalls& m_calls;
+  const Clock& m_clock;
+  std::map<BackendServerName, Inquiry> m_inquiries;
+};
+
+}  // namespace zinnia
--- a/packages/zinnia_adapters/http/http_client.cc
+++ b/packages/zinnia_adapters/http/http_client.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -79,17 +80,25 @@
 
 class HttpClient::Impl {
  public:
-  Impl(const Clock& clock, Post post, HttpClientOptions options)
+  /** With no `loop`, it runs its own on a thread of its own. */
+  Impl(const Clock& clock, Post post, HttpClientOptions options, asio::io_context* loop)
       : m_clock(clock),
         m_post(std::move(post)),
         m_options(options),
+        m_own_context(loop == nullptr ? std::make_unique<asio::io_context>(1) : nullptr),
+        m_context(loop == nullptr ? *m_own_context : *loop),
         m_pool(clock, options.idle_connections_per_address, options.idle_limit),
-        m_work(asio::make_work_guard(m_context)),
-        m_thread([this] { m_context.run(); }) {}
+        m_work(asio::make_work_guard(m_context)) {
+    if (m_own_context) {
+      m_thread = std::thread([this] { m_context.run(); });
+    }
+  }
 
   ~Impl() {
-    m_context.stop();
-    m_thread.join();
+    if (m_own_context) {
+      m_context.stop();
+      m_thread.join();
+    }
   }
 
   void Start(std::shared_ptr<Exchange> exchange, Duration time_limit) {
@@ -110,7 +119,8 @@
   const Post m_post;
   const HttpClientOptions m_options;
   std::map<NetworkAddress, std::size_t> m_in_flight;
-  asio::io_context m_context{1};
+  const std::unique_ptr<asio::io_context> m_own_context;
+  asio::io_context& m_context;
   HttpConnectionPool m_pool;
   asio::executor_work_guard<asio::io_context::executor_type> m_work;
   std::thread m_thread;
@@ -202,7 +212,13 @@
 }
 
 HttpClient::HttpClient(const Clock& clock, Post post, HttpClientOptions options)
-    : m_impl(std::make_unique<Impl>(clock, std::move(post), options)) {}
+    : m_impl(std::make_unique<Impl>(clock, std::move(post), options, nullptr)) {}
+
+HttpClient::HttpClient(const Clock& clock,
+                       Post post,
+                       HttpClientOptions options,
+                       asio::io_context& loop)
+    : m_impl(std::make_unique<Impl>(clock, std::move(post), options, &loop)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/packages/zinnia_adapters/http/http_client.h
+++ b/packages/zinnia_adapters/http/http_client.h
@@ -9,6 +9,10 @@
 #include "zinnia_base/time/clock.h"
 #include "zinnia_world/fleet/network_address.h"
 
+namespace boost::asio {
+class io_context;
+}
+
 namespace zinnia {
 
 /** Bounds of HttpClient. Over `calls_in_flight_per_address`, calls fail at once as kNotSent. */
@@ -34,6 +38,13 @@
   using Callback = std::function<void(HttpResult)>;
 
   HttpClient(const Clock& clock, Post post, HttpClientOptions options);
+
+  /** Does its I/O on a loop that another thread runs, which must outlive it and must not run while
+      it is destroyed. Saves a thread, and the switches to it, where the loop is busy anyway. */
+  HttpClient(const Clock& clock,
+             Post post,
+             HttpClientOptions options,
+             boost::asio::io_context& loop);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/packages/zinnia_adapters/http/problem_status.cc
+++ b/packages/zinnia_adapters/http/problem_status.cc
@@ -41,6 +41,7 @@
     StatusRow{ErrorKind::kStoreUnavailable, 503, kLater},
     StatusRow{ErrorKind::kStoreOutcomeUnknown, 503, kSoon},
     StatusRow{ErrorKind::kStoreConflict, 409, kNever},
+    StatusRow{ErrorKind::kStoreHistoryLost, 410, kNever},
     StatusRow{ErrorKind::kRevisionConflict, 409, kNever},
     StatusRow{ErrorKind::kPeerUnavailable, 503, kSoon},
     StatusRow{ErrorKind::kBackendUnavailable, 503, kSoon},
--- /dev/null
+++ b/packages/zinnia_adapters/settings/forwarding_settings.cc
@@ -0,0 +1,163 @@
+#include "zinnia_adapters/settings/forwarding_settings.h"
+
+#include <array>
+#include <boost/json.hpp>
+
+#include "zinnia_adapters/settings/text_file.h"
+
+namespace zinnia {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+constexpr double kMillisecondsPerSecond = 1'000.0;
+
+struct LogLevelRow {
+  std::string_view name;
+  LogLevel level;
+};
+
+constexpr std::array kLogLevels = {
+    LogLevelRow{"debug", LogLevel::kDebug},
+    LogLevelRow{"info", LogLevel::kInfo},
+    LogLevelRow{"warning", LogLevel::kWarning},
+    LogLevelRow{"error", LogLevel::kError},
+};
+
+[[noreturn]] void Reject(std::string_view field, std::string_view expected) {
+  throw ErrorException(
+      MakeError(ErrorKind::kInvalidSettings,
+                "the field " + std::string(field) + " must be " + std::string(expected)));
+}
+
+/** Reads fields of the settings object; throws ErrorException naming the one that is wrong. */
+class SettingsFields {
+ public:
+  explicit SettingsFields(const json::object& object) : m_object(object) {}
+
+  std::string Text(std::string_view name) const {
+    const json::value* value = m_object.if_contains(name);
+    if (value == nullptr || !value->is_string() || value->as_string().empty()) {
+      Reject(name, "a text that is not empty");
+    }
+    return std::string(value->as_string());
+  }
+
+  NetworkAddress Address(std::string_view name) const { return ToAddress(name, Text(name)); }
+
+  double NumberOr(std::string_view name, double otherwise, double least) const {
+    const json::value* value = m_object.if_contains(name);
+    if (value == nullptr || value->is_null()) {
+      return otherwise;
+    }
+    if (!value->is_number() || value->to_number<double>() < least) {
+      Reject(name, "a number of at least " + std::to_string(least));
+    }
+    return value->to_number<double>();
+  }
+
+  bool FlagOr(std::string_view name, bool otherwise) const {
+    const json::value* value = m_object.if_contains(name);
+    if (value == nullptr || value->is_null()) {
+      return otherwise;
+    }
+    if (!value->is_bool()) {
+      Reject(name, "true or false");
+    }
+    return value->as_bool();
+  }
+
+  std::vector<NetworkAddress> AddressesOr(std::string_view name) const {
+    std::vector<NetworkAddress> addresses;
+    const json::value* value = m_object.if_contains(name);
+    if (value == nullptr || value->is_null()) {
+      return addresses;
+    }
+    if (!value->is_array()) {
+      Reject(name, "a list of \"IP:PORT\"");
+    }
+    for (const json::value& item : value->as_array()) {
+      if (!item.is_string()) {
+        Reject(name, "a list of \"IP:PORT\"");
+      }
+      addresses.push_back(ToAddress(name, std::string(item.as_string())));
+    }
+    return addresses;
+  }
+
+  LogLevel LogLevelOr(std::string_view name, LogLevel otherwise) const {
+    const json::value* value = m_object.if_contains(name);
+    if (value == nullptr || value->is_null()) {
+      return otherwise;
+    }
+    for (const LogLevelRow& row : kLogLevels) {
+      if (value->is_string() && value->as_string() == row.name) {
+        return row.level;
+      }
+    }
+    Reject(name, "debug, info, warning or error");
+  }
+
+ private:
+  static NetworkAddress ToAddress(std::string_view name, const std::string& text) {
+    const auto address = NetworkAddress::Parse(text);
+    if (!address) {
+      Reject(name, "\"IP:PORT\", not \"" + text + "\"");
+    }
+    return *address;
+  }
+
+  const json::object& m_object;
+};
+
+milliseconds FromSeconds(double seconds) {
+  return milliseconds(static_cast<std::int64_t>(seconds * kMillisecondsPerSecond));
+}
+
+ForwardingSettings Read(const SettingsFields& fields) {
+  ForwardingSettings settings;
+  settings.instance = fields.Text("instance");
+  settings.failure_domain = fields.Text("failure_domain");
+  settings.region = fields.Text("region");
+  settings.callers_address = fields.Address("callers_address");
+  settings.readiness_address = fields.Address("readiness_address");
+  settings.peer_address = fields.Address("peer_address");
+  settings.metrics_address = fields.Address("metrics_address");
+  settings.store_address = fields.Address("store_address");
+  settings.seeds = fields.AddressesOr("seeds");
+  settings.stop_grace = FromSeconds(fields.NumberOr("stop_grace_seconds", 8.0, 1.0));
+  settings.retry_budget_ratio = fields.NumberOr("retry_budget_ratio", 0.2, 0.0);
+  settings.retry_budget_slack = fields.NumberOr("retry_budget_slack", 0.0, 0.0);
+  settings.retry_budget_window =
+      FromSeconds(fields.NumberOr("retry_budget_window_seconds", 10.0, 0.1));
+  settings.engines_check_fencing = fields.FlagOr("engines_check_fencing", true);
+  settings.log_level = fields.LogLevelOr("log_level", LogLevel::kInfo);
+  return settings;
+}
+
+}  // namespace
+
+Result<ForwardingSettings> ForwardingSettings::Load(const std::string& file) {
+  const auto text = ReadTextFile(file);
+  if (!text) {
+    return text.error();
+  }
+  return Parse(*text);
+}
+
+Result<ForwardingSettings> ForwardingSettings::Parse(const std::string& text) {
+  boost::system::error_code error;
+  const json::value value = json::parse(text, error);
+  if (error || !value.is_object()) {
+    return MakeError(ErrorKind::kInvalidSettings,
+                     "the settings are not a JSON object: " + error.message());
+  }
+  try {
+    return Read(SettingsFields(value.as_object()));
+  } catch (const ErrorException& failure) {
+    return failure.GetError();
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/settings/forwarding_settings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "zinnia_base/errors/result.h"
+#include "zinnia_base/logging/logger.h"
+#include "zinnia_world/fleet/network_address.h"
+#include "zinnia_world/names/names.h"
+
+namespace zinnia {
+
+/** Settings of an instance that forwards by the routes of the platform's store. Plain data: Load
+    checks it. docs/OPERATIONS.md lists the fields. */
+struct ForwardingSettings {
+  InstanceName instance;
+  FailureDomainName failure_domain;
+  RegionName region;
+  NetworkAddress callers_address;
+  NetworkAddress readiness_address;
+  NetworkAddress peer_address;
+  NetworkAddress metrics_address;
+  NetworkAddress store_address;
+  std::vector<NetworkAddress> seeds;
+
+  /** From the request to stop until the process is killed. */
+  std::chrono::milliseconds stop_grace{8'000};
+
+  /** The bound on retries that all instances keep together. */
+  double retry_budget_ratio = 0.2;
+  double retry_budget_slack = 0.0;
+  std::chrono::milliseconds retry_budget_window{10'000};
+
+  /** Whether engines refuse orders with an old fencing number. */
+  bool engines_check_fencing = true;
+  LogLevel log_level = LogLevel::kInfo;
+
+  /** Fails with kInvalidSettings naming the field and what it should be. */
+  static Result<ForwardingSettings> Load(const std::string& file);
+  static Result<ForwardingSettings> Parse(const std::string& text);
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -0,0 +1,257 @@
+#include "forwarding_daemon.h"
+
+#include <future>
+#include <optional>
+#include <utility>
+
+#include "platform/engine_client.h"
+#include "platform/platform_codec.h"
+#include "platform/platform_store.h"
+#include "platform/record_reader.h"
+#include "zinnia_adapters/fleet_news/news_client.h"
+#include "zinnia_adapters/fleet_news/news_server.h"
+#include "zinnia_adapters/forwarding/forwarding_traffic.h"
+#include "zinnia_adapters/forwarding/text_server.h"
+#include "zinnia_adapters/http/http_client.h"
+#include "zinnia_adapters/threads/control_thread.h"
+#include "zinnia_adapters/threads/traffic_thread.h"
+#include "zinnia_base/hashing/fingerprint.h"
+#include "zinnia_base/logging/standard_output_logger.h"
+#include "zinnia_decisions/forwarding/forwarding_control.h"
+
+namespace zinnia {
+namespace {
+
+/** Peers and the log learn of the traffic this often. */
+constexpr Duration kUpkeepInterval = std::chrono::milliseconds(100);
+
+/** A watch, a few orders and renewals at most; more would be a fault. */
+constexpr std::size_t kMostStoreCalls = 32;
+
+std::uint64_t StartOf(const Clock& clock) {
+  return static_cast<std::uint64_t>(clock.WallNow().time_since_epoch().count());
+}
+
+HttpClientOptions StoreClientOptions() {
+  HttpClientOptions options;
+  options.calls_in_flight_per_address = kMostStoreCalls;
+  return options;
+}
+
+SharedRetryBudgetSettings RetryBudgetOf(const ForwardingSettings& settings) {
+  return {settings.retry_budget_ratio, settings.retry_budget_slack, settings.retry_budget_window};
+}
+
+Instance DescribeSelf(const ForwardingSettings& settings, std::uint64_t start) {
+  Instance self;
+  self.name = settings.instance;
+  self.peer_address = settings.peer_address;
+  self.failure_domain = settings.failure_domain;
+  self.region = settings.region;
+  self.start = start;
+  return self;
+}
+
+}  // namespace
+
+/** The objects that speak the platform's language. */
+struct ForwardingDaemon::PlatformParts {
+  PlatformParts(const ForwardingSettings& settings,
+                Clock& clock,
+                TrafficThread& traffic,
+                HttpClient::Post to_control)
+      : traffic_client(std::make_shared<HttpClient>(
+            clock,
+            [&traffic](std::function<void()> call) { traffic.Post(std::move(call)); },
+            HttpClientOptions{},
+            traffic.Loop())),
+        control_client(std::make_shared<HttpClient>(clock,
+                                                    std::move(to_control),
+                                                    StoreClientOptions(),
+                                                    traffic.Loop())),
+        store(control_client, settings.store_address),
+        traffic_engines(traffic_client),
+        control_engines(control_client) {}
+
+  std::shared_ptr<HttpClient> traffic_client;
+  std::shared_ptr<HttpClient> control_client;
+  platform::PlatformCodec codec;
+  platform::PlatformRecordReader reader;
+  platform::KeyValueStore store;
+  platform::EngineClient traffic_engines;
+  platform::EngineClient control_engines;
+};
+
+Result<std::unique_ptr<ForwardingDaemon>> ForwardingDaemon::Create(ForwardingSettings settings,
+                                                                   Clock& clock,
+                                                                   StandardOutputLogger& logger) {
+  std::unique_ptr<ForwardingDaemon> daemon(
+      new ForwardingDaemon(std::move(settings), clock, logger));
+  const Result<void> started = daemon->StartControl();
+  if (!started) {
+    return started.error();
+  }
+  return daemon;
+}
+
+ForwardingDaemon::ForwardingDaemon(ForwardingSettings settings,
+                                   Clock& clock,
+                                   StandardOutputLogger& logger)
+    : m_settings(std::move(settings)), m_clock(clock), m_logger(logger), m_decisions(logger) {}
+
+ForwardingDaemon::~ForwardingDaemon() {
+  Stop();
+}
+
+Result<void> ForwardingDaemon::StartControl() {
+  m_traffic_thread = std::make_unique<TrafficThread>();
+  m_traffic_thread->Start();
+  auto thread = ControlThread::Start(m_clock, m_metrics, [](ControlThread&) {});
+  if (!thread) {
+    return thread.error();
+  }
+  m_control_thread = std::move(*thread);
+  m_platform = std::make_unique<PlatformParts>(m_settings, m_clock, *m_traffic_thread,
+                                               m_control_thread->Poster());
+  std::optional<Error> failure;
+  m_traffic_thread->RunAndWait([&] {
+    try {
+      StartTraffic();
+    } catch (const ErrorException& exception) {
+      failure = exception.GetError();
+    }
+  });
+  if (failure) {
+    return *failure;
+  }
+  std::promise<Result<void>> listening;
+  m_control_thread->Post([&] {
+    const std::uint64_t start = StartOf(m_clock);
+    m_news_client = std::make_unique<NewsClient>(m_control_thread->Io(), m_clock);
+    m_control = std::make_unique<ForwardingControl>(
+        ForwardingControlParts{m_clock, *m_control_thread, m_platform->store, m_platform->reader,
+                               *m_news_client, m_platform->control_engines, m_decisions, m_logger,
+                               *this, DescribeSelf(m_settings, start), m_settings.seeds},
+        [this](std::shared_ptr<const ForwardingView> view) {
+          m_knows_rules = view->rules != nullptr;
+          m_traffic_thread->Post([this, view = std::move(view)] { m_traffic->SetView(view); });
+        });
+    auto server =
+        NewsServer::Listen(m_control_thread->Io(), m_settings.peer_address, m_control->News());
+    if (!server) {
+      listening.set_value(server.error());
+      return;
+    }
+    m_news_server = std::move(*server);
+    m_control->Start();
+    listening.set_value({});
+  });
+  return listening.get_future().get();
+}
+
+void ForwardingDaemon::StartTraffic() {
+  m_traffic = std::make_unique<ForwardingTraffic>(
+      *m_traffic_thread,
+      ForwardingTrafficParts{m_clock, m_logger, m_metrics, m_platform->codec,
+                             m_platform->traffic_engines, m_settings.failure_domain,
+                             m_settings.callers_address, RetryBudgetOf(m_settings),
+                             Hash64(m_settings.instance, StartOf(m_clock)),
+                             [this](const BackendServerName& server) {
+                               m_control_thread->Post(
+                                   [this, server] { m_control->News().TellStall(server); });
+                             }});
+  ListenForTexts();
+  ScheduleUpkeep();
+}
+
+void ForwardingDaemon::ListenForTexts() {
+  auto& loop = m_traffic_thread->Loop();
+  m_readiness = TextServer::Create(loop, m_settings.readiness_address, [this](const std::string&) {
+                  const bool ready = m_knows_rules && !m_draining;
+                  return TextServer::Answer{ready ? 200U : 503U, ready ? "ready\n" : "not ready\n"};
+                }).value();
+  m_metrics_server = TextServer::Create(loop, m_settings.metrics_address,
+                                        [this](const std::string&) {
+                                          return TextServer::Answer{200U, m_metrics.WriteText()};
+                                        })
+                         .value();
+}
+
+void ForwardingDaemon::ScheduleUpkeep() {
+  m_upkeep =
+      m_traffic_thread->GetScheduler().ScheduleAfter(kUpkeepInterval, [this] { Upkeep(); });
+}
+
+void ForwardingDaemon::Upkeep() {
+  m_logger.Flush();
+  m_control_thread->Post([this, uses = m_traffic->OwnUses()]() mutable {
+    if (m_control) {
+      m_control->News().SetUses(std::move(uses));
+    }
+  });
+  ScheduleUpkeep();
+}
+
+void ForwardingDaemon::OnPeerUses(const InstanceName& instance, LoadBook::Uses uses) {
+  m_traffic_thread->Post([this, instance, uses = std::move(uses)]() mutable {
+    m_traffic->SetPeerUses(instance, std::move(uses));
+  });
+}
+
+void ForwardingDaemon::OnPeerStall(const StallNews& stall) {
+  m_traffic_thread->Post(
+      [this, stall] { m_traffic->OnPeerStall(stall.server, stall.age); });
+}
+
+void ForwardingDaemon::Reload(const ForwardingSettings& settings) {
+  m_traffic_thread->Post(
+      [this, budget = RetryBudgetOf(settings)] { m_traffic->SetRetryBudget(budget); });
+}
+
+void ForwardingDaemon::BeginDrain() {
+  m_draining = true;
+  m_traffic_thread->RunAndWait([this] { m_traffic->Server().BeginDrain(); });
+}
+
+void ForwardingDaemon::StopAccepting() {
+  m_traffic_thread->RunAndWait([this] { m_traffic->Server().StopAccepting(); });
+}
+
+std::vector<std::string> ForwardingDaemon::InFlight() {
+  std::vector<std::string> lines;
+  m_traffic_thread->RunAndWait([&] { lines = m_traffic->Server().Describe(); });
+  return lines;
+}
+
+void ForwardingDaemon::Stop() {
+  if (std::exchange(m_stopped, true)) {
+    return;
+  }
+  if (m_traffic) {
+    m_traffic_thread->RunAndWait([this] {
+      m_upkeep.reset();
+      m_traffic->Server().CutOff();
+    });
+  }
+  if (m_control_thread) {
+    m_control_thread->Stop([this] {
+      if (m_control) {
+        m_control->Stop();
+      }
+      m_news_server.reset();
+      m_control.reset();
+      m_news_client.reset();
+    });
+  }
+  if (m_traffic_thread) {
+    m_traffic_thread->RunAndWait([this] {
+      m_readiness.reset();
+      m_metrics_server.reset();
+      m_traffic.reset();
+    });
+    m_traffic_thread->Stop();
+  }
+  m_logger.Flush();
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "zinnia_adapters/metrics/histogram_metrics.h"
+#include "zinnia_adapters/operators/decision_log.h"
+#include "zinnia_adapters/settings/forwarding_settings.h"
+#include "zinnia_base/errors/result.h"
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/forwarding/news_exchange.h"
+
+namespace zinnia {
+
+class ControlThread;
+class ForwardingControl;
+class ForwardingTraffic;
+class HttpClient;
+class NewsClient;
+class NewsServer;
+class StandardOutputLogger;
+class TextServer;
+class TrafficThread;
+struct ForwardingView;
+
+/** A running instance on a platform that has a store, a balancer and engines with paths of their
+    own: one control thread, one traffic thread.
+
+    The composition root: the only place that knows which platform it is. For a planned stop call
+    BeginDrain, some seconds later StopAccepting, and Stop when InFlight is empty. Used from the main
+    thread only.
+*/
+class ForwardingDaemon final : private NewsSink {
+ public:
+  /** Fails with kInvalidSettings. */
+  static Result<std::unique_ptr<ForwardingDaemon>> Create(ForwardingSettings settings,
+                                                          Clock& clock,
+                                                          StandardOutputLogger& logger);
+  ~ForwardingDaemon() override;
+
+  /** From now on not ready; requests that still come are served. */
+  void BeginDrain();
+  void StopAccepting();
+  std::vector<std::string> InFlight();
+  void Stop();
+
+  /** Takes over what may change while it runs: the retry budget. */
+  void Reload(const ForwardingSettings& settings);
+
+ private:
+  ForwardingDaemon(ForwardingSettings settings, Clock& clock, StandardOutputLogger& logger);
+  void StartTraffic();
+  Result<void> StartControl();
+  void ListenForTexts();
+  void ScheduleUpkeep();
+  void Upkeep();
+
+  void OnPeerUses(const InstanceName& instance, LoadBook::Uses uses) override;
+  void OnPeerStall(const StallNews& stall) override;
+
+  struct PlatformParts;
+
+  const ForwardingSettings m_settings;
+  Clock& m_clock;
+  StandardOutputLogger& m_logger;
+  HistogramMetrics m_metrics;
+  DecisionLog m_decisions;
+  std::atomic<bool> m_draining{false};
+  std::atomic<bool> m_knows_rules{false};
+  bool m_stopped = false;
+
+  std::unique_ptr<TrafficThread> m_traffic_thread;
+  std::unique_ptr<ControlThread> m_control_thread;
+  std::unique_ptr<PlatformParts> m_platform;
+  std::unique_ptr<ForwardingTraffic> m_traffic;
+  std::unique_ptr<TextServer> m_readiness;
+  std::unique_ptr<TextServer> m_metrics_server;
+  std::unique_ptr<ScheduledCall> m_upkeep;
+  std::unique_ptr<NewsClient> m_news_client;
+  std::unique_ptr<ForwardingControl> m_control;
+  std::unique_ptr<NewsServer> m_news_server;
+};
+
+}  // namespace zinnia
--- a/packages/zinnia_apps/daemon/main.cc
+++ b/packages/zinnia_apps/daemon/main.cc
@@ -7,6 +7,7 @@
 #include <cxxopts.hpp>
 
 #include "daemon.h"
+#include "forwarding_run.h"
 #include "planned_stop.h"
 #include "zinnia_base/logging/standard_error_logger.h"
 #include "zinnia_base/time/system_clock.h"
@@ -50,13 +51,18 @@
                            "Routes model pipelines and plain services; one process an "
                            "entry instance.");
   options.add_options()("s,settings", "settings file (JSON)", cxxopts::value<std::string>())(
-      "h,help", "show this text");
+      "forwarding-settings",
+      "settings file (JSON) of an instance that forwards by the platform's store",
+      cxxopts::value<std::string>())("h,help", "show this text");
   try {
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0) {
       fmt::print("{}\n", options.help());
       return kExitOk;
     }
+    if (arguments.count("forwarding-settings") > 0) {
+      return zinnia::RunForwarding(arguments["forwarding-settings"].as<std::string>());
+    }
     if (arguments.count("settings") == 0) {
       fmt::print(stderr, "zinniad: --settings FILE is missing; see --help\n");
       return kExitUsage;
--- a/packages/zinnia_base/errors/error_kind.cc
+++ b/packages/zinnia_base/errors/error_kind.cc
@@ -54,6 +54,8 @@
                  "read the record back before writing again"},
     ErrorKindRow{ErrorKind::kStoreConflict, "store_conflict",
                  "read the newer record and decide again"},
+    ErrorKindRow{ErrorKind::kStoreHistoryLost, "store_history_lost",
+                 "list all records and watch from there"},
     ErrorKindRow{ErrorKind::kRevisionConflict, "revision_conflict",
                  "read the newer revision and order the change against it"},
     ErrorKindRow{ErrorKind::kInvalidSettings, "invalid_settings",
--- a/packages/zinnia_base/errors/error_kind.h
+++ b/packages/zinnia_base/errors/error_kind.h
@@ -34,6 +34,7 @@
   kStoreUnavailable,
   kStoreOutcomeUnknown,
   kStoreConflict,
+  kStoreHistoryLost,
   kRevisionConflict,
   kInvalidSettings,
   kInvalidCommand,
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/event_splitter.cc
@@ -0,0 +1,53 @@
+#include "zinnia_decisions/forwarding/event_splitter.h"
+
+#include <charconv>
+
+namespace zinnia {
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kEventEndWithReturns = "\r\n\r\n";
+constexpr std::string_view kIdField = "id:";
+
+/** Behind the last whole event; 0 if there is none. */
+std::size_t EndOfWholeEvents(std::string_view bytes) {
+  std::size_t end = 0;
+  for (const std::string_view mark : {kEventEnd, kEventEndWithReturns}) {
+    const std::size_t found = bytes.rfind(mark);
+    if (found != std::string_view::npos) {
+      end = std::max(end, found + mark.size());
+    }
+  }
+  return end;
+}
+
+}  // namespace
+
+std::string EventSplitter::Take(std::string_view bytes) {
+  m_part.append(bytes);
+  const std::size_t end = EndOfWholeEvents(m_part);
+  std::string events = m_part.substr(0, end);
+  m_part.erase(0, end);
+  ReadIds(events);
+  return events;
+}
+
+void EventSplitter::ReadIds(std::string_view events) {
+  std::size_t line = 0;
+  while (line < events.size()) {
+    const std::size_t line_end = std::min(events.find('\n', line), events.size());
+    std::string_view text = events.substr(line, line_end - line);
+    line = line_end + 1;
+    if (!text.starts_with(kIdField)) {
+      continue;
+    }
+    text.remove_prefix(kIdField.size());
+    text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
+    std::uint64_t id = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), id).ec == std::errc{}) {
+      m_last_event_id = id;
+    }
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -0,0 +1,165 @@
+#include "zinnia_decisions/forwarding/forwarding_control.h"
+
+#include <utility>
+
+#include "zinnia_base/logging/logger.h"
+#include "zinnia_decisions/forwarding/layer_placer.h"
+#include "zinnia_decisions/forwarding/route_table.h"
+#include "zinnia_decisions/ports/record_reader.h"
+
+namespace zinnia {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(250);
+
+/** The right to give orders is renewed once in so many ticks. */
+constexpr std::uint64_t kTicksBetweenRenewals = 2;
+
+/** Orders are few and soon over, so the right to give them can pass on within seconds. */
+OrderSettings PlacementSettings() {
+  OrderSettings settings;
+  settings.lease = std::chrono::milliseconds(3'000);
+  settings.lease_margin = std::chrono::milliseconds(800);
+  settings.tick = std::chrono::milliseconds(500);
+  settings.transport_timeout = std::chrono::milliseconds(1'000);
+  return settings;
+}
+
+}  // namespace
+
+ForwardingControl::ForwardingControl(ForwardingControlParts parts, Publish publish)
+    : m_parts(std::move(parts)),
+      m_publish(std::move(publish)),
+      m_instances(m_parts.clock, m_parts.self),
+      m_mirror(m_parts.store, m_parts.scheduler, m_parts.clock, m_parts.logger, {}),
+      m_servers(m_parts.scheduler, m_parts.clock, m_parts.logger),
+      m_registration(m_parts.store, m_parts.scheduler, m_parts.logger, m_parts.self),
+      m_news(m_parts.news,
+             m_parts.scheduler,
+             m_parts.clock,
+             m_instances,
+             m_mirror,
+             m_parts.sink,
+             m_parts.seeds,
+             {}),
+      m_view(std::make_shared<const ForwardingView>()) {
+  m_mirror.SetListener(this);
+}
+
+ForwardingControl::~ForwardingControl() = default;
+
+void ForwardingControl::Start() {
+  m_mirror.Start();
+  m_registration.Start();
+  m_news.Start();
+  Tick();
+}
+
+void ForwardingControl::Stop() {
+  m_timer.reset();
+  m_news.TellLeaving();
+  for (auto& [service, placer] : m_placers) {
+    placer->Stop();
+  }
+  m_registration.Stop();
+}
+
+void ForwardingControl::OnMirroredRecord(const MirroredRecord& record) {
+  if (m_parts.reader.IsConfiguration(record.key)) {
+    OnRules(record);
+  } else if (const auto server = m_parts.reader.ServerNameOf(record.key)) {
+    OnServer(*server, record);
+  } else if (record.key.starts_with(InstanceRegistration::kKeyPrefix)) {
+    OnInstance(record);
+  }
+}
+
+void ForwardingControl::OnRules(const MirroredRecord& record) {
+  if (!record.value) {
+    return;
+  }
+  auto rules = m_parts.reader.ReadRules(*record.value);
+  if (!rules) {
+    m_parts.logger.Log(LogLevel::kError, "configuration_unreadable",
+                       {{"revision", std::to_string(record.revision)},
+                        {"reason", Describe(rules.error())}});
+    return;
+  }
+  if (m_rules && rules->version <= m_rules->version) {
+    return;
+  }
+  m_rules = std::make_shared<const ForwardingRules>(std::move(*rules));
+  m_routes = std::make_shared<const RouteTable>(*m_rules);
+  m_parts.logger.Log(LogLevel::kInfo, "configuration_in_force",
+                     {{"version", std::to_string(m_rules->version)},
+                      {"revision", std::to_string(record.revision)},
+                      {"routes", std::to_string(m_rules->routes.size())}});
+}
+
+void ForwardingControl::OnServer(const BackendServerName& name, const MirroredRecord& record) {
+  if (!record.value) {
+    m_servers.Remove(name, m_mirror.LastFailure().value_or(TimePoint::min()),
+                     [this] { PublishView(); });
+    return;
+  }
+  auto server = m_parts.reader.ReadServer(name, *record.value);
+  if (!server) {
+    m_parts.logger.Log(LogLevel::kError, "server_entry_unreadable",
+                       {{"server", name}, {"reason", Describe(server.error())}});
+    return;
+  }
+  m_servers.Put(std::move(*server));
+}
+
+void ForwardingControl::OnInstance(const MirroredRecord& record) {
+  if (!record.value) {
+    m_instances.OnRecordRemoved(record.key.substr(InstanceRegistration::kKeyPrefix.size()));
+  } else if (const auto instance = InstanceRegistration::Decode(record.key, *record.value)) {
+    m_instances.OnRecord(*instance);
+  }
+}
+
+void ForwardingControl::OnMirrorAdvanced() {
+  PublishView();
+}
+
+void ForwardingControl::PublishView() {
+  auto view = std::make_shared<ForwardingView>();
+  view->rules = m_rules;
+  view->routes = m_routes;
+  view->servers = m_servers.All();
+  view->live_instances = m_instances.LiveInstances().size();
+  view->revision = m_mirror.Revision();
+  view->as_of = m_parts.clock.Now();
+  m_view = view;
+  m_publish(m_view);
+}
+
+void ForwardingControl::UpdatePlacers() {
+  if (!m_rules) {
+    return;
+  }
+  const OrderRoleParts parts = {m_parts.clock, m_parts.scheduler, m_parts.store, m_instances,
+                                m_parts.recorder};
+  for (const auto& [name, service] : m_rules->services) {
+    const bool layered = service.engine && service.engine->IsLayered();
+    if (layered && !m_placers.contains(name)) {
+      m_placers[name] = std::make_unique<LayerPlacer>(parts, PlacementSettings(),
+                                                      m_parts.layer_orders, m_parts.logger, name);
+    }
+  }
+}
+
+void ForwardingControl::Tick() {
+  UpdatePlacers();
+  const bool renew = m_ticks++ % kTicksBetweenRenewals == 0;
+  for (auto& [service, placer] : m_placers) {
+    if (renew) {
+      placer->TickRole();
+    }
+    placer->Tick(*m_view);
+  }
+  m_timer = m_parts.scheduler.ScheduleAfter(kTickInterval, [this] { Tick(); });
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "zinnia_base/time/clock.h"
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/forwarding/forwarding_view.h"
+#include "zinnia_decisions/forwarding/instance_directory.h"
+#include "zinnia_decisions/forwarding/instance_registration.h"
+#include "zinnia_decisions/forwarding/news_exchange.h"
+#include "zinnia_decisions/forwarding/server_directory.h"
+#include "zinnia_decisions/forwarding/store_mirror.h"
+#include "zinnia_decisions/orders/order_role.h"
+
+namespace zinnia {
+
+class DecisionRecorder;
+class LayerOrders;
+class LayerPlacer;
+class Logger;
+class NewsTransport;
+class PlatformStore;
+class RecordReader;
+
+/** The ports and settings of a ForwardingControl. All references must outlive it. */
+struct ForwardingControlParts {
+  Clock& clock;
+  Scheduler& scheduler;
+  PlatformStore& store;
+  const RecordReader& reader;
+  NewsTransport& news;
+  LayerOrders& layer_orders;
+  DecisionRecorder& recorder;
+  Logger& logger;
+  NewsSink& sink;
+  Instance self;
+  std::vector<NetworkAddress> seeds;
+};
+
+/** The control state of a forwarding instance: what the store says, who lives, which layers are
+    placed where. Publishes a new ForwardingView at each change. Lives on the control thread. */
+class ForwardingControl final : private MirrorListener {
+ public:
+  using Publish = std::function<void(std::shared_ptr<const ForwardingView>)>;
+
+  ForwardingControl(ForwardingControlParts parts, Publish publish);
+  ~ForwardingControl() override;
+
+  void Start();
+
+  /** Gives up the roles and this instance's record. */
+  void Stop();
+
+  NewsExchange& News() { return m_news; }
+
+ private:
+  void OnMirroredRecord(const MirroredRecord& record) override;
+  void OnMirrorAdvanced() override;
+  void OnRules(const MirroredRecord& record);
+  void OnServer(const BackendServerName& name, const MirroredRecord& record);
+  void OnInstance(const MirroredRecord& record);
+  void PublishView();
+  void Tick();
+  void UpdatePlacers();
+
+  const ForwardingControlParts m_parts;
+  const Publish m_publish;
+  InstanceDirectory m_instances;
+  StoreMirror m_mirror;
+  ServerDirectory m_servers;
+  InstanceRegistration m_registration;
+  NewsExchange m_news;
+  std::map<ServiceName, std::unique_ptr<LayerPlacer>> m_placers;
+  std::shared_ptr<const ForwardingRules> m_rules;
+  std::shared_ptr<const RouteTable> m_routes;
+  std::shared_ptr<const ForwardingView> m_view;
+  std::unique_ptr<ScheduledCall> m_timer;
+  std::uint64_t m_ticks = 0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/forwarding_view.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "zinnia_base/time/clock.h"
+#include "zinnia_world/forwarding/forwarding_rules.h"
+#include "zinnia_world/forwarding/server_entry.h"
+
+namespace zinnia {
+
+class RouteTable;
+
+/** Everything that forwarding believes at one moment. Immutable; control publishes a new one at
+    each change, and traffic reads whichever is newest. */
+struct ForwardingView {
+  /** Null until a configuration is known: then nothing can be forwarded or denied. */
+  std::shared_ptr<const ForwardingRules> rules;
+  std::shared_ptr<const RouteTable> routes;
+
+  /** Draining servers are in here, those that left are not. */
+  std::map<BackendServerName, ServerEntry> servers;
+
+  /** This instance and the peers that it knows to live. At least 1. */
+  std::size_t live_instances = 1;
+
+  /** The store's revision that this view stands for, and when it was read. */
+  std::uint64_t revision = 0;
+  TimePoint as_of{};
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/instance_registration.cc
@@ -0,0 +1,133 @@
+#include "zinnia_decisions/forwarding/instance_registration.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+#include "zinnia_base/logging/logger.h"
+#include "zinnia_decisions/once/alive_guard.h"
+
+namespace zinnia {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+/** Long enough to outlast pauses, short enough that shares of a budget follow a loss. */
+constexpr milliseconds kLease{8'000};
+constexpr milliseconds kRenewInterval{2'500};
+constexpr milliseconds kRetryPause{400};
+
+}  // namespace
+
+InstanceRegistration::InstanceRegistration(PlatformStore& store,
+                                           Scheduler& scheduler,
+                                           Logger& logger,
+                                           Instance self)
+    : m_store(store), m_scheduler(scheduler), m_logger(logger), m_self(std::move(self)) {}
+
+void InstanceRegistration::Start() {
+  Grant();
+}
+
+void InstanceRegistration::Again(milliseconds pause, void (InstanceRegistration::*step)()) {
+  if (!m_stopped) {
+    m_timer = m_scheduler.ScheduleAfter(pause, [this, step] { (this->*step)(); });
+  }
+}
+
+void InstanceRegistration::Grant() {
+  m_store.GrantLease(kLease, WhileAlive(m_alive, [this](const Result<StoreLeaseId>& lease) {
+                       if (!lease) {
+                         Again(kRetryPause, &InstanceRegistration::Grant);
+                         return;
+                       }
+                       m_lease = *lease;
+                       ReadBack();
+                     }));
+}
+
+/** The record of this instance's former self may still be there. */
+void InstanceRegistration::ReadBack() {
+  m_store.Get(std::string(kKeyPrefix) + m_self.name,
+              WhileAlive(m_alive, [this](const Result<std::optional<StoreRecord>>& record) {
+                if (!record) {
+                  Again(kRetryPause, &InstanceRegistration::ReadBack);
+                  return;
+                }
+                Write(*record ? (*record)->version : 0);
+              }));
+}
+
+void InstanceRegistration::Write(std::uint64_t expected_version) {
+  m_store.CompareAndSwap(std::string(kKeyPrefix) + m_self.name, expected_version, Encode(m_self),
+                         m_lease, WhileAlive(m_alive, [this](const Result<std::uint64_t>& result) {
+                           if (result) {
+                             m_logger.Log(LogLevel::kInfo, "instance_registered",
+                                          {{"revision", std::to_string(*result)}});
+                             Again(kRenewInterval, &InstanceRegistration::Renew);
+                           } else if (result.error().kind == ErrorKind::kNotFound) {
+                             Again(kRetryPause, &InstanceRegistration::Grant);
+                           } else {
+                             Again(kRetryPause, &InstanceRegistration::ReadBack);
+                           }
+                         }));
+}
+
+void InstanceRegistration::Renew() {
+  m_store.KeepLeaseAlive(m_lease, WhileAlive(m_alive, [this](const Result<void>& result) {
+                           if (!result && result.error().kind == ErrorKind::kNotFound) {
+                             m_logger.Log(LogLevel::kWarning, "instance_record_lapsed", {});
+                             Again(kRetryPause, &InstanceRegistration::Grant);
+                             return;
+                           }
+                           Again(kRenewInterval, &InstanceRegistration::Renew);
+                         }));
+}
+
+void InstanceRegistration::Stop() {
+  m_stopped = true;
+  m_timer.reset();
+  if (m_lease != 0) {
+    m_store.RevokeLease(m_lease, [](const Result<void>&) {});
+  }
+}
+
+std::string InstanceRegistration::Encode(const Instance& instance) {
+  return json::serialize(json::object{{"address", instance.peer_address.ToString()},
+                                      {"failure_domain", instance.failure_domain},
+                                      {"region", instance.region},
+                                      {"start", instance.start}});
+}
+
+std::optional<Instance> InstanceRegistration::Decode(const std::string& key,
+                                                     const std::string& value) {
+  if (!key.starts_with(kKeyPrefix)) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const json::value parsed = json::parse(value, error);
+  const json::object* object = error ? nullptr : parsed.if_object();
+  if (object == nullptr) {
+    return std::nullopt;
+  }
+  const auto text = [&](const char* name) {
+    const json::value* field = object->if_contains(name);
+    return field != nullptr && field->is_string() ? std::string(field->as_string()) : std::string();
+  };
+  const auto address = NetworkAddress::Parse(text("address"));
+  if (!address) {
+    return std::nullopt;
+  }
+  Instance instance;
+  instance.name = key.substr(kKeyPrefix.size());
+  instance.peer_address = *address;
+  instance.failure_domain = text("failure_domain");
+  instance.region = text("region");
+  const json::value* start = object->if_contains("start");
+  if (start != nullptr && start->is_number()) {
+    instance.start = start->to_number<std::uint64_t>(error);
+  }
+  return instance;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/layer_planner.cc
@@ -0,0 +1,186 @@
+#include "zinnia_decisions/forwarding/layer_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <set>
+
+#include "zinnia_decisions/forwarding/path_finder.h"
+#include "zinnia_world/forwarding/engine_profile.h"
+#include "zinnia_world/forwarding/server_entry.h"
+
+namespace zinnia {
+namespace {
+
+/** A chain is worth forming when its memory is this many times the weights: what is left holds
+    requests, and a chain without room serves nobody. */
+constexpr double kLeastMemoryOverWeights = 1.25;
+
+/** The part of a late engine's memory that weights may take; about what planned chains have. */
+constexpr double kWeightShareOfSpare = 0.6;
+
+using Chain = std::vector<const ServerEntry*>;
+
+const AcceleratorProfile* AcceleratorOf(const EngineProfile& engine, const ServerEntry& server) {
+  const auto found = engine.accelerators.find(server.accelerator);
+  return found == engine.accelerators.end() ? nullptr : &found->second;
+}
+
+double MemoryOf(const EngineProfile& engine, const ServerEntry& server) {
+  const AcceleratorProfile* accelerator = AcceleratorOf(engine, server);
+  return accelerator == nullptr ? 0.0 : accelerator->memory_mb;
+}
+
+double MemoryOf(const EngineProfile& engine, const Chain& chain) {
+  return std::accumulate(chain.begin(), chain.end(), 0.0,
+                         [&](double sum, const ServerEntry* server) {
+                           return sum + MemoryOf(engine, *server);
+                         });
+}
+
+bool IsEnough(const EngineProfile& engine, const Chain& chain) {
+  return MemoryOf(engine, chain) >= kLeastMemoryOverWeights * engine.layers * engine.layer_mb;
+}
+
+std::uint32_t MostLayers(const EngineProfile& engine, const ServerEntry& server) {
+  if (engine.layer_mb <= 0) {
+    return engine.layers;
+  }
+  return static_cast<std::uint32_t>(MemoryOf(engine, server) / engine.layer_mb);
+}
+
+/** Splits all layers over the chain by memory, whole layers, never more than fit. */
+LayerPlanner::Ranges SplitLayers(const EngineProfile& engine, const Chain& chain) {
+  const double memory = MemoryOf(engine, chain);
+  LayerPlanner::Ranges ranges;
+  double exact_end = 0.0;
+  std::uint32_t first = 0;
+  for (std::size_t index = 0; index < chain.size(); ++index) {
+    exact_end += engine.layers * MemoryOf(engine, *chain[index]) / memory;
+    auto end = static_cast<std::uint32_t>(std::lround(exact_end));
+    end = std::clamp(end, first, std::min(first + MostLayers(engine, *chain[index]), engine.layers));
+    if (index + 1 == chain.size()) {
+      end = engine.layers;
+    }
+    if (end > first) {
+      ranges[chain[index]->name] = {first, end};
+    }
+    first = end;
+  }
+  return ranges;
+}
+
+/** Takes whole groups of equal accelerators, the fastest first, until the chain is large enough. */
+Chain TakeChain(const EngineProfile& engine, Chain& pool) {
+  std::stable_sort(pool.begin(), pool.end(), [&](const auto* left, const auto* right) {
+    return AcceleratorOf(engine, *left)->step_factor < AcceleratorOf(engine, *right)->step_factor;
+  });
+  Chain chain;
+  std::size_t taken = 0;
+  while (taken < pool.size() && !IsEnough(engine, chain)) {
+    const std::string& group = pool[taken]->accelerator;
+    while (taken < pool.size() && pool[taken]->accelerator == group) {
+      chain.push_back(pool[taken++]);
+    }
+  }
+  if (!IsEnough(engine, chain)) {
+    return {};
+  }
+  pool.erase(pool.begin(), pool.begin() + static_cast<std::ptrdiff_t>(taken));
+  return chain;
+}
+
+/** For each layer the tokens that its holders have room for together. */
+std::vector<double> RoomByLayer(const EngineProfile& engine,
+                                const std::vector<ServerEntry>& holders) {
+  std::vector<double> room(engine.layers, 0.0);
+  for (const ServerEntry& holder : holders) {
+    const std::uint32_t count = holder.layers.Count();
+    for (std::uint32_t layer = holder.layers.first;
+         count > 0 && layer < std::min(holder.layers.end, engine.layers); ++layer) {
+      room[layer] += TokenLayerCapacity(engine, holder) / count;
+    }
+  }
+  return room;
+}
+
+}  // namespace
+
+LayerPlanner::Ranges LayerPlanner::PlanPool(const EngineProfile& engine,
+                                            const std::vector<ServerEntry>& servers) {
+  std::map<FailureDomainName, Chain> by_domain;
+  for (const ServerEntry& server : servers) {
+    if (MostLayers(engine, server) > 0) {
+      by_domain[server.failure_domain].push_back(&server);
+    }
+  }
+  Ranges ranges;
+  std::vector<ServerEntry> holders;
+  const auto place = [&](const Chain& chain) {
+    for (const auto& [name, range] : SplitLayers(engine, chain)) {
+      ranges[name] = range;
+    }
+  };
+  Chain rest;
+  for (auto& [domain, pool] : by_domain) {
+    for (Chain chain = TakeChain(engine, pool); !chain.empty(); chain = TakeChain(engine, pool)) {
+      place(chain);
+    }
+    rest.insert(rest.end(), pool.begin(), pool.end());
+  }
+  // What is left in single failure domains forms chains across them, in the order of the domains,
+  // so that a token crosses between them as rarely as possible.
+  if (IsEnough(engine, rest)) {
+    place(rest);
+    return ranges;
+  }
+  for (const ServerEntry& server : servers) {
+    if (ranges.contains(server.name)) {
+      holders.push_back(server);
+      holders.back().layers = ranges[server.name];
+    }
+  }
+  for (const ServerEntry* server : rest) {
+    if (const auto range = RangeFor(engine, *server, holders)) {
+      ranges[server->name] = *range;
+      holders.push_back(*server);
+      holders.back().layers = *range;
+    }
+  }
+  return ranges;
+}
+
+std::optional<LayerRange> LayerPlanner::RangeFor(const EngineProfile& engine,
+                                                 const ServerEntry& server,
+                                                 const std::vector<ServerEntry>& holders) {
+  const std::uint32_t most = std::min(MostLayers(engine, server), engine.layers);
+  if (most == 0) {
+    return std::nullopt;
+  }
+  const auto usual = static_cast<std::uint32_t>(most * kWeightShareOfSpare);
+  const std::uint32_t count = std::clamp(usual, 1U, most);
+  const std::vector<double> room = RoomByLayer(engine, holders);
+  std::set<std::uint32_t> starts = {0, engine.layers - count};
+  for (const ServerEntry& holder : holders) {
+    if (holder.layers.Count() == 0) {
+      continue;
+    }
+    starts.insert(std::min(holder.layers.first, engine.layers - count));
+    starts.insert(holder.layers.end >= count ? holder.layers.end - count : 0);
+  }
+  LayerRange best;
+  double most_needed = -1.0;
+  for (const std::uint32_t start : starts) {
+    double needed = 0.0;
+    for (std::uint32_t layer = start; layer < start + count; ++layer) {
+      needed += 1.0 / (1.0 + room[layer]);
+    }
+    if (needed > most_needed) {
+      most_needed = needed;
+      best = {start, start + count};
+    }
+  }
+  return best;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/news_exchange.cc
@@ -0,0 +1,120 @@
+#include "zinnia_decisions/forwarding/news_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_decisions/forwarding/instance_directory.h"
+#include "zinnia_decisions/forwarding/store_mirror.h"
+#include "zinnia_decisions/once/alive_guard.h"
+
+namespace zinnia {
+namespace {
+
+/** Stalls are told for this long; later ones have ended or lapsed. */
+constexpr Duration kStallNewsLifetime = std::chrono::seconds(1);
+
+}  // namespace
+
+NewsExchange::NewsExchange(NewsTransport& transport,
+                           Scheduler& scheduler,
+                           const Clock& clock,
+                           InstanceDirectory& instances,
+                           StoreMirror& mirror,
+                           NewsSink& sink,
+                           std::vector<NetworkAddress> seeds,
+                           NewsSettings settings)
+    : m_transport(transport),
+      m_scheduler(scheduler),
+      m_clock(clock),
+      m_instances(instances),
+      m_mirror(mirror),
+      m_sink(sink),
+      m_seeds(std::move(seeds)),
+      m_settings(settings) {}
+
+void NewsExchange::Start() {
+  m_timer = m_scheduler.ScheduleAfter(m_settings.interval, [this] { Tick(); });
+}
+
+void NewsExchange::Tick() {
+  const std::vector<NetworkAddress> targets = Targets();
+  const std::size_t count = std::min(targets.size(), m_settings.most_peers_at_once);
+  for (std::size_t sent = 0; sent < count; ++sent) {
+    Send(targets[m_next_peer++ % targets.size()]);
+  }
+  Start();
+}
+
+std::vector<NetworkAddress> NewsExchange::Targets() {
+  std::vector<NetworkAddress> targets;
+  for (const Instance& peer : m_instances.Peers()) {
+    targets.push_back(peer.peer_address);
+  }
+  if (targets.empty()) {
+    targets = m_seeds;
+    std::erase(targets, m_instances.Self().peer_address);
+  }
+  return targets;
+}
+
+NewsReport NewsExchange::MakeReport() {
+  const TimePoint now = m_clock.Now();
+  std::erase_if(m_stalls,
+                [now](const auto& stall) { return now - stall.second > kStallNewsLifetime; });
+  NewsReport report;
+  report.instance = m_instances.Self();
+  report.revision = m_mirror.IsFilled() ? m_mirror.Revision() : 0;
+  report.uses = m_uses;
+  report.leaving = m_leaving;
+  for (const auto& [server, seen_at] : m_stalls) {
+    report.stalls.push_back(
+        {server, std::chrono::duration_cast<std::chrono::milliseconds>(now - seen_at)});
+  }
+  return report;
+}
+
+void NewsExchange::Send(const NetworkAddress& peer) {
+  m_transport.Exchange(peer, MakeReport(),
+                       WhileAlive(m_alive, [this](const Result<MirrorDelta>& delta) {
+                         if (delta && (delta->complete || !delta->records.empty())) {
+                           m_mirror.Merge(*delta);
+                         }
+                       }));
+}
+
+void NewsExchange::TellStall(const BackendServerName& server) {
+  const bool is_news = !m_stalls.contains(server);
+  m_stalls[server] = m_clock.Now();
+  if (!is_news) {
+    return;
+  }
+  for (const NetworkAddress& peer : Targets()) {
+    Send(peer);
+  }
+}
+
+void NewsExchange::TellLeaving() {
+  m_leaving = true;
+  for (const NetworkAddress& peer : Targets()) {
+    Send(peer);
+  }
+}
+
+MirrorDelta NewsExchange::OnNews(const NewsReport& report) {
+  if (report.leaving) {
+    m_instances.OnLeft(report.instance.name);
+  } else {
+    m_instances.OnHeard(report.instance);
+  }
+  m_sink.OnPeerUses(report.instance.name, report.uses);
+  for (const StallNews& stall : report.stalls) {
+    if (!m_stalls.contains(stall.server)) {
+      m_stalls[stall.server] = m_clock.Now() - stall.age;
+      m_sink.OnPeerStall(stall);
+    }
+  }
+  const bool lacks_something = m_mirror.IsFilled() && report.revision < m_mirror.Revision();
+  return lacks_something ? m_mirror.ChangesAfter(report.revision) : MirrorDelta();
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/news_report.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "zinnia_decisions/forwarding/load_book.h"
+#include "zinnia_world/fleet/instance.h"
+
+namespace zinnia {
+
+/** A server that did not go on, and how long ago that was seen. */
+struct StallNews {
+  BackendServerName server;
+  std::chrono::milliseconds age{0};
+};
+
+/** What an instance tells a peer a few times a second. */
+struct NewsReport {
+  Instance instance;
+
+  /** How far it knows the store's records. */
+  std::uint64_t revision = 0;
+  LoadBook::Uses uses;
+  std::vector<StallNews> stalls;
+
+  /** It is about to stop. */
+  bool leaving = false;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/path_finder.cc
@@ -0,0 +1,264 @@
+#include "zinnia_decisions/forwarding/path_finder.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <map>
+
+#include "zinnia_decisions/forwarding/forwarding_view.h"
+#include "zinnia_decisions/forwarding/load_book.h"
+#include "zinnia_decisions/forwarding/server_health.h"
+
+namespace zinnia {
+namespace {
+
+constexpr double kNever = std::numeric_limits<double>::infinity();
+constexpr double kBytesPerMegabyte = 1e6;
+constexpr double kTokensPerThousand = 1'000.0;
+
+/** Part of a server's memory that requests may reserve. The rest takes answers that turn out longer
+    than expected: an engine out of memory throws its newest request out and reads it again. */
+constexpr double kReservableShare = 0.9;
+
+/** Time of one hop inside and between failure domains, per token; from the published delays. */
+constexpr double kHopMs = 0.15;
+constexpr double kCrossingMs = 0.9;
+
+/** A server that fails all its requests looks this many times slower. */
+constexpr double kFailurePenalty = 9.0;
+
+/** A server as the search sees it. */
+struct Candidate {
+  const ServerEntry* entry = nullptr;
+  std::size_t domain = 0;
+  double ms_per_layer = 0.0;
+  double free_token_layers = 0.0;
+};
+
+struct Step {
+  double cost = kNever;
+  std::size_t from_boundary = 0;
+  std::size_t from_domain = 0;
+  const Candidate* server = nullptr;
+};
+
+/** One search over (boundary, failure domain). */
+class Search {
+ public:
+  Search(const EngineProfile& engine, const GenerationSize& size, std::vector<Candidate> candidates)
+      : m_engine(engine), m_size(size), m_candidates(std::move(candidates)) {}
+
+  /** Numbers failure domains; the caller of Run uses the same numbers. */
+  static std::size_t DomainNumber(std::map<FailureDomainName, std::size_t>& numbers,
+                                  const FailureDomainName& domain) {
+    return numbers.emplace(domain, numbers.size()).first->second;
+  }
+
+  std::optional<FoundPath> Run(std::uint32_t first_layer,
+                               std::size_t start_domain,
+                               std::size_t domains,
+                               bool whole_ranges_only);
+
+ private:
+  void CollectBoundaries(std::uint32_t first_layer);
+  void Relax(std::size_t boundary, std::size_t domain, bool whole_ranges_only);
+  double Cost(const Candidate& server, std::uint32_t layers, bool crossing) const;
+  std::optional<FoundPath> Trace() const;
+  Step& At(std::size_t boundary, std::size_t domain) {
+    return m_steps[boundary * m_domains + domain];
+  }
+  const Step& At(std::size_t boundary, std::size_t domain) const {
+    return m_steps[boundary * m_domains + domain];
+  }
+
+  const EngineProfile& m_engine;
+  const GenerationSize& m_size;
+  const std::vector<Candidate> m_candidates;
+  std::vector<std::uint32_t> m_boundaries;
+  std::vector<Step> m_steps;
+  std::size_t m_domains = 1;
+};
+
+void Search::CollectBoundaries(std::uint32_t first_layer) {
+  m_boundaries = {first_layer, m_engine.layers};
+  for (const Candidate& candidate : m_candidates) {
+    for (const std::uint32_t layer : {candidate.entry->layers.first, candidate.entry->layers.end}) {
+      if (layer > first_layer && layer < m_engine.layers) {
+        m_boundaries.push_back(layer);
+      }
+    }
+  }
+  std::sort(m_boundaries.begin(), m_boundaries.end());
+  m_boundaries.erase(std::unique(m_boundaries.begin(), m_boundaries.end()), m_boundaries.end());
+}
+
+double Search::Cost(const Candidate& server, std::uint32_t layers, bool crossing) const {
+  double cost = server.ms_per_layer * layers;
+  cost += m_size.answer_tokens * (crossing ? kCrossingMs : kHopMs);
+  if (crossing && m_engine.failure_domain_link_mbps > 0) {
+    const double bits = m_size.prompt_tokens * m_engine.activation_bytes_per_token * 8;
+    cost += bits / (m_engine.failure_domain_link_mbps * 1'000.0);
+  }
+  return cost;
+}
+
+void Search::Relax(std::size_t boundary, std::size_t domain, bool whole_ranges_only) {
+  const double so_far = At(boundary, domain).cost;
+  if (so_far == kNever) {
+    return;
+  }
+  const std::uint32_t from = m_boundaries[boundary];
+  const double tokens = m_size.prompt_tokens + m_size.answer_tokens;
+  for (const Candidate& candidate : m_candidates) {
+    const LayerRange& held = candidate.entry->layers;
+    if (held.first > from || held.end <= from) {
+      continue;
+    }
+    for (std::size_t to = boundary + 1; to < m_boundaries.size(); ++to) {
+      const std::uint32_t layer = m_boundaries[to];
+      if (layer > held.end) {
+        break;
+      }
+      const bool whole = layer == std::min(held.end, m_engine.layers);
+      const std::uint32_t layers = layer - from;
+      if ((whole_ranges_only && !whole) || tokens * layers > candidate.free_token_layers) {
+        continue;
+      }
+      const double cost = so_far + Cost(candidate, layers, candidate.domain != domain);
+      Step& step = At(to, candidate.domain);
+      if (cost < step.cost) {
+        step = {cost, boundary, domain, &candidate};
+      }
+    }
+  }
+}
+
+std::optional<FoundPath> Search::Run(std::uint32_t first_layer,
+                                     std::size_t start_domain,
+                                     std::size_t domains,
+                                     bool whole_ranges_only) {
+  m_domains = domains;
+  CollectBoundaries(first_layer);
+  m_steps.assign(m_boundaries.size() * m_domains, Step());
+  At(0, start_domain).cost = 0.0;
+  for (std::size_t boundary = 0; boundary + 1 < m_boundaries.size(); ++boundary) {
+    for (std::size_t domain = 0; domain < m_domains; ++domain) {
+      Relax(boundary, domain, whole_ranges_only);
+    }
+  }
+  return Trace();
+}
+
+std::optional<FoundPath> Search::Trace() const {
+  std::size_t boundary = m_boundaries.size() - 1;
+  std::size_t domain = 0;
+  for (std::size_t other = 1; other < m_domains; ++other) {
+    if (At(boundary, other).cost < At(boundary, domain).cost) {
+      domain = other;
+    }
+  }
+  FoundPath found;
+  found.expected_ms = At(boundary, domain).cost;
+  if (found.expected_ms == kNever) {
+    return std::nullopt;
+  }
+  while (boundary > 0) {
+    const Step& step = At(boundary, domain);
+    const ServerEntry& entry = *step.server->entry;
+    found.path.push_back({entry.name,
+                          entry.address,
+                          {m_boundaries[step.from_boundary], m_boundaries[boundary]}});
+    boundary = step.from_boundary;
+    domain = step.from_domain;
+  }
+  std::reverse(found.path.begin(), found.path.end());
+  return found;
+}
+
+bool VisitsTwice(const LayerPath& path) {
+  std::set<BackendServerName> seen;
+  return std::any_of(path.begin(), path.end(),
+                     [&](const PathPart& part) { return !seen.insert(part.server).second; });
+}
+
+double MsPerLayer(const EngineProfile& engine,
+                  const AcceleratorProfile& accelerator,
+                  const GenerationSize& size,
+                  std::uint32_t requests) {
+  const double context = (size.prompt_tokens + size.answer_tokens / 2) / kTokensPerThousand;
+  const double per_request =
+      engine.step_ms_per_request + engine.step_ms_per_thousand_tokens * context;
+  const double step = engine.step_ms + per_request * (requests + 1);
+  const double reading = size.prompt_tokens / (engine.read_tokens_per_second / 1'000.0);
+  return (size.answer_tokens * step * accelerator.step_factor +
+          reading * accelerator.read_factor) /
+         engine.layers;
+}
+
+}  // namespace
+
+double TokenLayerCapacity(const EngineProfile& engine, const ServerEntry& server) {
+  const auto accelerator = engine.accelerators.find(server.accelerator);
+  if (accelerator == engine.accelerators.end() || engine.cache_bytes_per_token <= 0) {
+    return 0.0;
+  }
+  const double weights = server.layers.Count() * engine.layer_mb;
+  const double free_bytes =
+      std::max(0.0, accelerator->second.memory_mb - weights) * kBytesPerMegabyte;
+  return free_bytes / (engine.cache_bytes_per_token / engine.layers);
+}
+
+std::optional<FoundPath> PathFinder::Find(const ForwardingView& view,
+                                          const ServiceName& service,
+                                          const GenerationSize& size,
+                                          const FailureDomainName& start,
+                                          const std::set<BackendServerName>& avoided,
+                                          const std::optional<PathPart>& first) const {
+  const auto found_service = view.rules->services.find(service);
+  if (found_service == view.rules->services.end() || !found_service->second.engine) {
+    return std::nullopt;
+  }
+  const EngineProfile& engine = *found_service->second.engine;
+  std::map<FailureDomainName, std::size_t> domains;
+  std::size_t start_domain = Search::DomainNumber(domains, start);
+  std::vector<Candidate> candidates;
+  for (const auto& [name, server] : view.servers) {
+    const auto accelerator = engine.accelerators.find(server.accelerator);
+    if (server.service != service || accelerator == engine.accelerators.end()) {
+      continue;
+    }
+    const std::size_t domain = Search::DomainNumber(domains, server.failure_domain);
+    const bool is_first = first && first->server == name;
+    if (is_first) {
+      start_domain = domain;
+    }
+    if (is_first || server.draining || server.layers.Count() == 0 || avoided.contains(name) ||
+        m_health.IsExcluded(name)) {
+      continue;
+    }
+    const ServerUse use = m_loads.UseOf(name);
+    Candidate candidate;
+    candidate.entry = &server;
+    candidate.domain = domain;
+    candidate.ms_per_layer = MsPerLayer(engine, accelerator->second, size, use.requests) *
+                             (1.0 + kFailurePenalty * m_health.FailureShare(name));
+    candidate.free_token_layers =
+        TokenLayerCapacity(engine, server) * kReservableShare - use.token_layers;
+    candidates.push_back(candidate);
+  }
+  Search search(engine, size, std::move(candidates));
+  const std::uint32_t first_layer = first ? first->layers.end : 0;
+  if (first && first_layer >= engine.layers) {
+    return FoundPath{{*first}, 0.0};
+  }
+  auto found = search.Run(first_layer, start_domain, domains.size(), false);
+  if (found && VisitsTwice(found->path)) {
+    found = search.Run(first_layer, start_domain, domains.size(), true);
+  }
+  if (found && first) {
+    found->path.insert(found->path.begin(), *first);
+  }
+  return found;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/path_finder.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "zinnia_world/forwarding/path_part.h"
+#include "zinnia_world/names/names.h"
+
+namespace zinnia {
+
+class LoadBook;
+class ServerHealth;
+struct EngineProfile;
+struct ForwardingView;
+struct ServerEntry;
+
+/** What a request takes of the engines. */
+struct GenerationSize {
+  double prompt_tokens = 0.0;
+  double answer_tokens = 0.0;  // Expected, and reserved in memory.
+};
+
+/** A path and the memory that it takes at each part, in token layers. */
+struct FoundPath {
+  LayerPath path;
+  double expected_ms = 0.0;
+};
+
+/** Chooses the servers that run a request's layers: the path of least expected time whose servers
+    all have memory for it.
+
+    A server may run any part of the range that it holds. The search goes over the boundaries of
+    held ranges and the failure domain reached, so its cost does not grow with the number of paths.
+*/
+class PathFinder {
+ public:
+  /** All must outlive it. */
+  PathFinder(const LoadBook& loads, const ServerHealth& health) : m_loads(loads), m_health(health) {}
+
+  /** Nothing if no path has room. `avoided` servers are left out. `first` fixes the first part, for
+      a request that is on its way and keeps its first server. */
+  std::optional<FoundPath> Find(const ForwardingView& view,
+                                const ServiceName& service,
+                                const GenerationSize& size,
+                                const FailureDomainName& start,
+                                const std::set<BackendServerName>& avoided,
+                                const std::optional<PathPart>& first = std::nullopt) const;
+
+ private:
+  const LoadBook& m_loads;
+  const ServerHealth& m_health;
+};
+
+/** The cache memory of a server in token layers. */
+double TokenLayerCapacity(const EngineProfile& engine, const ServerEntry& server);
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/retry_policy.cc
@@ -0,0 +1,35 @@
+#include "zinnia_decisions/forwarding/retry_policy.h"
+
+#include "zinnia_world/forwarding/forward_route.h"
+
+namespace zinnia {
+namespace {
+
+/** Sends that do not leave are free for servers, but each waits for a connection. */
+constexpr std::uint32_t kMostNotSent = 3;
+
+NextStep GiveUp(SendOutcome outcome, const SendHistory& history) {
+  if (outcome == SendOutcome::kServerFailed) {
+    return NextStep::kPassOn;
+  }
+  const bool may_have_run = history.may_have_run || outcome == SendOutcome::kUnknown;
+  return may_have_run ? NextStep::kFail : NextStep::kRefuse;
+}
+
+}  // namespace
+
+NextStep DecideNextStep(const ForwardRoute& route,
+                        SendOutcome outcome,
+                        const SendHistory& history) {
+  const bool certainly_not_run =
+      outcome == SendOutcome::kNotSent || outcome == SendOutcome::kNotRun;
+  const bool harmless = route.MayRepeat() || (certainly_not_run && !history.may_have_run);
+  const bool within_bounds =
+      history.servers_reached < route.most_servers && history.not_sent <= kMostNotSent;
+  if (harmless && within_bounds && history.time_left && history.has_alternative) {
+    return NextStep::kSendAgain;
+  }
+  return GiveUp(outcome, history);
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/server_health.cc
@@ -0,0 +1,59 @@
+#include "zinnia_decisions/forwarding/server_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace zinnia {
+namespace {
+
+/** The weight of one outcome: five failures in a row bring the share to about 0.8. */
+constexpr double kOutcomeWeight = 0.28;
+
+/** Half of the evidence is forgotten in this time, so a recovered server is tried within seconds.
+ */
+constexpr std::chrono::duration<double> kHalfLife{3.0};
+
+/** Records of servers that have left are dropped beyond this number. */
+constexpr std::size_t kMostRecords = 4'096;
+
+}  // namespace
+
+ServerHealth::Record& ServerHealth::Touch(const BackendServerName& server) {
+  const TimePoint now = m_clock.Now();
+  if (m_records.size() >= kMostRecords) {
+    std::erase_if(m_records,
+                  [now](const auto& entry) { return entry.second.excluded_until < now; });
+  }
+  Record& record = m_records[server];
+  const std::chrono::duration<double> age = now - record.changed_at;
+  record.failure_share *= std::exp2(-age / kHalfLife);
+  record.changed_at = now;
+  return record;
+}
+
+void ServerHealth::Exclude(const BackendServerName& server, Duration duration) {
+  Record& record = Touch(server);
+  record.excluded_until = std::max(record.excluded_until, m_clock.Now() + duration);
+}
+
+void ServerHealth::OnOutcome(const BackendServerName& server, bool good) {
+  Record& record = Touch(server);
+  const double value = good ? 0.0 : 1.0;
+  record.failure_share += kOutcomeWeight * (value - record.failure_share);
+}
+
+bool ServerHealth::IsExcluded(const BackendServerName& server) const {
+  const auto record = m_records.find(server);
+  return record != m_records.end() && m_clock.Now() < record->second.excluded_until;
+}
+
+double ServerHealth::FailureShare(const BackendServerName& server) const {
+  const auto record = m_records.find(server);
+  if (record == m_records.end()) {
+    return 0.0;
+  }
+  const std::chrono::duration<double> age = m_clock.Now() - record->second.changed_at;
+  return record->second.failure_share * std::exp2(-age / kHalfLife);
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/shared_retry_budget.cc
@@ -0,0 +1,53 @@
+#include "zinnia_decisions/forwarding/shared_retry_budget.h"
+
+#include <algorithm>
+
+namespace zinnia {
+namespace {
+
+/** Part of the slack that is given out. The rest covers instances that do not know yet how many
+    they are, and windows that begin inside a slice. */
+constexpr double kGivenSlack = 0.7;
+constexpr double kGivenRatio = 0.9;
+
+}  // namespace
+
+std::int64_t SharedRetryBudget::SliceNumber() const {
+  return m_clock.Now().time_since_epoch() / (m_settings.window / kSlices);
+}
+
+SharedRetryBudget::Slice& SharedRetryBudget::CurrentSlice(const ServiceName& service) {
+  const std::int64_t number = SliceNumber();
+  Slice& slice = m_windows[service][static_cast<std::size_t>(number) % kSlices];
+  if (slice.number != number) {
+    slice = {number, 0, 0};
+  }
+  return slice;
+}
+
+void SharedRetryBudget::OnRequest(const ServiceName& service) {
+  ++CurrentSlice(service).requests;
+}
+
+bool SharedRetryBudget::TrySpend(const ServiceName& service, std::size_t live_instances) {
+  Slice& current = CurrentSlice(service);
+  const std::int64_t oldest = current.number - static_cast<std::int64_t>(kSlices);
+  double requests = 0;
+  double retries = 0;
+  for (const Slice& slice : m_windows[service]) {
+    if (slice.number > oldest) {
+      requests += slice.requests;
+      retries += slice.retries;
+    }
+  }
+  const double instances = static_cast<double>(std::max<std::size_t>(1, live_instances));
+  const double allowed = kGivenRatio * m_settings.ratio * requests +
+                         kGivenSlack * m_settings.slack / instances;
+  if (retries + 1 > allowed) {
+    return false;
+  }
+  ++current.retries;
+  return true;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/store_mirror.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "zinnia_base/time/clock.h"
+#include "zinnia_base/time/scheduler.h"
+#include "zinnia_decisions/forwarding/mirrored_record.h"
+#include "zinnia_decisions/ports/platform_store.h"
+
+namespace zinnia {
+
+class Logger;
+
+/** Hears each change of a mirror, in the order of revisions. */
+class MirrorListener {
+ public:
+  virtual ~MirrorListener() = default;
+
+  /** After one or more OnMirroredRecord calls. */
+  virtual void OnMirrorAdvanced() = 0;
+  virtual void OnMirroredRecord(const MirroredRecord& record) = 0;
+};
+
+/** Intervals of a StoreMirror. */
+struct StoreMirrorSettings {
+  /** How long one watch waits. Shorter than the bound within which a configuration must be in
+      force plus the stability window, since a connection that went silent shows only at its end. */
+  std::chrono::milliseconds longest_wait{2'000};
+
+  /** Pause between two watches, so that one answer carries a burst of changes; calls are priced. */
+  std::chrono::milliseconds pause{60};
+
+  /** Pause after a failed call. Doubles up to `longest_retry_pause`. */
+  std::chrono::milliseconds retry_pause{100};
+  std::chrono::milliseconds longest_retry_pause{500};
+};
+
+/** A copy of everything in the platform's store, kept current by one list and a chain of watches.
+
+    What can go wrong, and what is done: history was dropped (the watch fails with
+    kStoreHistoryLost): the mirror lists anew and reports what disappeared meanwhile as removed. The
+    store is silent or refuses this instance only: news of peers is taken in by Merge. Revisions
+    never move back.
+
+    Lives on the control thread.
+*/
+class StoreMirror {
+ public:
+  StoreMirror(PlatformStore& store,
+              Scheduler& scheduler,
+              const Clock& clock,
+              Logger& logger,
+              StoreMirrorSettings settings);
+  ~StoreMirror();
+
+  void SetListener(MirrorListener* listener) { m_listener = listener; }
+  void Start();
+
+  /** News of a peer. Older records than the known ones are ignored. */
+  void Merge(const MirrorDelta& delta);
+
+  /** What a peer that stands at `revision` lacks. Complete if the removals since then are no longer
+      known. */
+  MirrorDelta ChangesAfter(std::uint64_t revision) const;
+
+  std::uint64_t Revision() const { return m_revision; }
+
+  /** Whether everything was read at least once, from the store or a peer. */
+  bool IsFilled() const { return m_filled; }
+
+  /** When the store last failed a call of this mirror; nothing if it never did. */
+  std::optional<TimePoint> LastFailure() const { return m_last_failure; }
+
+  /** Whether the last call of the store went well. */
+  bool IsInContact() const { return m_in_contact; }
+
+ private:
+  void List();
+  void OnListed(const Result<StoreBatch>& result);
+  void Watch();
+  void OnWatched(const Result<StoreBatch>& result);
+  void Apply(const MirroredRecord& record);
+  void RemoveMissing(const MirrorDelta& delta);
+  void NoteFailure(const Error& error);
+  void NoteContact();
+  void Later(std::chrono::milliseconds pause, void (StoreMirror::*step)());
+
+  PlatformStore& m_store;
+  Scheduler& m_scheduler;
+  const Clock& m_clock;
+  Logger& m_logger;
+  const StoreMirrorSettings m_settings;
+  MirrorListener* m_listener = nullptr;
+  std::map<std::string, MirroredRecord> m_records;
+
+  /** Removals before this revision are forgotten. */
+  std::uint64_t m_removals_known_after = 0;
+  std::uint64_t m_revision = 0;
+  std::chrono::milliseconds m_retry_pause;
+  std::optional<TimePoint> m_last_failure;
+  bool m_filled = false;
+  bool m_in_contact = false;
+  bool m_ever_in_contact = false;
+  std::unique_ptr<ScheduledCall> m_timer;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/ports/news_transport.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <functional>
+
+#include "zinnia_base/errors/result.h"
+#include "zinnia_decisions/forwarding/mirrored_record.h"
+#include "zinnia_decisions/forwarding/news_report.h"
+#include "zinnia_world/fleet/network_address.h"
+
+namespace zinnia {
+
+/** The way of news to other instances. Callbacks run later, once, on the control thread. */
+class NewsTransport {
+ public:
+  virtual ~NewsTransport() = default;
+
+  /** Gives what this instance lacks of the store's records and the peer has. */
+  virtual void Exchange(const NetworkAddress& peer,
+                        const NewsReport& report,
+                        std::function<void(Result<MirrorDelta>)> callback) = 0;
+};
+
+/** What an instance answers to the news of its peers. Called on the control thread. */
+class NewsListener {
+ public:
+  virtual ~NewsListener() = default;
+  virtual MirrorDelta OnNews(const NewsReport& report) = 0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/ports/record_reader.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "zinnia_base/errors/result.h"
+#include "zinnia_world/forwarding/forwarding_rules.h"
+#include "zinnia_world/forwarding/server_entry.h"
+
+namespace zinnia {
+
+/** Decodes the records that operators and servers write into the store. */
+class RecordReader {
+ public:
+  virtual ~RecordReader() = default;
+
+  virtual bool IsConfiguration(const std::string& key) const = 0;
+
+  /** The server's name, if the key is that of a server's entry. */
+  virtual std::optional<BackendServerName> ServerNameOf(const std::string& key) const = 0;
+
+  virtual Result<ForwardingRules> ReadRules(const std::string& value) const = 0;
+  virtual Result<ServerEntry> ReadServer(const BackendServerName& name,
+                                         const std::string& value) const = 0;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_world/forwarding/forwarding_rules.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "zinnia_world/forwarding/forward_route.h"
+#include "zinnia_world/forwarding/forward_service.h"
+#include "zinnia_world/names/names.h"
+
+namespace zinnia {
+
+/** What callers may send, and how long they may take. */
+struct CallerBounds {
+  std::uint32_t most_header_bytes = 16'384;
+  std::uint64_t most_body_bytes = 1'048'576;
+  std::chrono::milliseconds header_timeout{10'000};
+  std::chrono::milliseconds idle_timeout{75'000};
+};
+
+/** One accepted version of the configuration, whole. Immutable once published. */
+struct ForwardingRules {
+  std::uint64_t version = 0;
+  std::vector<ForwardRoute> routes;
+  std::map<ServiceName, ForwardService> services;
+
+  /** Without organisations in the configuration, requests need no key. */
+  bool keys_required = false;
+  std::map<std::string, OrganisationName> organisation_by_key;
+  CallerBounds caller_bounds;
+};
+
+}  // namespace zinnia
