Read stalled requests by the server's address and doubt removals only in a real outage

Ruled out: a lost watch (the other instances acted within 10 ms, and this one had the record in time). Change: stalled requests are matched by address; peers say whether the store serves them steadily.

--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp
@@ -32,6 +32,7 @@
   uses @2 :List(NewsServerUse);
   stalls @3 :List(NewsStall);
   leaving @4 :Bool;
+  storeIsSteady @5 :Bool;
 }
 
 struct NewsRecord {
--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
@@ -496,6 +496,8 @@
 
   inline bool getLeaving() const;
 
+  inline bool getStoreIsSteady() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -551,6 +553,9 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline bool getStoreIsSteady();
+  inline void setStoreIsSteady(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1364,6 +1369,20 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NewsReport::Reader::getStoreIsSteady() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool NewsReport::Builder::getStoreIsSteady() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void NewsReport::Builder::setStoreIsSteady(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/zinnia_adapters/fleet_news/news_codec.cc
+++ b/packages/zinnia_adapters/fleet_news/news_codec.cc
@@ -28,6 +28,7 @@
   instance.setStart(report.instance.start);
   to.setRevision(report.revision);
   to.setLeaving(report.leaving);
+  to.setStoreIsSteady(report.store_is_steady);
   auto uses = to.initUses(static_cast<unsigned>(report.uses.size()));
   unsigned index = 0;
   for (const auto& [server, use] : report.uses) {
@@ -52,6 +53,7 @@
   report.instance.start = instance.getStart();
   report.revision = from.getRevision();
   report.leaving = from.getLeaving();
+  report.store_is_steady = from.getStoreIsSteady();
   for (const auto use : from.getUses()) {
     report.uses[ToText(use.getServer())] = {use.getRequests(), use.getTokenLayers()};
   }
--- a/packages/zinnia_adapters/forwarding/engine_calls.h
+++ b/packages/zinnia_adapters/forwarding/engine_calls.h
@@ -10,10 +10,15 @@
 
 namespace zinnia {
 
+/** A request that waits, and the server on its path that does not go on. */
+struct StalledRequest {
+  std::string request_id;
+  NetworkAddress server;
+};
+
 /** What the first server of a path says about the work that passes through it. */
 struct EngineReport {
-  /** Names of the servers on paths from here that do not go on. */
-  std::vector<BackendServerName> stalled_servers;
+  std::vector<StalledRequest> stalled;
 };
 
 /** Calls to engines beside requests. Callbacks run later, once, on the traffic thread. */
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -574,7 +574,16 @@
     }
     return;
   }
-  const std::vector<BackendServerName> stalled = report->stalled_servers;
+  // All that the report names, not only what this request waits for: the others' requests wait too.
+  std::set<BackendServerName> stalled;
+  const auto view = m_parts.view();
+  for (const StalledRequest& request : report->stalled) {
+    for (const auto& [name, server] : view->servers) {
+      if (server.address == request.server) {
+        stalled.insert(name);
+      }
+    }
+  }
   for (const BackendServerName& server : stalled) {
     m_parts.health.Exclude(server, kStalledExclusion);
     m_parts.report_stalled(server);
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -32,7 +32,7 @@
       m_publish(std::move(publish)),
       m_instances(m_parts.clock, m_parts.self),
       m_mirror(m_parts.store, m_parts.scheduler, m_parts.clock, m_parts.logger, {}),
-      m_servers(m_parts.scheduler, m_parts.clock, m_parts.logger),
+      m_servers(m_parts.scheduler, m_parts.logger),
       m_registration(m_parts.store, m_parts.scheduler, m_parts.logger, m_parts.self),
       m_news(m_parts.news,
              m_parts.scheduler,
@@ -98,8 +98,10 @@
 
 void ForwardingControl::OnServer(const BackendServerName& name, const MirroredRecord& record) {
   if (!record.value) {
-    m_servers.Remove(name, m_mirror.LastFailure().value_or(TimePoint::min()),
-                     [this] { PublishView(); });
+    // A store that serves some instance steadily had no outage: entries go only when servers do.
+    const bool in_doubt =
+        !m_mirror.IsSteadyFor(ServerDirectory::kDoubtAfterFailure) && !m_news.SomePeerIsSteady();
+    m_servers.Remove(name, in_doubt, [this] { PublishView(); });
     return;
   }
   auto server = m_parts.reader.ReadServer(name, *record.value);
--- a/packages/zinnia_decisions/forwarding/news_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/news_exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "zinnia_decisions/forwarding/instance_directory.h"
+#include "zinnia_decisions/forwarding/server_directory.h"
 #include "zinnia_decisions/forwarding/store_mirror.h"
 #include "zinnia_decisions/once/alive_guard.h"
 
@@ -13,6 +14,9 @@
 /** Stalls are told for this long; later ones have ended or lapsed. */
 constexpr Duration kStallNewsLifetime = std::chrono::seconds(1);
 
+/** A peer's word on the store holds for some reports. */
+constexpr Duration kSteadyNewsLifetime = std::chrono::milliseconds(800);
+
 }  // namespace
 
 NewsExchange::NewsExchange(NewsTransport& transport,
@@ -66,6 +70,7 @@
   report.revision = m_mirror.IsFilled() ? m_mirror.Revision() : 0;
   report.uses = m_uses;
   report.leaving = m_leaving;
+  report.store_is_steady = m_mirror.IsSteadyFor(ServerDirectory::kDoubtAfterFailure);
   for (const auto& [server, seen_at] : m_stalls) {
     report.stalls.push_back(
         {server, std::chrono::duration_cast<std::chrono::milliseconds>(now - seen_at)});
@@ -100,12 +105,19 @@
   }
 }
 
+bool NewsExchange::SomePeerIsSteady() const {
+  return m_steady_peer_heard_at && m_clock.Now() - *m_steady_peer_heard_at < kSteadyNewsLifetime;
+}
+
 MirrorDelta NewsExchange::OnNews(const NewsReport& report) {
   if (report.leaving) {
     m_instances.OnLeft(report.instance.name);
   } else {
     m_instances.OnHeard(report.instance);
   }
+  if (report.store_is_steady) {
+    m_steady_peer_heard_at = m_clock.Now();
+  }
   m_sink.OnPeerUses(report.instance.name, report.uses);
   for (const StallNews& stall : report.stalls) {
     if (!m_stalls.contains(stall.server)) {
--- a/packages/zinnia_decisions/forwarding/news_exchange.h
+++ b/packages/zinnia_decisions/forwarding/news_exchange.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "zinnia_base/time/clock.h"
@@ -60,6 +61,9 @@
 
   void TellLeaving();
 
+  /** Whether some peer said lately that the store serves it without failures. */
+  bool SomePeerIsSteady() const;
+
   MirrorDelta OnNews(const NewsReport& report) override;
 
  private:
@@ -79,6 +83,7 @@
   LoadBook::Uses m_uses;
   std::map<BackendServerName, TimePoint> m_stalls;
   bool m_leaving = false;
+  std::optional<TimePoint> m_steady_peer_heard_at;
   std::size_t m_next_peer = 0;
   std::unique_ptr<ScheduledCall> m_timer;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/packages/zinnia_decisions/forwarding/news_report.h
+++ b/packages/zinnia_decisions/forwarding/news_report.h
@@ -25,6 +25,9 @@
   LoadBook::Uses uses;
   std::vector<StallNews> stalls;
 
+  /** The store has answered it without a failure for longer than lapsed entries need to return. */
+  bool store_is_steady = false;
+
   /** It is about to stop. */
   bool leaving = false;
 };
--- a/packages/zinnia_decisions/forwarding/server_directory.cc
+++ b/packages/zinnia_decisions/forwarding/server_directory.cc
@@ -23,13 +23,11 @@
 }
 
 void ServerDirectory::Remove(const BackendServerName& server,
-                             TimePoint store_failed_at,
+                             bool in_doubt,
                              std::function<void()> changed) {
   if (!m_servers.contains(server)) {
     return;
   }
-  const bool in_doubt =
-      store_failed_at != TimePoint::min() && m_clock.Now() - store_failed_at < kDoubtAfterFailure;
   if (!in_doubt) {
     Drop(server, "removed");
     return;
--- a/packages/zinnia_decisions/forwarding/server_directory.h
+++ b/packages/zinnia_decisions/forwarding/server_directory.h
@@ -27,16 +27,14 @@
 
   using Servers = std::map<BackendServerName, ServerEntry>;
 
-  ServerDirectory(Scheduler& scheduler, const Clock& clock, Logger& logger)
-      : m_scheduler(scheduler), m_clock(clock), m_logger(logger) {}
+  ServerDirectory(Scheduler& scheduler, Logger& logger)
+      : m_scheduler(scheduler), m_logger(logger) {}
 
   void Put(ServerEntry entry);
 
-  /** `store_failed_at`: when the store last failed a call; TimePoint::min() if never. `changed` is
-      called if the removal is carried out later. */
-  void Remove(const BackendServerName& server,
-              TimePoint store_failed_at,
-              std::function<void()> changed);
+  /** `in_doubt`: the store failed lately. `changed` is called if the removal is carried out later.
+   */
+  void Remove(const BackendServerName& server, bool in_doubt, std::function<void()> changed);
 
   const Servers& All() const { return m_servers; }
 
@@ -44,7 +42,6 @@
   void Drop(const BackendServerName& server, const char* reason);
 
   Scheduler& m_scheduler;
-  const Clock& m_clock;
   Logger& m_logger;
   Servers m_servers;
   std::map<BackendServerName, std::unique_ptr<ScheduledCall>> m_doubtful;
--- a/packages/zinnia_decisions/forwarding/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/store_mirror.cc
@@ -155,6 +155,10 @@
   return delta;
 }
 
+bool StoreMirror::IsSteadyFor(Duration duration) const {
+  return m_in_contact && (!m_last_failure || m_clock.Now() - *m_last_failure >= duration);
+}
+
 void StoreMirror::NoteFailure(const Error& error) {
   if (m_in_contact || !m_last_failure) {
     m_logger.Log(LogLevel::kWarning, "store_lost",
--- a/packages/zinnia_decisions/forwarding/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/store_mirror.h
@@ -73,11 +73,8 @@
   /** Whether everything was read at least once, from the store or a peer. */
   bool IsFilled() const { return m_filled; }
 
-  /** When the store last failed a call of this mirror; nothing if it never did. */
-  std::optional<TimePoint> LastFailure() const { return m_last_failure; }
-
-  /** Whether the last call of the store went well. */
-  bool IsInContact() const { return m_in_contact; }
+  /** Whether the store answers, and has not failed a call of this mirror for `duration`. */
+  bool IsSteadyFor(Duration duration) const;
 
  private:
   void List();
