Keep paths inside failure domains and share vacant ranges among slower engines

Ruled out: memory (servers answered no 503 for room in that window). Change: crossings are avoided and metered; a vacant range is shared by slower engines of the same domain.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -15,6 +15,7 @@
 #include "zinnia_decisions/forwarding/forwarding_view.h"
 #include "zinnia_decisions/forwarding/load_book.h"
 #include "zinnia_decisions/forwarding/path_finder.h"
+#include "zinnia_decisions/forwarding/pipe_meter.h"
 #include "zinnia_decisions/forwarding/plain_server_chooser.h"
 #include "zinnia_decisions/forwarding/route_table.h"
 #include "zinnia_decisions/forwarding/server_health.h"
@@ -215,6 +216,7 @@
   if (!found) {
     return false;
   }
+  m_parts.pipe.Add(found->pipe_ms);
   m_path = found->path;
   m_server = m_path.front().server;
   m_server_address = m_path.front().address;
@@ -634,6 +636,7 @@
   if (!found) {
     return;
   }
+  m_parts.pipe.Add(found->pipe_ms);
   m_rerouting = true;
   m_parts.engine_calls.Reroute(
       m_facts.id, found->path,
--- a/packages/zinnia_adapters/forwarding/forwarding_parts.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_parts.h
@@ -15,6 +15,7 @@
 class MessageCodec;
 class Metrics;
 class PathFinder;
+class PipeMeter;
 class PlainServerChooser;
 class ServerConnectionPool;
 class ServerHealth;
@@ -32,6 +33,7 @@
   LoadBook& loads;
   ServerHealth& health;
   const PathFinder& paths;
+  PipeMeter& pipe;
   const PlainServerChooser& plain_servers;
   SharedRetryBudget& retries;
   ServerConnectionPool& connections;
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -12,6 +12,7 @@
 #include "zinnia_decisions/forwarding/forwarding_view.h"
 #include "zinnia_decisions/forwarding/load_book.h"
 #include "zinnia_decisions/forwarding/path_finder.h"
+#include "zinnia_decisions/forwarding/pipe_meter.h"
 #include "zinnia_decisions/forwarding/plain_server_chooser.h"
 #include "zinnia_decisions/forwarding/server_health.h"
 #include "zinnia_decisions/forwarding/shared_retry_budget.h"
@@ -61,6 +62,7 @@
   RandomSource m_random;
   LoadBook m_loads;
   ServerHealth m_health;
+  PipeMeter m_pipe;
   PathFinder m_paths;
   PlainServerChooser m_plain_servers;
   SharedRetryBudget m_retries;
--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -1,6 +1,7 @@
 #include "zinnia_decisions/forwarding/layer_placer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "zinnia_base/logging/logger.h"
@@ -14,8 +15,21 @@
     within a second, and a plan for the first few would fit none of the rest. */
 constexpr Duration kSettleTime = std::chrono::milliseconds(700);
 
-/** After this an order without an answer, or without effect, is sent again. */
-constexpr Duration kOrderAgainAfter = std::chrono::seconds(3);
+/** After this an order without an answer is sent again. */
+constexpr Duration kOrderAgainAfter = std::chrono::seconds(2);
+
+/** After this an accepted order that shows no effect is sent again; the longest loads take four
+    seconds, twice that when five share the weights' store. */
+constexpr Duration kAcceptedAgainAfter = std::chrono::seconds(9);
+
+/** A vacant range is shared out among spares after this time: a crashed engine is back in some four
+    seconds and then loads for three, while spares load small ranges in less than one. */
+constexpr Duration kRepairAfter = std::chrono::milliseconds(400);
+
+/** Part of a spare's memory that weights of a vacant range may take at first choice, and at most.
+ */
+constexpr double kUsualWeightShare = 0.5;
+constexpr double kMostWeightShare = 0.8;
 
 }  // namespace
 
@@ -51,13 +65,7 @@
       servers.push_back(server);
     }
   }
-  for (const auto& [name, server] : m_seen) {
-    const auto now = view.servers.find(name);
-    if ((now == view.servers.end() || now->second.draining) && server.layers.Count() > 0) {
-      m_vacated.push_back(server);
-      m_assignments.erase(name);
-    }
-  }
+  NoteVacancies(view);
   m_seen.clear();
   for (const ServerEntry& server : servers) {
     m_seen[server.name] = server;
@@ -69,6 +77,24 @@
   SendOrders(servers);
 }
 
+void LayerPlacer::NoteVacancies(const ForwardingView& view) {
+  for (const auto& [name, server] : m_seen) {
+    const auto now = view.servers.find(name);
+    if (now != view.servers.end() && !now->second.draining) {
+      continue;
+    }
+    const auto assigned = m_assignments.find(name);
+    ServerEntry left = server;
+    if (assigned != m_assignments.end()) {
+      left.layers = assigned->second.layers;
+      m_assignments.erase(assigned);
+    }
+    if (left.layers.Count() > 0) {
+      m_vacancies.push_back({std::move(left), m_parts.clock.Now()});
+    }
+  }
+}
+
 bool LayerPlacer::IsSettled(const std::vector<ServerEntry>& servers) {
   const bool any_holds = std::any_of(servers.begin(), servers.end(), [](const ServerEntry& server) {
     return server.layers.Count() > 0;
@@ -86,14 +112,56 @@
     if (server.layers.Count() > 0 || m_assignments.contains(server.name)) {
       continue;
     }
-    auto left = std::find_if(m_vacated.begin(), m_vacated.end(), [&](const ServerEntry& gone) {
-      return gone.accelerator == server.accelerator &&
-             gone.failure_domain == server.failure_domain;
-    });
-    if (left != m_vacated.end()) {
-      m_assignments[server.name].layers = left->layers;
-      m_vacated.erase(left);
+    auto vacancy =
+        std::find_if(m_vacancies.begin(), m_vacancies.end(), [&](const Vacancy& candidate) {
+          return candidate.left.accelerator == server.accelerator &&
+                 candidate.left.failure_domain == server.failure_domain;
+        });
+    if (vacancy != m_vacancies.end()) {
+      m_assignments[server.name].layers = vacancy->left.layers;
+      m_vacancies.erase(vacancy);
+    }
+  }
+}
+
+void LayerPlacer::RepairWithSpares(const EngineProfile& engine,
+                                   const std::vector<ServerEntry>& servers) {
+  const auto speed = [&](const ServerEntry& server) {
+    const auto found = engine.accelerators.find(server.accelerator);
+    return found == engine.accelerators.end() ? 0.0 : found->second.step_factor;
+  };
+  for (auto vacancy = m_vacancies.begin(); vacancy != m_vacancies.end();) {
+    const ServerEntry& left = vacancy->left;
+    std::vector<const ServerEntry*> spares;
+    for (const ServerEntry& server : servers) {
+      if (server.failure_domain == left.failure_domain && speed(server) > speed(left) &&
+          !m_repairing.contains(server.name)) {
+        spares.push_back(&server);
+      }
+    }
+    const bool due = m_parts.clock.Now() - vacancy->since >= kRepairAfter;
+    if (!due || spares.empty()) {
+      ++vacancy;
+      continue;
+    }
+    const double weights = left.layers.Count() * engine.layer_mb;
+    const double memory = engine.accelerators.at(spares.front()->accelerator).memory_mb;
+    const auto wanted =
+        static_cast<std::size_t>(std::ceil(weights / (memory * kUsualWeightShare)));
+    const std::size_t count = std::min(wanted, spares.size());
+    if (weights > static_cast<double>(count) * memory * kMostWeightShare) {
+      ++vacancy;
+      continue;
+    }
+    for (std::size_t index = 0; index < count; ++index) {
+      const auto boundary = [&](std::size_t part) {
+        return left.layers.first +
+               static_cast<std::uint32_t>(left.layers.Count() * part / count);
+      };
+      m_assignments[spares[index]->name] = {{boundary(index), boundary(index + 1)}, {}, false};
+      m_repairing.insert(spares[index]->name);
     }
+    vacancy = m_vacancies.erase(vacancy);
   }
 }
 
@@ -109,13 +177,15 @@
     return;
   }
   AssignVacated(servers);
+  RepairWithSpares(engine, servers);
   std::vector<ServerEntry> holders;
   for (const ServerEntry& server : servers) {
     const auto assigned = m_assignments.find(server.name);
     if (server.layers.Count() > 0 || assigned != m_assignments.end()) {
       holders.push_back(server);
-      holders.back().layers =
-          server.layers.Count() > 0 ? server.layers : assigned->second.layers;
+      if (assigned != m_assignments.end()) {
+        holders.back().layers = assigned->second.layers;
+      }
     }
   }
   for (const ServerEntry& server : servers) {
@@ -134,16 +204,17 @@
   const TimePoint now = m_parts.clock.Now();
   for (const ServerEntry& server : servers) {
     const auto found = m_assignments.find(server.name);
-    if (found == m_assignments.end() || server.layers.Count() > 0) {
+    if (found == m_assignments.end() || server.layers == found->second.layers) {
       continue;
     }
     Assignment& assignment = found->second;
-    const bool due = !assignment.sent_at || (!assignment.accepted &&
-                                             now - *assignment.sent_at >= kOrderAgainAfter);
+    const Duration again = assignment.accepted ? kAcceptedAgainAfter : kOrderAgainAfter;
+    const bool due = !assignment.sent_at || now - *assignment.sent_at >= again;
     if (!due || !m_role.MaySend()) {
       continue;
     }
     assignment.sent_at = now;
+    assignment.accepted = false;
     m_logger.Log(LogLevel::kInfo, "order_layers",
                  {{"server", server.name},
                   {"layers", std::to_string(assignment.layers.first) + "-" +
--- a/packages/zinnia_decisions/forwarding/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/layer_placer.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "zinnia_base/time/clock.h"
@@ -18,9 +19,11 @@
 
 /** Keeps the layers of one pool placed, while this instance holds the right to give orders to it.
 
-    An engine gets one range for its whole life: an order that was lost and is carried out much
-    later then asks for what holds anyway. After everything restarted at once, engines still hold
-    their layers, and nothing is ordered.
+    An engine that comes gets the range that another one left, or what the pool lacks most. A range
+    that stays without a holder breaks the chain of its failure domain; slower engines of the same
+    failure domain then share it. An order that was carried out much too late shows in the engine's
+    entry and is followed by the right one again. After everything restarted at once, engines still
+    hold their layers, and nothing is ordered.
 */
 class LayerPlacer {
  public:
@@ -47,9 +50,17 @@
     bool accepted = false;
   };
 
+  /** A range whose holder left, and that nobody took over yet. */
+  struct Vacancy {
+    ServerEntry left;
+    TimePoint since{};
+  };
+
   bool IsSettled(const std::vector<ServerEntry>& servers);
   void Assign(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
+  void NoteVacancies(const ForwardingView& view);
   void AssignVacated(const std::vector<ServerEntry>& servers);
+  void RepairWithSpares(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
   void SendOrders(const std::vector<ServerEntry>& servers);
   void OnAnswer(const BackendServerName& server, const Result<void>& result);
 
@@ -61,7 +72,10 @@
   OrderRole m_role;
   std::map<BackendServerName, Assignment> m_assignments;
   std::map<BackendServerName, ServerEntry> m_seen;
-  std::vector<ServerEntry> m_vacated;
+  std::vector<Vacancy> m_vacancies;
+
+  /** Spares that took over a part of a vacant range. */
+  std::set<BackendServerName> m_repairing;
   std::size_t m_last_count = 0;
   TimePoint m_last_change{};
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/packages/zinnia_decisions/forwarding/path_finder.cc
+++ b/packages/zinnia_decisions/forwarding/path_finder.cc
@@ -7,6 +7,7 @@
 
 #include "zinnia_decisions/forwarding/forwarding_view.h"
 #include "zinnia_decisions/forwarding/load_book.h"
+#include "zinnia_decisions/forwarding/pipe_meter.h"
 #include "zinnia_decisions/forwarding/server_health.h"
 
 namespace zinnia {
@@ -24,6 +25,14 @@
 constexpr double kHopMs = 0.15;
 constexpr double kCrossingMs = 0.9;
 
+/** Crossings are avoided beyond their own time: each takes a part of the one pipe that others wait
+    for. A whole path in another failure domain costs nothing of it. */
+constexpr double kCrossingAversionMs = 400.0;
+
+/** Above this use of the pipe by all instances no request crosses: the wait for a first token grows
+    without bound as it fills. */
+constexpr double kMostPipeUse = 0.6;
+
 /** A server that fails all its requests looks this many times slower. */
 constexpr double kFailurePenalty = 9.0;
 
@@ -45,8 +54,14 @@
 /** One search over (boundary, failure domain). */
 class Search {
  public:
-  Search(const EngineProfile& engine, const GenerationSize& size, std::vector<Candidate> candidates)
-      : m_engine(engine), m_size(size), m_candidates(std::move(candidates)) {}
+  Search(const EngineProfile& engine,
+         const GenerationSize& size,
+         std::vector<Candidate> candidates,
+         double pipe_use)
+      : m_engine(engine),
+        m_size(size),
+        m_candidates(std::move(candidates)),
+        m_crossing_cost(CrossingCost(engine, size, pipe_use)) {}
 
   /** Numbers failure domains; the caller of Run uses the same numbers. */
   static std::size_t DomainNumber(std::map<FailureDomainName, std::size_t>& numbers,
@@ -60,6 +75,9 @@
                                bool whole_ranges_only);
 
  private:
+  static double CrossingCost(const EngineProfile& engine,
+                             const GenerationSize& size,
+                             double pipe_use);
   void CollectBoundaries(std::uint32_t first_layer);
   void Relax(std::size_t boundary, std::size_t domain, bool whole_ranges_only);
   double Cost(const Candidate& server, std::uint32_t layers, bool crossing) const;
@@ -74,11 +92,30 @@
   const EngineProfile& m_engine;
   const GenerationSize& m_size;
   const std::vector<Candidate> m_candidates;
+  const double m_crossing_cost;
   std::vector<std::uint32_t> m_boundaries;
   std::vector<Step> m_steps;
   std::size_t m_domains = 1;
 };
 
+double PipeMsOf(const EngineProfile& engine, const GenerationSize& size) {
+  if (engine.failure_domain_link_mbps <= 0) {
+    return 0.0;
+  }
+  const double bits = size.prompt_tokens * engine.activation_bytes_per_token * 8;
+  return bits / (engine.failure_domain_link_mbps * 1'000.0);
+}
+
+double Search::CrossingCost(const EngineProfile& engine,
+                            const GenerationSize& size,
+                            double pipe_use) {
+  if (pipe_use > kMostPipeUse) {
+    return kNever;
+  }
+  return size.answer_tokens * kCrossingMs + kCrossingAversionMs +
+         PipeMsOf(engine, size) / (1.0 - pipe_use);
+}
+
 void Search::CollectBoundaries(std::uint32_t first_layer) {
   m_boundaries = {first_layer, m_engine.layers};
   for (const Candidate& candidate : m_candidates) {
@@ -93,13 +130,8 @@
 }
 
 double Search::Cost(const Candidate& server, std::uint32_t layers, bool crossing) const {
-  double cost = server.ms_per_layer * layers;
-  cost += m_size.answer_tokens * (crossing ? kCrossingMs : kHopMs);
-  if (crossing && m_engine.failure_domain_link_mbps > 0) {
-    const double bits = m_size.prompt_tokens * m_engine.activation_bytes_per_token * 8;
-    cost += bits / (m_engine.failure_domain_link_mbps * 1'000.0);
-  }
-  return cost;
+  return server.ms_per_layer * layers +
+         (crossing ? m_crossing_cost : m_size.answer_tokens * kHopMs);
 }
 
 void Search::Relax(std::size_t boundary, std::size_t domain, bool whole_ranges_only) {
@@ -124,7 +156,9 @@
       if ((whole_ranges_only && !whole) || tokens * layers > candidate.free_token_layers) {
         continue;
       }
-      const double cost = so_far + Cost(candidate, layers, candidate.domain != domain);
+      // Entering the first server from the callers' side takes no engine's pipe.
+      const bool crossing = candidate.domain != domain && from > 0;
+      const double cost = so_far + Cost(candidate, layers, crossing);
       Step& step = At(to, candidate.domain);
       if (cost < step.cost) {
         step = {cost, boundary, domain, &candidate};
@@ -246,7 +280,8 @@
         TokenLayerCapacity(engine, server) * kReservableShare - use.token_layers;
     candidates.push_back(candidate);
   }
-  Search search(engine, size, std::move(candidates));
+  const double pipe_use = m_pipe.OwnUse() * static_cast<double>(view.live_instances);
+  Search search(engine, size, std::move(candidates), pipe_use);
   const std::uint32_t first_layer = first ? first->layers.end : 0;
   if (first && first_layer >= engine.layers) {
     return FoundPath{{*first}, 0.0};
@@ -255,9 +290,20 @@
   if (found && VisitsTwice(found->path)) {
     found = search.Run(first_layer, start_domain, domains.size(), true);
   }
-  if (found && first) {
+  if (!found) {
+    return std::nullopt;
+  }
+  if (first) {
     found->path.insert(found->path.begin(), *first);
   }
+  std::size_t crossings = 0;
+  for (std::size_t index = 1; index < found->path.size(); ++index) {
+    const auto domain_of = [&](std::size_t part) {
+      return view.servers.at(found->path[part].server).failure_domain;
+    };
+    crossings += domain_of(index) != domain_of(index - 1) ? 1 : 0;
+  }
+  found->pipe_ms = static_cast<double>(crossings) * PipeMsOf(engine, size);
   return found;
 }
 
--- a/packages/zinnia_decisions/forwarding/path_finder.h
+++ b/packages/zinnia_decisions/forwarding/path_finder.h
@@ -10,6 +10,7 @@
 namespace zinnia {
 
 class LoadBook;
+class PipeMeter;
 class ServerHealth;
 struct EngineProfile;
 struct ForwardingView;
@@ -25,6 +26,9 @@
 struct FoundPath {
   LayerPath path;
   double expected_ms = 0.0;
+
+  /** How long its prompt takes the pipe between failure domains, over all crossings. */
+  double pipe_ms = 0.0;
 };
 
 /** Chooses the servers that run a request's layers: the path of least expected time whose servers
@@ -36,7 +40,8 @@
 class PathFinder {
  public:
   /** All must outlive it. */
-  PathFinder(const LoadBook& loads, const ServerHealth& health) : m_loads(loads), m_health(health) {}
+  PathFinder(const LoadBook& loads, const ServerHealth& health, const PipeMeter& pipe)
+      : m_loads(loads), m_health(health), m_pipe(pipe) {}
 
   /** Nothing if no path has room. `avoided` servers are left out. `first` fixes the first part, for
       a request that is on its way and keeps its first server. */
@@ -50,6 +55,7 @@
  private:
   const LoadBook& m_loads;
   const ServerHealth& m_health;
+  const PipeMeter& m_pipe;
 };
 
 /** The cache memory of a server in token layers. */
