Repair vacant ranges from engines that a domain can do without, and watch the lease of orders

Ruled out: memory of the other domains (chains there had room until the wrong repair). Change: spares are engines whose every layer another one of the domain holds, the slowest first; stalls seen by traffic count as vacancies; the lease's record is watched, not polled; crossings are counted without assuming that servers exist.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -203,16 +203,8 @@
 
 bool ForwardExchange::ChoosePath() {
   const auto view = m_parts.view();
-  const EngineProfile& engine = *view->rules->services.at(m_service).engine;
-  GenerationSize size;
-  size.prompt_tokens = m_facts.prompt_tokens;
-  size.answer_tokens = m_facts.expected_answer_tokens.value_or(
-      static_cast<std::uint32_t>(engine.usual_answer_tokens));
-  if (m_facts.most_answer_tokens > 0) {
-    size.answer_tokens = std::min<double>(size.answer_tokens, m_facts.most_answer_tokens);
-  }
-  const auto found =
-      m_parts.paths.Find(*view, m_service, size, m_parts.own_failure_domain, m_avoided);
+  const auto found = m_parts.paths.Find(*view, m_service, ExpectedSize(),
+                                        m_parts.own_failure_domain, m_avoided);
   if (!found) {
     return false;
   }
@@ -224,15 +216,27 @@
   return true;
 }
 
-void ForwardExchange::Reserve(const LayerPath& path) {
-  ReleaseReservations();
+/** The whole request, also when a part of its answer is there already: all tokens stay in memory. */
+GenerationSize ForwardExchange::ExpectedSize() const {
+  GenerationSize size;
+  size.prompt_tokens = m_facts.prompt_tokens;
   const auto view = m_parts.view();
-  double tokens = m_facts.prompt_tokens;
   const auto service = view->rules->services.find(m_service);
-  if (service != view->rules->services.end() && service->second.engine) {
-    tokens += m_facts.expected_answer_tokens.value_or(
-        static_cast<std::uint32_t>(service->second.engine->usual_answer_tokens));
+  if (m_facts.expected_answer_tokens) {
+    size.answer_tokens = *m_facts.expected_answer_tokens;
+  } else if (service != view->rules->services.end() && service->second.engine) {
+    size.answer_tokens = service->second.engine->usual_answer_tokens;
   }
+  if (m_facts.most_answer_tokens > 0) {
+    size.answer_tokens = std::min<double>(size.answer_tokens, m_facts.most_answer_tokens);
+  }
+  return size;
+}
+
+void ForwardExchange::Reserve(const LayerPath& path) {
+  ReleaseReservations();
+  const GenerationSize size = ExpectedSize();
+  const double tokens = size.prompt_tokens + size.answer_tokens;
   for (const PathPart& part : path) {
     const double token_layers = tokens * part.layers.Count();
     m_parts.loads.Add(part.server, token_layers);
@@ -622,11 +626,8 @@
 
 void ForwardExchange::Reroute(std::string_view reason) {
   const auto view = m_parts.view();
-  GenerationSize size;
-  size.prompt_tokens = m_facts.prompt_tokens;
-  size.answer_tokens = m_facts.expected_answer_tokens.value_or(0);
-  const auto found = m_parts.paths.Find(*view, m_service, size, m_parts.own_failure_domain, {},
-                                        m_path.front());
+  const auto found = m_parts.paths.Find(*view, m_service, ExpectedSize(),
+                                        m_parts.own_failure_domain, {}, m_path.front());
   m_parts.logger.Log(LogLevel::kInfo, "request_rerouted",
                      {{"request", m_facts.id},
                       {"reason", std::string(reason)},
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -15,6 +15,7 @@
 #include "zinnia_adapters/forwarding/server_answer_listener.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_decisions/forwarding/event_splitter.h"
+#include "zinnia_decisions/forwarding/path_finder.h"
 #include "zinnia_decisions/forwarding/retry_policy.h"
 #include "zinnia_world/forwarding/forward_route.h"
 
@@ -70,6 +71,7 @@
   bool ChoosePath();
   void Send();
   Duration TimeLeft() const;
+  GenerationSize ExpectedSize() const;
   void Reserve(const LayerPath& path);
   void ReleaseReservations();
 
--- a/packages/zinnia_adapters/forwarding/server_connection_pool.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection_pool.cc
@@ -13,7 +13,7 @@
 
 /** How much before the server's own limit a connection is given up: a request that crosses the
     server's close would be lost with an unknown outcome. */
-constexpr Duration kIdleMargin = std::chrono::milliseconds(700);
+constexpr Duration kIdleMargin = std::chrono::milliseconds(150);
 
 }  // namespace
 
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -157,8 +157,10 @@
                              m_settings.callers_address, RetryBudgetOf(m_settings),
                              Hash64(m_settings.instance, StartOf(m_clock)),
                              [this](const BackendServerName& server) {
-                               m_control_thread->Post(
-                                   [this, server] { m_control->News().TellStall(server); });
+                               m_control_thread->Post([this, server] {
+                                 m_control->News().TellStall(server);
+                                 m_control->NoteStalled(server);
+                               });
                              }});
   ListenForTexts();
   ScheduleUpkeep();
@@ -199,6 +201,7 @@
 }
 
 void ForwardingDaemon::OnPeerStall(const StallNews& stall) {
+  m_control->NoteStalled(stall.server);
   m_traffic_thread->Post(
       [this, stall] { m_traffic->OnPeerStall(stall.server, stall.age); });
 }
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -18,8 +18,8 @@
 /** Orders are few and soon over, so the right to give them can pass on within seconds. */
 OrderSettings PlacementSettings() {
   OrderSettings settings;
-  settings.lease = std::chrono::milliseconds(3'000);
-  settings.lease_margin = std::chrono::milliseconds(800);
+  settings.lease = std::chrono::milliseconds(2'000);
+  settings.lease_margin = std::chrono::milliseconds(500);
   settings.tick = std::chrono::milliseconds(500);
   settings.transport_timeout = std::chrono::milliseconds(1'000);
   return settings;
@@ -64,6 +64,12 @@
   m_registration.Stop();
 }
 
+void ForwardingControl::NoteStalled(const BackendServerName& server) {
+  for (auto& [service, placer] : m_placers) {
+    placer->NoteStalled(server);
+  }
+}
+
 void ForwardingControl::OnMirroredRecord(const MirroredRecord& record) {
   if (m_parts.reader.IsConfiguration(record.key)) {
     OnRules(record);
@@ -157,7 +163,7 @@
   const bool renew = m_ticks++ % kTicksBetweenRenewals == 0;
   for (auto& [service, placer] : m_placers) {
     if (renew) {
-      placer->TickRole();
+      placer->TickRole(m_mirror.Has(OrderRole::LeaseKeyOf(service)));
     }
     placer->Tick(*m_view);
   }
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -56,6 +56,9 @@
 
   NewsExchange& News() { return m_news; }
 
+  /** Traffic, here or at a peer, found that a server does not go on. */
+  void NoteStalled(const BackendServerName& server);
+
  private:
   void OnMirroredRecord(const MirroredRecord& record) override;
   void OnMirrorAdvanced() override;
--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -47,8 +47,10 @@
 
 LayerPlacer::~LayerPlacer() = default;
 
-void LayerPlacer::TickRole() {
-  m_role.Tick(0);
+void LayerPlacer::TickRole(bool role_is_taken) {
+  if (m_role.IsHeld() || !role_is_taken) {
+    m_role.Tick(0);
+  }
 }
 
 void LayerPlacer::Tick(const ForwardingView& view) {
@@ -89,9 +91,12 @@
       left.layers = assigned->second.layers;
       m_assignments.erase(assigned);
     }
-    if (left.layers.Count() > 0) {
+    // A stalled engine's range was given out when it fell silent.
+    const bool known_vacant = m_stalled.erase(name) > 0;
+    if (left.layers.Count() > 0 && !known_vacant) {
       m_vacancies.push_back({std::move(left), m_parts.clock.Now()});
     }
+    m_repairing.erase(name);
   }
 }
 
@@ -124,21 +129,65 @@
   }
 }
 
-void LayerPlacer::RepairWithSpares(const EngineProfile& engine,
-                                   const std::vector<ServerEntry>& servers) {
+/** Engines of the same failure domain that it can do without: others there hold each of their
+    layers. The slowest come first, and with them the cheapest to take out of service. */
+std::vector<const ServerEntry*> LayerPlacer::SparesFor(
+    const ServerEntry& left,
+    const EngineProfile& engine,
+    const std::vector<ServerEntry>& servers) const {
   const auto speed = [&](const ServerEntry& server) {
     const auto found = engine.accelerators.find(server.accelerator);
     return found == engine.accelerators.end() ? 0.0 : found->second.step_factor;
   };
+  std::vector<const ServerEntry*> candidates;
+  std::vector<std::uint32_t> holders(engine.layers, 0);
+  for (const ServerEntry& server : servers) {
+    if (server.failure_domain != left.failure_domain || server.layers.end > engine.layers ||
+        m_stalled.contains(server.name)) {
+      continue;
+    }
+    for (std::uint32_t layer = server.layers.first; layer < server.layers.end; ++layer) {
+      ++holders[layer];
+    }
+    if (speed(server) > speed(left) && !m_repairing.contains(server.name)) {
+      candidates.push_back(&server);
+    }
+  }
+  std::stable_sort(candidates.begin(), candidates.end(), [&](const auto* one, const auto* other) {
+    return speed(*one) > speed(*other);
+  });
+  std::vector<const ServerEntry*> spares;
+  for (const ServerEntry* server : candidates) {
+    bool needed = false;
+    for (std::uint32_t layer = server->layers.first; layer < server->layers.end; ++layer) {
+      const bool vacant = layer >= left.layers.first && layer < left.layers.end;
+      needed = needed || (!vacant && holders[layer] <= 1);
+    }
+    if (needed) {
+      continue;
+    }
+    spares.push_back(server);
+    for (std::uint32_t layer = server->layers.first; layer < server->layers.end; ++layer) {
+      --holders[layer];
+    }
+  }
+  return spares;
+}
+
+void LayerPlacer::NoteStalled(const BackendServerName& server) {
+  const auto seen = m_seen.find(server);
+  if (seen == m_seen.end() || seen->second.layers.Count() == 0 ||
+      !m_stalled.insert(server).second) {
+    return;
+  }
+  m_vacancies.push_back({seen->second, m_parts.clock.Now()});
+}
+
+void LayerPlacer::RepairWithSpares(const EngineProfile& engine,
+                                   const std::vector<ServerEntry>& servers) {
   for (auto vacancy = m_vacancies.begin(); vacancy != m_vacancies.end();) {
     const ServerEntry& left = vacancy->left;
-    std::vector<const ServerEntry*> spares;
-    for (const ServerEntry& server : servers) {
-      if (server.failure_domain == left.failure_domain && speed(server) > speed(left) &&
-          !m_repairing.contains(server.name)) {
-        spares.push_back(&server);
-      }
-    }
+    const std::vector<const ServerEntry*> spares = SparesFor(left, engine, servers);
     const bool due = m_parts.clock.Now() - vacancy->since >= kRepairAfter;
     if (!due || spares.empty()) {
       ++vacancy;
--- a/packages/zinnia_decisions/forwarding/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/layer_placer.h
@@ -38,8 +38,13 @@
   /** Call it about once in `settings.tick`, and whenever the view has changed. */
   void Tick(const ForwardingView& view);
 
-  /** Renews or seeks the right to give orders. */
-  void TickRole();
+  /** Renews the right to give orders, or seeks it if nobody has it: looking costs a call. */
+  void TickRole(bool role_is_taken);
+
+  /** Traffic found that an engine does not go on. Its range counts as vacant from now on. */
+  void NoteStalled(const BackendServerName& server);
+
+  const ServiceName& Service() const { return m_service; }
 
   void Stop() { m_role.StepDown("planned stop"); }
 
@@ -60,6 +65,9 @@
   void Assign(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
   void NoteVacancies(const ForwardingView& view);
   void AssignVacated(const std::vector<ServerEntry>& servers);
+  std::vector<const ServerEntry*> SparesFor(const ServerEntry& left,
+                                            const EngineProfile& engine,
+                                            const std::vector<ServerEntry>& servers) const;
   void RepairWithSpares(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
   void SendOrders(const std::vector<ServerEntry>& servers);
   void OnAnswer(const BackendServerName& server, const Result<void>& result);
@@ -76,6 +84,9 @@
 
   /** Spares that took over a part of a vacant range. */
   std::set<BackendServerName> m_repairing;
+
+  /** Engines whose ranges were taken for vacant while they are still on record. */
+  std::set<BackendServerName> m_stalled;
   std::size_t m_last_count = 0;
   TimePoint m_last_change{};
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/packages/zinnia_decisions/forwarding/path_finder.cc
+++ b/packages/zinnia_decisions/forwarding/path_finder.cc
@@ -215,6 +215,22 @@
                      [&](const PathPart& part) { return !seen.insert(part.server).second; });
 }
 
+/** The first server of a rerouted request may have left the view; its hop is then not counted. */
+double CountCrossings(const ForwardingView& view, const LayerPath& path) {
+  double crossings = 0;
+  const ServerEntry* previous = nullptr;
+  for (const PathPart& part : path) {
+    const auto found = view.servers.find(part.server);
+    const ServerEntry* server = found == view.servers.end() ? nullptr : &found->second;
+    const bool both_known = server != nullptr && previous != nullptr;
+    if (both_known && server->failure_domain != previous->failure_domain) {
+      crossings += 1;
+    }
+    previous = server;
+  }
+  return crossings;
+}
+
 double MsPerLayer(const EngineProfile& engine,
                   const AcceleratorProfile& accelerator,
                   const GenerationSize& size,
@@ -296,14 +312,7 @@
   if (first) {
     found->path.insert(found->path.begin(), *first);
   }
-  std::size_t crossings = 0;
-  for (std::size_t index = 1; index < found->path.size(); ++index) {
-    const auto domain_of = [&](std::size_t part) {
-      return view.servers.at(found->path[part].server).failure_domain;
-    };
-    crossings += domain_of(index) != domain_of(index - 1) ? 1 : 0;
-  }
-  found->pipe_ms = static_cast<double>(crossings) * PipeMsOf(engine, size);
+  found->pipe_ms = CountCrossings(view, found->path) * PipeMsOf(engine, size);
   return found;
 }
 
--- a/packages/zinnia_decisions/forwarding/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/store_mirror.cc
@@ -143,6 +143,11 @@
   }
 }
 
+bool StoreMirror::Has(const std::string& key) const {
+  const auto record = m_records.find(key);
+  return record != m_records.end() && record->second.value.has_value();
+}
+
 MirrorDelta StoreMirror::ChangesAfter(std::uint64_t revision) const {
   MirrorDelta delta;
   delta.revision = m_revision;
--- a/packages/zinnia_decisions/forwarding/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/store_mirror.h
@@ -68,6 +68,8 @@
       known. */
   MirrorDelta ChangesAfter(std::uint64_t revision) const;
 
+  bool Has(const std::string& key) const;
+
   std::uint64_t Revision() const { return m_revision; }
 
   /** Whether everything was read at least once, from the store or a peer. */
--- a/packages/zinnia_decisions/orders/order_role.h
+++ b/packages/zinnia_decisions/orders/order_role.h
@@ -67,6 +67,12 @@
   /** Whether orders may be sent at this moment. Ask before each one. */
   bool MaySend() const;
 
+  /** Whether this instance holds the right, also when it is too near its end to be used. */
+  bool IsHeld() const { return m_state != State::kIdle; }
+
+  /** The lease-bound record that is there while some instance holds the right. */
+  static std::string LeaseKeyOf(const std::string& pool) { return "orders/lease/" + pool; }
+
   std::uint64_t Epoch() const { return m_epoch; }
 
   /** From when on engines that do not check the epoch may get orders. */
@@ -78,7 +84,7 @@
  private:
   enum class State { kIdle, kAcquiring, kHeld };
 
-  std::string LeaseKey() const { return "orders/lease/" + m_pool; }
+  std::string LeaseKey() const { return LeaseKeyOf(m_pool); }
   std::string EpochKey() const { return "orders/epoch/" + m_pool; }
   void Acquire();
   void GrantLease();
