--- /dev/null
+++ b/tests/forwarding/beliefs_test.cc
@@ -0,0 +1,248 @@
+#include "tests/forwarding/forwarding_fakes.h"
+#include "zinnia_decisions/forwarding/instance_directory.h"
+#include "zinnia_decisions/forwarding/instance_registration.h"
+#include "zinnia_decisions/forwarding/news_exchange.h"
+#include "zinnia_decisions/forwarding/server_directory.h"
+#include "zinnia_decisions/forwarding/store_mirror.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(Mirror) {
+  VirtualTime time;
+  HeldStore store{time};
+  SilentLogger logger;
+  RecordedMirror seen;
+  StoreMirror mirror{store, time, time, logger, {}};
+
+  void setup() override {
+    store.Put("a", "1");
+    store.Put("b", "1");
+    mirror.SetListener(&seen);
+    mirror.Start();
+    time.AdvanceBy(milliseconds(10));
+  }
+
+  void Watched() {
+    store.AnswerWatch();
+    time.AdvanceBy(milliseconds(100));
+  }
+};
+
+TEST(Mirror, ListsOnceThenFollowsByWatches) {
+  CHECK_TRUE(mirror.IsFilled());
+  store.Put("a", "2");
+  store.Erase("b");
+  Watched();
+  STRCMP_EQUAL("2", seen.values["a"]->c_str());
+  CHECK_FALSE(seen.values["b"].has_value());
+  CHECK_EQUAL(1, store.lists);
+}
+
+// Symptom: a server that left long ago still gets requests. Sequence: watches hear nothing while the
+// server leaves, then the store drops its history. Cause: watching on from the newest revision
+// without listing what is left.
+TEST(Mirror, ALostHistoryIsListedAnewAndWhatIsMissingIsGone) {
+  store.Erase("b");
+  store.Put("c", "1");
+  store.FailWatch(ErrorKind::kStoreHistoryLost);
+  time.AdvanceBy(milliseconds(10));
+  CHECK_EQUAL(2, store.lists);
+  CHECK_FALSE(seen.values["b"].has_value());
+  STRCMP_EQUAL("1", seen.values["c"]->c_str());
+}
+
+TEST(Mirror, GoesOnWatchingFromWhereItWasAfterAFailure) {
+  const std::uint64_t before = mirror.Revision();
+  store.FailWatch(ErrorKind::kStoreUnavailable);
+  CHECK_FALSE(mirror.IsSteadyFor(seconds(2)));
+  time.AdvanceBy(seconds(1));
+  CHECK_EQUAL(before, store.last_watch_after);
+  store.Put("a", "2");
+  Watched();
+  STRCMP_EQUAL("2", seen.values["a"]->c_str());
+  CHECK_FALSE(mirror.IsSteadyFor(seconds(2)));
+  time.AdvanceBy(seconds(2));
+  CHECK_TRUE(mirror.IsSteadyFor(seconds(2)));
+}
+
+// Symptom: an old configuration comes into force again. Sequence: a peer that lags sends its
+// records. Cause: news applied by arrival instead of by revision.
+TEST(Mirror, OlderNewsOfPeersChangesNothing) {
+  store.Put("a", "2");
+  Watched();
+  mirror.Merge({true, 2, {{"a", 2, "1"}}});
+  STRCMP_EQUAL("2", seen.values["a"]->c_str());
+  CHECK_TRUE(mirror.Has("b"));
+}
+
+TEST(Mirror, APeerThatLagsGetsJustWhatItLacks) {
+  const std::uint64_t before = mirror.Revision();
+  store.Put("c", "1");
+  store.Erase("b");
+  Watched();
+  const MirrorDelta delta = mirror.ChangesAfter(before);
+  CHECK_FALSE(delta.complete);
+  CHECK_EQUAL(2U, delta.records.size());
+
+  RecordedMirror other_seen;
+  StoreMirror other{store, time, time, logger, {}};
+  other.SetListener(&other_seen);
+  other.Merge(mirror.ChangesAfter(0));
+  CHECK_TRUE(other.IsFilled());
+  CHECK_TRUE(other.Has("c"));
+  CHECK_FALSE(other.Has("b"));
+}
+
+TEST_GROUP(Servers) {
+  VirtualTime time;
+  SilentLogger logger;
+  ServerDirectory directory{time, logger};
+  int changes = 0;
+
+  void setup() override { directory.Put(EngineServer("s", "fast", "x")); }
+  void Remove(bool in_doubt) {
+    directory.Remove("s", in_doubt, [this] { ++changes; });
+  }
+};
+
+TEST(Servers, ARemovalWithoutDoubtActsAtOnce) {
+  Remove(false);
+  CHECK_TRUE(directory.All().empty());
+}
+
+// Symptom: everything is refused for seconds after an outage of the store. Sequence: leases of the
+// servers' entries lapse while the store is away; it comes back without the entries, and the servers
+// register again a second later. Cause: lapsed entries taken for dead servers.
+TEST(Servers, AnEntryThatLapsedInAnOutageMayReturn) {
+  Remove(true);
+  CHECK_EQUAL(1U, directory.All().size());
+  time.AdvanceBy(seconds(1));
+  directory.Put(EngineServer("s", "fast", "x"));
+  time.AdvanceBy(seconds(5));
+  CHECK_EQUAL(1U, directory.All().size());
+  CHECK_EQUAL(0, changes);
+}
+
+TEST(Servers, AnEntryThatDoesNotReturnIsGone) {
+  Remove(true);
+  time.AdvanceBy(seconds(3));
+  CHECK_TRUE(directory.All().empty());
+  CHECK_EQUAL(1, changes);
+}
+
+TEST_GROUP(News) {
+  struct Transport final : NewsTransport {
+    void Exchange(const NetworkAddress& peer,
+                  const NewsReport& report,
+                  std::function<void(Result<MirrorDelta>)> callback) override {
+      sent.emplace_back(peer, report);
+      if (answer) {
+        callback(*answer);
+      }
+    }
+    std::vector<std::pair<NetworkAddress, NewsReport>> sent;
+    std::optional<MirrorDelta> answer;
+  };
+  struct Sink final : NewsSink {
+    void OnPeerUses(const InstanceName& instance, LoadBook::Uses reported) override {
+      uses[instance] = std::move(reported);
+    }
+    void OnPeerStall(const StallNews& stall) override { stalls.push_back(stall.server); }
+    std::map<InstanceName, LoadBook::Uses> uses;
+    std::vector<std::string> stalls;
+  };
+
+  VirtualTime time;
+  HeldStore store{time};
+  SilentLogger logger;
+  StoreMirror mirror{store, time, time, logger, {}};
+  InstanceDirectory instances{time, MakeInstance("self", 1)};
+  Transport transport;
+  Sink sink;
+  NewsExchange news{transport, time, time, instances, mirror, sink, {{"10.0.0.7", 7}}, {}};
+
+  static Instance MakeInstance(const std::string& name, std::uint16_t port) {
+    Instance instance;
+    instance.name = name;
+    instance.peer_address = {"10.0.0.1", port};
+    return instance;
+  }
+
+  NewsReport ReportOf(const std::string& name) {
+    NewsReport report;
+    report.instance = MakeInstance(name, 2);
+    return report;
+  }
+};
+
+// Symptom: an instance that starts while the store refuses it never serves. Sequence: start, store
+// silent, no peer known. Cause: peers looked up only in the store.
+TEST(News, AnInstanceThatKnowsNobodyAsksTheSeedsAndLearnsEverything) {
+  transport.answer = MirrorDelta{true, 9, {{"k", 5, "v"}}};
+  news.Start();
+  time.AdvanceBy(milliseconds(250));
+  CHECK_EQUAL(7, transport.sent.front().first.port);
+  CHECK_TRUE(mirror.IsFilled());
+  CHECK_TRUE(mirror.Has("k"));
+}
+
+TEST(News, PeersThatWereHeardCountAsAliveForAWhile) {
+  news.OnNews(ReportOf("peer"));
+  CHECK_EQUAL(2U, instances.LiveInstances().size());
+  time.AdvanceBy(seconds(6));
+  CHECK_EQUAL(1U, instances.LiveInstances().size());
+}
+
+TEST(News, AStallGoesToAllPeersAtOnceAndOnlyOnce) {
+  news.OnNews(ReportOf("peer"));
+  news.TellStall("s");
+  news.TellStall("s");
+  CHECK_EQUAL(1U, transport.sent.size());
+  STRCMP_EQUAL("s", transport.sent[0].second.stalls[0].server.c_str());
+}
+
+TEST(News, AStallHeardIsTakenInOnce) {
+  NewsReport report = ReportOf("peer");
+  report.stalls.push_back({"s", milliseconds(30)});
+  news.OnNews(report);
+  news.OnNews(report);
+  CHECK_EQUAL(1U, sink.stalls.size());
+}
+
+// Symptom: a leaving server gets requests two seconds after it said so. Sequence: the store refuses
+// one instance and serves the others; the server leaves meanwhile. Cause: the refused instance takes
+// its own failures for an outage of the store.
+TEST(News, APeerThatTheStoreServesProvesThatThereIsNoOutage) {
+  CHECK_FALSE(news.SomePeerIsSteady());
+  NewsReport report = ReportOf("peer");
+  report.store_is_steady = true;
+  news.OnNews(report);
+  CHECK_TRUE(news.SomePeerIsSteady());
+  time.AdvanceBy(seconds(1));
+  CHECK_FALSE(news.SomePeerIsSteady());
+}
+
+TEST(News, AnInstanceThatLeavesIsForgottenAtOnce) {
+  NewsReport report = ReportOf("peer");
+  news.OnNews(report);
+  report.leaving = true;
+  news.OnNews(report);
+  CHECK_EQUAL(1U, instances.LiveInstances().size());
+}
+
+TEST(News, InstanceRecordsReadBackAsWritten) {
+  const Instance written = MakeInstance("n", 5);
+  const auto read =
+      InstanceRegistration::Decode("instances/n", InstanceRegistration::Encode(written));
+  CHECK_TRUE(read.has_value());
+  CHECK_TRUE(written == *read);
+  CHECK_FALSE(InstanceRegistration::Decode("instances/n", "nonsense").has_value());
+  CHECK_FALSE(InstanceRegistration::Decode("other/n", "{}").has_value());
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/tests/forwarding/paths_test.cc
@@ -0,0 +1,169 @@
+#include "tests/forwarding/forwarding_fakes.h"
+#include "zinnia_decisions/forwarding/layer_planner.h"
+#include "zinnia_decisions/forwarding/load_book.h"
+#include "zinnia_decisions/forwarding/path_finder.h"
+#include "zinnia_decisions/forwarding/pipe_meter.h"
+#include "zinnia_decisions/forwarding/server_health.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using std::chrono::seconds;
+
+TEST_GROUP(Paths) {
+  VirtualTime time;
+  LoadBook loads{time};
+  ServerHealth health{time};
+  PipeMeter pipe{time};
+  PathFinder finder{loads, health, pipe};
+  GenerationSize size{774, 200};
+  std::vector<ServerEntry> servers = {
+      EngineServer("x1", "fast", "x", {0, 40}), EngineServer("x2", "fast", "x", {40, 80}),
+      EngineServer("y1", "middle", "y", {0, 20}), EngineServer("y2", "middle", "y", {20, 40}),
+      EngineServer("y3", "middle", "y", {40, 60}), EngineServer("y4", "middle", "y", {60, 80})};
+
+  std::string Find(const std::set<BackendServerName>& avoided = {}) {
+    const auto found = finder.Find(ViewOf(servers), "pool", size, "x", avoided);
+    std::string text;
+    if (!found) {
+      return "none";
+    }
+    std::uint32_t layer = 0;
+    for (const PathPart& part : found->path) {
+      CHECK_EQUAL(layer, part.layers.first);
+      layer = part.layers.end;
+      text += part.server + " ";
+    }
+    CHECK_EQUAL(80U, layer);
+    return text;
+  }
+};
+
+TEST(Paths, CoversAllLayersOnceAndTakesTheFastest) {
+  STRCMP_EQUAL("x1 x2 ", Find().c_str());
+}
+
+TEST(Paths, GoesWhollyElsewhereRatherThanAcross) {
+  STRCMP_EQUAL("y1 y2 y3 y4 ", Find({"x2"}).c_str());
+}
+
+TEST(Paths, CrossesWhenNoDomainIsWhole) {
+  STRCMP_EQUAL("x1 y3 y4 ", Find({"x2", "y1"}).c_str());
+}
+
+// Symptom: callers leave before their first token while engines idle. Sequence: two domains lose a
+// stage, every request crosses. Cause: the pipe between domains taken as free.
+TEST(Paths, RefusesToCrossAFullPipe) {
+  pipe.Add(700);
+  STRCMP_EQUAL("none", Find({"x2", "y1"}).c_str());
+  time.AdvanceBy(seconds(2));
+  STRCMP_EQUAL("x1 y3 y4 ", Find({"x2", "y1"}).c_str());
+}
+
+TEST(Paths, LeavesServersWithoutMemory) {
+  const double room = TokenLayerCapacity(MixedEngine(), servers[1]);
+  loads.SetPeerUses("peer", {{"x2", {100, room}}});
+  STRCMP_EQUAL("y1 y2 y3 y4 ", Find().c_str());
+}
+
+TEST(Paths, LeavesExcludedServersUntilTheirTimeIsOver) {
+  health.Exclude("x1", seconds(1));
+  STRCMP_EQUAL("y1 y2 y3 y4 ", Find().c_str());
+  time.AdvanceBy(seconds(2));
+  STRCMP_EQUAL("x1 x2 ", Find().c_str());
+}
+
+TEST(Paths, UsesPartsOfRanges) {
+  servers.push_back(EngineServer("x3", "fast", "x", {30, 60}));
+  servers.push_back(EngineServer("x4", "fast", "x", {55, 80}));
+  STRCMP_EQUAL("x1 x3 x4 ", Find({"x2"}).c_str());
+}
+
+// Symptom: a process ends with std::out_of_range. Sequence: the first server of a running request
+// leaves the view, then a later stage stalls and the request is rerouted. Cause: crossings counted
+// by looking up every server of the path in the view.
+TEST(Paths, ReroutesARequestWhoseFirstServerHasLeft) {
+  const PathPart gone{"left", {"10.0.0.9", 1}, {0, 40}};
+  const auto found = finder.Find(ViewOf(servers), "pool", size, "x", {}, gone);
+  CHECK_TRUE(found.has_value());
+  STRCMP_EQUAL("left", found->path.front().server.c_str());
+  CHECK_EQUAL(80U, found->path.back().layers.end);
+}
+
+TEST_GROUP(LayerPlans) {
+  EngineProfile engine = MixedEngine();
+  std::vector<ServerEntry> servers;
+
+  void AddServers(int count, const std::string& accelerator, const std::string& domain) {
+    for (int index = 0; index < count; ++index) {
+      servers.push_back(
+          EngineServer(domain + accelerator + std::to_string(index), accelerator, domain));
+    }
+  }
+
+  void CheckFits(const LayerPlanner::Ranges& ranges) {
+    for (const ServerEntry& server : servers) {
+      const auto range = ranges.find(server.name);
+      if (range != ranges.end()) {
+        const double weights = range->second.Count() * engine.layer_mb;
+        CHECK_TRUE(weights <= engine.accelerators[server.accelerator].memory_mb);
+        CHECK_TRUE(range->second.end <= engine.layers);
+      }
+    }
+  }
+
+  /** How many servers of a domain hold each layer, at least. */
+  std::uint32_t LeastCover(const LayerPlanner::Ranges& ranges, const std::string& domain) {
+    std::vector<std::uint32_t> cover(engine.layers, 0);
+    for (const ServerEntry& server : servers) {
+      const auto range = ranges.find(server.name);
+      if (range == ranges.end() || (!domain.empty() && server.failure_domain != domain)) {
+        continue;
+      }
+      for (std::uint32_t layer = range->second.first; layer < range->second.end; ++layer) {
+        ++cover[layer];
+      }
+    }
+    return *std::min_element(cover.begin(), cover.end());
+  }
+};
+
+TEST(LayerPlans, EachDomainGetsAWholeChainOfItsFastest) {
+  AddServers(1, "fast", "k");
+  AddServers(3, "middle", "k");
+  AddServers(8, "slow", "k");
+  AddServers(1, "fast", "m");
+  AddServers(6, "middle", "m");
+  AddServers(5, "slow", "m");
+  AddServers(2, "fast", "u");
+  AddServers(2, "middle", "u");
+  AddServers(5, "slow", "u");
+  const auto ranges = LayerPlanner::PlanPool(engine, servers);
+  CheckFits(ranges);
+  CHECK_EQUAL(1U, LeastCover(ranges, "k"));
+  CHECK_EQUAL(1U, LeastCover(ranges, "m"));
+  CHECK_EQUAL(1U, LeastCover(ranges, "u"));
+  CHECK_EQUAL(4U, LeastCover(ranges, ""));
+}
+
+TEST(LayerPlans, APoolTooSmallForOneDomainStillCoversAllLayers) {
+  AddServers(2, "middle", "k");
+  AddServers(2, "middle", "m");
+  AddServers(1, "fast", "u");
+  const auto ranges = LayerPlanner::PlanPool(engine, servers);
+  CheckFits(ranges);
+  CHECK_EQUAL(1U, LeastCover(ranges, ""));
+}
+
+TEST(LayerPlans, ALateEngineTakesWhatThePoolLacksMost) {
+  const std::vector<ServerEntry> holders = {EngineServer("a", "fast", "k", {0, 40}),
+                                            EngineServer("b", "fast", "k", {40, 80}),
+                                            EngineServer("c", "fast", "k", {0, 40})};
+  const auto range =
+      LayerPlanner::RangeFor(engine, EngineServer("late", "fast", "k"), holders);
+  CHECK_TRUE(range.has_value());
+  CHECK_TRUE(range->first >= 40);
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/tests/forwarding/placement_test.cc
@@ -0,0 +1,158 @@
+#include "tests/forwarding/forwarding_fakes.h"
+#include "zinnia_base/decisions/decision_record.h"
+#include "zinnia_decisions/forwarding/instance_directory.h"
+#include "zinnia_decisions/forwarding/layer_placer.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(Placement) {
+  struct Recorder final : DecisionRecorder {
+    void Record(DecisionRecord) override {}
+  };
+
+  VirtualTime time;
+  HeldStore store{time};
+  SilentLogger logger;
+  Recorder recorder;
+  InstanceDirectory instances{time, Instance{"self", {}, "k", "r", 1}};
+  RecordedOrders orders;
+  OrderSettings settings;
+  std::unique_ptr<LayerPlacer> placer;
+  std::vector<ServerEntry> servers;
+
+  void setup() override {
+    placer = std::make_unique<LayerPlacer>(
+        OrderRoleParts{time, time, store, instances, recorder}, settings, orders, logger, "pool");
+    for (int index = 0; index < 2; ++index) {
+      servers.push_back(EngineServer("fast" + std::to_string(index), "fast", "k"));
+    }
+    servers.push_back(EngineServer("middle0", "middle", "k"));
+    for (int index = 0; index < 6; ++index) {
+      servers.push_back(EngineServer("slow" + std::to_string(index), "slow", "k"));
+    }
+  }
+
+  void Run(Duration duration) {
+    for (Duration passed{}; passed < duration; passed += milliseconds(100)) {
+      placer->TickRole(false);
+      placer->Tick(ViewOf(servers));
+      time.AdvanceBy(milliseconds(100));
+    }
+  }
+
+  /** Engines hold what they were ordered to. */
+  void CarryOut() {
+    for (ServerEntry& server : servers) {
+      const auto ordered = orders.placed.find(server.name);
+      if (ordered != orders.placed.end()) {
+        server.layers = ordered->second;
+      }
+    }
+  }
+
+  void Lose(const std::string& name) {
+    std::erase_if(servers, [&](const ServerEntry& server) { return server.name == name; });
+  }
+
+  LayerRange RangeOf(const std::string& name) {
+    for (const ServerEntry& server : servers) {
+      if (server.name == name) {
+        return server.layers;
+      }
+    }
+    return {};
+  }
+};
+
+TEST(Placement, OrdersEachEngineOnceAndThenNothing) {
+  Run(seconds(2));
+  CarryOut();
+  const int ordered = orders.count;
+  CHECK_TRUE(ordered >= 3);
+  Run(seconds(20));
+  CHECK_EQUAL(ordered, orders.count);
+}
+
+// Symptom: seconds without service after every restart of all instances. Sequence: all processes
+// end, engines keep their layers, a new holder plans the pool afresh. Cause: planning without
+// looking at what engines hold.
+TEST(Placement, ANewHolderLeavesEnginesThatHoldLayersAlone) {
+  Run(seconds(2));
+  CarryOut();
+  orders.count = 0;
+  placer = std::make_unique<LayerPlacer>(
+      OrderRoleParts{time, time, store, instances, recorder}, settings, orders, logger, "pool");
+  store.records.clear();
+  Run(seconds(20));
+  CHECK_EQUAL(0, orders.count);
+}
+
+TEST(Placement, AReplacementTakesTheRangeThatWasLeft) {
+  Run(seconds(2));
+  CarryOut();
+  const LayerRange left = RangeOf("fast0");
+  Lose("fast0");
+  servers.push_back(EngineServer("fast9", "fast", "k"));
+  Run(seconds(1));
+  CHECK_TRUE(left == orders.placed["fast9"]);
+}
+
+// Symptom: a domain serves nothing until its lost engine is back. Sequence: an engine of the chain
+// is lost for good, slower ones hold spare ranges elsewhere. Cause: ranges left vacant.
+TEST(Placement, SlowerEnginesShareARangeThatStaysVacant) {
+  Run(seconds(2));
+  CarryOut();
+  const LayerRange left = RangeOf("middle0");
+  Lose("middle0");
+  orders.placed.clear();
+  Run(seconds(2));
+  std::uint32_t covered = 0;
+  for (const auto& [name, range] : orders.placed) {
+    STRNCMP_EQUAL("slow", name.c_str(), 4);
+    CHECK_TRUE(range.first >= left.first && range.end <= left.end);
+    covered += range.Count();
+  }
+  CHECK_EQUAL(left.Count(), covered);
+}
+
+// Symptom: the repair of one lost stage breaks the chain a second time. Sequence: the fastest engine
+// is lost; another engine of the chain, slower than it, is taken for its range. Cause: every slower
+// engine taken for a spare.
+TEST(Placement, TheRepairTakesNoEngineThatItsDomainNeeds) {
+  Run(seconds(2));
+  CarryOut();
+  Lose("fast0");
+  orders.placed.clear();
+  Run(seconds(2));
+  CHECK_FALSE(orders.placed.contains("middle0"));
+  CHECK_FALSE(orders.placed.contains("fast1"));
+}
+
+TEST(Placement, AStalledEnginesRangeIsGivenOutBeforeItsEntryLapses) {
+  Run(seconds(2));
+  CarryOut();
+  Run(milliseconds(100));
+  orders.placed.clear();
+  placer->NoteStalled("middle0");
+  Run(seconds(1));
+  CHECK_FALSE(orders.placed.empty());
+  const int ordered = orders.count;
+  CarryOut();
+  Lose("middle0");
+  Run(seconds(3));
+  CHECK_EQUAL(ordered, orders.count);
+}
+
+TEST(Placement, AStaleFencingNumberEndsTheRole) {
+  orders.answer = MakeError(ErrorKind::kStaleEpoch, "test");
+  Run(seconds(2));
+  const auto& events = logger.events;
+  CHECK_TRUE(std::find(events.begin(), events.end(), "order_failed") != events.end());
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/tests/forwarding/requests_test.cc
@@ -0,0 +1,219 @@
+#include "tests/forwarding/forwarding_fakes.h"
+#include "zinnia_decisions/forwarding/event_splitter.h"
+#include "zinnia_decisions/forwarding/load_book.h"
+#include "zinnia_decisions/forwarding/plain_server_chooser.h"
+#include "zinnia_decisions/forwarding/retry_policy.h"
+#include "zinnia_decisions/forwarding/route_table.h"
+#include "zinnia_decisions/forwarding/server_health.h"
+#include "zinnia_decisions/forwarding/shared_retry_budget.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(ForwardRoutes) {
+  ForwardingRules rules;
+
+  void Add(const std::string& name, const std::string& host, const std::string& prefix) {
+    ForwardRoute route;
+    route.name = name;
+    route.host = host;
+    route.path_prefix = prefix;
+    rules.routes.push_back(route);
+  }
+
+  std::string Find(const std::string& host, const std::string& path) {
+    const auto route = RouteTable(rules).Find(host, path);
+    return route ? route->name : "none";
+  }
+};
+
+TEST(ForwardRoutes, LongestPrefixOfTheHostWins) {
+  Add("short", "a.example", "/x/");
+  Add("long", "a.example", "/x/y/");
+  Add("other", "b.example", "/x/y/z/");
+  STRCMP_EQUAL("long", Find("a.example", "/x/y/z/1").c_str());
+  STRCMP_EQUAL("short", Find("a.example", "/x/yz").c_str());
+  STRCMP_EQUAL("none", Find("a.example", "/x").c_str());
+  STRCMP_EQUAL("none", Find("c.example", "/x/").c_str());
+}
+
+TEST(ForwardRoutes, HostsCompareWithoutCaseAndPort) {
+  Add("route", "a.example", "/x/");
+  STRCMP_EQUAL("route", Find("A.Example:8080", "/x/?q=/y/").c_str());
+}
+
+TEST_GROUP(EventSplitting) {
+  EventSplitter splitter;
+};
+
+TEST(EventSplitting, GivesOnlyWholeEvents) {
+  STRCMP_EQUAL("", splitter.Take("id: 1\nda").c_str());
+  STRCMP_EQUAL("id: 1\ndata: a\n\n", splitter.Take("ta: a\n\nid: 2\n").c_str());
+  CHECK_TRUE(splitter.HasPart());
+  CHECK_EQUAL(1, *splitter.LastEventId());
+  STRCMP_EQUAL("id: 2\ndata: b\n\n", splitter.Take("data: b\n\n").c_str());
+  CHECK_EQUAL(2, *splitter.LastEventId());
+  CHECK_FALSE(splitter.HasPart());
+}
+
+// Symptom: a caller gets one event made of two halves. Sequence: a server breaks off within event
+// 3, another goes on with event 3. Cause: the first half was kept and joined to the second.
+TEST(EventSplitting, ADroppedPartIsNotJoinedToTheNextServersEvent) {
+  splitter.Take("id: 2\ndata: b\n\nid: 3\ndata: br");
+  splitter.DropPart();
+  STRCMP_EQUAL("id: 3\ndata: whole\n\n", splitter.Take("id: 3\ndata: whole\n\n").c_str());
+}
+
+TEST_GROUP(RetryDecision) {
+  ForwardRoute route;
+  SendHistory history;
+
+  void setup() override {
+    route.most_servers = 2;
+    history.servers_reached = 1;
+  }
+
+  NextStep Decide(SendOutcome outcome) { return DecideNextStep(route, outcome, history); }
+};
+
+// Symptom: a booking made twice. Sequence: a server takes the request and its answer is lost; the
+// request is sent to a second one. Cause: an unknown outcome taken for "not run".
+TEST(RetryDecision, UnknownOutcomeOfANonIdempotentRequestIsNeverSentAgain) {
+  route.repeatability = Repeatability::kNonIdempotent;
+  CHECK_TRUE(NextStep::kFail == Decide(SendOutcome::kUnknown));
+  CHECK_TRUE(NextStep::kPassOn == Decide(SendOutcome::kServerFailed));
+  CHECK_TRUE(NextStep::kSendAgain == Decide(SendOutcome::kNotRun));
+  CHECK_TRUE(NextStep::kSendAgain == Decide(SendOutcome::kNotSent));
+}
+
+// Symptom: "not run" said of a request that ran. Sequence: a first server's answer is lost, a second
+// refuses. Cause: only the last outcome is looked at.
+TEST(RetryDecision, ARefusalAfterAnUnknownOutcomeIsNoPromise) {
+  route.repeatability = Repeatability::kIdempotent;
+  history.servers_reached = 2;
+  history.may_have_run = true;
+  CHECK_TRUE(NextStep::kFail == Decide(SendOutcome::kNotRun));
+  history.may_have_run = false;
+  CHECK_TRUE(NextStep::kRefuse == Decide(SendOutcome::kNotRun));
+}
+
+TEST(RetryDecision, KeepsTheRoutesNumberOfServersAndTheTime) {
+  route.repeatability = Repeatability::kIdempotent;
+  CHECK_TRUE(NextStep::kSendAgain == Decide(SendOutcome::kUnknown));
+  history.servers_reached = 2;
+  CHECK_TRUE(NextStep::kFail == Decide(SendOutcome::kUnknown));
+  history.servers_reached = 1;
+  history.time_left = false;
+  CHECK_TRUE(NextStep::kFail == Decide(SendOutcome::kUnknown));
+}
+
+TEST(RetryDecision, OnlyResumableStreamsGoOn) {
+  route.repeatability = Repeatability::kStream;
+  CHECK_TRUE(NextStep::kFail == Decide(SendOutcome::kUnknown));
+  route.resumable = true;
+  CHECK_TRUE(NextStep::kSendAgain == Decide(SendOutcome::kUnknown));
+}
+
+TEST_GROUP(RetryBudgetOfAll) {
+  VirtualTime time;
+  SharedRetryBudget budget{time, {0.2, 100.0, seconds(10)}};
+
+  int SpendAll(std::size_t instances) {
+    int spent = 0;
+    while (budget.TrySpend("plain", instances)) {
+      ++spent;
+    }
+    return spent;
+  }
+};
+
+// Symptom: a failing service gets several times its load. Sequence: nine instances each spend the
+// whole slack. Cause: the bound kept by each instead of by all.
+TEST(RetryBudgetOfAll, NineInstancesTogetherStayWithinTheSlack) {
+  CHECK_TRUE(SpendAll(9) * 9 <= 100);
+  CHECK_TRUE(SpendAll(9) == 0);
+}
+
+TEST(RetryBudgetOfAll, GrowsWithRequestsAndComesBackAfterTheWindow) {
+  const int without = SpendAll(10);
+  for (int request = 0; request < 100; ++request) {
+    budget.OnRequest("plain");
+  }
+  const int more = SpendAll(10);
+  CHECK_TRUE(more > 10);
+  CHECK_TRUE(more <= 20);
+  time.AdvanceBy(seconds(11));
+  CHECK_EQUAL(without, SpendAll(10));
+}
+
+TEST_GROUP(ServerChoice) {
+  VirtualTime time;
+  LoadBook loads{time};
+  ServerHealth health{time};
+  RandomSource random{1};
+  PlainServerChooser chooser{loads, health, random};
+  ForwardingView view;
+
+  void setup() override {
+    std::vector<ServerEntry> servers;
+    for (const char* name : {"a", "b", "c"}) {
+      ServerEntry server;
+      server.name = name;
+      server.service = "plain";
+      server.most_requests = 6;
+      servers.push_back(server);
+    }
+    view = ViewOf(servers);
+  }
+
+  std::string Choose(const std::set<BackendServerName>& avoided = {}) {
+    return chooser.Choose(view, "plain", avoided).value_or("none");
+  }
+};
+
+TEST(ServerChoice, TakesTheEmptiestOfAllInstancesLoads) {
+  loads.Add("a", 0);
+  loads.SetPeerUses("peer", {{"b", {3, 0}}});
+  STRCMP_EQUAL("c", Choose().c_str());
+  loads.Add("c", 0);
+  loads.Add("c", 0);
+  STRCMP_EQUAL("a", Choose().c_str());
+}
+
+// Symptom: servers idle while all instances refuse. Sequence: an instance dies with requests in its
+// last report. Cause: reports of the dead counted for ever.
+TEST(ServerChoice, ReportsOfSilentPeersAreForgotten) {
+  loads.SetPeerUses("dead", {{"a", {60, 0}}, {"b", {60, 0}}, {"c", {60, 0}}});
+  time.AdvanceBy(seconds(3));
+  CHECK_EQUAL(0, loads.UseOf("a").requests);
+}
+
+TEST(ServerChoice, AvoidsServersThatFailThoughTheyLookEmpty) {
+  for (int outcome = 0; outcome < 5; ++outcome) {
+    health.OnOutcome("a", false);
+    health.OnOutcome("b", true);
+    health.OnOutcome("c", true);
+  }
+  loads.Add("b", 0);
+  loads.Add("c", 0);
+  CHECK_TRUE(Choose() != "a");
+  time.AdvanceBy(seconds(30));
+  STRCMP_EQUAL("a", Choose().c_str());
+}
+
+TEST(ServerChoice, DrainingAndTriedServersGetNothing) {
+  view.servers["a"].draining = true;
+  STRCMP_EQUAL("none", Choose({"b", "c"}).c_str());
+}
+
+TEST(ServerChoice, AnExcludedServerIsUsedOnlyWhenNoOtherIsLeft) {
+  health.Exclude("a", seconds(1));
+  STRCMP_EQUAL("a", Choose({"b", "c"}).c_str());
+  CHECK_TRUE(Choose({"b"}) == "c");
+}
+
+}  // namespace zinnia
