Wait long for the store's changes where another instance of the domain waits briefly

Change: one reader a domain, the others hear from it; keep-alive probes; first servers are left on two failed reports and half a second of silence; costs of a stage count the requests that a pass there meets.

--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp
@@ -33,6 +33,7 @@
   stalls @3 :List(NewsStall);
   leaving @4 :Bool;
   storeIsSteady @5 :Bool;
+  isReader @6 :Bool;
 }
 
 struct NewsRecord {
--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
@@ -498,6 +498,8 @@
 
   inline bool getStoreIsSteady() const;
 
+  inline bool getIsReader() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -556,6 +558,9 @@
   inline bool getStoreIsSteady();
   inline void setStoreIsSteady(bool value);
 
+  inline bool getIsReader();
+  inline void setIsReader(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1383,6 +1388,20 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NewsReport::Reader::getIsReader() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool NewsReport::Builder::getIsReader() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void NewsReport::Builder::setIsReader(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/zinnia_adapters/fleet_news/news_codec.cc
+++ b/packages/zinnia_adapters/fleet_news/news_codec.cc
@@ -28,6 +28,7 @@
   instance.setStart(report.instance.start);
   to.setRevision(report.revision);
   to.setLeaving(report.leaving);
+  to.setIsReader(report.is_reader);
   to.setStoreIsSteady(report.store_is_steady);
   auto uses = to.initUses(static_cast<unsigned>(report.uses.size()));
   unsigned index = 0;
@@ -53,6 +54,7 @@
   report.instance.start = instance.getStart();
   report.revision = from.getRevision();
   report.leaving = from.getLeaving();
+  report.is_reader = from.getIsReader();
   report.store_is_steady = from.getStoreIsSteady();
   for (const auto use : from.getUses()) {
     report.uses[ToText(use.getServer())] = {use.getRequests(), use.getTokenLayers()};
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -54,8 +54,9 @@
 /** Pause between two looks into the same silent stream. */
 constexpr Duration kAskAgainAfter = milliseconds(120);
 
-/** A server whose report failed after this silence is left. */
-constexpr Duration kSilenceOfDeadServer = milliseconds(400);
+/** A first server is left after this silence and so many failed reports. */
+constexpr Duration kSilenceOfDeadServer = milliseconds(500);
+constexpr int kReportsBeforeLeaving = 2;
 
 /** Kept connections may be this old. A request that cannot be repeated takes only fresh ones: a
     server may have dropped an idle one without a sign, and the request would be lost. */
@@ -268,7 +269,7 @@
   request.keep_alive(true);
   request.prepare_payload();
 
-  m_has_answer = false;
+  m_failed_reports = 0;
   m_is_streaming = false;
   m_body.clear();
   m_events.DropPart();
@@ -289,7 +290,6 @@
 }
 
 void ForwardExchange::OnServerAnswerHead(unsigned status, const http::fields& fields) {
-  m_has_answer = true;
   m_status = status;
   m_fields = fields;
   m_answer_facts = m_parts.codec.ReadAnswer(status, fields);
@@ -574,12 +574,14 @@
     return;
   }
   if (!report) {
-    if (silent >= kSilenceOfDeadServer) {
-      m_parts.health.Exclude(m_server, kStalledExclusion);
-      m_parts.report_stalled(m_server);
+    // One report may be lost to a full connection table; the stream's own silence must agree.
+    if (++m_failed_reports >= kReportsBeforeLeaving && silent >= kSilenceOfDeadServer) {
+      m_parts.health.Exclude(m_server, kUnreachableExclusion);
+      AbandonServer("the first server is silent");
     }
     return;
   }
+  m_failed_reports = 0;
   // All that the report names, not only what this request waits for: the others' requests wait too.
   std::set<BackendServerName> stalled;
   const auto view = m_parts.view();
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -120,10 +120,10 @@
   bool m_is_streaming = false;   // The present answer is a stream.
   bool m_stream_started = false; // The caller has the head of a stream.
   bool m_first_event_sent = false;
-  bool m_has_answer = false;
   bool m_rerouting = false;
   bool m_asking = false;
   bool m_ended = false;
+  int m_failed_reports = 0;
   TimePoint m_last_progress{};
   TimePoint m_asked_at{};
   Duration m_first_event_after{};
--- a/packages/zinnia_adapters/http/http_client.cc
+++ b/packages/zinnia_adapters/http/http_client.cc
@@ -1,5 +1,8 @@
 #include "zinnia_adapters/http/http_client.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio.hpp>
 #include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/beast/core.hpp>
@@ -39,6 +42,18 @@
   bool answer_begun = false;
 };
 
+/** A peer or path that went silent shows by itself within `kProbeSeconds` times two, also while a
+    long poll waits for its answer and nothing else is sent. */
+void ProbeWhileIdle(int descriptor) {
+  constexpr int kOn = 1;
+  constexpr int kProbeSeconds = 1;
+  constexpr int kProbes = 2;
+  setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &kOn, sizeof(kOn));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeSeconds, sizeof(kProbeSeconds));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds, sizeof(kProbeSeconds));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+}
+
 StringRequest ToBeast(const NetworkAddress& address, const HttpRequest& request) {
   StringRequest message(http::string_to_verb(request.method), request.target, 11);
   message.method_string(request.method);
@@ -175,6 +190,7 @@
     co_return Failed(HttpFailureStage::kNotSent, exchange.address, error);
   }
   stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  ProbeWhileIdle(stream.socket().native_handle());
   co_return std::nullopt;
 }
 
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -160,13 +160,17 @@
 
 void ForwardingControl::Tick() {
   UpdatePlacers();
+  bool is_placer = false;
   const bool renew = m_ticks++ % kTicksBetweenRenewals == 0;
   for (auto& [service, placer] : m_placers) {
     if (renew) {
       placer->TickRole(m_mirror.Has(OrderRole::LeaseKeyOf(service)));
     }
     placer->Tick(*m_view);
+    is_placer = is_placer || placer->HoldsRole();
   }
+  m_mirror.SetIsPlacer(is_placer);
+  m_mirror.SetIsReader(m_news.ShouldRead());
   m_timer = m_parts.scheduler.ScheduleAfter(kTickInterval, [this] { Tick(); });
 }
 
--- a/packages/zinnia_decisions/forwarding/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/layer_placer.h
@@ -44,6 +44,8 @@
   /** Traffic found that an engine does not go on. Its range counts as vacant from now on. */
   void NoteStalled(const BackendServerName& server);
 
+  bool HoldsRole() const { return m_role.IsHeld(); }
+
   const ServiceName& Service() const { return m_service; }
 
   void Stop() { m_role.StepDown("planned stop"); }
--- a/packages/zinnia_decisions/forwarding/load_book.h
+++ b/packages/zinnia_decisions/forwarding/load_book.h
@@ -20,8 +20,8 @@
 */
 class LoadBook {
  public:
-  /** Ten times the usual interval of reports. */
-  static constexpr Duration kPeerReportLifetime = std::chrono::seconds(2);
+  /** A few times the interval at which peers of other failure domains take turns. */
+  static constexpr Duration kPeerReportLifetime = std::chrono::seconds(3);
 
   using Uses = std::map<BackendServerName, ServerUse>;
 
--- a/packages/zinnia_decisions/forwarding/news_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/news_exchange.cc
@@ -14,6 +14,10 @@
 /** Stalls are told for this long; later ones have ended or lapsed. */
 constexpr Duration kStallNewsLifetime = std::chrono::seconds(1);
 
+/** Without news of a reader for this long an instance reads for itself. Peers of a domain hear from
+    each other at least twice in it, up to some forty peers. */
+constexpr Duration kReaderNewsLifetime = std::chrono::milliseconds(1'500);
+
 /** A peer's word on the store holds for some reports. */
 constexpr Duration kSteadyNewsLifetime = std::chrono::milliseconds(800);
 
@@ -41,15 +45,29 @@
 }
 
 void NewsExchange::Tick() {
-  const std::vector<NetworkAddress> targets = Targets();
-  const std::size_t count = std::min(targets.size(), m_settings.most_peers_at_once);
-  for (std::size_t sent = 0; sent < count; ++sent) {
-    Send(targets[m_next_peer++ % targets.size()]);
+  std::vector<NetworkAddress> near;
+  std::vector<NetworkAddress> far;
+  for (const Instance& peer : m_instances.Peers()) {
+    const bool is_near = peer.failure_domain == m_instances.Self().failure_domain;
+    (is_near ? near : far).push_back(peer.peer_address);
+  }
+  if (near.empty() && far.empty()) {
+    near = AllPeers();
   }
+  SendInTurn(near, m_settings.most_near_peers_at_once, m_next_near);
+  SendInTurn(far, m_settings.most_far_peers_at_once, m_next_far);
   Start();
 }
 
-std::vector<NetworkAddress> NewsExchange::Targets() {
+void NewsExchange::SendInTurn(const std::vector<NetworkAddress>& peers,
+                              std::size_t most,
+                              std::size_t& next) {
+  for (std::size_t sent = 0; sent < std::min(peers.size(), most); ++sent) {
+    Send(peers[next++ % peers.size()]);
+  }
+}
+
+std::vector<NetworkAddress> NewsExchange::AllPeers() const {
   std::vector<NetworkAddress> targets;
   for (const Instance& peer : m_instances.Peers()) {
     targets.push_back(peer.peer_address);
@@ -70,6 +88,7 @@
   report.revision = m_mirror.IsFilled() ? m_mirror.Revision() : 0;
   report.uses = m_uses;
   report.leaving = m_leaving;
+  report.is_reader = m_mirror.IsInContact() && ShouldRead();
   report.store_is_steady = m_mirror.IsSteadyFor(ServerDirectory::kDoubtAfterFailure);
   for (const auto& [server, seen_at] : m_stalls) {
     report.stalls.push_back(
@@ -93,18 +112,29 @@
   if (!is_news) {
     return;
   }
-  for (const NetworkAddress& peer : Targets()) {
+  for (const NetworkAddress& peer : AllPeers()) {
     Send(peer);
   }
 }
 
 void NewsExchange::TellLeaving() {
   m_leaving = true;
-  for (const NetworkAddress& peer : Targets()) {
+  for (const NetworkAddress& peer : AllPeers()) {
     Send(peer);
   }
 }
 
+bool NewsExchange::ShouldRead() const {
+  const Instance& self = m_instances.Self();
+  const auto live = m_instances.LiveInstances();
+  const auto first = std::find_if(live.begin(), live.end(), [&](const Instance& instance) {
+    return instance.failure_domain == self.failure_domain;
+  });
+  const bool is_first = first == live.end() || first->name == self.name;
+  return is_first || !m_reader_heard_at ||
+         m_clock.Now() - *m_reader_heard_at >= kReaderNewsLifetime;
+}
+
 bool NewsExchange::SomePeerIsSteady() const {
   return m_steady_peer_heard_at && m_clock.Now() - *m_steady_peer_heard_at < kSteadyNewsLifetime;
 }
@@ -118,6 +148,10 @@
   if (report.store_is_steady) {
     m_steady_peer_heard_at = m_clock.Now();
   }
+  const bool is_near = report.instance.failure_domain == m_instances.Self().failure_domain;
+  if (report.is_reader && is_near) {
+    m_reader_heard_at = m_clock.Now();
+  }
   m_sink.OnPeerUses(report.instance.name, report.uses);
   for (const StallNews& stall : report.stalls) {
     if (!m_stalls.contains(stall.server)) {
--- a/packages/zinnia_decisions/forwarding/news_exchange.h
+++ b/packages/zinnia_decisions/forwarding/news_exchange.h
@@ -29,9 +29,11 @@
   /** How often each peer gets a report; loads are this old when a path is chosen. */
   std::chrono::milliseconds interval{200};
 
-  /** Peers told in one interval. With more, they take turns, so that the cost of an instance does
-      not grow with the fleet. */
-  std::size_t most_peers_at_once = 12;
+  /** Peers told in one interval, in the own failure domain and in others. With more, they take
+      turns, so that the cost of an instance does not grow with the fleet. Paths rarely leave a
+      failure domain, and bytes between domains are dear. */
+  std::size_t most_near_peers_at_once = 8;
+  std::size_t most_far_peers_at_once = 3;
 };
 
 /** Tells peers what this instance has in flight and found stalled, and fills the gaps of its copy
@@ -61,6 +63,10 @@
 
   void TellLeaving();
 
+  /** Decides whether this instance waits briefly for the store's changes: one in each failure domain
+      does, and every one that has not heard from its domain's reader lately. */
+  bool ShouldRead() const;
+
   /** Whether some peer said lately that the store serves it without failures. */
   bool SomePeerIsSteady() const;
 
@@ -69,7 +75,8 @@
  private:
   void Tick();
   NewsReport MakeReport();
-  std::vector<NetworkAddress> Targets();
+  std::vector<NetworkAddress> AllPeers() const;
+  void SendInTurn(const std::vector<NetworkAddress>& peers, std::size_t most, std::size_t& next);
   void Send(const NetworkAddress& peer);
 
   NewsTransport& m_transport;
@@ -84,7 +91,9 @@
   std::map<BackendServerName, TimePoint> m_stalls;
   bool m_leaving = false;
   std::optional<TimePoint> m_steady_peer_heard_at;
-  std::size_t m_next_peer = 0;
+  std::optional<TimePoint> m_reader_heard_at;
+  std::size_t m_next_near = 0;
+  std::size_t m_next_far = 0;
   std::unique_ptr<ScheduledCall> m_timer;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/packages/zinnia_decisions/forwarding/news_report.h
+++ b/packages/zinnia_decisions/forwarding/news_report.h
@@ -28,6 +28,9 @@
   /** The store has answered it without a failure for longer than lapsed entries need to return. */
   bool store_is_steady = false;
 
+  /** It waits for changes of the store so briefly that others need not. */
+  bool is_reader = false;
+
   /** It is about to stop. */
   bool leaving = false;
 };
--- a/packages/zinnia_decisions/forwarding/path_finder.cc
+++ b/packages/zinnia_decisions/forwarding/path_finder.cc
@@ -33,6 +33,9 @@
     without bound as it fills. */
 constexpr double kMostPipeUse = 0.6;
 
+/** A request that arrives at a busy stage waits for half of the pass that is running. */
+constexpr double kWaitForPass = 0.5;
+
 /** A server that fails all its requests looks this many times slower. */
 constexpr double kFailurePenalty = 9.0;
 
@@ -231,14 +234,19 @@
   return crossings;
 }
 
+/** `requests` run at a server that holds `held_layers`. They are spread over the stages of their
+    paths, so a pass there meets about the part of them that its layers are of all. */
 double MsPerLayer(const EngineProfile& engine,
                   const AcceleratorProfile& accelerator,
                   const GenerationSize& size,
-                  std::uint32_t requests) {
+                  std::uint32_t requests,
+                  std::uint32_t held_layers) {
   const double context = (size.prompt_tokens + size.answer_tokens / 2) / kTokensPerThousand;
   const double per_request =
       engine.step_ms_per_request + engine.step_ms_per_thousand_tokens * context;
-  const double step = engine.step_ms + per_request * (requests + 1);
+  const double in_one_pass = 1.0 + requests * static_cast<double>(held_layers) / engine.layers;
+  const double step = (engine.step_ms + per_request * in_one_pass) *
+                      (1.0 + kWaitForPass * std::min(1.0, in_one_pass - 1.0));
   const double reading = size.prompt_tokens / (engine.read_tokens_per_second / 1'000.0);
   return (size.answer_tokens * step * accelerator.step_factor +
           reading * accelerator.read_factor) /
@@ -290,7 +298,8 @@
     Candidate candidate;
     candidate.entry = &server;
     candidate.domain = domain;
-    candidate.ms_per_layer = MsPerLayer(engine, accelerator->second, size, use.requests) *
+    candidate.ms_per_layer = MsPerLayer(engine, accelerator->second, size, use.requests,
+                                        server.layers.Count()) *
                              (1.0 + kFailurePenalty * m_health.FailureShare(name));
     candidate.free_token_layers =
         TokenLayerCapacity(engine, server) * kReservableShare - use.token_layers;
--- a/packages/zinnia_decisions/forwarding/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/store_mirror.cc
@@ -68,12 +68,24 @@
 }
 
 void StoreMirror::Watch() {
-  m_store.Watch(kEverything, m_revision, m_settings.longest_wait,
-                WhileAlive(m_alive, [this](const Result<StoreBatch>& result) {
-                  OnWatched(result);
+  const std::uint64_t number = ++m_watch_number;
+  const auto wait = m_is_reader ? m_settings.longest_wait_of_reader : m_settings.longest_wait;
+  m_store.Watch(kEverything, m_revision, wait,
+                WhileAlive(m_alive, [this, number](const Result<StoreBatch>& result) {
+                  if (number == m_watch_number) {
+                    OnWatched(result);
+                  }
                 }));
 }
 
+void StoreMirror::SetIsReader(bool is_reader) {
+  const bool must_not_wait = is_reader && !m_is_reader && m_filled && m_in_contact;
+  m_is_reader = is_reader;
+  if (must_not_wait) {
+    Watch();
+  }
+}
+
 void StoreMirror::OnWatched(const Result<StoreBatch>& result) {
   if (!result && result.error().kind == ErrorKind::kStoreHistoryLost) {
     m_logger.Log(LogLevel::kInfo, "store_history_lost", {{"after", std::to_string(m_revision)}});
@@ -92,7 +104,7 @@
     delta.records.push_back(FromStore(record));
   }
   Merge(delta);
-  Later(m_settings.pause, &StoreMirror::Watch);
+  Later(m_is_placer ? m_settings.pause_of_placer : m_settings.pause, &StoreMirror::Watch);
 }
 
 void StoreMirror::Merge(const MirrorDelta& delta) {
--- a/packages/zinnia_decisions/forwarding/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/store_mirror.h
@@ -28,12 +28,18 @@
 
 /** Intervals of a StoreMirror. */
 struct StoreMirrorSettings {
-  /** How long one watch waits. Shorter than the bound within which a configuration must be in
-      force plus the stability window, since a connection that went silent shows only at its end. */
-  std::chrono::milliseconds longest_wait{2'000};
+  /** How long one watch waits; each one is priced. A waiting watch may hear nothing while the store
+      drops its history, and only its end shows that, so some instance must wait briefly: the
+      reader of its failure domain, from whom the others hear within a second. */
+  std::chrono::milliseconds longest_wait_of_reader{1'500};
+  std::chrono::milliseconds longest_wait{15'000};
 
-  /** Pause between two watches, so that one answer carries a burst of changes; calls are priced. */
-  std::chrono::milliseconds pause{60};
+  /** Pause between two watches, so that one answer carries a burst of changes: a fifth of the two
+      seconds within which changes must be in force. */
+  std::chrono::milliseconds pause{400};
+
+  /** The pause of an instance that places layers: each engine that starts waits for it. */
+  std::chrono::milliseconds pause_of_placer{80};
 
   /** Pause after a failed call. Doubles up to `longest_retry_pause`. */
   std::chrono::milliseconds retry_pause{100};
@@ -61,6 +67,12 @@
   void SetListener(MirrorListener* listener) { m_listener = listener; }
   void Start();
 
+  /** Whether others rely on this instance for news of the store. */
+  void SetIsReader(bool is_reader);
+
+  /** Whether this instance acts on what servers say. */
+  void SetIsPlacer(bool is_placer) { m_is_placer = is_placer; }
+
   /** News of a peer. Older records than the known ones are ignored. */
   void Merge(const MirrorDelta& delta);
 
@@ -75,6 +87,8 @@
   /** Whether everything was read at least once, from the store or a peer. */
   bool IsFilled() const { return m_filled; }
 
+  bool IsInContact() const { return m_in_contact; }
+
   /** Whether the store answers, and has not failed a call of this mirror for `duration`. */
   bool IsSteadyFor(Duration duration) const;
 
@@ -102,6 +116,11 @@
   std::uint64_t m_revision = 0;
   std::chrono::milliseconds m_retry_pause;
   std::optional<TimePoint> m_last_failure;
+  bool m_is_reader = true;
+  bool m_is_placer = false;
+
+  /** Answers to watches before the newest one are ignored. */
+  std::uint64_t m_watch_number = 0;
   bool m_filled = false;
   bool m_in_contact = false;
   bool m_ever_in_contact = false;
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -98,6 +98,21 @@
   CHECK_FALSE(other.Has("b"));
 }
 
+// Symptom: a changed configuration is in force after six seconds. Sequence: the store stops telling
+// waiting watches, changes are made, its history is dropped. Cause: a deaf watch waited for its end.
+TEST(Mirror, ANewReaderDoesNotWaitForTheEndOfItsLongWatch) {
+  mirror.SetIsReader(false);
+  Watched();
+  time.AdvanceBy(seconds(1));
+  CHECK_EQUAL(1U, store.watches.size());
+  store.Put("a", "2");
+  mirror.SetIsReader(true);
+  CHECK_EQUAL(2U, store.watches.size());
+  store.watches.pop_front();
+  Watched();
+  STRCMP_EQUAL("2", seen.values["a"]->c_str());
+}
+
 TEST_GROUP(Servers) {
   VirtualTime time;
   SilentLogger logger;
@@ -227,6 +242,22 @@
   CHECK_FALSE(news.SomePeerIsSteady());
 }
 
+// Symptom: the store's rates are used up by waiting watches of eighty instances. Sequence: each
+// instance polls briefly for fear of deaf watches. Cause: no division of that work.
+TEST(News, OneInstanceOfADomainReadsAndTheOthersOnlyWhenItIsSilent) {
+  NewsReport report = ReportOf("another");
+  report.instance.failure_domain = "";
+  report.is_reader = true;
+  news.OnNews(report);
+  CHECK_FALSE(news.ShouldRead());
+  time.AdvanceBy(seconds(2));
+  CHECK_TRUE(news.ShouldRead());
+  news.OnNews(ReportOf("zebra"));
+  time.AdvanceBy(seconds(6));
+  news.OnNews(ReportOf("zebra"));
+  CHECK_TRUE(news.ShouldRead());
+}
+
 TEST(News, AnInstanceThatLeavesIsForgottenAtOnce) {
   NewsReport report = ReportOf("peer");
   news.OnNews(report);
