Share loads as sums of failure domains and choose paths by how long first events take

Cause: with 77 instances, reports of the others were seconds old, so all filled the fastest chain at once and requests waited for its memory: p50 of the first event 558 ms at 60 requests a second and domain, with other chains idle. Ruled out: prefill (34 % of a stage's time) and the pipe (four-stage paths do not cross).

--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp
@@ -13,6 +13,11 @@
   tokenLayers @2 :Float64;
 }
 
+struct NewsDomainUses {
+  failureDomain @0 :Text;
+  uses @1 :List(NewsServerUse);
+}
+
 struct NewsStall {
   server @0 :Text;
   ageMs @1 :UInt32;
@@ -34,6 +39,7 @@
   leaving @4 :Bool;
   storeIsSteady @5 :Bool;
   isReader @6 :Bool;
+  domainUses @7 :List(NewsDomainUses);
 }
 
 struct NewsRecord {
--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
@@ -22,6 +22,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(c7458255f50f724d);
+CAPNP_DECLARE_SCHEMA(d8a4a0b9d3667b5e);
 CAPNP_DECLARE_SCHEMA(cf66d0929ca283f6);
 CAPNP_DECLARE_SCHEMA(82fe748887a4ab38);
 CAPNP_DECLARE_SCHEMA(cdb7872f24f6fa70);
@@ -52,6 +53,21 @@
   };
 };
 
+struct NewsDomainUses {
+  NewsDomainUses() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d8a4a0b9d3667b5e, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NewsStall {
   NewsStall() = delete;
 
@@ -90,7 +106,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cdb7872f24f6fa70, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(cdb7872f24f6fa70, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -269,6 +285,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class NewsDomainUses::Reader {
+public:
+  typedef NewsDomainUses Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline bool hasUses() const;
+  inline  ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsDomainUses::Builder {
+public:
+  typedef NewsDomainUses Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline bool hasUses();
+  inline  ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>::Builder getUses();
+  inline void setUses( ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>::Builder initUses(unsigned int size);
+  inline void adoptUses(::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>> disownUses();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsDomainUses::Pipeline {
+public:
+  typedef NewsDomainUses Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NewsStall::Reader {
 public:
   typedef NewsStall Reads;
@@ -500,6 +607,9 @@
 
   inline bool getIsReader() const;
 
+  inline bool hasDomainUses() const;
+  inline  ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>::Reader getDomainUses() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -561,6 +671,13 @@
   inline bool getIsReader();
   inline void setIsReader(bool value);
 
+  inline bool hasDomainUses();
+  inline  ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>::Builder getDomainUses();
+  inline void setDomainUses( ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>::Builder initDomainUses(unsigned int size);
+  inline void adoptDomainUses(::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>> disownDomainUses();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1061,6 +1178,74 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NewsDomainUses::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsDomainUses::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NewsDomainUses::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NewsDomainUses::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsDomainUses::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NewsDomainUses::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NewsDomainUses::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NewsDomainUses::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NewsDomainUses::Reader::hasUses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsDomainUses::Builder::hasUses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>::Reader NewsDomainUses::Reader::getUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>::Builder NewsDomainUses::Builder::getUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NewsDomainUses::Builder::setUses( ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>::Builder NewsDomainUses::Builder::initUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NewsDomainUses::Builder::adoptUses(
+    ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>> NewsDomainUses::Builder::disownUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool NewsStall::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1402,6 +1587,40 @@
       ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NewsReport::Reader::hasDomainUses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsReport::Builder::hasDomainUses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>::Reader NewsReport::Reader::getDomainUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>::Builder NewsReport::Builder::getDomainUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void NewsReport::Builder::setDomainUses( ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>::Builder NewsReport::Builder::initDomainUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void NewsReport::Builder::adoptDomainUses(
+    ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>> NewsReport::Builder::disownDomainUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool NewsRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/zinnia_adapters/fleet_news/news_codec.cc
+++ b/packages/zinnia_adapters/fleet_news/news_codec.cc
@@ -17,6 +17,24 @@
   return {reinterpret_cast<const char*>(data.begin()), data.size()};
 }
 
+void WriteUses(capnp::List<wire::NewsServerUse>::Builder to, const LoadBook::Uses& uses) {
+  unsigned index = 0;
+  for (const auto& [server, use] : uses) {
+    auto row = to[index++];
+    row.setServer(server);
+    row.setRequests(use.requests);
+    row.setTokenLayers(use.token_layers);
+  }
+}
+
+LoadBook::Uses ReadUses(capnp::List<wire::NewsServerUse>::Reader from) {
+  LoadBook::Uses uses;
+  for (const auto use : from) {
+    uses[ToText(use.getServer())] = {use.getRequests(), use.getTokenLayers()};
+  }
+  return uses;
+}
+
 }  // namespace
 
 void Write(wire::NewsReport::Builder to, const NewsReport& report) {
@@ -30,13 +48,13 @@
   to.setLeaving(report.leaving);
   to.setIsReader(report.is_reader);
   to.setStoreIsSteady(report.store_is_steady);
-  auto uses = to.initUses(static_cast<unsigned>(report.uses.size()));
-  unsigned index = 0;
-  for (const auto& [server, use] : report.uses) {
-    auto row = uses[index++];
-    row.setServer(server);
-    row.setRequests(use.requests);
-    row.setTokenLayers(use.token_layers);
+  WriteUses(to.initUses(static_cast<unsigned>(report.uses.size())), report.uses);
+  auto domains = to.initDomainUses(static_cast<unsigned>(report.domain_uses.size()));
+  unsigned domain_index = 0;
+  for (const auto& [domain, uses] : report.domain_uses) {
+    auto row = domains[domain_index++];
+    row.setFailureDomain(domain);
+    WriteUses(row.initUses(static_cast<unsigned>(uses.size())), uses);
   }
   auto stalls = to.initStalls(static_cast<unsigned>(report.stalls.size()));
   for (unsigned stall = 0; stall < report.stalls.size(); ++stall) {
@@ -56,8 +74,9 @@
   report.leaving = from.getLeaving();
   report.is_reader = from.getIsReader();
   report.store_is_steady = from.getStoreIsSteady();
-  for (const auto use : from.getUses()) {
-    report.uses[ToText(use.getServer())] = {use.getRequests(), use.getTokenLayers()};
+  report.uses = ReadUses(from.getUses());
+  for (const auto domain : from.getDomainUses()) {
+    report.domain_uses[ToText(domain.getFailureDomain())] = ReadUses(domain.getUses());
   }
   for (const auto stall : from.getStalls()) {
     report.stalls.push_back(
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -274,6 +274,7 @@
   m_body.clear();
   m_events.DropPart();
   m_last_progress = m_parts.clock.Now();
+  m_sent_at = m_last_progress;
   ++m_history.servers_reached;
   m_connection = m_parts.connections.Take(m_server, m_server_address,
                                           m_route->MayRepeat() ? kIdleForRepeatable : kIdleForOnce);
@@ -338,6 +339,7 @@
     m_longest_gap = std::max(m_longest_gap, now - m_last_progress);
   } else {
     m_first_event_after = now - m_started_at;
+    m_parts.health.OnFirstEvent(m_server, now - m_sent_at);
     m_parts.metrics.Observe(m_organisation, RequestClass::kChat, Measure::kFirstToken,
                             m_first_event_after);
   }
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -124,6 +124,7 @@
   bool m_asking = false;
   bool m_ended = false;
   int m_failed_reports = 0;
+  TimePoint m_sent_at{};
   TimePoint m_last_progress{};
   TimePoint m_asked_at{};
   Duration m_first_event_after{};
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -53,6 +53,7 @@
 
 void ForwardingTraffic::SetView(std::shared_ptr<const ForwardingView> view) {
   m_view = std::move(view);
+  m_loads.SetPeerCount(m_view->live_instances - 1);
   m_server->OnViewChanged();
 }
 
@@ -60,6 +61,10 @@
   m_loads.SetPeerUses(instance, std::move(uses));
 }
 
+void ForwardingTraffic::SetDomainUses(const FailureDomainName& domain, LoadBook::Uses uses) {
+  m_loads.SetDomainUses(domain, std::move(uses));
+}
+
 void ForwardingTraffic::OnStalledHere(const BackendServerName& server) {
   m_parts.logger.Log(LogLevel::kInfo, "server_stalled", {{"server", server}, {"seen_by", "self"}});
   m_parts.tell_stall(server);
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -47,11 +47,13 @@
 
   void SetView(std::shared_ptr<const ForwardingView> view);
   void SetPeerUses(const InstanceName& instance, LoadBook::Uses uses);
+  void SetDomainUses(const FailureDomainName& domain, LoadBook::Uses uses);
   void OnPeerStall(const BackendServerName& server, Duration age);
   void SetRetryBudget(SharedRetryBudgetSettings settings) { m_retries.SetSettings(settings); }
 
   /** What this instance has in flight, for its peers. */
   const LoadBook::Uses& OwnUses() const { return m_loads.Own(); }
+  LoadBook::Uses SumOfOwnDomain() const { return m_loads.SumOfOwnDomain(); }
 
  private:
   ForwardingParts MakeParts();
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -186,11 +186,12 @@
 
 void ForwardingDaemon::Upkeep() {
   m_logger.Flush();
-  m_control_thread->Post([this, uses = m_traffic->OwnUses()]() mutable {
-    if (m_control) {
-      m_control->News().SetUses(std::move(uses));
-    }
-  });
+  m_control_thread->Post(
+      [this, own = m_traffic->OwnUses(), domain = m_traffic->SumOfOwnDomain()]() mutable {
+        if (m_control) {
+          m_control->News().SetUses(std::move(own), std::move(domain));
+        }
+      });
   ScheduleUpkeep();
 }
 
@@ -200,6 +201,12 @@
   });
 }
 
+void ForwardingDaemon::OnDomainUses(const FailureDomainName& domain, LoadBook::Uses uses) {
+  m_traffic_thread->Post([this, domain, uses = std::move(uses)]() mutable {
+    m_traffic->SetDomainUses(domain, std::move(uses));
+  });
+}
+
 void ForwardingDaemon::OnPeerStall(const StallNews& stall) {
   m_control->NoteStalled(stall.server);
   m_traffic_thread->Post(
--- a/packages/zinnia_apps/daemon/forwarding_daemon.h
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.h
@@ -58,6 +58,7 @@
   void Upkeep();
 
   void OnPeerUses(const InstanceName& instance, LoadBook::Uses uses) override;
+  void OnDomainUses(const FailureDomainName& domain, LoadBook::Uses uses) override;
   void OnPeerStall(const StallNews& stall) override;
 
   struct PlatformParts;
--- a/packages/zinnia_decisions/forwarding/load_book.cc
+++ b/packages/zinnia_decisions/forwarding/load_book.cc
@@ -2,13 +2,34 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace zinnia {
+namespace {
+
+/** Peers' reports are about this old; what they chose since is estimated. */
+constexpr std::chrono::duration<double> kReportAge{0.25};
+
+/** How much alike instances choose. They see the same loads, so nearly the same; one would mean
+    that no request ever goes another way. */
+constexpr double kLikeness = 0.6;
+
+}  // namespace
+
+LoadBook::RecentAdditions LoadBook::Decayed(const RecentAdditions& additions) const {
+  const std::chrono::duration<double> age = m_clock.Now() - additions.changed_at;
+  const double factor = std::exp(-age / kReportAge);
+  return {m_clock.Now(), additions.requests * factor, additions.token_layers * factor};
+}
 
 void LoadBook::Add(const BackendServerName& server, double token_layers) {
   ServerUse& use = m_own[server];
   ++use.requests;
   use.token_layers += token_layers;
+  RecentAdditions& recent = m_recent[server];
+  recent = Decayed(recent);
+  recent.requests += 1;
+  recent.token_layers += token_layers;
 }
 
 void LoadBook::Remove(const BackendServerName& server, double token_layers) {
@@ -19,30 +40,74 @@
   use.token_layers = std::max(0.0, use.token_layers - token_layers);
   if (use.requests == 0) {
     m_own.erase(found);
+    m_recent.erase(server);
   }
 }
 
+void LoadBook::DropOld(Reports& reports) const {
+  std::erase_if(reports, [now = m_clock.Now()](const auto& report) {
+    return now - report.second.received_at > kPeerReportLifetime;
+  });
+}
+
 void LoadBook::SetPeerUses(const InstanceName& instance, Uses uses) {
   m_peers[instance] = {m_clock.Now(), std::move(uses)};
-  std::erase_if(m_peers, [now = m_clock.Now()](const auto& peer) {
-    return now - peer.second.received_at > kPeerReportLifetime;
-  });
+  DropOld(m_peers);
 }
 
-ServerUse LoadBook::UseOf(const BackendServerName& server) const {
-  ServerUse sum;
-  const auto own = m_own.find(server);
-  if (own != m_own.end()) {
-    sum = own->second;
-  }
-  const TimePoint now = m_clock.Now();
+void LoadBook::SetDomainUses(const FailureDomainName& domain, Uses uses) {
+  m_domains[domain] = {m_clock.Now(), std::move(uses)};
+  DropOld(m_domains);
+}
+
+LoadBook::Uses LoadBook::SumOfOwnDomain() const {
+  Uses sum = m_own;
   for (const auto& [instance, report] : m_peers) {
+    if (m_clock.Now() - report.received_at > kPeerReportLifetime) {
+      continue;
+    }
+    for (const auto& [server, use] : report.uses) {
+      sum[server].requests += use.requests;
+      sum[server].token_layers += use.token_layers;
+    }
+  }
+  return sum;
+}
+
+void LoadBook::AddReports(const Reports& reports,
+                          const BackendServerName& server,
+                          ServerUse& sum) const {
+  for (const auto& [name, report] : reports) {
     const auto use = report.uses.find(server);
-    if (use != report.uses.end() && now - report.received_at <= kPeerReportLifetime) {
+    if (use != report.uses.end() && m_clock.Now() - report.received_at <= kPeerReportLifetime) {
       sum.requests += use->second.requests;
       sum.token_layers += use->second.token_layers;
     }
   }
+}
+
+/** Peers that see the same loads choose the same server at the same time. Without this estimate all
+    of them fill the best one until the next reports, and its requests wait for memory. */
+void LoadBook::AddUnreported(const BackendServerName& server, ServerUse& sum) const {
+  const auto found = m_recent.find(server);
+  if (found == m_recent.end()) {
+    return;
+  }
+  const RecentAdditions recent = Decayed(found->second);
+  const double others = kLikeness * static_cast<double>(m_peer_count);
+  sum.requests += static_cast<std::uint32_t>(recent.requests * others);
+  sum.token_layers += recent.token_layers * others;
+}
+
+ServerUse LoadBook::UseOf(const BackendServerName& server) const {
+  ServerUse sum;
+  const auto own = m_own.find(server);
+  if (own != m_own.end()) {
+    sum = own->second;
+  }
+  AddReports(m_peers, server, sum);
+  AddReports(m_domains, server, sum);
+  AddUnreported(server, sum);
   return sum;
 }
 
--- a/packages/zinnia_decisions/forwarding/load_book.h
+++ b/packages/zinnia_decisions/forwarding/load_book.h
@@ -11,8 +11,8 @@
 
 namespace zinnia {
 
-/** What all instances together have in flight at each server: the own part exact, the others' as
-    they last reported it.
+/** What all instances together have in flight at each server: the own part exact, the peers' of the
+    own failure domain as they last reported it, other domains' as sums.
 
     Choosing by the own part alone would fill the best server from every instance at once; one
     notices bursts of refusals while other servers idle. Reports older than `kPeerReportLifetime`
@@ -32,23 +32,49 @@
   /** Undoes one Add. */
   void Remove(const BackendServerName& server, double token_layers);
 
-  /** Replaces what that instance reported before. */
+  /** Replaces what that peer of the own failure domain reported before. */
   void SetPeerUses(const InstanceName& instance, Uses uses);
 
+  /** Replaces the sum over another failure domain's instances. */
+  void SetDomainUses(const FailureDomainName& domain, Uses uses);
+
+  /** The sum over this instance and the peers of its failure domain, for other domains. */
+  Uses SumOfOwnDomain() const;
+
+  /** How many instances choose at the same time as this one without hearing of each other's last
+      choices. */
+  void SetPeerCount(std::size_t count) { m_peer_count = count; }
+
   /** The sum over all instances. */
   ServerUse UseOf(const BackendServerName& server) const;
 
   const Uses& Own() const { return m_own; }
 
  private:
-  struct PeerReport {
+  struct Report {
     TimePoint received_at{};
     Uses uses;
   };
+  using Reports = std::map<std::string, Report>;
+
+  /** What this instance lately added at a server. */
+  struct RecentAdditions {
+    TimePoint changed_at{};
+    double requests = 0.0;
+    double token_layers = 0.0;
+  };
+
+  void DropOld(Reports& reports) const;
+  void AddReports(const Reports& reports, const BackendServerName& server, ServerUse& sum) const;
+  void AddUnreported(const BackendServerName& server, ServerUse& sum) const;
+  RecentAdditions Decayed(const RecentAdditions& additions) const;
 
   const Clock& m_clock;
   Uses m_own;
-  std::map<InstanceName, PeerReport> m_peers;
+  Reports m_peers;
+  Reports m_domains;
+  std::map<BackendServerName, RecentAdditions> m_recent;
+  std::size_t m_peer_count = 0;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/news_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/news_exchange.cc
@@ -1,6 +1,7 @@
 #include "zinnia_decisions/forwarding/news_exchange.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "zinnia_decisions/forwarding/instance_directory.h"
@@ -52,43 +53,61 @@
     (is_near ? near : far).push_back(peer.peer_address);
   }
   if (near.empty() && far.empty()) {
-    near = AllPeers();
+    near = m_seeds;
+    std::erase(near, m_instances.Self().peer_address);
+  }
+  SendInTurn(near, m_settings.most_near_peers_at_once, m_next_near, true);
+  if (ShouldRead()) {
+    for (const NetworkAddress& reader : OtherReaders()) {
+      Send(reader, false);
+    }
+  } else {
+    SendInTurn(far, m_settings.most_far_peers_at_once, m_next_far, false);
   }
-  SendInTurn(near, m_settings.most_near_peers_at_once, m_next_near);
-  SendInTurn(far, m_settings.most_far_peers_at_once, m_next_far);
   Start();
 }
 
-void NewsExchange::SendInTurn(const std::vector<NetworkAddress>& peers,
-                              std::size_t most,
-                              std::size_t& next) {
-  for (std::size_t sent = 0; sent < std::min(peers.size(), most); ++sent) {
-    Send(peers[next++ % peers.size()]);
+/** By name the first of each other failure domain, which is its reader unless it died lately. */
+std::vector<NetworkAddress> NewsExchange::OtherReaders() const {
+  std::set<FailureDomainName> seen = {m_instances.Self().failure_domain};
+  std::vector<NetworkAddress> readers;
+  for (const Instance& peer : m_instances.Peers()) {
+    if (seen.insert(peer.failure_domain).second) {
+      readers.push_back(peer.peer_address);
+    }
   }
+  return readers;
 }
 
-std::vector<NetworkAddress> NewsExchange::AllPeers() const {
-  std::vector<NetworkAddress> targets;
-  for (const Instance& peer : m_instances.Peers()) {
-    targets.push_back(peer.peer_address);
-  }
-  if (targets.empty()) {
-    targets = m_seeds;
-    std::erase(targets, m_instances.Self().peer_address);
+void NewsExchange::SendInTurn(const std::vector<NetworkAddress>& peers,
+                              std::size_t most,
+                              std::size_t& next,
+                              bool are_near) {
+  for (std::size_t sent = 0; sent < std::min(peers.size(), most); ++sent) {
+    Send(peers[next++ % peers.size()], are_near);
   }
-  return targets;
 }
 
-NewsReport NewsExchange::MakeReport() {
+NewsReport NewsExchange::MakeReport(bool to_near) {
   const TimePoint now = m_clock.Now();
   std::erase_if(m_stalls,
                 [now](const auto& stall) { return now - stall.second > kStallNewsLifetime; });
   NewsReport report;
   report.instance = m_instances.Self();
   report.revision = m_mirror.IsFilled() ? m_mirror.Revision() : 0;
-  report.uses = m_uses;
+  const bool is_reader = ShouldRead();
+  if (to_near) {
+    report.uses = m_uses;
+    for (const auto& [domain, uses] : m_other_domains) {
+      if (is_reader && now - uses.first < LoadBook::kPeerReportLifetime) {
+        report.domain_uses[domain] = uses.second;
+      }
+    }
+  } else if (is_reader) {
+    report.domain_uses[m_instances.Self().failure_domain] = m_domain_sum;
+  }
   report.leaving = m_leaving;
-  report.is_reader = m_mirror.IsInContact() && ShouldRead();
+  report.is_reader = m_mirror.IsInContact() && is_reader;
   report.store_is_steady = m_mirror.IsSteadyFor(ServerDirectory::kDoubtAfterFailure);
   for (const auto& [server, seen_at] : m_stalls) {
     report.stalls.push_back(
@@ -97,8 +116,8 @@
   return report;
 }
 
-void NewsExchange::Send(const NetworkAddress& peer) {
-  m_transport.Exchange(peer, MakeReport(),
+void NewsExchange::Send(const NetworkAddress& peer, bool is_near) {
+  m_transport.Exchange(peer, MakeReport(is_near),
                        WhileAlive(m_alive, [this](const Result<MirrorDelta>& delta) {
                          if (delta && (delta->complete || !delta->records.empty())) {
                            m_mirror.Merge(*delta);
@@ -106,21 +125,39 @@
                        }));
 }
 
+void NewsExchange::SendToAll() {
+  const FailureDomainName& own = m_instances.Self().failure_domain;
+  for (const Instance& peer : m_instances.Peers()) {
+    Send(peer.peer_address, peer.failure_domain == own);
+  }
+}
+
 void NewsExchange::TellStall(const BackendServerName& server) {
   const bool is_news = !m_stalls.contains(server);
   m_stalls[server] = m_clock.Now();
   if (!is_news) {
     return;
   }
-  for (const NetworkAddress& peer : AllPeers()) {
-    Send(peer);
-  }
+  SendToAll();
 }
 
 void NewsExchange::TellLeaving() {
   m_leaving = true;
-  for (const NetworkAddress& peer : AllPeers()) {
-    Send(peer);
+  SendToAll();
+}
+
+void NewsExchange::OnDomainNews(const NewsReport& report, bool is_near) {
+  if (is_near) {
+    m_sink.OnPeerUses(report.instance.name, report.uses);
+  }
+  for (const auto& [domain, uses] : report.domain_uses) {
+    if (domain == m_instances.Self().failure_domain) {
+      continue;
+    }
+    if (!is_near) {
+      m_other_domains[domain] = {m_clock.Now(), uses};
+    }
+    m_sink.OnDomainUses(domain, uses);
   }
 }
 
@@ -152,7 +189,7 @@
   if (report.is_reader && is_near) {
     m_reader_heard_at = m_clock.Now();
   }
-  m_sink.OnPeerUses(report.instance.name, report.uses);
+  OnDomainNews(report, is_near);
   for (const StallNews& stall : report.stalls) {
     if (!m_stalls.contains(stall.server)) {
       m_stalls[stall.server] = m_clock.Now() - stall.age;
--- a/packages/zinnia_decisions/forwarding/news_exchange.h
+++ b/packages/zinnia_decisions/forwarding/news_exchange.h
@@ -20,7 +20,9 @@
 class NewsSink {
  public:
   virtual ~NewsSink() = default;
+  /** A peer of the own failure domain. */
   virtual void OnPeerUses(const InstanceName& instance, LoadBook::Uses uses) = 0;
+  virtual void OnDomainUses(const FailureDomainName& domain, LoadBook::Uses uses) = 0;
   virtual void OnPeerStall(const StallNews& stall) = 0;
 };
 
@@ -32,8 +34,8 @@
   /** Peers told in one interval, in the own failure domain and in others. With more, they take
       turns, so that the cost of an instance does not grow with the fleet. Paths rarely leave a
       failure domain, and bytes between domains are dear. */
-  std::size_t most_near_peers_at_once = 8;
-  std::size_t most_far_peers_at_once = 3;
+  std::size_t most_near_peers_at_once = 16;
+  std::size_t most_far_peers_at_once = 2;
 };
 
 /** Tells peers what this instance has in flight and found stalled, and fills the gaps of its copy
@@ -55,8 +57,11 @@
 
   void Start();
 
-  /** What to tell of the traffic from now on. */
-  void SetUses(LoadBook::Uses uses) { m_uses = std::move(uses); }
+  /** What to tell of the traffic from now on: this instance's own, and the sum over its domain. */
+  void SetUses(LoadBook::Uses own, LoadBook::Uses domain) {
+    m_uses = std::move(own);
+    m_domain_sum = std::move(domain);
+  }
 
   /** Tells all peers at once: each millisecond later costs callers a pause. */
   void TellStall(const BackendServerName& server);
@@ -74,10 +79,15 @@
 
  private:
   void Tick();
-  NewsReport MakeReport();
-  std::vector<NetworkAddress> AllPeers() const;
-  void SendInTurn(const std::vector<NetworkAddress>& peers, std::size_t most, std::size_t& next);
-  void Send(const NetworkAddress& peer);
+  NewsReport MakeReport(bool to_near);
+  void SendToAll();
+  void SendInTurn(const std::vector<NetworkAddress>& peers,
+                  std::size_t most,
+                  std::size_t& next,
+                  bool are_near);
+  std::vector<NetworkAddress> OtherReaders() const;
+  void OnDomainNews(const NewsReport& report, bool is_near);
+  void Send(const NetworkAddress& peer, bool is_near);
 
   NewsTransport& m_transport;
   Scheduler& m_scheduler;
@@ -88,6 +98,10 @@
   const std::vector<NetworkAddress> m_seeds;
   const NewsSettings m_settings;
   LoadBook::Uses m_uses;
+  LoadBook::Uses m_domain_sum;
+
+  /** A reader's: what other readers said of their domains, and when. */
+  std::map<FailureDomainName, std::pair<TimePoint, LoadBook::Uses>> m_other_domains;
   std::map<BackendServerName, TimePoint> m_stalls;
   bool m_leaving = false;
   std::optional<TimePoint> m_steady_peer_heard_at;
--- a/packages/zinnia_decisions/forwarding/news_report.h
+++ b/packages/zinnia_decisions/forwarding/news_report.h
@@ -23,6 +23,10 @@
   /** How far it knows the store's records. */
   std::uint64_t revision = 0;
   LoadBook::Uses uses;
+
+  /** From a reader to its own failure domain: what the readers of others told it. From a reader to
+      those: the sum over its own domain, as the one entry. */
+  std::map<FailureDomainName, LoadBook::Uses> domain_uses;
   std::vector<StallNews> stalls;
 
   /** The store has answered it without a failure for longer than lapsed entries need to return. */
--- a/packages/zinnia_decisions/forwarding/path_finder.cc
+++ b/packages/zinnia_decisions/forwarding/path_finder.cc
@@ -33,6 +33,9 @@
     without bound as it fills. */
 constexpr double kMostPipeUse = 0.6;
 
+/** A first event that is late costs most of a request's worth, a slow answer nothing. */
+constexpr double kWaitWeight = 8.0;
+
 /** A request that arrives at a busy stage waits for half of the pass that is running. */
 constexpr double kWaitForPass = 0.5;
 
@@ -45,6 +48,9 @@
   std::size_t domain = 0;
   double ms_per_layer = 0.0;
   double free_token_layers = 0.0;
+
+  /** Cost of beginning there: how long first events took lately. */
+  double wait_ms = 0.0;
 };
 
 struct Step {
@@ -101,6 +107,10 @@
   std::size_t m_domains = 1;
 };
 
+double Milliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 double PipeMsOf(const EngineProfile& engine, const GenerationSize& size) {
   if (engine.failure_domain_link_mbps <= 0) {
     return 0.0;
@@ -161,7 +171,8 @@
       }
       // Entering the first server from the callers' side takes no engine's pipe.
       const bool crossing = candidate.domain != domain && from > 0;
-      const double cost = so_far + Cost(candidate, layers, crossing);
+      const double cost = so_far + Cost(candidate, layers, crossing) +
+                          (from == 0 ? candidate.wait_ms * kWaitWeight : 0.0);
       Step& step = At(to, candidate.domain);
       if (cost < step.cost) {
         step = {cost, boundary, domain, &candidate};
@@ -303,6 +314,7 @@
                              (1.0 + kFailurePenalty * m_health.FailureShare(name));
     candidate.free_token_layers =
         TokenLayerCapacity(engine, server) * kReservableShare - use.token_layers;
+    candidate.wait_ms = Milliseconds(m_health.FirstEventDelay(name));
     candidates.push_back(candidate);
   }
   const double pipe_use = m_pipe.OwnUse() * static_cast<double>(view.live_instances);
--- a/packages/zinnia_decisions/forwarding/server_health.cc
+++ b/packages/zinnia_decisions/forwarding/server_health.cc
@@ -13,6 +13,9 @@
  */
 constexpr std::chrono::duration<double> kHalfLife{3.0};
 
+/** Waiting requests come and go faster. */
+constexpr std::chrono::duration<double> kDelayHalfLife{0.7};
+
 /** Records of servers that have left are dropped beyond this number. */
 constexpr std::size_t kMostRecords = 4'096;
 
@@ -27,6 +30,7 @@
   Record& record = m_records[server];
   const std::chrono::duration<double> age = now - record.changed_at;
   record.failure_share *= std::exp2(-age / kHalfLife);
+  record.first_event_ms *= std::exp2(-age / kDelayHalfLife);
   record.changed_at = now;
   return record;
 }
@@ -42,6 +46,23 @@
   record.failure_share += kOutcomeWeight * (value - record.failure_share);
 }
 
+void ServerHealth::OnFirstEvent(const BackendServerName& server, Duration delay) {
+  Record& record = Touch(server);
+  const std::chrono::duration<double, std::milli> milliseconds = delay;
+  record.first_event_ms += kOutcomeWeight * (milliseconds.count() - record.first_event_ms);
+}
+
+Duration ServerHealth::FirstEventDelay(const BackendServerName& server) const {
+  const auto record = m_records.find(server);
+  if (record == m_records.end()) {
+    return Duration::zero();
+  }
+  const std::chrono::duration<double> age = m_clock.Now() - record->second.changed_at;
+  const std::chrono::duration<double, std::milli> delay(record->second.first_event_ms *
+                                                        std::exp2(-age / kDelayHalfLife));
+  return std::chrono::duration_cast<Duration>(delay);
+}
+
 bool ServerHealth::IsExcluded(const BackendServerName& server) const {
   const auto record = m_records.find(server);
   return record != m_records.end() && m_clock.Now() < record->second.excluded_until;
--- a/packages/zinnia_decisions/forwarding/server_health.h
+++ b/packages/zinnia_decisions/forwarding/server_health.h
@@ -24,6 +24,12 @@
   /** A request at the server ended well, or failed through its fault. */
   void OnOutcome(const BackendServerName& server, bool good);
 
+  /** A request that began at the server had its first event after so long. */
+  void OnFirstEvent(const BackendServerName& server, Duration delay);
+
+  /** The usual delay of first events lately; zero if none is known. */
+  Duration FirstEventDelay(const BackendServerName& server) const;
+
   bool IsExcluded(const BackendServerName& server) const;
 
   /** The share of its recent requests that failed, 0 to 1. */
@@ -34,6 +40,7 @@
     TimePoint excluded_until{};
     TimePoint changed_at{};
     double failure_share = 0.0;
+    double first_event_ms = 0.0;
   };
 
   Record& Touch(const BackendServerName& server);
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -167,6 +167,9 @@
     void OnPeerUses(const InstanceName& instance, LoadBook::Uses reported) override {
       uses[instance] = std::move(reported);
     }
+    void OnDomainUses(const FailureDomainName& domain, LoadBook::Uses reported) override {
+      uses[domain] = std::move(reported);
+    }
     void OnPeerStall(const StallNews& stall) override { stalls.push_back(stall.server); }
     std::map<InstanceName, LoadBook::Uses> uses;
     std::vector<std::string> stalls;
