Test the forwarding path over sockets and the platform's formats

Found by them: the report of dropped log lines was itself dropped while the buffer was full; mended.

--- a/packages/zinnia_adapters/fleet_news/news_client.cc
+++ b/packages/zinnia_adapters/fleet_news/news_client.cc
@@ -100,7 +100,8 @@
   Peer& peer = m_peers[address];
   if (m_clock.Now() < peer.not_before || peer.in_flight >= kMostCallsInFlight) {
     m_tasks.add(kj::evalLater([callback = std::move(callback), address] {
-      callback(MakeError(ErrorKind::kPeerUnavailable, address.ToString() + ": not asked again yet"));
+      callback(
+          MakeError(ErrorKind::kPeerUnavailable, address.ToString() + ": not asked again yet"));
     }));
     return;
   }
@@ -126,9 +127,9 @@
                         --failed.in_flight;
                         failed.connection.reset();
                         failed.not_before = m_clock.Now() + kPauseAfterFailure;
-                        callback(MakeError(
-                            ErrorKind::kPeerUnavailable,
-                            address.ToString() + ": " + failure.getDescription().cStr()));
+                        callback(
+                            MakeError(ErrorKind::kPeerUnavailable,
+                                      address.ToString() + ": " + failure.getDescription().cStr()));
                       }));
 }
 
--- a/packages/zinnia_adapters/fleet_news/news_server.cc
+++ b/packages/zinnia_adapters/fleet_news/news_server.cc
@@ -58,9 +58,8 @@
           auto connection = kj::heap<ServedConnection>(kj::mv(stream), m_listener);
           m_tasks.add(connection->network.onDisconnect().attach(kj::mv(connection)));
         })
-        .catch_([this](kj::Exception&&) {
-          return m_io.provider->getTimer().afterDelay(kAcceptPause);
-        })
+        .catch_(
+            [this](kj::Exception&&) { return m_io.provider->getTimer().afterDelay(kAcceptPause); })
         .then([this] { return Accept(); });
   }
 
@@ -89,9 +88,9 @@
                    ->listen();
   });
   KJ_IF_MAYBE (exception, failure) {
-    return MakeError(ErrorKind::kInvalidSettings,
-                     "cannot listen on peer_address " + address.ToString() + ": " +
-                         exception->getDescription().cStr());
+    return MakeError(ErrorKind::kInvalidSettings, "cannot listen on peer_address " +
+                                                      address.ToString() + ": " +
+                                                      exception->getDescription().cStr());
   }
   return std::unique_ptr<NewsServer>(
       new NewsServer(std::make_unique<Impl>(io, kj::mv(acceptor), listener)));
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -204,8 +204,8 @@
 
 bool ForwardExchange::ChoosePath() {
   const auto view = m_parts.view();
-  const auto found = m_parts.paths.Find(*view, m_service, ExpectedSize(),
-                                        m_parts.own_failure_domain, m_avoided);
+  const auto found =
+      m_parts.paths.Find(*view, m_service, ExpectedSize(), m_parts.own_failure_domain, m_avoided);
   if (!found) {
     return false;
   }
@@ -217,7 +217,8 @@
   return true;
 }
 
-/** The whole request, also when a part of its answer is there already: all tokens stay in memory. */
+/** The whole request, also when a part of its answer is there already: all tokens stay in memory.
+ */
 GenerationSize ForwardExchange::ExpectedSize() const {
   GenerationSize size;
   size.prompt_tokens = m_facts.prompt_tokens;
@@ -263,8 +264,7 @@
   marks.server = m_server;
   marks.organisation = m_organisation;
   marks.path = m_path;
-  marks.last_event_id =
-      m_events.LastEventId() ? m_events.LastEventId() : m_facts.last_event_id;
+  marks.last_event_id = m_events.LastEventId() ? m_events.LastEventId() : m_facts.last_event_id;
   m_parts.codec.MarkRequest(request, marks);
   request.keep_alive(true);
   request.prepare_payload();
@@ -601,9 +601,8 @@
 }
 
 void ForwardExchange::OnServerStalled(const BackendServerName& server) {
-  const bool concerned = std::any_of(m_path.begin(), m_path.end(), [&](const PathPart& part) {
-    return part.server == server;
-  });
+  const bool concerned = std::any_of(m_path.begin(), m_path.end(),
+                                     [&](const PathPart& part) { return part.server == server; });
   if (m_ended || !m_connection || !concerned || m_rerouting) {
     return;
   }
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -117,8 +117,8 @@
   AnswerFacts m_answer_facts;
   std::string m_body;
   EventSplitter m_events;
-  bool m_is_streaming = false;   // The present answer is a stream.
-  bool m_stream_started = false; // The caller has the head of a stream.
+  bool m_is_streaming = false;    // The present answer is a stream.
+  bool m_stream_started = false;  // The caller has the head of a stream.
   bool m_first_event_sent = false;
   bool m_rerouting = false;
   bool m_asking = false;
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -46,6 +46,11 @@
   CutOff();
 }
 
+std::uint16_t ForwardServer::Port() const {
+  boost::system::error_code error;
+  return m_acceptor.local_endpoint(error).port();
+}
+
 void ForwardServer::Accept() {
   m_acceptor.async_accept([this, alive = std::weak_ptr<bool>(m_alive)](
                               const boost::system::error_code& error, tcp::socket socket) {
--- a/packages/zinnia_adapters/forwarding/forward_server.h
+++ b/packages/zinnia_adapters/forwarding/forward_server.h
@@ -33,6 +33,9 @@
                                                        const NetworkAddress& address);
   ~ForwardServer() override;
 
+  /** The port in use, also when a free one was asked for. */
+  std::uint16_t Port() const;
+
   /** Answers from now on end their connections. */
   void BeginDrain();
 
--- a/packages/zinnia_adapters/forwarding/server_connection.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection.cc
@@ -110,14 +110,14 @@
 
 void ServerConnection::Write() {
   m_writing = true;
-  http::async_write(m_socket, m_request,
-                    [self = shared_from_this()](const boost::system::error_code& error,
-                                                std::size_t) {
-                      self->m_writing = false;
-                      if (error && !self->m_closed && self->m_busy) {
-                        self->Fail(true, error.message());
-                      }
-                    });
+  http::async_write(
+      m_socket, m_request,
+      [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+        self->m_writing = false;
+        if (error && !self->m_closed && self->m_busy) {
+          self->Fail(true, error.message());
+        }
+      });
 }
 
 void ServerConnection::Read() {
--- a/packages/zinnia_adapters/forwarding/stall_inquiry.cc
+++ b/packages/zinnia_adapters/forwarding/stall_inquiry.cc
@@ -6,8 +6,8 @@
 
 void StallInquiry::Ask(const PathPart& first, Callback callback) {
   Inquiry& inquiry = m_inquiries[first.server];
-  const bool fresh = inquiry.answered_at != TimePoint() &&
-                     m_clock.Now() - inquiry.answered_at < kReportLifetime;
+  const bool fresh =
+      inquiry.answered_at != TimePoint() && m_clock.Now() - inquiry.answered_at < kReportLifetime;
   if (!inquiry.in_flight && fresh) {
     callback(inquiry.report);
     return;
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -152,16 +152,15 @@
 void ForwardingDaemon::StartTraffic() {
   m_traffic = std::make_unique<ForwardingTraffic>(
       *m_traffic_thread,
-      ForwardingTrafficParts{m_clock, m_logger, m_metrics, m_platform->codec,
-                             m_platform->traffic_engines, m_settings.failure_domain,
-                             m_settings.callers_address, RetryBudgetOf(m_settings),
-                             Hash64(m_settings.instance, StartOf(m_clock)),
-                             [this](const BackendServerName& server) {
-                               m_control_thread->Post([this, server] {
-                                 m_control->News().TellStall(server);
-                                 m_control->NoteStalled(server);
-                               });
-                             }});
+      ForwardingTrafficParts{
+          m_clock, m_logger, m_metrics, m_platform->codec, m_platform->traffic_engines,
+          m_settings.failure_domain, m_settings.callers_address, RetryBudgetOf(m_settings),
+          Hash64(m_settings.instance, StartOf(m_clock)), [this](const BackendServerName& server) {
+            m_control_thread->Post([this, server] {
+              m_control->News().TellStall(server);
+              m_control->NoteStalled(server);
+            });
+          }});
   ListenForTexts();
   ScheduleUpkeep();
 }
@@ -172,16 +171,14 @@
                   const bool ready = m_knows_rules && !m_draining;
                   return TextServer::Answer{ready ? 200U : 503U, ready ? "ready\n" : "not ready\n"};
                 }).value();
-  m_metrics_server = TextServer::Create(loop, m_settings.metrics_address,
-                                        [this](const std::string&) {
-                                          return TextServer::Answer{200U, m_metrics.WriteText()};
-                                        })
-                         .value();
+  m_metrics_server =
+      TextServer::Create(loop, m_settings.metrics_address, [this](const std::string&) {
+        return TextServer::Answer{200U, m_metrics.WriteText()};
+      }).value();
 }
 
 void ForwardingDaemon::ScheduleUpkeep() {
-  m_upkeep =
-      m_traffic_thread->GetScheduler().ScheduleAfter(kUpkeepInterval, [this] { Upkeep(); });
+  m_upkeep = m_traffic_thread->GetScheduler().ScheduleAfter(kUpkeepInterval, [this] { Upkeep(); });
 }
 
 void ForwardingDaemon::Upkeep() {
@@ -209,8 +206,7 @@
 
 void ForwardingDaemon::OnPeerStall(const StallNews& stall) {
   m_control->NoteStalled(stall.server);
-  m_traffic_thread->Post(
-      [this, stall] { m_traffic->OnPeerStall(stall.server, stall.age); });
+  m_traffic_thread->Post([this, stall] { m_traffic->OnPeerStall(stall.server, stall.age); });
 }
 
 void ForwardingDaemon::Reload(const ForwardingSettings& settings) {
--- a/packages/zinnia_apps/daemon/forwarding_daemon.h
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.h
@@ -29,8 +29,8 @@
     own: one control thread, one traffic thread.
 
     The composition root: the only place that knows which platform it is. For a planned stop call
-    BeginDrain, some seconds later StopAccepting, and Stop when InFlight is empty. Used from the main
-    thread only.
+    BeginDrain, some seconds later StopAccepting, and Stop when InFlight is empty. Used from the
+   main thread only.
 */
 class ForwardingDaemon final : private NewsSink {
  public:
--- a/packages/zinnia_base/logging/standard_output_logger.cc
+++ b/packages/zinnia_base/logging/standard_output_logger.cc
@@ -91,11 +91,13 @@
   }
   m_reported_second = second;
   const std::uint64_t count = m_dropped - std::exchange(m_dropped_reported, m_dropped);
-  Append(fmt::format("instance={} level=warning event=lines_dropped count={}\n", m_instance, count));
+  Append(
+      fmt::format("instance={} level=warning event=lines_dropped count={}\n", m_instance, count));
 }
 
 void StandardOutputLogger::Flush() {
   const std::lock_guard lock(m_mutex);
+  WriteOut();  // First, or a full buffer would drop the report of what was dropped.
   ReportDropped();
   WriteOut();
 }
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -86,9 +86,9 @@
   }
   auto rules = m_parts.reader.ReadRules(*record.value);
   if (!rules) {
-    m_parts.logger.Log(LogLevel::kError, "configuration_unreadable",
-                       {{"revision", std::to_string(record.revision)},
-                        {"reason", Describe(rules.error())}});
+    m_parts.logger.Log(
+        LogLevel::kError, "configuration_unreadable",
+        {{"revision", std::to_string(record.revision)}, {"reason", Describe(rules.error())}});
     return;
   }
   if (m_rules && rules->version <= m_rules->version) {
--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -11,8 +11,8 @@
 namespace zinnia {
 namespace {
 
-/** A pool is planned whole only when no engine has come for this long: engines of one start register
-    within a second, and a plan for the first few would fit none of the rest. */
+/** A pool is planned whole only when no engine has come for this long: engines of one start
+   register within a second, and a plan for the first few would fit none of the rest. */
 constexpr Duration kSettleTime = std::chrono::milliseconds(700);
 
 /** After this an order without an answer is sent again. */
@@ -153,9 +153,8 @@
       candidates.push_back(&server);
     }
   }
-  std::stable_sort(candidates.begin(), candidates.end(), [&](const auto* one, const auto* other) {
-    return speed(*one) > speed(*other);
-  });
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [&](const auto* one, const auto* other) { return speed(*one) > speed(*other); });
   std::vector<const ServerEntry*> spares;
   for (const ServerEntry* server : candidates) {
     bool needed = false;
@@ -195,8 +194,7 @@
     }
     const double weights = left.layers.Count() * engine.layer_mb;
     const double memory = engine.accelerators.at(spares.front()->accelerator).memory_mb;
-    const auto wanted =
-        static_cast<std::size_t>(std::ceil(weights / (memory * kUsualWeightShare)));
+    const auto wanted = static_cast<std::size_t>(std::ceil(weights / (memory * kUsualWeightShare)));
     const std::size_t count = std::min(wanted, spares.size());
     if (weights > static_cast<double>(count) * memory * kMostWeightShare) {
       ++vacancy;
@@ -204,8 +202,7 @@
     }
     for (std::size_t index = 0; index < count; ++index) {
       const auto boundary = [&](std::size_t part) {
-        return left.layers.first +
-               static_cast<std::uint32_t>(left.layers.Count() * part / count);
+        return left.layers.first + static_cast<std::uint32_t>(left.layers.Count() * part / count);
       };
       m_assignments[spares[index]->name] = {{boundary(index), boundary(index + 1)}, {}, false};
       m_repairing.insert(spares[index]->name);
@@ -215,10 +212,10 @@
 }
 
 void LayerPlacer::Assign(const EngineProfile& engine, const std::vector<ServerEntry>& servers) {
-  const bool all_empty =
-      m_assignments.empty() &&
-      std::all_of(servers.begin(), servers.end(),
-                  [](const ServerEntry& server) { return server.layers.Count() == 0; });
+  const bool all_empty = m_assignments.empty() &&
+                         std::all_of(servers.begin(), servers.end(), [](const ServerEntry& server) {
+                           return server.layers.Count() == 0;
+                         });
   if (all_empty) {
     for (const auto& [name, range] : LayerPlanner::PlanPool(engine, servers)) {
       m_assignments[name].layers = range;
--- a/packages/zinnia_decisions/forwarding/layer_planner.cc
+++ b/packages/zinnia_decisions/forwarding/layer_planner.cc
@@ -32,10 +32,9 @@
 }
 
 double MemoryOf(const EngineProfile& engine, const Chain& chain) {
-  return std::accumulate(chain.begin(), chain.end(), 0.0,
-                         [&](double sum, const ServerEntry* server) {
-                           return sum + MemoryOf(engine, *server);
-                         });
+  return std::accumulate(
+      chain.begin(), chain.end(), 0.0,
+      [&](double sum, const ServerEntry* server) { return sum + MemoryOf(engine, *server); });
 }
 
 bool IsEnough(const EngineProfile& engine, const Chain& chain) {
@@ -58,7 +57,8 @@
   for (std::size_t index = 0; index < chain.size(); ++index) {
     exact_end += engine.layers * MemoryOf(engine, *chain[index]) / memory;
     auto end = static_cast<std::uint32_t>(std::lround(exact_end));
-    end = std::clamp(end, first, std::min(first + MostLayers(engine, *chain[index]), engine.layers));
+    end =
+        std::clamp(end, first, std::min(first + MostLayers(engine, *chain[index]), engine.layers));
     if (index + 1 == chain.size()) {
       end = engine.layers;
     }
--- a/packages/zinnia_decisions/forwarding/news_exchange.h
+++ b/packages/zinnia_decisions/forwarding/news_exchange.h
@@ -68,8 +68,8 @@
 
   void TellLeaving();
 
-  /** Decides whether this instance waits briefly for the store's changes: one in each failure domain
-      does, and every one that has not heard from its domain's reader lately. */
+  /** Decides whether this instance waits briefly for the store's changes: one in each failure
+     domain does, and every one that has not heard from its domain's reader lately. */
   bool ShouldRead() const;
 
   /** Whether some peer said lately that the store serves it without failures. */
--- a/packages/zinnia_decisions/forwarding/path_finder.cc
+++ b/packages/zinnia_decisions/forwarding/path_finder.cc
@@ -213,9 +213,8 @@
   while (boundary > 0) {
     const Step& step = At(boundary, domain);
     const ServerEntry& entry = *step.server->entry;
-    found.path.push_back({entry.name,
-                          entry.address,
-                          {m_boundaries[step.from_boundary], m_boundaries[boundary]}});
+    found.path.push_back(
+        {entry.name, entry.address, {m_boundaries[step.from_boundary], m_boundaries[boundary]}});
     boundary = step.from_boundary;
     domain = step.from_domain;
   }
@@ -259,8 +258,7 @@
   const double step = (engine.step_ms + per_request * in_one_pass) *
                       (1.0 + kWaitForPass * std::min(1.0, in_one_pass - 1.0));
   const double reading = size.prompt_tokens / (engine.read_tokens_per_second / 1'000.0);
-  return (size.answer_tokens * step * accelerator.step_factor +
-          reading * accelerator.read_factor) /
+  return (size.answer_tokens * step * accelerator.step_factor + reading * accelerator.read_factor) /
          engine.layers;
 }
 
@@ -309,9 +307,9 @@
     Candidate candidate;
     candidate.entry = &server;
     candidate.domain = domain;
-    candidate.ms_per_layer = MsPerLayer(engine, accelerator->second, size, use.requests,
-                                        server.layers.Count()) *
-                             (1.0 + kFailurePenalty * m_health.FailureShare(name));
+    candidate.ms_per_layer =
+        MsPerLayer(engine, accelerator->second, size, use.requests, server.layers.Count()) *
+        (1.0 + kFailurePenalty * m_health.FailureShare(name));
     candidate.free_token_layers =
         TokenLayerCapacity(engine, server) * kReservableShare - use.token_layers;
     candidate.wait_ms = Milliseconds(m_health.FirstEventDelay(name));
--- a/packages/zinnia_decisions/forwarding/pipe_meter.cc
+++ b/packages/zinnia_decisions/forwarding/pipe_meter.cc
@@ -5,7 +5,8 @@
 namespace zinnia {
 namespace {
 
-/** Requests come in bursts of tens of milliseconds, and faults change their ways within a second. */
+/** Requests come in bursts of tens of milliseconds, and faults change their ways within a second.
+ */
 constexpr std::chrono::duration<double, std::milli> kMemory{1'000.0};
 
 }  // namespace
--- a/packages/zinnia_decisions/forwarding/retry_policy.h
+++ b/packages/zinnia_decisions/forwarding/retry_policy.h
@@ -34,8 +34,6 @@
 
 /** Decides whether a request may be sent again: never when that could run a non-idempotent request
     twice, never beyond the route's number of servers. The retry budget is the caller's to ask. */
-NextStep DecideNextStep(const ForwardRoute& route,
-                        SendOutcome outcome,
-                        const SendHistory& history);
+NextStep DecideNextStep(const ForwardRoute& route, SendOutcome outcome, const SendHistory& history);
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/server_directory.cc
+++ b/packages/zinnia_decisions/forwarding/server_directory.cc
@@ -11,13 +11,13 @@
   ServerEntry& known = m_servers[entry.name];
   const bool is_new = known.name.empty();
   if (is_new || known.draining != entry.draining || known.layers != entry.layers) {
-    m_logger.Log(LogLevel::kInfo, is_new ? "server_registered" : "server_changed",
-                 {{"server", entry.name},
-                  {"service", entry.service},
-                  {"failure_domain", entry.failure_domain},
-                  {"draining", entry.draining ? "yes" : "no"},
-                  {"layers", std::to_string(entry.layers.first) + "-" +
-                                 std::to_string(entry.layers.end)}});
+    m_logger.Log(
+        LogLevel::kInfo, is_new ? "server_registered" : "server_changed",
+        {{"server", entry.name},
+         {"service", entry.service},
+         {"failure_domain", entry.failure_domain},
+         {"draining", entry.draining ? "yes" : "no"},
+         {"layers", std::to_string(entry.layers.first) + "-" + std::to_string(entry.layers.end)}});
   }
   known = std::move(entry);
 }
@@ -32,8 +32,8 @@
     Drop(server, "removed");
     return;
   }
-  m_doubtful[server] = m_scheduler.ScheduleAfter(
-      kDoubtAfterFailure, [this, server, changed = std::move(changed)] {
+  m_doubtful[server] =
+      m_scheduler.ScheduleAfter(kDoubtAfterFailure, [this, server, changed = std::move(changed)] {
         // The call erases its own timer's entry, so what it still needs is copied first.
         const auto notify = changed;
         const BackendServerName name = server;
--- a/packages/zinnia_decisions/forwarding/shared_retry_budget.cc
+++ b/packages/zinnia_decisions/forwarding/shared_retry_budget.cc
@@ -41,8 +41,8 @@
     }
   }
   const double instances = static_cast<double>(std::max<std::size_t>(1, live_instances));
-  const double allowed = kGivenRatio * m_settings.ratio * requests +
-                         kGivenSlack * m_settings.slack / instances;
+  const double allowed =
+      kGivenRatio * m_settings.ratio * requests + kGivenSlack * m_settings.slack / instances;
   if (retries + 1 > allowed) {
     return false;
   }
--- a/packages/zinnia_decisions/forwarding/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/store_mirror.cc
@@ -45,9 +45,8 @@
 }
 
 void StoreMirror::List() {
-  m_store.List(kEverything, WhileAlive(m_alive, [this](const Result<StoreBatch>& result) {
-                 OnListed(result);
-               }));
+  m_store.List(kEverything,
+               WhileAlive(m_alive, [this](const Result<StoreBatch>& result) { OnListed(result); }));
 }
 
 void StoreMirror::OnListed(const Result<StoreBatch>& result) {
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -43,8 +43,8 @@
   CHECK_EQUAL(1, store.lists);
 }
 
-// Symptom: a server that left long ago still gets requests. Sequence: watches hear nothing while the
-// server leaves, then the store drops its history. Cause: watching on from the newest revision
+// Symptom: a server that left long ago still gets requests. Sequence: watches hear nothing while
+// the server leaves, then the store drops its history. Cause: watching on from the newest revision
 // without listing what is left.
 TEST(Mirror, ALostHistoryIsListedAnewAndWhatIsMissingIsGone) {
   store.Erase("b");
@@ -99,7 +99,8 @@
 }
 
 // Symptom: a changed configuration is in force after six seconds. Sequence: the store stops telling
-// waiting watches, changes are made, its history is dropped. Cause: a deaf watch waited for its end.
+// waiting watches, changes are made, its history is dropped. Cause: a deaf watch waited for its
+// end.
 TEST(Mirror, ANewReaderDoesNotWaitForTheEndOfItsLongWatch) {
   mirror.SetIsReader(false);
   Watched();
@@ -119,7 +120,9 @@
   ServerDirectory directory{time, logger};
   int changes = 0;
 
-  void setup() override { directory.Put(EngineServer("s", "fast", "x")); }
+  void setup() override {
+    directory.Put(EngineServer("s", "fast", "x"));
+  }
   void Remove(bool in_doubt) {
     directory.Remove("s", in_doubt, [this] { ++changes; });
   }
@@ -131,8 +134,8 @@
 }
 
 // Symptom: everything is refused for seconds after an outage of the store. Sequence: leases of the
-// servers' entries lapse while the store is away; it comes back without the entries, and the servers
-// register again a second later. Cause: lapsed entries taken for dead servers.
+// servers' entries lapse while the store is away; it comes back without the entries, and the
+// servers register again a second later. Cause: lapsed entries taken for dead servers.
 TEST(Servers, AnEntryThatLapsedInAnOutageMayReturn) {
   Remove(true);
   CHECK_EQUAL(1U, directory.All().size());
@@ -233,8 +236,8 @@
 }
 
 // Symptom: a leaving server gets requests two seconds after it said so. Sequence: the store refuses
-// one instance and serves the others; the server leaves meanwhile. Cause: the refused instance takes
-// its own failures for an outage of the store.
+// one instance and serves the others; the server leaves meanwhile. Cause: the refused instance
+// takes its own failures for an outage of the store.
 TEST(News, APeerThatTheStoreServesProvesThatThereIsNoOutage) {
   CHECK_FALSE(news.SomePeerIsSteady());
   NewsReport report = ReportOf("peer");
--- a/tests/forwarding/forwarding_fakes.h
+++ b/tests/forwarding/forwarding_fakes.h
@@ -151,8 +151,10 @@
     }));
   }
   void RevokeLease(StoreLeaseId, DoneCallback) override {}
-  void Watch(std::string, std::uint64_t after, std::chrono::milliseconds, BatchCallback callback)
-      override {
+  void Watch(std::string,
+             std::uint64_t after,
+             std::chrono::milliseconds,
+             BatchCallback callback) override {
     last_watch_after = after;
     watches.push_back(std::move(callback));
   }
--- a/tests/forwarding/paths_test.cc
+++ b/tests/forwarding/paths_test.cc
@@ -19,8 +19,8 @@
   PathFinder finder{loads, health, pipe};
   GenerationSize size{774, 200};
   std::vector<ServerEntry> servers = {
-      EngineServer("x1", "fast", "x", {0, 40}), EngineServer("x2", "fast", "x", {40, 80}),
-      EngineServer("y1", "middle", "y", {0, 20}), EngineServer("y2", "middle", "y", {20, 40}),
+      EngineServer("x1", "fast", "x", {0, 40}),    EngineServer("x2", "fast", "x", {40, 80}),
+      EngineServer("y1", "middle", "y", {0, 20}),  EngineServer("y2", "middle", "y", {20, 40}),
       EngineServer("y3", "middle", "y", {40, 60}), EngineServer("y4", "middle", "y", {60, 80})};
 
   std::string Find(const std::set<BackendServerName>& avoided = {}) {
@@ -160,8 +160,7 @@
   const std::vector<ServerEntry> holders = {EngineServer("a", "fast", "k", {0, 40}),
                                             EngineServer("b", "fast", "k", {40, 80}),
                                             EngineServer("c", "fast", "k", {0, 40})};
-  const auto range =
-      LayerPlanner::RangeFor(engine, EngineServer("late", "fast", "k"), holders);
+  const auto range = LayerPlanner::RangeFor(engine, EngineServer("late", "fast", "k"), holders);
   CHECK_TRUE(range.has_value());
   CHECK_TRUE(range->first >= 40);
 }
--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -26,8 +26,8 @@
   std::vector<ServerEntry> servers;
 
   void setup() override {
-    placer = std::make_unique<LayerPlacer>(
-        OrderRoleParts{time, time, store, instances, recorder}, settings, orders, logger, "pool");
+    placer = std::make_unique<LayerPlacer>(OrderRoleParts{time, time, store, instances, recorder},
+                                           settings, orders, logger, "pool");
     for (int index = 0; index < 2; ++index) {
       servers.push_back(EngineServer("fast" + std::to_string(index), "fast", "k"));
     }
@@ -85,8 +85,8 @@
   Run(seconds(2));
   CarryOut();
   orders.count = 0;
-  placer = std::make_unique<LayerPlacer>(
-      OrderRoleParts{time, time, store, instances, recorder}, settings, orders, logger, "pool");
+  placer = std::make_unique<LayerPlacer>(OrderRoleParts{time, time, store, instances, recorder},
+                                         settings, orders, logger, "pool");
   store.records.clear();
   Run(seconds(20));
   CHECK_EQUAL(0, orders.count);
@@ -120,9 +120,9 @@
   CHECK_EQUAL(left.Count(), covered);
 }
 
-// Symptom: the repair of one lost stage breaks the chain a second time. Sequence: the fastest engine
-// is lost; another engine of the chain, slower than it, is taken for its range. Cause: every slower
-// engine taken for a spare.
+// Symptom: the repair of one lost stage breaks the chain a second time. Sequence: the fastest
+// engine is lost; another engine of the chain, slower than it, is taken for its range. Cause: every
+// slower engine taken for a spare.
 TEST(Placement, TheRepairTakesNoEngineThatItsDomainNeeds) {
   Run(seconds(2));
   CarryOut();
--- a/tests/forwarding/requests_test.cc
+++ b/tests/forwarding/requests_test.cc
@@ -77,7 +77,9 @@
     history.servers_reached = 1;
   }
 
-  NextStep Decide(SendOutcome outcome) { return DecideNextStep(route, outcome, history); }
+  NextStep Decide(SendOutcome outcome) {
+    return DecideNextStep(route, outcome, history);
+  }
 };
 
 // Symptom: a booking made twice. Sequence: a server takes the request and its answer is lost; the
@@ -90,8 +92,8 @@
   CHECK_TRUE(NextStep::kSendAgain == Decide(SendOutcome::kNotSent));
 }
 
-// Symptom: "not run" said of a request that ran. Sequence: a first server's answer is lost, a second
-// refuses. Cause: only the last outcome is looked at.
+// Symptom: "not run" said of a request that ran. Sequence: a first server's answer is lost, a
+// second refuses. Cause: only the last outcome is looked at.
 TEST(RetryDecision, ARefusalAfterAnUnknownOutcomeIsNoPromise) {
   route.repeatability = Repeatability::kIdempotent;
   history.servers_reached = 2;
--- /dev/null
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -0,0 +1,230 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/adapters/control_fakes.h"
+#include "tests/adapters/traffic_loop.h"
+#include "tests/adapters/traffic_test_caller.h"
+#include "tests/forwarding/forwarding_fakes.h"
+#include "zinnia_adapters/forwarding/forwarding_traffic.h"
+#include "zinnia_adapters/threads/traffic_thread.h"
+#include "zinnia_base/time/system_clock.h"
+#include "zinnia_decisions/forwarding/route_table.h"
+
+namespace zinnia {
+
+/** Names of this test's own for what requests and answers carry. */
+struct TestCodec final : MessageCodec {
+  RequestFacts ReadRequest(const Fields& fields) const override {
+    RequestFacts facts;
+    facts.id = std::string(fields["X-Id"]);
+    facts.api_key = std::string(fields["X-Key"]);
+    if (fields.count("X-Deadline") > 0) {
+      facts.deadline = std::chrono::milliseconds(std::stoi(std::string(fields["X-Deadline"])));
+    }
+    facts.prompt_tokens = 100;
+    return facts;
+  }
+  void MarkRequest(Fields& fields, const ForwardingMarks& marks) const override {
+    fields.erase("X-Key");
+    fields.set("X-Server", marks.server);
+    fields.set("X-Organisation", marks.organisation);
+    fields.set("X-Deadline", std::to_string(marks.deadline_left.count()));
+    if (marks.last_event_id) {
+      fields.set("X-Last-Event", std::to_string(*marks.last_event_id));
+    }
+  }
+  AnswerFacts ReadAnswer(unsigned, const Fields& fields) const override {
+    AnswerFacts facts;
+    facts.not_run = fields.count("X-Not-Run") > 0;
+    facts.request_id = std::string(fields["X-Id"]);
+    facts.is_signed = fields.count("X-Signature") > 0;
+    return facts;
+  }
+};
+
+struct TestEngineCalls final : EngineCalls {
+  void ReadReport(const PathPart&, std::function<void(Result<EngineReport>)> callback) override {
+    ++reports;
+    callback(report);
+  }
+  void Reroute(const std::string&,
+               const LayerPath& path,
+               std::function<void(Result<void>)> callback) override {
+    rerouted.push_back(path);
+    callback({});
+  }
+  Result<EngineReport> report = EngineReport();
+  int reports = 0;
+  std::vector<LayerPath> rerouted;
+};
+
+/** A server that answers with the very bytes that the test writes, on the test's loop. */
+class RawServer {
+ public:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+  struct Connection {
+    explicit Connection(boost::asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
+    void Write(const std::string& bytes) { boost::asio::write(socket, boost::asio::buffer(bytes)); }
+    void Close() { socket.close(); }
+    boost::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    Request request;
+  };
+  using Script = std::function<void(Connection&)>;
+
+  explicit RawServer(boost::asio::io_context& loop)
+      : m_acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0}) {
+    Accept();
+  }
+
+  NetworkAddress Address() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+
+  /** What to do with each further request; the last script serves all that follow. */
+  std::deque<Script> scripts;
+  std::vector<Request> received;
+  int connections = 0;
+
+  /** Ends when its other side does. */
+  bool other_side_closed = false;
+
+ private:
+  void Accept() {
+    m_acceptor.async_accept([this](boost::system::error_code error, auto socket) {
+      if (!error) {
+        ++connections;
+        m_connections.push_back(std::make_shared<Connection>(std::move(socket)));
+        Read(m_connections.back());
+        Accept();
+      }
+    });
+  }
+  void Read(const std::shared_ptr<Connection>& connection) {
+    connection->request = {};
+    boost::beast::http::async_read(
+        connection->socket, connection->buffer, connection->request,
+        [this, connection](boost::system::error_code error, std::size_t) {
+          if (error) {
+            other_side_closed = true;
+            return;
+          }
+          received.push_back(connection->request);
+          const Script script = scripts.front();
+          if (scripts.size() > 1) {
+            scripts.pop_front();
+          }
+          script(*connection);
+          Read(connection);
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  std::vector<std::shared_ptr<Connection>> m_connections;
+};
+
+/** A forwarding traffic side with servers "a" and "b" of the service "plain" and routes of each
+    kind of request on the host "h". */
+struct ForwardingFixture {
+  ForwardingFixture() {
+    auto rules = std::make_shared<ForwardingRules>();
+    rules->version = 1;
+    rules->keys_required = true;
+    rules->organisation_by_key["key-1"] = "hostel";
+    rules->services["plain"].name = "plain";
+    AddRoute(*rules, "/once/", Repeatability::kNonIdempotent, false);
+    AddRoute(*rules, "/safe/", Repeatability::kIdempotent, false);
+    AddRoute(*rules, "/events/", Repeatability::kStream, true);
+    auto view = std::make_shared<ForwardingView>();
+    view->rules = rules;
+    view->routes = std::make_shared<RouteTable>(*rules);
+    for (auto& [name, server] : {std::pair<std::string, RawServer*>("a", &a), {"b", &b}}) {
+      ServerEntry entry;
+      entry.name = name;
+      entry.service = "plain";
+      entry.address = server->Address();
+      entry.most_requests = 6;
+      view->servers[name] = entry;
+    }
+    traffic = std::make_unique<ForwardingTraffic>(
+        thread, ForwardingTrafficParts{clock,
+                                       logger,
+                                       metrics,
+                                       codec,
+                                       calls,
+                                       "x",
+                                       {"127.0.0.1", 0},
+                                       {0.2, 100, std::chrono::seconds(10)},
+                                       1,
+                                       [](const BackendServerName&) {}});
+    traffic->SetView(view);
+  }
+
+  static void AddRoute(ForwardingRules& rules,
+                       const std::string& prefix,
+                       Repeatability repeatability,
+                       bool resumable) {
+    ForwardRoute route;
+    route.name = prefix;
+    route.host = "h";
+    route.path_prefix = prefix;
+    route.repeatability = repeatability;
+    route.resumable = resumable;
+    route.services = {{"plain", 1}};
+    route.most_servers = 2;
+    route.timeout = std::chrono::seconds(5);
+    rules.routes.push_back(route);
+  }
+
+  /** Sets the script of both servers: the chooser takes either at first. */
+  void Script(const RawServer::Script& script) {
+    a.scripts = {script};
+    b.scripts = {script};
+  }
+
+  TestCaller& Call(const std::string& path, const std::string& key = "key-1") {
+    callers.push_back(std::make_unique<TestCaller>(thread.Loop(), traffic->Server().Port()));
+    SendOn(*callers.back(), path, key);
+    return *callers.back();
+  }
+
+  static void SendOn(TestCaller& caller,
+                     const std::string& path,
+                     const std::string& key = "key-1") {
+    caller.Send("POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Id: r-1\r\nX-Key: " + key +
+                "\r\nX-Deadline: 3000\r\nContent-Length: 4\r\n\r\nbody");
+  }
+
+  bool Until(const std::function<bool()>& condition) { return RunUntil(thread.Loop(), condition); }
+
+  std::size_t Arrivals() const { return a.received.size() + b.received.size(); }
+
+  static std::string Head(const std::string& fields) {
+    return "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\n" + fields + "\r\n";
+  }
+  static std::string Chunk(const std::string& text) {
+    return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+  }
+  static std::string Event(int id) { return fmt::format("id: {}\ndata: e{}\n\n", id, id); }
+
+  SystemClock clock;
+  SilentLogger logger;
+  CountingMetrics metrics;
+  TestCodec codec;
+  TestEngineCalls calls;
+  TrafficThread thread;  // Not started: the test runs its loop.
+  RawServer a{thread.Loop()};
+  RawServer b{thread.Loop()};
+  std::unique_ptr<ForwardingTraffic> traffic;
+  std::vector<std::unique_ptr<TestCaller>> callers;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/tests/platform/platform_test.cc
@@ -0,0 +1,228 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <deque>
+
+#include "platform/base64.h"
+#include "platform/engine_client.h"
+#include "platform/platform_codec.h"
+#include "platform/platform_store.h"
+#include "platform/record_reader.h"
+#include "tests/adapters/traffic_loop.h"
+#include "tests/adapters/traffic_scripted_server.h"
+#include "zinnia_adapters/http/http_client.h"
+#include "zinnia_base/time/system_clock.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia::platform {
+
+TEST_GROUP(PlatformHeaders) {
+  PlatformCodec codec;
+  MessageCodec::Fields fields;
+};
+
+TEST(PlatformHeaders, ReadsWhatARequestCarries) {
+  fields.set("Zinniastage-Attempt-Id", "r-1");
+  fields.set("Authorization", "Token key");
+  fields.set("Zinniastage-Deadline-Ms", "1500");
+  fields.set("Zinniastage-Token-Usage", "1460,80");
+  fields.set("Zinniastage-Length-Hint", "60");
+  fields.set("Last-Event-Id", "12");
+  const RequestFacts facts = codec.ReadRequest(fields);
+  STRCMP_EQUAL("r-1", facts.id.c_str());
+  STRCMP_EQUAL("key", facts.api_key.c_str());
+  CHECK_EQUAL(1'500, facts.deadline->count());
+  CHECK_EQUAL(1'460U, facts.prompt_tokens);
+  CHECK_EQUAL(80U, facts.most_answer_tokens);
+  CHECK_EQUAL(60U, *facts.expected_answer_tokens);
+  CHECK_EQUAL(12U, *facts.last_event_id);
+}
+
+TEST(PlatformHeaders, NonsenseIsTakenForMissing) {
+  fields.set("Authorization", "Basic key");
+  fields.set("Zinniastage-Deadline-Ms", "soon");
+  fields.set("Zinniastage-Token-Usage", ",");
+  const RequestFacts facts = codec.ReadRequest(fields);
+  CHECK_TRUE(facts.api_key.empty());
+  CHECK_FALSE(facts.deadline.has_value());
+  CHECK_EQUAL(0U, facts.prompt_tokens);
+}
+
+// Symptom: a server sees a caller's key, or believes an organisation that the caller made up.
+// Cause: headers of the caller passed on that only the router may set.
+TEST(PlatformHeaders, TheCallersKeyAndItsOwnClaimsDoNotReachServers) {
+  fields.set("Authorization", "Token key");
+  fields.set("Zinniastage-Tenant-Id", "made-up");
+  fields.set("Zinniastage-Target-Instance", "made-up");
+  fields.set("Zinniastage-Hop-Count", "made-up");
+  ForwardingMarks marks;
+  marks.server = "i-1";
+  marks.deadline_left = std::chrono::milliseconds(700);
+  marks.path = {{"i-1", {"10.0.0.1", 80}, {0, 20}}, {"i-2", {"10.0.0.2", 80}, {20, 80}}};
+  codec.MarkRequest(fields, marks);
+  CHECK_EQUAL(0U, fields.count("Authorization"));
+  CHECK_EQUAL(0U, fields.count("Zinniastage-Tenant-Id"));
+  STRCMP_EQUAL("i-1", std::string(fields["Zinniastage-Target-Instance"]).c_str());
+  STRCMP_EQUAL("700", std::string(fields["Zinniastage-Deadline-Ms"]).c_str());
+  STRCMP_EQUAL("10.0.0.1:80=0-20,10.0.0.2:80=20-80",
+               std::string(fields["Zinniastage-Hop-Count"]).c_str());
+}
+
+TEST(PlatformHeaders, ReadsWhatAnAnswerVouchesFor) {
+  CHECK_TRUE(codec.ReadAnswer(421, fields).not_run);
+  CHECK_FALSE(codec.ReadAnswer(503, fields).not_run);
+  fields.set("Zinniastage-Not-Executed", "1");
+  fields.set("At-Server", "10.0.0.2:80");
+  const AnswerFacts facts = codec.ReadAnswer(503, fields);
+  CHECK_TRUE(facts.not_run);
+  CHECK_FALSE(facts.is_signed);
+  STRCMP_EQUAL("10.0.0.2:80", facts.server_at_fault.c_str());
+}
+
+TEST_GROUP(PlatformRecords) {
+  PlatformRecordReader reader;
+};
+
+TEST(PlatformRecords, Base64ReadsBackAllBytes) {
+  for (const std::string& bytes : {std::string(), std::string("a"), std::string("ab"),
+                                   std::string("abc"), std::string("\0\xff\x80", 3)}) {
+    CHECK_TRUE(bytes == DecodeBase64(EncodeBase64(bytes)));
+  }
+  STRCMP_EQUAL("bm9kZS0x", EncodeBase64("node-1").c_str());
+}
+
+TEST(PlatformRecords, KnowsWhoseRecordAKeyIs) {
+  CHECK_TRUE(reader.IsConfiguration("op/config"));
+  STRCMP_EQUAL("i-1", reader.ServerNameOf("servers/i-1")->c_str());
+  CHECK_FALSE(reader.ServerNameOf("instances/n").has_value());
+}
+
+TEST(PlatformRecords, ReadsTheConfiguration) {
+  const auto rules = reader.ReadRules(
+      R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/p/","type":"streaming",
+      "timeout_ms":20000,"target_latency_ms":500,"priority":1,"max_attempts":2,"public":false,
+      "resumable":true,"target_gap_ms":200,
+      "traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10}]},
+      {"name":"q","hostname":"h","path_prefix":"/q/","type":"something new","service":"t"}],
+      "services":[{"name":"s","max_connections":10,"runtime":{"layers":80,"layer_mb":1750.0,
+      "kv_bytes":918000,"step_ms":1.02,"usual":{"prompt":774,"answer":200},
+      "types":[{"name":"a100","megabytes":72000.0,"pace":2.4,"read_factor":3.2}]}},
+      {"name":"t"}],"limits":{"max_header_bytes":100,"idle_timeout_ms":5000},
+      "tenants":[{"name":"o","api_keys":["k1","k2"]}]})");
+  CHECK_TRUE(rules.has_value());
+  CHECK_EQUAL(7U, rules->version);
+  const ForwardRoute& route = rules->routes[0];
+  CHECK_TRUE(route.MayRepeat());
+  CHECK_EQUAL(2U, route.services.size());
+  CHECK_EQUAL(200, route.event_gap_objective.count());
+  CHECK_TRUE(rules->routes[1].repeatability == Repeatability::kNonIdempotent);
+  CHECK_EQUAL(1U, rules->routes[1].most_servers);
+  CHECK_TRUE(rules->services.at("s").engine->IsLayered());
+  DOUBLES_EQUAL(2.4, rules->services.at("s").engine->accelerators.at("a100").step_factor, 1e-9);
+  CHECK_FALSE(rules->services.at("t").engine.has_value());
+  STRCMP_EQUAL("o", rules->organisation_by_key.at("k2").c_str());
+  CHECK_EQUAL(100U, rules->caller_bounds.most_header_bytes);
+  CHECK_FALSE(reader.ReadRules("{}").has_value());
+}
+
+TEST(PlatformRecords, ReadsAServersEntry) {
+  const auto server = reader.ReadServer(
+      "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"k","max_batch_size":6,
+      "phase":"draining","type":"l4","layers":{"source":3,"to":9,"version":1}})");
+  CHECK_TRUE(server.has_value());
+  CHECK_TRUE(server->draining);
+  CHECK_EQUAL(6U, server->most_requests);
+  CHECK_TRUE((server->layers == LayerRange{3, 9}));
+  CHECK_FALSE(reader.ReadServer("i-1", R"({"service":"s","address":"nowhere"})").has_value());
+}
+
+TEST_GROUP(PlatformCalls) {
+  SystemClock clock;
+  boost::asio::io_context loop;
+  unsigned status = 200;
+  std::string body = "{}";
+  std::vector<std::string> sent;
+  ScriptedServer server{loop, [this](ScriptedServer::Received received) {
+                          sent.push_back(received.request.body());
+                          received.answer(status, body);
+                        }};
+  std::shared_ptr<HttpClient> client = std::make_shared<HttpClient>(
+      clock, [this](std::function<void()> call) { boost::asio::post(loop, std::move(call)); },
+      HttpClientOptions{}, loop);
+  KeyValueStore store{client, server.Address()};
+  EngineClient engines{client};
+
+  std::string KindAfter(unsigned answered) {
+    status = answered;
+    std::string kind;
+    store.CompareAndSwap("k", 1, "v", 5, [&](const Result<std::uint64_t>& result) {
+      kind = result ? "done" : std::string(NameOf(result.error().kind));
+    });
+    CHECK_TRUE(RunUntil(loop, [&] { return !kind.empty(); }));
+    return kind;
+  }
+};
+
+TEST(PlatformCalls, TellsWhatAWriteCertainlyDidNotDo) {
+  body = R"({"revision":9})";
+  STRCMP_EQUAL("done", KindAfter(200).c_str());
+  STRCMP_CONTAINS("\"expected\":[{\"key\":\"k\",\"revision\":1}]", sent[0].c_str());
+  STRCMP_CONTAINS("\"lease_id\":5", sent[0].c_str());
+  STRCMP_EQUAL("store_conflict", KindAfter(412).c_str());
+  STRCMP_EQUAL("not_found", KindAfter(404).c_str());
+  STRCMP_EQUAL("store_unavailable", KindAfter(503).c_str());
+  STRCMP_EQUAL("store_unavailable", KindAfter(429).c_str());
+  STRCMP_EQUAL("store_outcome_unknown", KindAfter(500).c_str());
+}
+
+TEST(PlatformCalls, ReadsWhatAWatchSaw) {
+  body = R"({"events":[{"key":"a","value":"bm9kZS0x","revision":5,"lease_id":0},
+             {"key":"b","revision":6,"compacted":true}],"at":6})";
+  std::optional<StoreBatch> batch;
+  store.Watch("", 4, std::chrono::milliseconds(100),
+              [&](const Result<StoreBatch>& result) { batch = result.value(); });
+  CHECK_TRUE(RunUntil(loop, [&] { return batch.has_value(); }));
+  CHECK_EQUAL(6U, batch->version);
+  STRCMP_EQUAL("node-1", batch->records[0].value->c_str());
+  CHECK_FALSE(batch->records[1].value.has_value());
+  STRCMP_CONTAINS("after=4&wait_ms=100", server.targets[0].c_str());
+}
+
+TEST(PlatformCalls, ALostHistoryHasItsOwnKind) {
+  status = 410;
+  std::string kind;
+  store.Watch("", 4, std::chrono::milliseconds(100), [&](const Result<StoreBatch>& result) {
+    kind = std::string(NameOf(result.error().kind));
+  });
+  CHECK_TRUE(RunUntil(loop, [&] { return !kind.empty(); }));
+  STRCMP_EQUAL("store_history_lost", kind.c_str());
+}
+
+// Symptom: no server is ever found stalled, and callers leave. Sequence: a report lists requests
+// that wait. Cause: the ids in the list taken for servers; they are those of requests.
+TEST(PlatformCalls, AReportNamesStalledServersByTheirAddress) {
+  body = R"({"stalled_servers":[{"id":"request-1","address":"10.0.0.2:80"}]})";
+  std::optional<EngineReport> report;
+  engines.ReadReport({"i-1", server.Address(), {}},
+                     [&](const Result<EngineReport>& result) { report = result.value(); });
+  CHECK_TRUE(RunUntil(loop, [&] { return report.has_value(); }));
+  STRCMP_EQUAL("10.0.0.2:80", report->stalled[0].server.ToString().c_str());
+  STRCMP_EQUAL("request-1", report->stalled[0].request_id.c_str());
+}
+
+TEST(PlatformCalls, OrdersCarryTheirFencingNumber) {
+  status = 412;
+  ServerEntry entry;
+  entry.name = "i-1";
+  entry.address = server.Address();
+  std::string kind;
+  engines.Place(entry, {20, 31}, 4, [&](const Result<void>& result) {
+    kind = result ? "done" : std::string(NameOf(result.error().kind));
+  });
+  CHECK_TRUE(RunUntil(loop, [&] { return !kind.empty(); }));
+  STRCMP_EQUAL("stale_epoch", kind.c_str());
+  STRCMP_CONTAINS("\"fencing_token\":4", sent[0].c_str());
+  STRCMP_CONTAINS("\"source\":20,\"to\":31", sent[0].c_str());
+}
+
+}  // namespace zinnia::platform
