--- a/packages/zinnia_adapters/forwarding/server_connection.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection.cc
@@ -23,8 +23,8 @@
     dark, or a path that went silent, gives no other sign. */
 constexpr int kUnacknowledgedMilliseconds = 2'500;
 
-constexpr std::size_t kReadBytes = 16 * 1024;
-constexpr std::uint32_t kMostAnswerHeaderBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = 16'384;
+constexpr std::uint32_t kMostAnswerHeaderBytes = 65'536;
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
 /** "Keep-Alive: timeout=5, max=100" gives 5 s. */
--- a/packages/zinnia_decisions/forwarding/instance_directory.cc
+++ b/packages/zinnia_decisions/forwarding/instance_directory.cc
@@ -27,6 +27,7 @@
   }
   live[m_self.name] = m_self;
   std::vector<Instance> sorted;
+  sorted.reserve(live.size());
   for (const auto& [name, instance] : live) {
     sorted.push_back(instance);
   }
