Give replacements the very range that was left

Ruled out: memory (two domains were half empty while the third had no whole chain). Change: vacancies last until an engine of the same kind and domain comes; one that comes while nothing is vacant waits 1.5 s; an equal spare takes a vacant range whole.

--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -26,6 +26,13 @@
     seconds and then loads for three, while spares load small ranges in less than one. */
 constexpr Duration kRepairAfter = std::chrono::milliseconds(400);
 
+/** An engine that comes while nothing is vacant waits so long for a range: when engines are replaced,
+    the new one comes first and the old one leaves a moment later. */
+constexpr Duration kWaitForVacancy = std::chrono::milliseconds(1'500);
+
+/** Old vacancies go when there are more; no pool waits for so many replacements. */
+constexpr std::size_t kMostVacancies = 64;
+
 /** Part of a spare's memory that weights of a vacant range may take at first choice, and at most.
  */
 constexpr double kUsualWeightShare = 0.5;
@@ -69,6 +76,8 @@
   }
   NoteVacancies(view);
   m_seen.clear();
+  std::erase_if(m_empty_since,
+                [&](const auto& entry) { return !view.servers.contains(entry.first); });
   for (const ServerEntry& server : servers) {
     m_seen[server.name] = server;
   }
@@ -94,9 +103,15 @@
     // A stalled engine's range was given out when it fell silent.
     const bool known_vacant = m_stalled.erase(name) > 0;
     if (left.layers.Count() > 0 && !known_vacant) {
-      m_vacancies.push_back({std::move(left), m_parts.clock.Now()});
+      m_vacancies.push_back({std::move(left), m_parts.clock.Now(), {}});
     }
     m_repairing.erase(name);
+    for (Vacancy& vacancy : m_vacancies) {
+      std::erase(vacancy.shared_by, name);
+    }
+  }
+  if (m_vacancies.size() > kMostVacancies) {
+    m_vacancies.erase(m_vacancies.begin());
   }
 }
 
@@ -111,21 +126,26 @@
   return any_holds || m_parts.clock.Now() - m_last_change >= kSettleTime;
 }
 
-/** A server that came back after a crash, or its replacement, takes the range that was left. */
+/** A server that came back after a crash, or its replacement, takes the range that was left, also
+    when slower ones share it by now: they are spares again. */
 void LayerPlacer::AssignVacated(const std::vector<ServerEntry>& servers) {
   for (const ServerEntry& server : servers) {
     if (server.layers.Count() > 0 || m_assignments.contains(server.name)) {
       continue;
     }
-    auto vacancy =
+    const auto vacancy =
         std::find_if(m_vacancies.begin(), m_vacancies.end(), [&](const Vacancy& candidate) {
           return candidate.left.accelerator == server.accelerator &&
                  candidate.left.failure_domain == server.failure_domain;
         });
-    if (vacancy != m_vacancies.end()) {
-      m_assignments[server.name].layers = vacancy->left.layers;
-      m_vacancies.erase(vacancy);
+    if (vacancy == m_vacancies.end()) {
+      continue;
     }
+    m_assignments[server.name].layers = vacancy->left.layers;
+    for (const BackendServerName& name : vacancy->shared_by) {
+      m_repairing.erase(name);
+    }
+    m_vacancies.erase(vacancy);
   }
 }
 
@@ -149,7 +169,7 @@
     for (std::uint32_t layer = server.layers.first; layer < server.layers.end; ++layer) {
       ++holders[layer];
     }
-    if (speed(server) > speed(left) && !m_repairing.contains(server.name)) {
+    if (speed(server) >= speed(left) && server.layers.Count() > 0 && !m_repairing.contains(server.name)) {
       candidates.push_back(&server);
     }
   }
@@ -179,38 +199,54 @@
       !m_stalled.insert(server).second) {
     return;
   }
-  m_vacancies.push_back({seen->second, m_parts.clock.Now()});
+  m_vacancies.push_back({seen->second, m_parts.clock.Now(), {}});
 }
 
 void LayerPlacer::RepairWithSpares(const EngineProfile& engine,
                                    const std::vector<ServerEntry>& servers) {
-  for (auto vacancy = m_vacancies.begin(); vacancy != m_vacancies.end();) {
-    const ServerEntry& left = vacancy->left;
-    const std::vector<const ServerEntry*> spares = SparesFor(left, engine, servers);
-    const bool due = m_parts.clock.Now() - vacancy->since >= kRepairAfter;
-    if (!due || spares.empty()) {
-      ++vacancy;
-      continue;
-    }
-    const double weights = left.layers.Count() * engine.layer_mb;
-    const double memory = engine.accelerators.at(spares.front()->accelerator).memory_mb;
-    const auto wanted = static_cast<std::size_t>(std::ceil(weights / (memory * kUsualWeightShare)));
-    const std::size_t count = std::min(wanted, spares.size());
-    if (weights > static_cast<double>(count) * memory * kMostWeightShare) {
-      ++vacancy;
-      continue;
-    }
-    for (std::size_t index = 0; index < count; ++index) {
-      const auto boundary = [&](std::size_t part) {
-        return left.layers.first + static_cast<std::uint32_t>(left.layers.Count() * part / count);
-      };
-      m_assignments[spares[index]->name] = {{boundary(index), boundary(index + 1)}, {}, false};
-      m_repairing.insert(spares[index]->name);
+  for (Vacancy& vacancy : m_vacancies) {
+    const bool due = m_parts.clock.Now() - vacancy.since >= kRepairAfter;
+    if (due && vacancy.shared_by.empty()) {
+      ShareOut(vacancy, engine, servers);
     }
-    vacancy = m_vacancies.erase(vacancy);
   }
 }
 
+bool LayerPlacer::ShareOut(Vacancy& vacancy,
+                           const EngineProfile& engine,
+                           const std::vector<ServerEntry>& servers) {
+  const ServerEntry& left = vacancy.left;
+  std::vector<const ServerEntry*> spares = SparesFor(left, engine, servers);
+  const auto found = std::find_if(spares.begin(), spares.end(), [&](const ServerEntry* spare) {
+    return spare->accelerator == left.accelerator;
+  });
+  const bool alike = found != spares.end();
+  if (alike) {
+    spares = {*found};
+  }
+  if (spares.empty()) {
+    return false;
+  }
+  const double weights = left.layers.Count() * engine.layer_mb;
+  const double memory = engine.accelerators.at(spares.front()->accelerator).memory_mb;
+  const double share = alike ? 1.0 : kUsualWeightShare;
+  const auto wanted = static_cast<std::size_t>(std::ceil(weights / (memory * share)));
+  const std::size_t count = std::min(wanted, spares.size());
+  const double most_share = alike ? 1.0 : kMostWeightShare;
+  if (weights > static_cast<double>(count) * memory * most_share) {
+    return false;
+  }
+  for (std::size_t index = 0; index < count; ++index) {
+    const auto boundary = [&](std::size_t part) {
+      return left.layers.first + static_cast<std::uint32_t>(left.layers.Count() * part / count);
+    };
+    m_assignments[spares[index]->name] = {{boundary(index), boundary(index + 1)}, {}, false};
+    m_repairing.insert(spares[index]->name);
+    vacancy.shared_by.push_back(spares[index]->name);
+  }
+  return true;
+}
+
 void LayerPlacer::Assign(const EngineProfile& engine, const std::vector<ServerEntry>& servers) {
   const bool all_empty = m_assignments.empty() &&
                          std::all_of(servers.begin(), servers.end(), [](const ServerEntry& server) {
@@ -238,6 +274,10 @@
     if (server.layers.Count() > 0 || m_assignments.contains(server.name)) {
       continue;
     }
+    const TimePoint since = m_empty_since.emplace(server.name, m_parts.clock.Now()).first->second;
+    if (m_parts.clock.Now() - since < kWaitForVacancy) {
+      continue;
+    }
     if (const auto range = LayerPlanner::RangeFor(engine, server, holders)) {
       m_assignments[server.name].layers = *range;
       holders.push_back(server);
--- a/packages/zinnia_decisions/forwarding/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/layer_placer.h
@@ -57,16 +57,22 @@
     bool accepted = false;
   };
 
-  /** A range whose holder left, and that nobody took over yet. */
+  /** A range whose holder left, until a server like it takes it over. */
   struct Vacancy {
     ServerEntry left;
     TimePoint since{};
+
+    /** The servers that share it meanwhile. */
+    std::vector<BackendServerName> shared_by;
   };
 
   bool IsSettled(const std::vector<ServerEntry>& servers);
   void Assign(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
   void NoteVacancies(const ForwardingView& view);
   void AssignVacated(const std::vector<ServerEntry>& servers);
+  bool ShareOut(Vacancy& vacancy,
+                const EngineProfile& engine,
+                const std::vector<ServerEntry>& servers);
   std::vector<const ServerEntry*> SparesFor(const ServerEntry& left,
                                             const EngineProfile& engine,
                                             const std::vector<ServerEntry>& servers) const;
@@ -82,6 +88,7 @@
   OrderRole m_role;
   std::map<BackendServerName, Assignment> m_assignments;
   std::map<BackendServerName, ServerEntry> m_seen;
+  std::map<BackendServerName, TimePoint> m_empty_since;
   std::vector<Vacancy> m_vacancies;
 
   /** Spares that took over a part of a vacant range. */
--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -148,6 +148,44 @@
   CHECK_EQUAL(ordered, orders.count);
 }
 
+// Symptom: a chain stays broken though its lost engine is back. Sequence: an engine crashes, spares
+// share its range, it comes back and gets a range of another size. Cause: the vacancy forgotten once
+// spares had it.
+TEST(Placement, AnEngineThatComesBackTakesItsRangeFromTheSpares) {
+  Run(seconds(2));
+  CarryOut();
+  const LayerRange left = RangeOf("middle0");
+  Lose("middle0");
+  Run(seconds(2));
+  CarryOut();
+  servers.push_back(EngineServer("middle9", "middle", "k"));
+  Run(seconds(1));
+  CHECK_TRUE(left == orders.placed["middle9"]);
+}
+
+// Symptom: each replaced engine leaves its chain broken for seconds. Sequence: the new engine comes,
+// gets some range, then the old one drains. Cause: the new one's range chosen before the old one's is
+// free.
+TEST(Placement, ANewEngineWaitsAMomentForTheOneThatItReplaces) {
+  Run(seconds(2));
+  CarryOut();
+  const LayerRange left = RangeOf("fast0");
+  servers.push_back(EngineServer("fast9", "fast", "k"));
+  Run(milliseconds(500));
+  CHECK_FALSE(orders.placed.contains("fast9"));
+  Lose("fast0");
+  Run(milliseconds(500));
+  CHECK_TRUE(left == orders.placed["fast9"]);
+}
+
+TEST(Placement, ANewEngineThatReplacesNoneGetsARangeOfItsOwn) {
+  Run(seconds(2));
+  CarryOut();
+  servers.push_back(EngineServer("fast9", "fast", "k"));
+  Run(seconds(2));
+  CHECK_TRUE(orders.placed.contains("fast9"));
+}
+
 TEST(Placement, AStaleFencingNumberEndsTheRole) {
   orders.answer = MakeError(ErrorKind::kStaleEpoch, "test");
   Run(seconds(2));
