Probe servers through which no stream passes any more

Cause: a lost stage was found by its engine's report, 250 ms after its last event; callers count pauses over 200 ms late. Change: the events of all streams together make servers suspect after 70 ms; those that answer no probe within 40 ms are told to all instances, and each reroutes the streams that are silent too.

--- a/packages/zinnia_adapters/forwarding/engine_calls.h
+++ b/packages/zinnia_adapters/forwarding/engine_calls.h
@@ -29,6 +29,9 @@
   virtual void ReadReport(const PathPart& first,
                           std::function<void(Result<EngineReport>)> callback) = 0;
 
+  /** Whether the server answers at all, within a few tens of milliseconds. */
+  virtual void Probe(const PathPart& server, std::function<void(bool)> callback) = 0;
+
   /** Moves a running request to another path with the same first part. Its memory stays where the
       part stays; new parts read the tokens so far. Fails with kNotFound if it does not run there,
       kBackendRejected if a part has no room, kOutcomeUnknown if there is no answer. */
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -48,6 +48,9 @@
     and callers leave after two seconds. */
 constexpr Duration kSilenceOfStream = milliseconds(250);
 
+/** Silence of the own stream that a finding of others needs to be believed. */
+constexpr Duration kSilenceThatConfirms = milliseconds(45);
+
 /** The same before the first event, when prompts wait for each other. */
 constexpr Duration kSilenceBeforeFirstEvent = milliseconds(600);
 
@@ -336,7 +339,9 @@
   }
   const TimePoint now = m_parts.clock.Now();
   if (std::exchange(m_first_event_sent, true)) {
-    m_longest_gap = std::max(m_longest_gap, now - m_last_progress);
+    const Duration gap = now - m_last_event_at;
+    m_longest_gap = std::max(m_longest_gap, gap);
+    m_usual_gap = m_usual_gap == Duration::zero() ? gap : (m_usual_gap * 3 + gap) / 4;
   } else {
     m_first_event_after = now - m_started_at;
     m_parts.health.OnFirstEvent(m_server, now - m_sent_at);
@@ -344,6 +349,7 @@
                             m_first_event_after);
   }
   m_last_progress = now;
+  m_last_event_at = now;
   m_responder->SendEvents(events);
 }
 
@@ -600,10 +606,20 @@
   }
 }
 
+std::optional<StreamProgress> ForwardExchange::Progress() const {
+  if (m_ended || !m_connection || !m_first_event_sent || m_rerouting || m_path.empty()) {
+    return std::nullopt;
+  }
+  return StreamProgress{&m_path, m_last_progress, m_usual_gap};
+}
+
 void ForwardExchange::OnServerStalled(const BackendServerName& server) {
   const bool concerned = std::any_of(m_path.begin(), m_path.end(),
                                      [&](const PathPart& part) { return part.server == server; });
-  if (m_ended || !m_connection || !concerned || m_rerouting) {
+  // A stream that had an event just now does not depend on a dead server: the finding is wrong, or
+  // older than the path.
+  const bool flows = m_parts.clock.Now() - m_last_progress < kSilenceThatConfirms;
+  if (m_ended || !m_connection || !concerned || m_rerouting || flows) {
     return;
   }
   if (server == m_path.front().server) {
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -17,6 +17,7 @@
 #include "zinnia_decisions/forwarding/event_splitter.h"
 #include "zinnia_decisions/forwarding/path_finder.h"
 #include "zinnia_decisions/forwarding/retry_policy.h"
+#include "zinnia_decisions/forwarding/silence_detector.h"
 #include "zinnia_world/forwarding/forward_route.h"
 
 namespace zinnia {
@@ -48,6 +49,9 @@
 
   void Tick();
 
+  /** Nothing while no event has come, or while no server is at work. */
+  std::optional<StreamProgress> Progress() const;
+
   /** A server is known not to go on; acts if this request depends on it. */
   void OnServerStalled(const BackendServerName& server);
 
@@ -126,6 +130,8 @@
   int m_failed_reports = 0;
   TimePoint m_sent_at{};
   TimePoint m_last_progress{};
+  TimePoint m_last_event_at{};
+  Duration m_usual_gap{};
   TimePoint m_asked_at{};
   Duration m_first_event_after{};
   Duration m_longest_gap{};
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -3,9 +3,11 @@
 #include <utility>
 
 #include "zinnia_adapters/forwarding/server_connection_pool.h"
+#include "zinnia_adapters/forwarding/stall_inquiry.h"
 #include "zinnia_adapters/http/listening_socket.h"
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/forwarding/forwarding_view.h"
+#include "zinnia_decisions/forwarding/server_health.h"
 #include "zinnia_decisions/ports/metrics.h"
 
 namespace zinnia {
@@ -15,10 +17,13 @@
 using asio::ip::tcp;
 
 /** Deadlines and silences are noticed this late at most; the pauses that count are 200 ms. */
-constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 
 /** Unused connections are looked through once in so many ticks: every second. */
-constexpr std::uint64_t kTicksBetweenSweeps = 20;
+constexpr std::uint64_t kTicksBetweenSweeps = 50;
+
+/** How long a server that answered no probe gets no requests, until engines' reports confirm it. */
+constexpr Duration kDeadExclusion = std::chrono::milliseconds(1'500);
 
 constexpr Duration kAcceptAgainAfter = std::chrono::milliseconds(100);
 
@@ -98,8 +103,20 @@
 }
 
 void ForwardServer::Tick() {
-  for (const auto& exchange : Exchanging()) {
+  std::vector<StreamProgress> streams;
+  const auto exchanges = Exchanging();
+  for (const auto& exchange : exchanges) {
     exchange->Tick();
+    if (const auto progress = exchange->Progress()) {
+      streams.push_back(*progress);
+    }
+  }
+  const auto suspects = SilenceDetector::Suspects(streams, m_parts.clock.Now());
+  if (!suspects.empty()) {
+    m_parts.stalls.Check(suspects, [this](const BackendServerName& server) {
+      m_parts.health.Exclude(server, kDeadExclusion);
+      m_parts.report_stalled(server);
+    });
   }
   if (++m_ticks % kTicksBetweenSweeps == 0) {
     m_parts.connections.DropUnused(m_parts.view()->servers);
--- a/packages/zinnia_adapters/forwarding/stall_inquiry.cc
+++ b/packages/zinnia_adapters/forwarding/stall_inquiry.cc
@@ -1,5 +1,6 @@
 #include "zinnia_adapters/forwarding/stall_inquiry.h"
 
+#include <memory>
 #include <utility>
 
 namespace zinnia {
@@ -29,4 +30,32 @@
   });
 }
 
+void StallInquiry::Check(const std::vector<PathPart>& suspects,
+                         std::function<void(const BackendServerName&)> on_dead) {
+  std::vector<PathPart> due;
+  for (const PathPart& suspect : suspects) {
+    TimePoint& probed_at = m_probed_at[suspect.server];
+    if (probed_at == TimePoint() || m_clock.Now() - probed_at >= kProbeAgainAfter) {
+      probed_at = m_clock.Now();
+      due.push_back(suspect);
+    }
+  }
+  auto round = std::make_shared<Round>();
+  round->waiting = due.size();
+  round->asked = due.size();
+  for (const PathPart& suspect : due) {
+    m_calls.Probe(suspect, [round, server = suspect.server, on_dead](bool answers) {
+      if (!answers) {
+        round->dead.push_back(server);
+      }
+      if (--round->waiting > 0 || round->dead.size() * 2 > round->asked) {
+        return;
+      }
+      for (const BackendServerName& dead : round->dead) {
+        on_dead(dead);
+      }
+    });
+  }
+}
+
 }  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/stall_inquiry.h
+++ b/packages/zinnia_adapters/forwarding/stall_inquiry.h
@@ -19,6 +19,11 @@
 
   void Ask(const PathPart& first, Callback callback);
 
+  /** Probes servers that the events of streams make suspect, and names those that do not answer.
+      When most of them do not, the fault is this instance's own way to them, and none is named. */
+  void Check(const std::vector<PathPart>& suspects,
+             std::function<void(const BackendServerName&)> on_dead);
+
  private:
   /** A report is this old at most when it is used again. */
   static constexpr Duration kReportLifetime = std::chrono::milliseconds(60);
@@ -30,9 +35,20 @@
     std::vector<Callback> waiting;
   };
 
+  /** The probes of one check. */
+  struct Round {
+    std::size_t waiting = 0;
+    std::size_t asked = 0;
+    std::vector<BackendServerName> dead;
+  };
+
+  /** The same suspects are not probed again before this. */
+  static constexpr Duration kProbeAgainAfter = std::chrono::milliseconds(100);
+
   EngineCalls& m_calls;
   const Clock& m_clock;
   std::map<BackendServerName, Inquiry> m_inquiries;
+  std::map<BackendServerName, TimePoint> m_probed_at;
 };
 
 }  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/silence_detector.cc
@@ -0,0 +1,53 @@
+#include "zinnia_decisions/forwarding/silence_detector.h"
+
+#include <algorithm>
+#include <map>
+
+namespace zinnia {
+namespace {
+
+/** The shortest silence that counts; passes of a loaded stage take up to 30 ms. */
+constexpr Duration kLeastSilence = std::chrono::milliseconds(70);
+
+/** So many events must have been due and not come. */
+constexpr double kMissedEvents = 5.0;
+
+/** A single stream is judged by its engine's report instead. */
+constexpr int kLeastStreams = 2;
+
+/** What passes through one server. */
+struct Passage {
+  const PathPart* part = nullptr;
+  TimePoint newest_event_at{};
+  double events_per_ms = 0.0;
+  int streams = 0;
+};
+
+}  // namespace
+
+std::vector<PathPart> SilenceDetector::Suspects(const std::vector<StreamProgress>& streams,
+                                                TimePoint now) {
+  std::map<BackendServerName, Passage> passages;
+  for (const StreamProgress& stream : streams) {
+    const std::chrono::duration<double, std::milli> gap = stream.usual_gap;
+    for (const PathPart& part : *stream.path) {
+      Passage& passage = passages[part.server];
+      passage.part = &part;
+      passage.newest_event_at = std::max(passage.newest_event_at, stream.last_event_at);
+      passage.events_per_ms += gap.count() > 0 ? 1.0 / gap.count() : 0.0;
+      ++passage.streams;
+    }
+  }
+  std::vector<PathPart> suspects;
+  for (const auto& [server, passage] : passages) {
+    const Duration silence = now - passage.newest_event_at;
+    const std::chrono::duration<double, std::milli> silent_ms = silence;
+    if (passage.streams >= kLeastStreams && silence >= kLeastSilence &&
+        silent_ms.count() * passage.events_per_ms >= kMissedEvents) {
+      suspects.push_back(*passage.part);
+    }
+  }
+  return suspects;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/silence_detector.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <vector>
+
+#include "zinnia_base/time/clock.h"
+#include "zinnia_world/forwarding/path_part.h"
+
+namespace zinnia {
+
+/** How a running stream does: what it passes through, and how regularly its events come. */
+struct StreamProgress {
+  const LayerPath* path = nullptr;
+  TimePoint last_event_at{};
+  Duration usual_gap{};
+};
+
+/** Finds servers through which nothing passes any more, by the events of all streams of this
+    instance together.
+
+    One stream alone must be silent for several of its gaps before that means anything; twenty
+    streams through one server bring an event every few milliseconds. Callers count a pause of 200 ms
+    as late, and engines report a stalled server only after that, so waiting for their word costs
+    most of the worth of every stream of a lost stage.
+*/
+class SilenceDetector {
+ public:
+  /** Servers that are suspected now, each once. A suspicion is a reason to ask the server, no proof:
+      of a path whose streams share all servers, all are suspected together. */
+  static std::vector<PathPart> Suspects(const std::vector<StreamProgress>& streams, TimePoint now);
+};
+
+}  // namespace zinnia
--- a/tests/forwarding/paths_test.cc
+++ b/tests/forwarding/paths_test.cc
@@ -4,6 +4,7 @@
 #include "zinnia_decisions/forwarding/path_finder.h"
 #include "zinnia_decisions/forwarding/pipe_meter.h"
 #include "zinnia_decisions/forwarding/server_health.h"
+#include "zinnia_decisions/forwarding/silence_detector.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -91,6 +92,42 @@
   CHECK_EQUAL(80U, found->path.back().layers.end);
 }
 
+TEST_GROUP(Silence) {
+  LayerPath one = {{"a", {}, {0, 40}}, {"b", {}, {40, 80}}};
+  LayerPath other = {{"a", {}, {0, 40}}, {"c", {}, {40, 80}}};
+  TimePoint now = TimePoint() + std::chrono::seconds(10);
+
+  StreamProgress Stream(const LayerPath& path, int silent_ms) {
+    return {&path, now - std::chrono::milliseconds(silent_ms), std::chrono::milliseconds(40)};
+  }
+
+  std::string Suspects(const std::vector<StreamProgress>& streams) {
+    std::string names;
+    for (const PathPart& part : SilenceDetector::Suspects(streams, now)) {
+      names += part.server + " ";
+    }
+    return names;
+  }
+};
+
+// Symptom: every stream of a lost stage pauses for 300 ms. Sequence: stage b dies; streams over a and
+// c go on. Cause: each stream judged alone, and by its engine's late report.
+TEST(Silence, ManySilentStreamsThroughOneServerMakeItSuspect) {
+  STRCMP_EQUAL("b ", Suspects({Stream(one, 80), Stream(one, 90), Stream(one, 100), Stream(one, 85),
+                               Stream(other, 10)})
+                         .c_str());
+}
+
+TEST(Silence, AllServersOfASilentPathAreSuspectTogether) {
+  STRCMP_EQUAL("a b ", Suspects({Stream(one, 80), Stream(one, 90), Stream(one, 80)}).c_str());
+}
+
+TEST(Silence, OnePauseOfOneStreamIsNothing) {
+  STRCMP_EQUAL("", Suspects({Stream(one, 150), Stream(one, 20)}).c_str());
+  STRCMP_EQUAL("", Suspects({Stream(one, 300)}).c_str());
+  STRCMP_EQUAL("", Suspects({Stream(one, 60), Stream(one, 60), Stream(one, 60)}).c_str());
+}
+
 TEST_GROUP(LayerPlans) {
   EngineProfile engine = MixedEngine();
   std::vector<ServerEntry> servers;
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -56,6 +56,7 @@
     ++reports;
     callback(report);
   }
+  void Probe(const PathPart&, std::function<void(bool)> callback) override { callback(true); }
   void Reroute(const std::string&,
                const LayerPath& path,
                std::function<void(Result<void>)> callback) override {
