Leave first servers that cannot change a stalled request's path

Change: servers named in a refusal are avoided for a moment; after two failures and half a second of silence the stream goes on from another first server.

--- a/packages/zinnia_adapters/forwarding/engine_calls.h
+++ b/packages/zinnia_adapters/forwarding/engine_calls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,15 @@
   std::vector<StalledRequest> stalled;
 };
 
+/** How the move of a request to another path ended: kNotFound if it does not run there,
+    kBackendRejected if a part is not there or has no room, kOutcomeUnknown without an answer. */
+struct RerouteAnswer {
+  Result<void> result{};
+
+  /** The server that refused its part, if the answer names it. */
+  std::optional<NetworkAddress> refused_by;
+};
+
 /** Calls to engines beside requests. Callbacks run later, once, on the traffic thread. */
 class EngineCalls {
  public:
@@ -33,11 +43,10 @@
   virtual void Probe(const PathPart& server, std::function<void(bool)> callback) = 0;
 
   /** Moves a running request to another path with the same first part. Its memory stays where the
-      part stays; new parts read the tokens so far. Fails with kNotFound if it does not run there,
-      kBackendRejected if a part has no room, kOutcomeUnknown if there is no answer. */
+      part stays; new parts read the tokens so far. */
   virtual void Reroute(const std::string& request_id,
                        const LayerPath& path,
-                       std::function<void(Result<void>)> callback) = 0;
+                       std::function<void(RerouteAnswer)> callback) = 0;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -61,6 +61,9 @@
 constexpr Duration kSilenceOfDeadServer = milliseconds(500);
 constexpr int kReportsBeforeLeaving = 2;
 
+/** Reroutes that may fail before the stream goes on from another first server. */
+constexpr int kReroutesBeforeLeaving = 2;
+
 /** Kept connections may be this old. A request that cannot be repeated takes only fresh ones: a
     server may have dropped an idle one without a sign, and the request would be lost. */
 constexpr Duration kIdleForRepeatable = std::chrono::seconds(8);
@@ -273,6 +276,7 @@
   request.prepare_payload();
 
   m_failed_reports = 0;
+  m_failed_reroutes = 0;
   m_is_streaming = false;
   m_body.clear();
   m_events.DropPart();
@@ -350,6 +354,7 @@
   }
   m_last_progress = now;
   m_last_event_at = now;
+  m_failed_reroutes = 0;
   m_responder->SendEvents(events);
 }
 
@@ -647,39 +652,63 @@
   const auto view = m_parts.view();
   const auto found = m_parts.paths.Find(*view, m_service, ExpectedSize(),
                                         m_parts.own_failure_domain, {}, m_path.front());
+  if (!found) {
+    OnNoReroute(reason);
+    return;
+  }
   m_parts.logger.Log(LogLevel::kInfo, "request_rerouted",
                      {{"request", m_facts.id},
                       {"reason", std::string(reason)},
                       {"from", DescribePath(m_path)},
-                      {"to", found ? DescribePath(found->path) : "no path"},
+                      {"to", DescribePath(found->path)},
                       {"silent_ms", Milliseconds(m_parts.clock.Now() - m_last_progress)}});
-  if (!found) {
-    return;
-  }
   m_parts.pipe.Add(found->pipe_ms);
   m_rerouting = true;
   m_parts.engine_calls.Reroute(
       m_facts.id, found->path,
-      [weak = weak_from_this(), path = found->path](const Result<void>& result) {
+      [weak = weak_from_this(), path = found->path](const RerouteAnswer& answer) {
         const auto self = weak.lock();
         if (self && !self->m_ended) {
-          self->OnRerouted(path, result);
+          self->OnRerouted(path, answer);
         }
       });
 }
 
-void ForwardExchange::OnRerouted(const LayerPath& path, const Result<void>& result) {
+/** Keeping the first server leaves no path, or it refused: after a few tries the stream goes on from
+    another first server, before its caller gives up. */
+void ForwardExchange::OnNoReroute(std::string_view reason) {
+  if (m_failed_reroutes++ == 0) {
+    m_parts.logger.Log(LogLevel::kInfo, "request_not_rerouted",
+                       {{"request", m_facts.id},
+                        {"reason", std::string(reason)},
+                        {"path", DescribePath(m_path)}});
+  }
+  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  if (m_connection && m_failed_reroutes >= kReroutesBeforeLeaving &&
+      silent >= kSilenceOfDeadServer) {
+    AbandonServer("the path could not be changed");
+  }
+}
+
+void ForwardExchange::OnRerouted(const LayerPath& path, const RerouteAnswer& answer) {
   m_rerouting = false;
-  if (result) {
+  if (answer.result) {
     m_path = path;
     Reserve(path);
     m_last_progress = m_parts.clock.Now();
     return;
   }
-  m_parts.logger.Log(LogLevel::kWarning, "reroute_failed",
-                     {{"request", m_facts.id}, {"reason", zinnia::Describe(result.error())}});
-  if (m_connection && m_parts.clock.Now() - m_last_progress >= kSilenceOfDeadServer) {
-    AbandonServer("the path could not be changed");
+  AvoidRefuser(path, answer);
+  m_parts.logger.Log(LogLevel::kInfo, "reroute_failed",
+                     {{"request", m_facts.id}, {"reason", zinnia::Describe(answer.result.error())}});
+  OnNoReroute("the first server refused the new path");
+}
+
+void ForwardExchange::AvoidRefuser(const LayerPath& path, const RerouteAnswer& answer) {
+  for (const PathPart& part : path) {
+    if (answer.refused_by && part.address == *answer.refused_by) {
+      m_parts.health.Exclude(part.server, kFullExclusion);
+    }
   }
 }
 
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -94,7 +94,9 @@
   void AskForStall();
   void OnReport(const Result<EngineReport>& report);
   void Reroute(std::string_view reason);
-  void OnRerouted(const LayerPath& path, const Result<void>& result);
+  void OnNoReroute(std::string_view reason);
+  void OnRerouted(const LayerPath& path, const RerouteAnswer& answer);
+  void AvoidRefuser(const LayerPath& path, const RerouteAnswer& answer);
   void AbandonServer(std::string_view reason);
 
   const ForwardingParts& m_parts;
@@ -128,6 +130,9 @@
   bool m_asking = false;
   bool m_ended = false;
   int m_failed_reports = 0;
+
+  /** Since the last event: reroutes that failed or found no path. */
+  int m_failed_reroutes = 0;
   TimePoint m_sent_at{};
   TimePoint m_last_progress{};
   TimePoint m_last_event_at{};
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -59,7 +59,7 @@
   void Probe(const PathPart&, std::function<void(bool)> callback) override { callback(true); }
   void Reroute(const std::string&,
                const LayerPath& path,
-               std::function<void(Result<void>)> callback) override {
+               std::function<void(RerouteAnswer)> callback) override {
     rerouted.push_back(path);
     callback({});
   }
