--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -7,9 +7,10 @@
 #include <utility>
 
 #include "zinnia_adapters/callers/problem_document.h"
+#include "zinnia_adapters/forwarding/exclusion_times.h"
+#include "zinnia_adapters/forwarding/log_text.h"
 #include "zinnia_adapters/forwarding/server_connection.h"
 #include "zinnia_adapters/forwarding/server_connection_pool.h"
-#include "zinnia_adapters/forwarding/stall_inquiry.h"
 #include "zinnia_adapters/services/header_filter.h"
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/forwarding/forwarding_view.h"
@@ -31,39 +32,9 @@
 /** A connection to a sound server is there within a few milliseconds; a dark one never answers. */
 constexpr Duration kConnectLimit = milliseconds(250);
 
-/** How long a server that could not be reached gets no requests. */
-constexpr Duration kUnreachableExclusion = milliseconds(1'500);
-
-/** How long a server that others named as stalled gets no requests: about until the stall ends or
-    its entry lapses. */
-constexpr Duration kStalledExclusion = milliseconds(3'000);
-
-/** A server that refuses for want of room is left alone about as long as its reports lag. */
-constexpr Duration kFullExclusion = milliseconds(200);
-
 /** A server that is not what the view says is left until its new entry has arrived. */
 constexpr Duration kMisdirectedExclusion = milliseconds(1'000);
 
-/** Without an event for this long, a running stream is looked into. Events come every 30 to 60 ms,
-    and callers leave after two seconds. */
-constexpr Duration kSilenceOfStream = milliseconds(250);
-
-/** Silence of the own stream that a finding of others needs to be believed. */
-constexpr Duration kSilenceThatConfirms = milliseconds(45);
-
-/** The same before the first event, when prompts wait for each other. */
-constexpr Duration kSilenceBeforeFirstEvent = milliseconds(600);
-
-/** Pause between two looks into the same silent stream. */
-constexpr Duration kAskAgainAfter = milliseconds(120);
-
-/** A first server is left after this silence and so many failed reports. */
-constexpr Duration kSilenceOfDeadServer = milliseconds(500);
-constexpr int kReportsBeforeLeaving = 2;
-
-/** Reroutes that may fail before the stream goes on from another first server. */
-constexpr int kReroutesBeforeLeaving = 2;
-
 /** Kept connections may be this old. A request that cannot be repeated takes only fresh ones: a
     server may have dropped an idle one without a sign, and the request would be lost. */
 constexpr Duration kIdleForRepeatable = std::chrono::seconds(8);
@@ -87,19 +58,6 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-std::string Milliseconds(Duration duration) {
-  return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
-}
-
-std::string DescribePath(const LayerPath& path) {
-  std::string text;
-  for (const PathPart& part : path) {
-    text += fmt::format("{}{}={}-{}", text.empty() ? "" : ",", part.server, part.layers.first,
-                        part.layers.end);
-  }
-  return text;
-}
-
 Error NotRun(ErrorKind kind, std::string message) {
   Error error = MakeError(kind, std::move(message));
   error.was_run = WasRun::kNo;
@@ -534,23 +492,6 @@
   m_on_end(*this);
 }
 
-void ForwardExchange::OnCallerGone() {
-  End("caller_gone");
-}
-
-void ForwardExchange::Tick() {
-  if (m_ended || !m_route) {
-    return;
-  }
-  if (m_parts.clock.Now() >= m_deadline) {
-    OnDeadline();
-    return;
-  }
-  if (!m_path.empty() && m_connection) {
-    CheckSilence();
-  }
-}
-
 void ForwardExchange::OnDeadline() {
   if (m_stream_started) {
     m_responder->CutOff();
@@ -560,164 +501,8 @@
   Answer(PerhapsRun(ErrorKind::kBackendTimeout, "the time for the answer is over"));
 }
 
-void ForwardExchange::CheckSilence() {
-  const Duration silent = m_parts.clock.Now() - m_last_progress;
-  const Duration limit = m_first_event_sent ? kSilenceOfStream : kSilenceBeforeFirstEvent;
-  const bool asked_lately = m_parts.clock.Now() - m_asked_at < kAskAgainAfter;
-  if (silent >= limit && !m_asking && !m_rerouting && !asked_lately) {
-    AskForStall();
-  }
-}
-
-void ForwardExchange::AskForStall() {
-  m_asking = true;
-  m_asked_at = m_parts.clock.Now();
-  m_parts.stalls.Ask(m_path.front(), [weak = weak_from_this()](const Result<EngineReport>& report) {
-    const auto self = weak.lock();
-    if (self && !self->m_ended) {
-      self->m_asking = false;
-      self->OnReport(report);
-    }
-  });
-}
-
-void ForwardExchange::OnReport(const Result<EngineReport>& report) {
-  const Duration silent = m_parts.clock.Now() - m_last_progress;
-  if (silent < kSilenceOfStream || !m_connection) {
-    return;
-  }
-  if (!report) {
-    // One report may be lost to a full connection table; the stream's own silence must agree.
-    if (++m_failed_reports >= kReportsBeforeLeaving && silent >= kSilenceOfDeadServer) {
-      m_parts.health.Exclude(m_server, kUnreachableExclusion);
-      AbandonServer("the first server is silent");
-    }
-    return;
-  }
-  m_failed_reports = 0;
-  // All that the report names, not only what this request waits for: the others' requests wait too.
-  std::set<BackendServerName> stalled;
-  const auto view = m_parts.view();
-  for (const StalledRequest& request : report->stalled) {
-    for (const auto& [name, server] : view->servers) {
-      if (server.address == request.server) {
-        stalled.insert(name);
-      }
-    }
-  }
-  for (const BackendServerName& server : stalled) {
-    m_parts.health.Exclude(server, kStalledExclusion);
-    m_parts.report_stalled(server);
-  }
-}
-
-std::optional<StreamProgress> ForwardExchange::Progress() const {
-  if (m_ended || !m_connection || !m_first_event_sent || m_rerouting || m_path.empty()) {
-    return std::nullopt;
-  }
-  return StreamProgress{&m_path, m_last_progress, m_usual_gap};
-}
-
-void ForwardExchange::OnServerStalled(const BackendServerName& server) {
-  const bool concerned = std::any_of(m_path.begin(), m_path.end(),
-                                     [&](const PathPart& part) { return part.server == server; });
-  // A stream that had an event just now does not depend on a dead server: the finding is wrong, or
-  // older than the path.
-  const bool flows = m_parts.clock.Now() - m_last_progress < kSilenceThatConfirms;
-  if (m_ended || !m_connection || !concerned || m_rerouting || flows) {
-    return;
-  }
-  if (server == m_path.front().server) {
-    AbandonServer("the first server is silent");
-    return;
-  }
-  Reroute("a server on the path is stalled");
-}
-
-void ForwardExchange::OnViewChanged() {
-  if (m_ended || m_path.size() < 2 || !m_connection || m_rerouting) {
-    return;
-  }
-  const auto view = m_parts.view();
-  const bool leaving = std::any_of(m_path.begin() + 1, m_path.end(), [&](const PathPart& part) {
-    const auto server = view->servers.find(part.server);
-    return server == view->servers.end() || server->second.draining;
-  });
-  if (leaving) {
-    Reroute("a server on the path is leaving");
-  }
-}
-
-void ForwardExchange::Reroute(std::string_view reason) {
-  const auto view = m_parts.view();
-  const auto found = m_parts.paths.Find(*view, m_service, ExpectedSize(),
-                                        m_parts.own_failure_domain, {}, m_path.front());
-  if (!found) {
-    OnNoReroute(reason);
-    return;
-  }
-  m_parts.logger.Log(LogLevel::kInfo, "request_rerouted",
-                     {{"request", m_facts.id},
-                      {"reason", std::string(reason)},
-                      {"from", DescribePath(m_path)},
-                      {"to", DescribePath(found->path)},
-                      {"silent_ms", Milliseconds(m_parts.clock.Now() - m_last_progress)}});
-  m_parts.pipe.Add(found->pipe_ms);
-  m_rerouting = true;
-  m_parts.engine_calls.Reroute(
-      m_facts.id, found->path,
-      [weak = weak_from_this(), path = found->path](const RerouteAnswer& answer) {
-        const auto self = weak.lock();
-        if (self && !self->m_ended) {
-          self->OnRerouted(path, answer);
-        }
-      });
-}
-
-/** Keeping the first server leaves no path, or it refused: after a few tries the stream goes on from
-    another first server, before its caller gives up. */
-void ForwardExchange::OnNoReroute(std::string_view reason) {
-  if (m_failed_reroutes++ == 0) {
-    m_parts.logger.Log(LogLevel::kInfo, "request_not_rerouted",
-                       {{"request", m_facts.id},
-                        {"reason", std::string(reason)},
-                        {"path", DescribePath(m_path)}});
-  }
-  const Duration silent = m_parts.clock.Now() - m_last_progress;
-  if (m_connection && m_failed_reroutes >= kReroutesBeforeLeaving &&
-      silent >= kSilenceOfDeadServer) {
-    AbandonServer("the path could not be changed");
-  }
-}
-
-void ForwardExchange::OnRerouted(const LayerPath& path, const RerouteAnswer& answer) {
-  m_rerouting = false;
-  if (answer.result) {
-    m_path = path;
-    Reserve(path);
-    m_last_progress = m_parts.clock.Now();
-    return;
-  }
-  AvoidRefuser(path, answer);
-  m_parts.logger.Log(LogLevel::kInfo, "reroute_failed",
-                     {{"request", m_facts.id}, {"reason", zinnia::Describe(answer.result.error())}});
-  OnNoReroute("the first server refused the new path");
-}
-
-void ForwardExchange::AvoidRefuser(const LayerPath& path, const RerouteAnswer& answer) {
-  for (const PathPart& part : path) {
-    if (answer.refused_by && part.address == *answer.refused_by) {
-      m_parts.health.Exclude(part.server, kFullExclusion);
-    }
-  }
-}
-
-/** Gives up the present send, whatever the server still does with it. */
-void ForwardExchange::AbandonServer(std::string_view reason) {
-  if (m_connection) {
-    std::exchange(m_connection, nullptr)->Close();
-  }
-  OnSendEnded(SendOutcome::kUnknown, reason);
+void ForwardExchange::OnCallerGone() {
+  End("caller_gone");
 }
 
 }  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -0,0 +1,218 @@
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_adapters/forwarding/exclusion_times.h"
+#include "zinnia_adapters/forwarding/forward_exchange.h"
+#include "zinnia_adapters/forwarding/log_text.h"
+#include "zinnia_adapters/forwarding/server_connection.h"
+#include "zinnia_adapters/forwarding/stall_inquiry.h"
+#include "zinnia_base/errors/error.h"
+#include "zinnia_base/logging/logger.h"
+#include "zinnia_decisions/forwarding/forwarding_view.h"
+#include "zinnia_decisions/forwarding/pipe_meter.h"
+#include "zinnia_decisions/forwarding/server_health.h"
+
+// The part of ForwardExchange that watches a running request: its silence, and the servers on its
+// path that stall or leave.
+
+namespace zinnia {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Without an event for this long, a running stream is looked into. Events come every 30 to 60 ms,
+    and callers leave after two seconds. */
+constexpr Duration kSilenceOfStream = milliseconds(250);
+
+/** Silence of the own stream that a finding of others needs to be believed. */
+constexpr Duration kSilenceThatConfirms = milliseconds(45);
+
+/** The same before the first event, when prompts wait for each other. */
+constexpr Duration kSilenceBeforeFirstEvent = milliseconds(600);
+
+/** Pause between two looks into the same silent stream. */
+constexpr Duration kAskAgainAfter = milliseconds(120);
+
+/** A first server is left after this silence and so many failed reports. */
+constexpr Duration kSilenceOfDeadServer = milliseconds(500);
+constexpr int kReportsBeforeLeaving = 2;
+
+/** Reroutes that may fail before the stream goes on from another first server. */
+constexpr int kReroutesBeforeLeaving = 2;
+
+}  // namespace
+
+void ForwardExchange::Tick() {
+  if (m_ended || !m_route) {
+    return;
+  }
+  if (m_parts.clock.Now() >= m_deadline) {
+    OnDeadline();
+    return;
+  }
+  if (!m_path.empty() && m_connection) {
+    CheckSilence();
+  }
+}
+
+void ForwardExchange::CheckSilence() {
+  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  const Duration limit = m_first_event_sent ? kSilenceOfStream : kSilenceBeforeFirstEvent;
+  const bool asked_lately = m_parts.clock.Now() - m_asked_at < kAskAgainAfter;
+  if (silent >= limit && !m_asking && !m_rerouting && !asked_lately) {
+    AskForStall();
+  }
+}
+
+void ForwardExchange::AskForStall() {
+  m_asking = true;
+  m_asked_at = m_parts.clock.Now();
+  m_parts.stalls.Ask(m_path.front(), [weak = weak_from_this()](const Result<EngineReport>& report) {
+    const auto self = weak.lock();
+    if (self && !self->m_ended) {
+      self->m_asking = false;
+      self->OnReport(report);
+    }
+  });
+}
+
+void ForwardExchange::OnReport(const Result<EngineReport>& report) {
+  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  if (silent < kSilenceOfStream || !m_connection) {
+    return;
+  }
+  if (!report) {
+    // One report may be lost to a full connection table; the stream's own silence must agree.
+    if (++m_failed_reports >= kReportsBeforeLeaving && silent >= kSilenceOfDeadServer) {
+      m_parts.health.Exclude(m_server, kUnreachableExclusion);
+      AbandonServer("the first server is silent");
+    }
+    return;
+  }
+  m_failed_reports = 0;
+  // All that the report names, not only what this request waits for: the others' requests wait too.
+  std::set<BackendServerName> stalled;
+  const auto view = m_parts.view();
+  for (const StalledRequest& request : report->stalled) {
+    for (const auto& [name, server] : view->servers) {
+      if (server.address == request.server) {
+        stalled.insert(name);
+      }
+    }
+  }
+  for (const BackendServerName& server : stalled) {
+    m_parts.health.Exclude(server, kStalledExclusion);
+    m_parts.report_stalled(server);
+  }
+}
+
+std::optional<StreamProgress> ForwardExchange::Progress() const {
+  if (m_ended || !m_connection || !m_first_event_sent || m_rerouting || m_path.empty()) {
+    return std::nullopt;
+  }
+  return StreamProgress{&m_path, m_last_progress, m_usual_gap};
+}
+
+void ForwardExchange::OnServerStalled(const BackendServerName& server) {
+  const bool concerned = std::any_of(m_path.begin(), m_path.end(),
+                                     [&](const PathPart& part) { return part.server == server; });
+  // A stream that had an event just now does not depend on a dead server: the finding is wrong, or
+  // older than the path.
+  const bool flows = m_parts.clock.Now() - m_last_progress < kSilenceThatConfirms;
+  if (m_ended || !m_connection || !concerned || m_rerouting || flows) {
+    return;
+  }
+  if (server == m_path.front().server) {
+    AbandonServer("the first server is silent");
+    return;
+  }
+  Reroute("a server on the path is stalled");
+}
+
+void ForwardExchange::OnViewChanged() {
+  if (m_ended || m_path.size() < 2 || !m_connection || m_rerouting) {
+    return;
+  }
+  const auto view = m_parts.view();
+  const bool leaving = std::any_of(m_path.begin() + 1, m_path.end(), [&](const PathPart& part) {
+    const auto server = view->servers.find(part.server);
+    return server == view->servers.end() || server->second.draining;
+  });
+  if (leaving) {
+    Reroute("a server on the path is leaving");
+  }
+}
+
+void ForwardExchange::Reroute(std::string_view reason) {
+  const auto view = m_parts.view();
+  const auto found = m_parts.paths.Find(*view, m_service, ExpectedSize(),
+                                        m_parts.own_failure_domain, {}, m_path.front());
+  if (!found) {
+    OnNoReroute(reason);
+    return;
+  }
+  m_parts.logger.Log(LogLevel::kInfo, "request_rerouted",
+                     {{"request", m_facts.id},
+                      {"reason", std::string(reason)},
+                      {"from", DescribePath(m_path)},
+                      {"to", DescribePath(found->path)},
+                      {"silent_ms", Milliseconds(m_parts.clock.Now() - m_last_progress)}});
+  m_parts.pipe.Add(found->pipe_ms);
+  m_rerouting = true;
+  m_parts.engine_calls.Reroute(
+      m_facts.id, found->path,
+      [weak = weak_from_this(), path = found->path](const RerouteAnswer& answer) {
+        const auto self = weak.lock();
+        if (self && !self->m_ended) {
+          self->OnRerouted(path, answer);
+        }
+      });
+}
+
+/** Keeping the first server leaves no path, or it refused: after a few tries the stream goes on
+   from another first server, before its caller gives up. */
+void ForwardExchange::OnNoReroute(std::string_view reason) {
+  if (m_failed_reroutes++ == 0) {
+    m_parts.logger.Log(
+        LogLevel::kInfo, "request_not_rerouted",
+        {{"request", m_facts.id}, {"reason", std::string(reason)}, {"path", DescribePath(m_path)}});
+  }
+  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  if (m_connection && m_failed_reroutes >= kReroutesBeforeLeaving &&
+      silent >= kSilenceOfDeadServer) {
+    AbandonServer("the path could not be changed");
+  }
+}
+
+void ForwardExchange::OnRerouted(const LayerPath& path, const RerouteAnswer& answer) {
+  m_rerouting = false;
+  if (answer.result) {
+    m_path = path;
+    Reserve(path);
+    m_last_progress = m_parts.clock.Now();
+    return;
+  }
+  AvoidRefuser(path, answer);
+  m_parts.logger.Log(
+      LogLevel::kInfo, "reroute_failed",
+      {{"request", m_facts.id}, {"reason", zinnia::Describe(answer.result.error())}});
+  OnNoReroute("the first server refused the new path");
+}
+
+void ForwardExchange::AvoidRefuser(const LayerPath& path, const RerouteAnswer& answer) {
+  for (const PathPart& part : path) {
+    if (answer.refused_by && part.address == *answer.refused_by) {
+      m_parts.health.Exclude(part.server, kFullExclusion);
+    }
+  }
+}
+
+/** Gives up the present send, whatever the server still does with it. */
+void ForwardExchange::AbandonServer(std::string_view reason) {
+  if (m_connection) {
+    std::exchange(m_connection, nullptr)->Close();
+  }
+  OnSendEnded(SendOutcome::kUnknown, reason);
+}
+
+}  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -2,17 +2,11 @@
 
 #include <utility>
 
+#include "zinnia_adapters/forwarding/exclusion_times.h"
 #include "zinnia_adapters/threads/traffic_thread.h"
 #include "zinnia_base/logging/logger.h"
 
 namespace zinnia {
-namespace {
-
-/** How long a server that a peer found stalled gets no requests, counted from when it was seen. */
-constexpr Duration kStalledExclusion = std::chrono::milliseconds(3'000);
-
-}  // namespace
-
 ForwardingTraffic::ForwardingTraffic(TrafficThread& thread, ForwardingTrafficParts parts)
     : m_parts(std::move(parts)),
       m_view(std::make_shared<const ForwardingView>()),
