--- a/packages/zinnia_adapters/forwarding/stall_inquiry.cc
+++ b/packages/zinnia_adapters/forwarding/stall_inquiry.cc
@@ -31,7 +31,7 @@
 }
 
 void StallInquiry::Check(const std::vector<PathPart>& suspects,
-                         std::function<void(const BackendServerName&)> on_dead) {
+                         const std::function<void(const BackendServerName&)>& on_dead) {
   std::vector<PathPart> due;
   for (const PathPart& suspect : suspects) {
     TimePoint& probed_at = m_probed_at[suspect.server];
--- a/packages/zinnia_adapters/forwarding/stall_inquiry.h
+++ b/packages/zinnia_adapters/forwarding/stall_inquiry.h
@@ -22,7 +22,7 @@
   /** Probes servers that the events of streams make suspect, and names those that do not answer.
       When most of them do not, the fault is this instance's own way to them, and none is named. */
   void Check(const std::vector<PathPart>& suspects,
-             std::function<void(const BackendServerName&)> on_dead);
+             const std::function<void(const BackendServerName&)>& on_dead);
 
  private:
   /** A report is this old at most when it is used again. */
--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -26,8 +26,8 @@
     seconds and then loads for three, while spares load small ranges in less than one. */
 constexpr Duration kRepairAfter = std::chrono::milliseconds(400);
 
-/** An engine that comes while nothing is vacant waits so long for a range: when engines are replaced,
-    the new one comes first and the old one leaves a moment later. */
+/** An engine that comes while nothing is vacant waits so long for a range: when engines are
+   replaced, the new one comes first and the old one leaves a moment later. */
 constexpr Duration kWaitForVacancy = std::chrono::milliseconds(1'500);
 
 /** Old vacancies go when there are more; no pool waits for so many replacements. */
@@ -169,7 +169,8 @@
     for (std::uint32_t layer = server.layers.first; layer < server.layers.end; ++layer) {
       ++holders[layer];
     }
-    if (speed(server) >= speed(left) && server.layers.Count() > 0 && !m_repairing.contains(server.name)) {
+    if (speed(server) >= speed(left) && server.layers.Count() > 0 &&
+        !m_repairing.contains(server.name)) {
       candidates.push_back(&server);
     }
   }
--- a/packages/zinnia_decisions/forwarding/server_directory.cc
+++ b/packages/zinnia_decisions/forwarding/server_directory.cc
@@ -34,10 +34,9 @@
   }
   m_doubtful[server] =
       m_scheduler.ScheduleAfter(kDoubtAfterFailure, [this, server, changed = std::move(changed)] {
-        // The call erases its own timer's entry, so what it still needs is copied first.
+        // The call erases its own timer's entry, so what is still needed then is copied.
         const auto notify = changed;
-        const BackendServerName name = server;
-        Drop(name, "lapsed in an outage and did not return");
+        Drop(BackendServerName(server), "lapsed in an outage and did not return");
         notify();
       });
 }
--- a/packages/zinnia_decisions/forwarding/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/store_mirror.h
@@ -34,9 +34,9 @@
   std::chrono::milliseconds longest_wait_of_reader{1'500};
   std::chrono::milliseconds longest_wait{15'000};
 
-  /** Pause between two watches, so that one answer carries a burst of changes: a reader's is a fifth
-      of the two seconds within which changes must be in force. The others hear from it meanwhile,
-      and what they have heard is not asked for again. */
+  /** Pause between two watches, so that one answer carries a burst of changes: a reader's is a
+     fifth of the two seconds within which changes must be in force. The others hear from it
+     meanwhile, and what they have heard is not asked for again. */
   std::chrono::milliseconds pause_of_reader{400};
   std::chrono::milliseconds pause{1'200};
 
--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -149,8 +149,8 @@
 }
 
 // Symptom: a chain stays broken though its lost engine is back. Sequence: an engine crashes, spares
-// share its range, it comes back and gets a range of another size. Cause: the vacancy forgotten once
-// spares had it.
+// share its range, it comes back and gets a range of another size. Cause: the vacancy forgotten
+// once spares had it.
 TEST(Placement, AnEngineThatComesBackTakesItsRangeFromTheSpares) {
   Run(seconds(2));
   CarryOut();
@@ -163,9 +163,9 @@
   CHECK_TRUE(left == orders.placed["middle9"]);
 }
 
-// Symptom: each replaced engine leaves its chain broken for seconds. Sequence: the new engine comes,
-// gets some range, then the old one drains. Cause: the new one's range chosen before the old one's is
-// free.
+// Symptom: each replaced engine leaves its chain broken for seconds. Sequence: the new engine
+// comes, gets some range, then the old one drains. Cause: the new one's range chosen before the old
+// one's is free.
 TEST(Placement, ANewEngineWaitsAMomentForTheOneThatItReplaces) {
   Run(seconds(2));
   CarryOut();
