Do not repair a chain with an engine of another one like it

Cause: in a domain with several chains every layer has another holder, so an equal engine was taken for a spare and the gap moved to the next chain. Change: only slower engines, and ones that came late and carry no chain, are spares.

--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -106,6 +106,7 @@
       m_vacancies.push_back({std::move(left), m_parts.clock.Now(), {}});
     }
     m_repairing.erase(name);
+    m_extras.erase(name);
     for (Vacancy& vacancy : m_vacancies) {
       std::erase(vacancy.shared_by, name);
     }
@@ -169,8 +170,9 @@
     for (std::uint32_t layer = server.layers.first; layer < server.layers.end; ++layer) {
       ++holders[layer];
     }
-    if (speed(server) >= speed(left) && server.layers.Count() > 0 &&
-        !m_repairing.contains(server.name)) {
+    // Taking an equally fast engine out of another chain would only move the gap there.
+    const bool worth_taking = speed(server) > speed(left) || m_extras.contains(server.name);
+    if (worth_taking && server.layers.Count() > 0 && !m_repairing.contains(server.name)) {
       candidates.push_back(&server);
     }
   }
@@ -280,6 +282,7 @@
       continue;
     }
     if (const auto range = LayerPlanner::RangeFor(engine, server, holders)) {
+      m_extras.insert(server.name);
       m_assignments[server.name].layers = *range;
       holders.push_back(server);
       holders.back().layers = *range;
--- a/packages/zinnia_decisions/forwarding/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/layer_placer.h
@@ -91,6 +91,9 @@
   std::map<BackendServerName, TimePoint> m_empty_since;
   std::vector<Vacancy> m_vacancies;
 
+  /** Engines that came late and got what the pool lacked, so that no chain rests on them. */
+  std::set<BackendServerName> m_extras;
+
   /** Spares that took over a part of a vacant range. */
   std::set<BackendServerName> m_repairing;
 
--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -133,6 +133,23 @@
   CHECK_FALSE(orders.placed.contains("fast1"));
 }
 
+// Symptom: after one loss a second chain stops as well. Sequence: two chains of a domain hold all
+// layers each; one loses an engine, and the other's engine of the same kind is given its range.
+// Cause: every engine whose layers another one holds taken for a spare.
+TEST(Placement, TheRepairDoesNotMoveTheGapToAnotherChain) {
+  servers.clear();
+  for (int index = 0; index < 4; ++index) {
+    servers.push_back(EngineServer("fast" + std::to_string(index), "fast", "k"));
+    servers.push_back(EngineServer("middle" + std::to_string(index), "middle", "k"));
+  }
+  Run(seconds(2));
+  CarryOut();
+  Lose("middle0");
+  orders.placed.clear();
+  Run(seconds(3));
+  CHECK_TRUE(orders.placed.empty());
+}
+
 TEST(Placement, AStalledEnginesRangeIsGivenOutBeforeItsEntryLapses) {
   Run(seconds(2));
   CarryOut();
