--- a/tests/forwarding_path/answers_test.cc
+++ b/tests/forwarding_path/answers_test.cc
@@ -37,6 +37,15 @@
   CHECK_EQUAL(0U, f.Arrivals());
 }
 
+// Symptom: callers with good keys are told that they have none. Sequence: an instance starts while
+// the store refuses it. Cause: an empty configuration taken for one without keys and routes.
+TEST(Answers, AnInstanceThatKnowsNoConfigurationSaysComeBack) {
+  f.traffic->SetView(std::make_shared<ForwardingView>());
+  TestCaller& caller = f.Call("/safe/x");
+  CHECK_TRUE(f.Until([&] { return caller.Has("503"); }));
+  CHECK_TRUE(caller.Has("Retry-After: 0."));
+}
+
 // Symptom: a caller sees all events of a stream at its end. Sequence: a server sends events in
 // chunks as they are made. Cause: the reader waited for the whole chunked body.
 TEST(Answers, EventsArriveBeforeTheStreamEnds) {
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -125,6 +125,31 @@
   CHECK_FALSE(reader.ReadRules("{}").has_value());
 }
 
+// Symptom: an instance ends, or believes half of a record. Sequence: a record is cut off, or has
+// fields of other types. Cause: a reader that throws what nobody expects.
+TEST(PlatformRecords, MalformedRecordsGiveATypedErrorAndNothingElse) {
+  const std::string good =
+      R"({"version":7,"routes":[{"hostname":"h","path_prefix":"/p/","service":"s"}],
+      "services":[{"name":"s","runtime":{"layers":80,"types":[{"name":"a"}]}}],
+      "tenants":[{"name":"o","api_keys":["k"]}],"limits":{"idle_timeout_ms":5}})";
+  CHECK_TRUE(reader.ReadRules(good).has_value());
+  for (std::size_t length = 0; length < good.size(); ++length) {
+    CHECK_FALSE(reader.ReadRules(good.substr(0, length)).has_value());
+  }
+  for (const char* text :
+       {"[]", "7", R"({"version":"7","routes":[],"services":[]})",
+        R"({"version":7,"routes":[3],"services":[]})", R"({"version":7,"routes":{},"services":[]})",
+        R"({"version":7,"routes":[],"services":[{"name":5}]})",
+        R"({"version":7,"routes":[],"services":[],"tenants":[{"name":"o","api_keys":[7]}]})",
+        R"({"version":7,"routes":[],"services":[],"tenants":[7]})"}) {
+    CHECK_FALSE(reader.ReadRules(text).has_value());
+  }
+  for (const char* text : {"", "{}", R"({"service":"s"})", R"({"service":"s","address":7})",
+                           R"({"service":"s","address":"1.2.3.4"})"}) {
+    CHECK_FALSE(reader.ReadServer("i", text).has_value());
+  }
+}
+
 TEST(PlatformRecords, ReadsAServersEntry) {
   const auto server = reader.ReadServer(
       "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"k","max_batch_size":6,
@@ -198,6 +223,28 @@
   STRCMP_EQUAL("store_history_lost", kind.c_str());
 }
 
+TEST(PlatformCalls, AMalformedAnswerIsNoAnswer) {
+  for (const char* text : {"", "nonsense", "[]", R"({"events":7,"at":1})",
+                           R"({"events":[{"key":"a","value":"?","revision":5}],"at":6})"}) {
+    body = text;
+    std::string kind;
+    store.Watch("", 4, std::chrono::milliseconds(100), [&](const Result<StoreBatch>& result) {
+      kind = result ? "batch" : std::string(NameOf(result.error().kind));
+    });
+    CHECK_TRUE(RunUntil(loop, [&] { return !kind.empty(); }));
+    STRCMP_EQUAL("store_outcome_unknown", kind.c_str());
+  }
+  for (const char* text : {"", "[]", R"({"stalled_servers":[7]})",
+                           R"({"stalled_servers":[{"id":"r","address":"nowhere"}]})"}) {
+    body = text;
+    std::optional<bool> read;
+    engines.ReadReport({"i-1", server.Address(), {}},
+                       [&](const Result<EngineReport>& result) { read = result.has_value(); });
+    CHECK_TRUE(RunUntil(loop, [&] { return read.has_value(); }));
+    CHECK_FALSE(*read);
+  }
+}
+
 // Symptom: no server is ever found stalled, and callers leave. Sequence: a report lists requests
 // that wait. Cause: the ids in the list taken for servers; they are those of requests.
 TEST(PlatformCalls, AReportNamesStalledServersByTheirAddress) {
