Fetch records of the store from one peer at a time

Ruled out: peers unknown (they reported to it), merge refused (no delta arrived). Change: reports and answers carry just the revision; who is behind asks one peer for the records, another after 700 ms, with a limit of 3 s for such calls.

--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp
@@ -41,6 +41,10 @@
   storeIsSteady @5 :Bool;
   isReader @6 :Bool;
   domainUses @7 :List(NewsDomainUses);
+
+  withoutRecords @8 :Bool;
+  # The answer need not hold records, just how far the answering instance knows them. An older
+  # version leaves this out and gets the records.
 }
 
 struct NewsRecord {
@@ -57,6 +61,6 @@
 }
 
 interface FleetNews {
-  # The answer holds what the caller lacks of the store's records; it is empty if it lacks nothing.
+  # The answer holds what the caller lacks of the store's records, if it asked for them.
   exchange @0 (report :NewsReport) -> (delta :NewsDelta);
 }
--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
@@ -615,6 +615,8 @@
   inline bool hasDomainUses() const;
   inline  ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>::Reader getDomainUses() const;
 
+  inline bool getWithoutRecords() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -683,6 +685,9 @@
   inline void adoptDomainUses(::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsDomainUses,  ::capnp::Kind::STRUCT>> disownDomainUses();
 
+  inline bool getWithoutRecords();
+  inline void setWithoutRecords(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1640,6 +1645,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool NewsReport::Reader::getWithoutRecords() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+}
+
+inline bool NewsReport::Builder::getWithoutRecords() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+}
+inline void NewsReport::Builder::setWithoutRecords(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/zinnia_adapters/fleet_news/news_client.cc
+++ b/packages/zinnia_adapters/fleet_news/news_client.cc
@@ -18,6 +18,10 @@
 
 /** A peer answers within milliseconds; longer means a dead peer or a connection gone silent. */
 constexpr auto kCallLimit = 500 * kj::MILLISECONDS;
+
+/** A copy of all records may have hundreds of kilobytes, which share a link of 20 Mbit/s with the
+    traffic; half a second cut such answers off again and again. */
+constexpr auto kRecordsLimit = 3 * kj::SECONDS;
 constexpr auto kConnectLimit = 300 * kj::MILLISECONDS;
 
 /** Pause after a failure, so that a dead peer costs few attempts. */
@@ -116,7 +120,7 @@
         .attach(kj::cp(connection));
   });
   m_tasks.add(m_io.provider->getTimer()
-                  .timeoutAfter(kCallLimit, kj::mv(call))
+                  .timeoutAfter(report.wants_records ? kRecordsLimit : kCallLimit, kj::mv(call))
                   .then(
                       [this, address, callback](MirrorDelta delta) {
                         --m_peers[address].in_flight;
--- a/packages/zinnia_adapters/fleet_news/news_codec.cc
+++ b/packages/zinnia_adapters/fleet_news/news_codec.cc
@@ -49,6 +49,7 @@
   to.setLeaving(report.leaving);
   to.setIsReader(report.is_reader);
   to.setStoreIsSteady(report.store_is_steady);
+  to.setWithoutRecords(!report.wants_records);
   WriteUses(to.initUses(static_cast<unsigned>(report.uses.size())), report.uses);
   auto domains = to.initDomainUses(static_cast<unsigned>(report.domain_uses.size()));
   unsigned domain_index = 0;
@@ -75,6 +76,7 @@
   report.leaving = from.getLeaving();
   report.is_reader = from.getIsReader();
   report.store_is_steady = from.getStoreIsSteady();
+  report.wants_records = !from.getWithoutRecords();
   report.uses = ReadUses(from.getUses());
   for (const auto domain : from.getDomainUses()) {
     report.domain_uses[ToText(domain.getFailureDomain())] = ReadUses(domain.getUses());
--- a/packages/zinnia_decisions/forwarding/news_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/news_exchange.cc
@@ -19,6 +19,10 @@
     each other at least twice in it, up to some forty peers. */
 constexpr Duration kReaderNewsLifetime = std::chrono::milliseconds(1'500);
 
+/** A fetch of records that takes longer leaves the way free for one from another peer. A quarter of
+    a megabyte takes a tenth of a second on a link of 20 Mbit/s that carries nothing else. */
+constexpr Duration kFetchPatience = std::chrono::milliseconds(700);
+
 /** A peer's word on the store holds for some reports. */
 constexpr Duration kSteadyNewsLifetime = std::chrono::milliseconds(800);
 
@@ -117,9 +121,31 @@
 }
 
 void NewsExchange::Send(const NetworkAddress& peer, bool is_near) {
-  m_transport.Exchange(peer, MakeReport(is_near),
-                       WhileAlive(m_alive, [this](const Result<MirrorDelta>& delta) {
-                         if (delta && (delta->complete || !delta->records.empty())) {
+  m_transport.Exchange(
+      peer, MakeReport(is_near),
+      WhileAlive(m_alive, [this, peer, is_near](const Result<MirrorDelta>& answer) {
+        if (answer) {
+          FetchIfNewer(peer, is_near, answer->revision);
+        }
+      }));
+}
+
+void NewsExchange::FetchIfNewer(const NetworkAddress& peer, bool is_near, std::uint64_t revision) {
+  const TimePoint now = m_clock.Now();
+  const bool is_behind = revision > m_mirror.Revision() || (revision > 0 && !m_mirror.IsFilled());
+  if (!is_behind || (m_fetch_began_at && now - *m_fetch_began_at < kFetchPatience)) {
+    return;
+  }
+  m_fetch_began_at = now;
+  const std::uint64_t number = ++m_fetch_number;
+  NewsReport report = MakeReport(is_near);
+  report.wants_records = true;
+  m_transport.Exchange(peer, report,
+                       WhileAlive(m_alive, [this, number](const Result<MirrorDelta>& delta) {
+                         if (number == m_fetch_number) {
+                           m_fetch_began_at.reset();
+                         }
+                         if (delta) {
                            m_mirror.Merge(*delta);
                          }
                        }));
@@ -196,8 +222,18 @@
       m_sink.OnPeerStall(stall);
     }
   }
-  const bool lacks_something = m_mirror.IsFilled() && report.revision < m_mirror.Revision();
-  return lacks_something ? m_mirror.ChangesAfter(report.revision) : MirrorDelta();
+  if (!report.leaving) {
+    FetchIfNewer(report.instance.peer_address, is_near, report.revision);
+  }
+  if (!m_mirror.IsFilled()) {
+    return {};
+  }
+  if (report.wants_records && report.revision < m_mirror.Revision()) {
+    return m_mirror.ChangesAfter(report.revision);
+  }
+  MirrorDelta just_revision;
+  just_revision.revision = m_mirror.Revision();
+  return just_revision;
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/news_exchange.h
+++ b/packages/zinnia_decisions/forwarding/news_exchange.h
@@ -41,6 +41,10 @@
 /** Tells peers what this instance has in flight and found stalled, and fills the gaps of its copy
     of the store from theirs: the store may refuse one instance while it serves the others.
 
+    Reports and their answers say how far each side knows the records; who is behind fetches them
+    from one peer. Were each answer to carry them, sixteen peers would send the same configuration
+    at once, and on a slow link none of the copies would arrive within its limit.
+
     @see StoreMirror
 */
 class NewsExchange final : public NewsListener {
@@ -89,6 +93,9 @@
   void OnDomainNews(const NewsReport& report, bool is_near);
   void Send(const NetworkAddress& peer, bool is_near);
 
+  /** Called when `peer` turns out to know the store's records up to `revision`. */
+  void FetchIfNewer(const NetworkAddress& peer, bool is_near, std::uint64_t revision);
+
   NewsTransport& m_transport;
   Scheduler& m_scheduler;
   const Clock& m_clock;
@@ -106,6 +113,8 @@
   bool m_leaving = false;
   std::optional<TimePoint> m_steady_peer_heard_at;
   std::optional<TimePoint> m_reader_heard_at;
+  std::optional<TimePoint> m_fetch_began_at;
+  std::uint64_t m_fetch_number = 0;
   std::size_t m_next_near = 0;
   std::size_t m_next_far = 0;
   std::unique_ptr<ScheduledCall> m_timer;
--- a/packages/zinnia_decisions/forwarding/news_report.h
+++ b/packages/zinnia_decisions/forwarding/news_report.h
@@ -35,6 +35,9 @@
   /** It waits for changes of the store so briefly that others need not. */
   bool is_reader = false;
 
+  /** Whether the answer shall hold the store's records that the sender lacks. */
+  bool wants_records = false;
+
   /** It is about to stop. */
   bool leaving = false;
 };
--- a/packages/zinnia_decisions/ports/news_transport.h
+++ b/packages/zinnia_decisions/ports/news_transport.h
@@ -14,7 +14,9 @@
  public:
   virtual ~NewsTransport() = default;
 
-  /** Gives what this instance lacks of the store's records and the peer has. */
+  /** Gives what this instance lacks of the store's records and the peer has. If the report does not
+      want records, the answer has none and says only how far the peer knows them: it must not be
+      merged. */
   virtual void Exchange(const NetworkAddress& peer,
                         const NewsReport& report,
                         std::function<void(Result<MirrorDelta>)> callback) = 0;
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -168,12 +168,15 @@
                   const NewsReport& report,
                   std::function<void(Result<MirrorDelta>)> callback) override {
       sent.emplace_back(peer, report);
-      if (answer) {
+      if (report.wants_records && answers_to_fetches) {
+        callback(*answers_to_fetches);
+      } else if (answer) {
         callback(*answer);
       }
     }
     std::vector<std::pair<NetworkAddress, NewsReport>> sent;
     std::optional<MirrorDelta> answer;
+    std::optional<MirrorDelta> answers_to_fetches;
   };
   struct Sink final : NewsSink {
     void OnPeerUses(const InstanceName& instance, LoadBook::Uses reported) override {
@@ -222,6 +225,50 @@
   CHECK_TRUE(mirror.Has("k"));
 }
 
+// Symptom: a configuration is not in force eleven seconds after its change. Sequence: the store
+// refuses an instance on a slow link; its peers know a large configuration; each answers its
+// reports with all of it. Cause: sixteen copies at once, none of which arrived within its limit.
+TEST(News, AnInstanceThatIsBehindFetchesFromOnePeerAtATime) {
+  for (const char* name : {"a", "b", "c"}) {
+    NewsReport report = ReportOf(name);
+    report.revision = 9;
+    news.OnNews(report);
+  }
+  CHECK_EQUAL(1U, transport.sent.size());
+  CHECK_TRUE(transport.sent[0].second.wants_records);
+
+  time.AdvanceBy(seconds(1));
+  NewsReport report = ReportOf("b");
+  report.revision = 9;
+  transport.answer = MirrorDelta{true, 9, {{"k", 5, "v"}}};
+  news.OnNews(report);
+  CHECK_EQUAL(2U, transport.sent.size());
+  CHECK_TRUE(mirror.Has("k"));
+  news.OnNews(report);
+  CHECK_EQUAL(2U, transport.sent.size());
+}
+
+TEST(News, AReportIsAnsweredWithRecordsOnlyIfItWantsThem) {
+  mirror.Merge({true, 9, {{"k", 5, "v"}}});
+  NewsReport report = ReportOf("peer");
+  CHECK_EQUAL(0U, news.OnNews(report).records.size());
+  CHECK_EQUAL(9U, news.OnNews(report).revision);
+  report.wants_records = true;
+  CHECK_EQUAL(1U, news.OnNews(report).records.size());
+}
+
+// Symptom: an instance keeps an old configuration for good. Sequence: a peer's answer says how far
+// it knows the records without holding any. Cause: such an answer taken for "nothing changed".
+TEST(News, AnAnswerWithoutRecordsDoesNotMoveTheCopyForward) {
+  mirror.Merge({true, 4, {{"k", 4, "old"}}});
+  news.OnNews(ReportOf("peer"));
+  transport.answer = MirrorDelta{false, 9, {}};
+  transport.answers_to_fetches = MirrorDelta{false, 9, {{"k", 8, "new"}}};
+  news.TellLeaving();
+  CHECK_EQUAL(2U, transport.sent.size());
+  CHECK_EQUAL(8U, mirror.ChangesAfter(4).records.at(0).revision);
+}
+
 TEST(News, PeersThatWereHeardCountAsAliveForAWhile) {
   news.OnNews(ReportOf("peer"));
   CHECK_EQUAL(2U, instances.LiveInstances().size());
