--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -82,6 +82,10 @@
     return;
   }
   if (!report) {
+    m_parts.logger.Log(LogLevel::kWarning, "report_failed",
+                       {{"request", m_facts.id},
+                        {"server", m_server},
+                        {"reason", zinnia::Describe(report.error())}});
     // One report may be lost to a full connection table; the stream's own silence must agree.
     if (++m_failed_reports >= kReportsBeforeLeaving && silent >= kSilenceOfDeadServer) {
       m_parts.health.Exclude(m_server, kUnreachableExclusion);
--- a/packages/zinnia_adapters/settings/forwarding_settings.cc
+++ b/packages/zinnia_adapters/settings/forwarding_settings.cc
@@ -1,5 +1,6 @@
 #include "zinnia_adapters/settings/forwarding_settings.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 
@@ -115,6 +116,36 @@
   return milliseconds(static_cast<std::int64_t>(seconds * kMillisecondsPerSecond));
 }
 
+constexpr std::array<std::string_view, 15> kFieldNames = {
+    "instance",
+    "failure_domain",
+    "region",
+    "callers_address",
+    "readiness_address",
+    "peer_address",
+    "metrics_address",
+    "store_address",
+    "seeds",
+    "stop_grace_seconds",
+    "retry_budget_ratio",
+    "retry_budget_slack",
+    "retry_budget_window_seconds",
+    "engines_check_fencing",
+    "log_level",
+};
+
+/** A misspelt field would leave its default in force, and nobody would notice. */
+void RejectUnknownFields(const json::object& object) {
+  for (const auto& field : object) {
+    const std::string_view name(field.key().data(), field.key().size());
+    if (std::find(kFieldNames.begin(), kFieldNames.end(), name) == kFieldNames.end()) {
+      throw ErrorException(MakeError(
+          ErrorKind::kInvalidSettings,
+          "the field " + std::string(name) + " is not known: remove it, or correct its name"));
+    }
+  }
+}
+
 ForwardingSettings Read(const SettingsFields& fields) {
   ForwardingSettings settings;
   settings.instance = fields.Text("instance");
@@ -138,6 +169,10 @@
 
 }  // namespace
 
+std::span<const std::string_view> ForwardingSettings::FieldNames() {
+  return kFieldNames;
+}
+
 Result<ForwardingSettings> ForwardingSettings::Load(const std::string& file) {
   const auto text = ReadTextFile(file);
   if (!text) {
@@ -154,6 +189,7 @@
                      "the settings are not a JSON object: " + error.message());
   }
   try {
+    RejectUnknownFields(value.as_object());
     return Read(SettingsFields(value.as_object()));
   } catch (const ErrorException& failure) {
     return failure.GetError();
--- a/packages/zinnia_adapters/settings/forwarding_settings.h
+++ b/packages/zinnia_adapters/settings/forwarding_settings.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <chrono>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "zinnia_base/errors/result.h"
@@ -36,6 +38,9 @@
   bool engines_check_fencing = true;
   LogLevel log_level = LogLevel::kInfo;
 
+  /** Of the settings object; schemas/forwarding_settings.schema.json describes each. */
+  static std::span<const std::string_view> FieldNames();
+
   /** Fails with kInvalidSettings naming the field and what it should be. */
   static Result<ForwardingSettings> Load(const std::string& file);
   static Result<ForwardingSettings> Parse(const std::string& text);
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -131,7 +131,8 @@
     m_control = std::make_unique<ForwardingControl>(
         ForwardingControlParts{m_clock, *m_control_thread, m_platform->store, m_platform->reader,
                                *m_news_client, m_platform->control_engines, m_decisions, m_logger,
-                               *this, DescribeSelf(m_settings, start), m_settings.seeds},
+                               *this, DescribeSelf(m_settings, start), m_settings.seeds,
+                               m_settings.engines_check_fencing},
         [this](std::shared_ptr<const ForwardingView> view) {
           m_knows_rules = view->rules != nullptr;
           m_traffic_thread->Post([this, view = std::move(view)] { m_traffic->SetView(view); });
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -16,12 +16,14 @@
 constexpr std::uint64_t kTicksBetweenRenewals = 2;
 
 /** Orders are few and soon over, so the right to give them can pass on within seconds. */
-OrderSettings PlacementSettings() {
+OrderSettings PlacementSettings(bool engines_check_fencing) {
   OrderSettings settings;
   settings.lease = std::chrono::milliseconds(2'000);
   settings.lease_margin = std::chrono::milliseconds(500);
   settings.tick = std::chrono::milliseconds(500);
   settings.transport_timeout = std::chrono::milliseconds(1'000);
+  settings.valid_for = std::chrono::milliseconds(0);  // These orders carry no end of validity.
+  settings.engines_check_fencing = engines_check_fencing;
   return settings;
 }
 
@@ -152,8 +154,9 @@
   for (const auto& [name, service] : m_rules->services) {
     const bool layered = service.engine && service.engine->IsLayered();
     if (layered && !m_placers.contains(name)) {
-      m_placers[name] = std::make_unique<LayerPlacer>(parts, PlacementSettings(),
-                                                      m_parts.layer_orders, m_parts.logger, name);
+      m_placers[name] =
+          std::make_unique<LayerPlacer>(parts, PlacementSettings(m_parts.engines_check_fencing),
+                                        m_parts.layer_orders, m_parts.logger, name);
     }
   }
 }
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -38,6 +38,9 @@
   NewsSink& sink;
   Instance self;
   std::vector<NetworkAddress> seeds;
+
+  /** Whether engines refuse orders with an old fencing number. */
+  bool engines_check_fencing = true;
 };
 
 /** The control state of a forwarding instance: what the store says, who lives, which layers are
--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -81,13 +81,18 @@
   for (const ServerEntry& server : servers) {
     m_seen[server.name] = server;
   }
-  if (!m_role.MaySend() || !IsSettled(servers)) {
+  if (!MayOrder() || !IsSettled(servers)) {
     return;
   }
   Assign(*service->second.engine, servers);
   SendOrders(servers);
 }
 
+bool LayerPlacer::MayOrder() const {
+  return m_role.MaySend() &&
+         (m_settings.engines_check_fencing || m_parts.clock.Now() >= m_role.UncheckedFrom());
+}
+
 void LayerPlacer::NoteVacancies(const ForwardingView& view) {
   for (const auto& [name, server] : m_seen) {
     const auto now = view.servers.find(name);
@@ -300,7 +305,7 @@
     Assignment& assignment = found->second;
     const Duration again = assignment.accepted ? kAcceptedAgainAfter : kOrderAgainAfter;
     const bool due = !assignment.sent_at || now - *assignment.sent_at >= again;
-    if (!due || !m_role.MaySend()) {
+    if (!due || !MayOrder()) {
       continue;
     }
     assignment.sent_at = now;
--- a/packages/zinnia_decisions/forwarding/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/layer_placer.h
@@ -67,6 +67,11 @@
   };
 
   bool IsSettled(const std::vector<ServerEntry>& servers);
+
+  /** Engines that do not check fencing numbers would carry out an earlier holder's order after this
+      one's, and keep layers that nobody counts on. They get orders once none of his can be on its
+      way. */
+  bool MayOrder() const;
   void Assign(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
   void NoteVacancies(const ForwardingView& view);
   void AssignVacated(const std::vector<ServerEntry>& servers);
--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -92,6 +92,28 @@
   CHECK_EQUAL(0, orders.count);
 }
 
+// Symptom: an engine holds layers that no route counts on. Sequence: a holder of the orders is
+// frozen with one on its way, another takes over and orders the same engine, the late order
+// arrives. Cause: the engine does not check fencing numbers, and the new holder did not wait.
+TEST(Placement, ANewHolderWaitsForOldOrdersWhereEnginesDoNotCheckFencing) {
+  Run(seconds(2));
+  CarryOut();
+  placer->Stop();
+  store.Erase(OrderRole::LeaseKeyOf("pool"));
+  settings.engines_check_fencing = false;
+  settings.valid_for = milliseconds(0);
+  settings.transport_timeout = seconds(10);
+  placer = std::make_unique<LayerPlacer>(OrderRoleParts{time, time, store, instances, recorder},
+                                         settings, orders, logger, "pool");
+  orders.count = 0;
+  servers.front().layers = {};
+  Run(seconds(9));
+  CHECK_TRUE(placer->HoldsRole());
+  CHECK_EQUAL(0, orders.count);
+  Run(seconds(20));
+  CHECK_TRUE(orders.count > 0);
+}
+
 TEST(Placement, AReplacementTakesTheRangeThatWasLeft) {
   Run(seconds(2));
   CarryOut();
