Serve through losses: suspects tried singly, new instances wait for rules, gaps found

Ruled out: want of memory (the dead servers' paths were chosen again and again), the store. Change: servers with strong evidence against them are tried by one request at a time until one gets through; an accused later server is probed, and told to peers if it is silent; repeated refusals lengthen; requests wait up to a second for a new instance's configuration; the holder of the orders finds layers without a holder; substitutes ask an absent store every 2 s. forward_exchange.cc is split.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -14,11 +14,6 @@
 #include "zinnia_adapters/services/header_filter.h"
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/forwarding/forwarding_view.h"
-#include "zinnia_decisions/forwarding/load_book.h"
-#include "zinnia_decisions/forwarding/path_finder.h"
-#include "zinnia_decisions/forwarding/pipe_meter.h"
-#include "zinnia_decisions/forwarding/plain_server_chooser.h"
-#include "zinnia_decisions/forwarding/route_table.h"
 #include "zinnia_decisions/forwarding/server_health.h"
 #include "zinnia_decisions/forwarding/shared_retry_budget.h"
 #include "zinnia_decisions/ports/metrics.h"
@@ -29,6 +24,11 @@
 namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 
+/** An instance that has just started hears the configuration from the store or a peer within about
+   a fifth of a second. After all had been without power, six hundred callers were refused in that
+    time who could have been served. */
+constexpr Duration kWaitForRules = milliseconds(1'000);
+
 /** A connection to a sound server is there within a few milliseconds; a dark one never answers. */
 constexpr Duration kConnectLimit = milliseconds(250);
 
@@ -90,6 +90,29 @@
 
 void ForwardExchange::Start() {
   m_facts = m_parts.codec.ReadRequest(m_request);
+  m_awaits_rules = !m_parts.view()->rules;
+  if (!m_awaits_rules) {
+    Begin();
+  }
+}
+
+void ForwardExchange::AwaitRules() {
+  const auto view = m_parts.view();
+  if (view->rules) {
+    m_awaits_rules = false;
+    Begin();
+    return;
+  }
+  Duration limit = kWaitForRules;
+  if (m_facts.deadline) {
+    limit = std::min<Duration>(limit, *m_facts.deadline / 2);
+  }
+  if (m_parts.clock.Now() - m_started_at >= limit) {
+    Answer(NotRun(ErrorKind::kStoreUnavailable, "this instance knows no configuration yet"));
+  }
+}
+
+void ForwardExchange::Begin() {
   if (const auto error = FindRoute()) {
     Answer(*error);
     return;
@@ -108,115 +131,6 @@
   Send();
 }
 
-std::optional<Error> ForwardExchange::FindRoute() {
-  const auto view = m_parts.view();
-  if (!view->rules) {
-    return NotRun(ErrorKind::kStoreUnavailable, "this instance knows no configuration yet");
-  }
-  m_route = view->routes->Find(m_request[http::field::host], m_request.target());
-  if (!m_route) {
-    return MakeError(ErrorKind::kNotFound, "no route fits the host and path");
-  }
-  if (!view->rules->keys_required) {
-    return std::nullopt;
-  }
-  const auto organisation = view->rules->organisation_by_key.find(m_facts.api_key);
-  if (organisation != view->rules->organisation_by_key.end()) {
-    m_organisation = organisation->second;
-  } else if (!m_route->is_public) {
-    return MakeError(ErrorKind::kUnauthorized, "the key is not known");
-  }
-  return std::nullopt;
-}
-
-ServiceName ForwardExchange::ChooseService() {
-  std::uint64_t sum = 0;
-  for (const WeightedService& choice : m_route->services) {
-    sum += choice.weight;
-  }
-  if (sum == 0) {
-    return m_route->services.empty() ? ServiceName() : m_route->services.front().service;
-  }
-  std::uint64_t point = RandomBelow(m_parts.random, sum);
-  for (const WeightedService& choice : m_route->services) {
-    if (point < choice.weight) {
-      return choice.service;
-    }
-    point -= choice.weight;
-  }
-  return m_route->services.back().service;
-}
-
-bool ForwardExchange::ChooseServer() {
-  const auto view = m_parts.view();
-  const auto service = view->rules->services.find(m_service);
-  const bool layered = service != view->rules->services.end() && service->second.engine &&
-                       service->second.engine->IsLayered();
-  if (layered) {
-    return ChoosePath();
-  }
-  const auto server = m_parts.plain_servers.Choose(*view, m_service, m_avoided);
-  if (!server) {
-    return false;
-  }
-  m_server = *server;
-  m_server_address = view->servers.at(*server).address;
-  m_path.clear();
-  Reserve({{m_server, m_server_address, {}}});
-  return true;
-}
-
-bool ForwardExchange::ChoosePath() {
-  const auto view = m_parts.view();
-  const auto found =
-      m_parts.paths.Find(*view, m_service, ExpectedSize(), m_parts.own_failure_domain, m_avoided);
-  if (!found) {
-    return false;
-  }
-  m_parts.pipe.Add(found->pipe_ms);
-  m_path = found->path;
-  m_server = m_path.front().server;
-  m_server_address = m_path.front().address;
-  Reserve(m_path);
-  return true;
-}
-
-/** The whole request, also when a part of its answer is there already: all tokens stay in memory.
- */
-GenerationSize ForwardExchange::ExpectedSize() const {
-  GenerationSize size;
-  size.prompt_tokens = m_facts.prompt_tokens;
-  const auto view = m_parts.view();
-  const auto service = view->rules->services.find(m_service);
-  if (m_facts.expected_answer_tokens) {
-    size.answer_tokens = *m_facts.expected_answer_tokens;
-  } else if (service != view->rules->services.end() && service->second.engine) {
-    size.answer_tokens = service->second.engine->usual_answer_tokens;
-  }
-  if (m_facts.most_answer_tokens > 0) {
-    size.answer_tokens = std::min<double>(size.answer_tokens, m_facts.most_answer_tokens);
-  }
-  return size;
-}
-
-void ForwardExchange::Reserve(const LayerPath& path) {
-  ReleaseReservations();
-  const GenerationSize size = ExpectedSize();
-  const double tokens = size.prompt_tokens + size.answer_tokens;
-  for (const PathPart& part : path) {
-    const double token_layers = tokens * part.layers.Count();
-    const bool begins = &part == &path.front();
-    m_parts.loads.Add(part.server, token_layers, begins);
-    m_reservations.push_back({part.server, token_layers, begins});
-  }
-}
-
-void ForwardExchange::ReleaseReservations() {
-  for (const Reservation& reservation : std::exchange(m_reservations, {})) {
-    m_parts.loads.Remove(reservation.server, reservation.token_layers, reservation.begins);
-  }
-}
-
 Duration ForwardExchange::TimeLeft() const {
   return m_deadline - m_parts.clock.Now();
 }
@@ -237,6 +151,7 @@
   m_failed_reports = 0;
   m_failed_reroutes = 0;
   m_is_streaming = false;
+  m_path_proved = false;
   m_body.clear();
   m_events.DropPart();
   m_last_progress = m_parts.clock.Now();
@@ -311,6 +226,11 @@
     m_parts.metrics.Observe(m_organisation, RequestClass::kChat, Measure::kFirstToken,
                             m_first_event_after);
   }
+  if (!std::exchange(m_path_proved, true)) {
+    for (const PathPart& part : m_path) {
+      m_parts.health.OnReached(part.server);
+    }
+  }
   m_last_progress = now;
   m_last_event_at = now;
   m_failed_reroutes = 0;
@@ -340,6 +260,7 @@
     return;
   }
   if (IsSuccess(m_status)) {
+    m_parts.health.OnReached(m_server);
     m_parts.health.OnOutcome(m_server, true);
     PassOnWholeAnswer();
     return;
@@ -353,10 +274,15 @@
   for (const PathPart& part : m_path) {
     if (part.address.ToString() == m_answer_facts.server_at_fault) {
       at_fault = part.server;
+      if (!misdirected && part.server != m_server) {
+        ConfirmReach(part);
+      }
     }
   }
-  if (!m_path.empty() || misdirected) {
-    m_parts.health.Exclude(at_fault, misdirected ? kMisdirectedExclusion : kFullExclusion);
+  if (misdirected) {
+    m_parts.health.Exclude(at_fault, kMisdirectedExclusion);
+  } else if (!m_path.empty()) {
+    m_parts.health.ExcludeLonger(at_fault, kFullExclusion, kLongestFullExclusion);
   }
   m_avoided.insert(at_fault);
   SendAgainOrGiveUp(SendOutcome::kNotRun,
@@ -366,7 +292,7 @@
 void ForwardExchange::OnServerFailed(AnswerFailure failure, std::string_view reason) {
   m_connection.reset();
   if (failure == AnswerFailure::kNotSent) {
-    m_parts.health.Exclude(m_server, kUnreachableExclusion);
+    m_parts.health.Suspect(m_server, kUnreachableExclusion);
     ++m_history.not_sent;
     --m_history.servers_reached;
     m_avoided.insert(m_server);
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -70,6 +70,9 @@
     bool begins = false;
   };
 
+  /** Goes on once the configuration is known, or refuses when that takes too long. */
+  void AwaitRules();
+  void Begin();
   std::optional<Error> FindRoute();
   ServiceName ChooseService();
   bool ChooseServer();
@@ -82,6 +85,7 @@
 
   void OnStreamHead(unsigned status, const boost::beast::http::fields& fields);
   void OnWholeAnswer();
+  void ConfirmReach(const PathPart& accused);
   void OnNotRun();
   void OnSendEnded(SendOutcome outcome, std::string_view reason);
   void SendAgainOrGiveUp(SendOutcome outcome, std::string_view reason);
@@ -127,6 +131,12 @@
   bool m_is_streaming = false;    // The present answer is a stream.
   bool m_stream_started = false;  // The caller has the head of a stream.
   bool m_first_event_sent = false;
+
+  /** The configuration is not known yet. */
+  bool m_awaits_rules = false;
+
+  /** Whether an event came over the present path. */
+  bool m_path_proved = false;
   bool m_rerouting = false;
   bool m_asking = false;
   bool m_ended = false;
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
@@ -0,0 +1,129 @@
+#include <algorithm>
+#include <boost/beast/http/field.hpp>
+#include <utility>
+
+#include "zinnia_adapters/forwarding/forward_exchange.h"
+#include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/forwarding_view.h"
+#include "zinnia_decisions/forwarding/load_book.h"
+#include "zinnia_decisions/forwarding/path_finder.h"
+#include "zinnia_decisions/forwarding/pipe_meter.h"
+#include "zinnia_decisions/forwarding/plain_server_chooser.h"
+#include "zinnia_decisions/forwarding/route_table.h"
+#include "zinnia_decisions/forwarding/server_health.h"
+
+// The part of ForwardExchange that decides where a request goes: its route, organisation, service
+// and servers.
+
+namespace zinnia {
+
+namespace http = boost::beast::http;
+
+std::optional<Error> ForwardExchange::FindRoute() {
+  const auto view = m_parts.view();
+  m_route = view->routes->Find(m_request[http::field::host], m_request.target());
+  if (!m_route) {
+    return MakeError(ErrorKind::kNotFound, "no route fits the host and path");
+  }
+  if (!view->rules->keys_required) {
+    return std::nullopt;
+  }
+  const auto organisation = view->rules->organisation_by_key.find(m_facts.api_key);
+  if (organisation != view->rules->organisation_by_key.end()) {
+    m_organisation = organisation->second;
+  } else if (!m_route->is_public) {
+    return MakeError(ErrorKind::kUnauthorized, "the key is not known");
+  }
+  return std::nullopt;
+}
+
+ServiceName ForwardExchange::ChooseService() {
+  std::uint64_t sum = 0;
+  for (const WeightedService& choice : m_route->services) {
+    sum += choice.weight;
+  }
+  if (sum == 0) {
+    return m_route->services.empty() ? ServiceName() : m_route->services.front().service;
+  }
+  std::uint64_t point = RandomBelow(m_parts.random, sum);
+  for (const WeightedService& choice : m_route->services) {
+    if (point < choice.weight) {
+      return choice.service;
+    }
+    point -= choice.weight;
+  }
+  return m_route->services.back().service;
+}
+
+bool ForwardExchange::ChooseServer() {
+  const auto view = m_parts.view();
+  const auto service = view->rules->services.find(m_service);
+  const bool layered = service != view->rules->services.end() && service->second.engine &&
+                       service->second.engine->IsLayered();
+  if (layered) {
+    return ChoosePath();
+  }
+  const auto server = m_parts.plain_servers.Choose(*view, m_service, m_avoided);
+  if (!server) {
+    return false;
+  }
+  m_server = *server;
+  m_server_address = view->servers.at(*server).address;
+  m_path.clear();
+  Reserve({{m_server, m_server_address, {}}});
+  return true;
+}
+
+bool ForwardExchange::ChoosePath() {
+  const auto view = m_parts.view();
+  const auto found =
+      m_parts.paths.Find(*view, m_service, ExpectedSize(), m_parts.own_failure_domain, m_avoided);
+  if (!found) {
+    return false;
+  }
+  m_parts.pipe.Add(found->pipe_ms);
+  m_path = found->path;
+  m_server = m_path.front().server;
+  m_server_address = m_path.front().address;
+  Reserve(m_path);
+  return true;
+}
+
+/** The whole request, also when a part of its answer is there already: all tokens stay in memory.
+ */
+GenerationSize ForwardExchange::ExpectedSize() const {
+  GenerationSize size;
+  size.prompt_tokens = m_facts.prompt_tokens;
+  const auto view = m_parts.view();
+  const auto service = view->rules->services.find(m_service);
+  if (m_facts.expected_answer_tokens) {
+    size.answer_tokens = *m_facts.expected_answer_tokens;
+  } else if (service != view->rules->services.end() && service->second.engine) {
+    size.answer_tokens = service->second.engine->usual_answer_tokens;
+  }
+  if (m_facts.most_answer_tokens > 0) {
+    size.answer_tokens = std::min<double>(size.answer_tokens, m_facts.most_answer_tokens);
+  }
+  return size;
+}
+
+void ForwardExchange::Reserve(const LayerPath& path) {
+  ReleaseReservations();
+  const GenerationSize size = ExpectedSize();
+  const double tokens = size.prompt_tokens + size.answer_tokens;
+  for (const PathPart& part : path) {
+    const double token_layers = tokens * part.layers.Count();
+    const bool begins = &part == &path.front();
+    m_parts.loads.Add(part.server, token_layers, begins);
+    m_parts.health.OnTried(part.server);
+    m_reservations.push_back({part.server, token_layers, begins});
+  }
+}
+
+void ForwardExchange::ReleaseReservations() {
+  for (const Reservation& reservation : std::exchange(m_reservations, {})) {
+    m_parts.loads.Remove(reservation.server, reservation.token_layers, reservation.begins);
+  }
+}
+
+}  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -43,7 +43,14 @@
 }  // namespace
 
 void ForwardExchange::Tick() {
-  if (m_ended || !m_route) {
+  if (m_ended) {
+    return;
+  }
+  if (m_awaits_rules) {
+    AwaitRules();
+    return;
+  }
+  if (!m_route) {
     return;
   }
   if (m_parts.clock.Now() >= m_deadline) {
@@ -88,7 +95,7 @@
                         {"reason", zinnia::Describe(report.error())}});
     // One report may be lost to a full connection table; the stream's own silence must agree.
     if (++m_failed_reports >= kReportsBeforeLeaving && silent >= kSilenceOfDeadServer) {
-      m_parts.health.Exclude(m_server, kUnreachableExclusion);
+      m_parts.health.Suspect(m_server, kUnreachableExclusion);
       AbandonServer("the first server is silent");
     }
     return;
@@ -105,7 +112,7 @@
     }
   }
   for (const BackendServerName& server : stalled) {
-    m_parts.health.Exclude(server, kStalledExclusion);
+    m_parts.health.Suspect(server, kStalledExclusion);
     m_parts.report_stalled(server);
   }
 }
@@ -133,7 +140,20 @@
   Reroute("a server on the path is stalled");
 }
 
+/** A later server that a first one refused for is full, or dead: an entry outlives its server by
+    seconds, and while the store is away for as long as that lasts. */
+void ForwardExchange::ConfirmReach(const PathPart& accused) {
+  m_parts.stalls.Confirm(accused, [&parts = m_parts](const BackendServerName& dead) {
+    parts.health.Suspect(dead, kStalledExclusion);
+    parts.report_stalled(dead);
+  });
+}
+
 void ForwardExchange::OnViewChanged() {
+  if (m_awaits_rules && !m_ended) {
+    AwaitRules();
+    return;
+  }
   if (m_ended || m_path.size() < 2 || !m_connection || m_rerouting) {
     return;
   }
@@ -192,6 +212,7 @@
   m_rerouting = false;
   if (answer.result) {
     m_path = path;
+    m_path_proved = false;
     Reserve(path);
     m_last_progress = m_parts.clock.Now();
     return;
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -114,7 +114,7 @@
   const auto suspects = SilenceDetector::Suspects(streams, m_parts.clock.Now());
   if (!suspects.empty()) {
     m_parts.stalls.Check(suspects, [this](const BackendServerName& server) {
-      m_parts.health.Exclude(server, kDeadExclusion);
+      m_parts.health.Suspect(server, kDeadExclusion);
       m_parts.report_stalled(server);
     });
   }
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -68,7 +68,7 @@
 void ForwardingTraffic::OnPeerStall(const BackendServerName& server, Duration age) {
   m_parts.logger.Log(LogLevel::kInfo, "server_stalled", {{"server", server}, {"seen_by", "peer"}});
   if (age < kStalledExclusion) {
-    m_health.Exclude(server, kStalledExclusion - age);
+    m_health.Suspect(server, kStalledExclusion - age);
     m_server->OnServerStalled(server);
   }
 }
--- a/packages/zinnia_adapters/forwarding/stall_inquiry.cc
+++ b/packages/zinnia_adapters/forwarding/stall_inquiry.cc
@@ -30,13 +30,32 @@
   });
 }
 
+bool StallInquiry::TakeProbe(const BackendServerName& server) {
+  TimePoint& probed_at = m_probed_at[server];
+  if (probed_at != TimePoint() && m_clock.Now() - probed_at < kProbeAgainAfter) {
+    return false;
+  }
+  probed_at = m_clock.Now();
+  return true;
+}
+
+void StallInquiry::Confirm(const PathPart& accused,
+                           const std::function<void(const BackendServerName&)>& on_dead) {
+  if (!TakeProbe(accused.server)) {
+    return;
+  }
+  m_calls.Probe(accused, [server = accused.server, on_dead](bool answers) {
+    if (!answers) {
+      on_dead(server);
+    }
+  });
+}
+
 void StallInquiry::Check(const std::vector<PathPart>& suspects,
                          const std::function<void(const BackendServerName&)>& on_dead) {
   std::vector<PathPart> due;
   for (const PathPart& suspect : suspects) {
-    TimePoint& probed_at = m_probed_at[suspect.server];
-    if (probed_at == TimePoint() || m_clock.Now() - probed_at >= kProbeAgainAfter) {
-      probed_at = m_clock.Now();
+    if (TakeProbe(suspect.server)) {
       due.push_back(suspect);
     }
   }
--- a/packages/zinnia_adapters/forwarding/stall_inquiry.h
+++ b/packages/zinnia_adapters/forwarding/stall_inquiry.h
@@ -24,7 +24,15 @@
   void Check(const std::vector<PathPart>& suspects,
              const std::function<void(const BackendServerName&)>& on_dead);
 
+  /** Probes a server that another one refused a request for: it may be full or out of reach. Calls
+      back only if it does not answer here either. */
+  void Confirm(const PathPart& accused,
+               const std::function<void(const BackendServerName&)>& on_dead);
+
  private:
+  /** Whether the server was not probed lately; notes that it is now. */
+  bool TakeProbe(const BackendServerName& server);
+
   /** A report is this old at most when it is used again. */
   static constexpr Duration kReportLifetime = std::chrono::milliseconds(60);
 
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -174,7 +174,7 @@
     is_placer = is_placer || placer->HoldsRole();
   }
   m_mirror.SetIsPlacer(is_placer);
-  m_mirror.SetIsReader(m_news.ShouldRead());
+  m_mirror.SetIsReader(m_news.ShouldRead(), !m_news.IsNamedReader());
   m_timer = m_parts.scheduler.ScheduleAfter(kTickInterval, [this] { Tick(); });
 }
 
--- a/packages/zinnia_decisions/forwarding/instance_registration.cc
+++ b/packages/zinnia_decisions/forwarding/instance_registration.cc
@@ -16,7 +16,9 @@
    follow a loss. Renewals are priced: eighty instances at 2.5 s made 2,000 calls a minute. */
 constexpr milliseconds kLease{15'000};
 constexpr milliseconds kRenewInterval{5'000};
-constexpr milliseconds kRetryPause{400};
+
+/** Peers know each other from their news meanwhile, and each refused call is priced. */
+constexpr milliseconds kRetryPause{1'000};
 
 }  // namespace
 
--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -26,6 +26,14 @@
     seconds and then loads for three, while spares load small ranges in less than one. */
 constexpr Duration kRepairAfter = std::chrono::milliseconds(400);
 
+/** Layers without a holder for this long are vacant, though nobody was seen to leave: an engine
+   that changes its layers shows none for less. */
+constexpr Duration kGapBelieved = std::chrono::milliseconds(1'000);
+
+/** The same while an engine of the failure domain holds nothing: it may be loading them, for an
+    earlier holder of the orders, and the longest loads take four seconds. */
+constexpr Duration kGapBesideEmptyEngine = std::chrono::seconds(5);
+
 /** An engine that comes while nothing is vacant waits so long for a range: when engines are
    replaced, the new one comes first and the old one leaves a moment later. */
 constexpr Duration kWaitForVacancy = std::chrono::milliseconds(1'500);
@@ -132,6 +140,82 @@
   return any_holds || m_parts.clock.Now() - m_last_change >= kSettleTime;
 }
 
+/** Layers of a failure domain that none of its engines holds or is to hold. Nothing if they are
+   more than half: such a pool has its chains across failure domains. */
+std::vector<LayerRange> LayerPlacer::GapsOf(const FailureDomainName& domain,
+                                            const EngineProfile& engine,
+                                            const std::vector<ServerEntry>& servers) const {
+  std::vector<bool> held(engine.layers, false);
+  for (const ServerEntry& server : servers) {
+    if (server.failure_domain != domain || m_stalled.contains(server.name)) {
+      continue;
+    }
+    const auto assigned = m_assignments.find(server.name);
+    const LayerRange& layers =
+        assigned == m_assignments.end() ? server.layers : assigned->second.layers;
+    for (std::uint32_t layer = layers.first; layer < std::min(layers.end, engine.layers); ++layer) {
+      held[layer] = true;
+    }
+  }
+  if (std::count(held.begin(), held.end(), true) * 2 < static_cast<std::int64_t>(engine.layers)) {
+    return {};
+  }
+  std::vector<LayerRange> gaps;
+  for (std::uint32_t layer = 0; layer < engine.layers; ++layer) {
+    if (held[layer]) {
+      continue;
+    }
+    if (gaps.empty() || gaps.back().end != layer) {
+      gaps.push_back({layer, layer});
+    }
+    gaps.back().end = layer + 1;
+  }
+  return gaps;
+}
+
+bool LayerPlacer::IsVacant(const FailureDomainName& domain, const LayerRange& layers) const {
+  return std::any_of(m_vacancies.begin(), m_vacancies.end(), [&](const Vacancy& vacancy) {
+    return vacancy.left.failure_domain == domain && vacancy.left.layers.first < layers.end &&
+           layers.first < vacancy.left.layers.end;
+  });
+}
+
+/** Finds vacancies that this instance has not seen arise: an engine left while nobody held the
+    orders, or before the holder started. One missing layer takes a whole failure domain's chain out
+    of service, and nothing else would show it. */
+void LayerPlacer::NoteGaps(const EngineProfile& engine, const std::vector<ServerEntry>& servers) {
+  const TimePoint now = m_parts.clock.Now();
+  std::map<FailureDomainName, bool> has_empty;
+  for (const ServerEntry& server : servers) {
+    const bool is_empty = server.layers.Count() == 0;
+    has_empty[server.failure_domain] = has_empty[server.failure_domain] || is_empty;
+  }
+  std::map<std::pair<FailureDomainName, std::uint32_t>, TimePoint> still;
+  for (const auto& [domain, empty_engine] : has_empty) {
+    for (const LayerRange& gap : GapsOf(domain, engine, servers)) {
+      if (IsVacant(domain, gap)) {
+        continue;
+      }
+      const auto key = std::make_pair(domain, gap.first);
+      const auto known = m_gaps_since.find(key);
+      const TimePoint since = known == m_gaps_since.end() ? now : known->second;
+      if (now - since < (empty_engine ? kGapBesideEmptyEngine : kGapBelieved)) {
+        still[key] = since;
+        continue;
+      }
+      ServerEntry left;
+      left.service = m_service;
+      left.failure_domain = domain;
+      left.layers = gap;
+      m_logger.Log(LogLevel::kInfo, "layers_missing",
+                   {{"failure_domain", domain},
+                    {"layers", std::to_string(gap.first) + "-" + std::to_string(gap.end)}});
+      m_vacancies.push_back({std::move(left), now, {}});
+    }
+  }
+  m_gaps_since = std::move(still);
+}
+
 /** A server that came back after a crash, or its replacement, takes the range that was left, also
     when slower ones share it by now: they are spares again. */
 void LayerPlacer::AssignVacated(const std::vector<ServerEntry>& servers) {
@@ -266,6 +350,7 @@
     }
     return;
   }
+  NoteGaps(engine, servers);
   AssignVacated(servers);
   RepairWithSpares(engine, servers);
   std::vector<ServerEntry> holders;
--- a/packages/zinnia_decisions/forwarding/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/layer_placer.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "zinnia_base/time/clock.h"
@@ -74,6 +75,11 @@
   bool MayOrder() const;
   void Assign(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
   void NoteVacancies(const ForwardingView& view);
+  void NoteGaps(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
+  std::vector<LayerRange> GapsOf(const FailureDomainName& domain,
+                                 const EngineProfile& engine,
+                                 const std::vector<ServerEntry>& servers) const;
+  bool IsVacant(const FailureDomainName& domain, const LayerRange& layers) const;
   void AssignVacated(const std::vector<ServerEntry>& servers);
   bool ShareOut(Vacancy& vacancy,
                 const EngineProfile& engine,
@@ -96,6 +102,9 @@
   std::map<BackendServerName, TimePoint> m_empty_since;
   std::vector<Vacancy> m_vacancies;
 
+  /** Since when layers, by the first of them, lack a holder in a failure domain. */
+  std::map<std::pair<FailureDomainName, std::uint32_t>, TimePoint> m_gaps_since;
+
   /** Engines that came late and got what the pool lacked, so that no chain rests on them. */
   std::set<BackendServerName> m_extras;
 
--- a/packages/zinnia_decisions/forwarding/news_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/news_exchange.cc
@@ -50,7 +50,7 @@
       m_settings(settings) {}
 
 void NewsExchange::Start() {
-  m_timer = m_scheduler.ScheduleAfter(m_settings.interval, [this] { Tick(); });
+  Tick();
 }
 
 void NewsExchange::Tick() {
@@ -72,7 +72,7 @@
   } else {
     SendInTurn(far, m_settings.most_far_peers_at_once, m_next_far, false);
   }
-  Start();
+  m_timer = m_scheduler.ScheduleAfter(m_settings.interval, [this] { Tick(); });
 }
 
 /** By name the first of each other failure domain, which reads for it unless it died lately. */
@@ -203,13 +203,17 @@
   }
 }
 
-bool NewsExchange::ShouldRead() const {
+bool NewsExchange::IsNamedReader() const {
   const Instance& self = m_instances.Self();
   const auto live = m_instances.LiveInstances();
   const auto before_self = std::count_if(live.begin(), live.end(), [&](const Instance& instance) {
     return instance.failure_domain == self.failure_domain && instance.name < self.name;
   });
-  return static_cast<std::size_t>(before_self) < kReadersOfDomain || !m_reader_heard_at ||
+  return static_cast<std::size_t>(before_self) < kReadersOfDomain;
+}
+
+bool NewsExchange::ShouldRead() const {
+  return IsNamedReader() || !m_reader_heard_at ||
          m_clock.Now() - *m_reader_heard_at >= kReaderNewsLifetime;
 }
 
--- a/packages/zinnia_decisions/forwarding/news_exchange.h
+++ b/packages/zinnia_decisions/forwarding/news_exchange.h
@@ -80,6 +80,9 @@
      domain do, and every one that has not heard from a reader of its domain lately. */
   bool ShouldRead() const;
 
+  /** Whether this instance is one of the two. */
+  bool IsNamedReader() const;
+
   /** Whether some peer said lately that the store serves it without failures. */
   bool SomePeerIsSteady() const;
 
--- a/packages/zinnia_decisions/forwarding/server_health.cc
+++ b/packages/zinnia_decisions/forwarding/server_health.cc
@@ -16,6 +16,10 @@
 /** Waiting requests come and go faster. */
 constexpr std::chrono::duration<double> kDelayHalfLife{0.7};
 
+/** A request that tries a suspect server has this long to get through before the next one may:
+   about the time of a first event, and of finding that a server is silent. */
+constexpr Duration kTryOfSuspect = std::chrono::milliseconds(500);
+
 /** Records of servers that have left are dropped beyond this number. */
 constexpr std::size_t kMostRecords = 4'096;
 
@@ -40,6 +44,37 @@
   record.excluded_until = std::max(record.excluded_until, m_clock.Now() + duration);
 }
 
+void ServerHealth::ExcludeLonger(const BackendServerName& server,
+                                 Duration first,
+                                 Duration longest) {
+  if (IsExcluded(server)) {
+    return;  // Requests that were on their way together are one refusal.
+  }
+  Record& record = Touch(server);
+  record.last_exclusion = std::clamp(record.last_exclusion * 2, first, longest);
+  record.excluded_until = m_clock.Now() + record.last_exclusion;
+}
+
+void ServerHealth::Suspect(const BackendServerName& server, Duration duration) {
+  Exclude(server, duration);
+  m_records[server].is_suspect = true;
+}
+
+void ServerHealth::OnTried(const BackendServerName& server) {
+  const auto record = m_records.find(server);
+  if (record != m_records.end() && record->second.is_suspect) {
+    record->second.next_try_at = m_clock.Now() + kTryOfSuspect;
+  }
+}
+
+void ServerHealth::OnReached(const BackendServerName& server) {
+  const auto record = m_records.find(server);
+  if (record != m_records.end()) {
+    record->second.is_suspect = false;
+    record->second.last_exclusion = Duration::zero();
+  }
+}
+
 void ServerHealth::OnOutcome(const BackendServerName& server, bool good) {
   Record& record = Touch(server);
   const double value = good ? 0.0 : 1.0;
@@ -65,7 +100,12 @@
 
 bool ServerHealth::IsExcluded(const BackendServerName& server) const {
   const auto record = m_records.find(server);
-  return record != m_records.end() && m_clock.Now() < record->second.excluded_until;
+  if (record == m_records.end()) {
+    return false;
+  }
+  const TimePoint now = m_clock.Now();
+  const bool is_being_tried = record->second.is_suspect && now < record->second.next_try_at;
+  return now < record->second.excluded_until || is_being_tried;
 }
 
 double ServerHealth::FailureShare(const BackendServerName& server) const {
--- a/packages/zinnia_decisions/forwarding/server_health.h
+++ b/packages/zinnia_decisions/forwarding/server_health.h
@@ -18,9 +18,23 @@
  public:
   explicit ServerHealth(const Clock& clock) : m_clock(clock) {}
 
-  /** Strong evidence (cannot be reached, silent, named as stalled): no requests for `duration`. */
+  /** It refuses for now, for want of room or layers: no requests for `duration`. */
   void Exclude(const BackendServerName& server, Duration duration);
 
+  /** The same, twice as long at each refusal since a request last got through, up to `longest`. */
+  void ExcludeLonger(const BackendServerName& server, Duration first, Duration longest);
+
+  /** Strong evidence (cannot be reached, silent, named as stalled): no requests for `duration`, and
+      then one at a time until one gets through. Its entry may stay for seconds after its death, and
+      each request that tries it meanwhile is lost time for a caller. */
+  void Suspect(const BackendServerName& server, Duration duration);
+
+  /** A request was sent on a path that needs the server. */
+  void OnTried(const BackendServerName& server);
+
+  /** A request that needs the server went on: it is not suspect. */
+  void OnReached(const BackendServerName& server);
+
   /** A request at the server ended well, or failed through its fault. */
   void OnOutcome(const BackendServerName& server, bool good);
 
@@ -38,6 +52,9 @@
  private:
   struct Record {
     TimePoint excluded_until{};
+    Duration last_exclusion{};
+    bool is_suspect = false;
+    TimePoint next_try_at{};
     TimePoint changed_at{};
     double failure_share = 0.0;
     double first_event_ms = 0.0;
--- a/packages/zinnia_decisions/forwarding/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/store_mirror.cc
@@ -82,7 +82,8 @@
                 }));
 }
 
-void StoreMirror::SetIsReader(bool is_reader) {
+void StoreMirror::SetIsReader(bool is_reader, bool is_substitute) {
+  m_is_substitute = is_substitute;
   const bool must_not_wait = is_reader && !m_is_reader && m_filled && m_in_contact;
   m_is_reader = is_reader;
   if (must_not_wait) {
@@ -196,7 +197,9 @@
   }
   m_in_contact = false;
   m_last_failure = m_clock.Now();
-  m_retry_pause = std::min(m_retry_pause * 2, m_settings.longest_retry_pause);
+  const auto longest = m_is_substitute ? m_settings.longest_retry_pause_of_substitute
+                                       : m_settings.longest_retry_pause;
+  m_retry_pause = std::min(m_retry_pause * 2, longest);
 }
 
 void StoreMirror::NoteContact() {
--- a/packages/zinnia_decisions/forwarding/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/store_mirror.h
@@ -46,6 +46,10 @@
   /** Pause after a failed call. Doubles up to `longest_retry_pause`. */
   std::chrono::milliseconds retry_pause{100};
   std::chrono::milliseconds longest_retry_pause{500};
+
+  /** The same for an instance that reads only because no reader was heard: while the store is away
+     that is every instance, and each refused call is priced. */
+  std::chrono::milliseconds longest_retry_pause_of_substitute{2'000};
 };
 
 /** A copy of everything in the platform's store, kept current by one list and a chain of watches.
@@ -69,8 +73,9 @@
   void SetListener(MirrorListener* listener) { m_listener = listener; }
   void Start();
 
-  /** Whether others rely on this instance for news of the store. */
-  void SetIsReader(bool is_reader);
+  /** Whether others rely on this instance for news of the store. A substitute does it only until
+     its domain's readers are heard again. */
+  void SetIsReader(bool is_reader, bool is_substitute = false);
 
   /** Whether this instance acts on what servers say. */
   void SetIsPlacer(bool is_placer) { m_is_placer = is_placer; }
@@ -123,6 +128,7 @@
   std::optional<TimePoint> m_last_failure;
   std::optional<TimePoint> m_last_contact;
   bool m_is_reader = true;
+  bool m_is_substitute = false;
   bool m_is_placer = false;
 
   /** Answers to watches before the newest one are ignored. */
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -70,6 +70,26 @@
   CHECK_TRUE(mirror.IsSteadyFor(seconds(2)));
 }
 
+// Symptom: an outage of the store costs two thousand calls. Sequence: no reader is in contact, so
+// all eighty instances try twice a second. Cause: each tried as often as if others relied on it.
+TEST(Mirror, ASubstituteTriesAnAbsentStoreSeldom) {
+  const auto calls_in_ten_seconds = [this] {
+    int calls = 0;
+    for (int step = 0; step < 100; ++step) {
+      if (!store.watches.empty()) {
+        ++calls;
+        store.FailWatch(ErrorKind::kStoreUnavailable);
+      }
+      time.AdvanceBy(milliseconds(100));
+    }
+    return calls;
+  };
+  mirror.SetIsReader(true, true);
+  CHECK_TRUE(calls_in_ten_seconds() <= 9);
+  mirror.SetIsReader(true, false);
+  CHECK_TRUE(calls_in_ten_seconds() >= 15);
+}
+
 // Symptom: after an outage of the store all its servers are dropped. Sequence: an instance that
 // seldom asks the store has not noticed the outage; it tells its peers that the store is steady;
 // they take lapsed entries for servers that left. Cause: silence taken for steadiness.
--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -3,6 +3,8 @@
 #include "zinnia_decisions/forwarding/instance_directory.h"
 #include "zinnia_decisions/forwarding/layer_placer.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 namespace zinnia {
@@ -142,6 +144,50 @@
   CHECK_EQUAL(left.Count(), covered);
 }
 
+// Symptom: a failure domain serves nothing for the rest of the day. Sequence: the holder of the
+// orders is killed, an engine leaves, another instance becomes the holder. Cause: ranges counted as
+// vacant only by who saw their engine leave.
+TEST(Placement, AHolderThatDidNotSeeAnEngineLeaveFindsItsRangeMissing) {
+  Run(seconds(2));
+  CarryOut();
+  placer = std::make_unique<LayerPlacer>(OrderRoleParts{time, time, store, instances, recorder},
+                                         settings, orders, logger, "pool");
+  store.records.clear();
+  Lose("middle0");
+  orders.placed.clear();
+  Run(seconds(4));
+  CHECK_FALSE(orders.placed.empty());
+  CarryOut();
+  std::vector<bool> held(80, false);
+  for (const ServerEntry& server : servers) {
+    for (std::uint32_t layer = server.layers.first; layer < server.layers.end; ++layer) {
+      held[layer] = true;
+    }
+  }
+  CHECK_EQUAL(80, std::count(held.begin(), held.end(), true));
+}
+
+// Symptom: loads that help nobody. Sequence: a new holder finds layers missing while an engine that
+// was ordered to hold them still loads. Cause: engines that hold nothing taken for idle.
+TEST(Placement, ANewHolderWaitsForAnEngineThatMayBeLoading) {
+  Run(seconds(2));
+  CarryOut();
+  placer = std::make_unique<LayerPlacer>(OrderRoleParts{time, time, store, instances, recorder},
+                                         settings, orders, logger, "pool");
+  store.records.clear();
+  for (ServerEntry& server : servers) {
+    if (server.name == "middle0") {
+      server.layers = {};
+    }
+  }
+  orders.placed.clear();
+  Run(seconds(4));
+  for (const auto& [name, range] : orders.placed) {
+    CHECK_TRUE(range.Count() > 0);
+    STRCMP_EQUAL("middle0", name.c_str());
+  }
+}
+
 // Symptom: the repair of one lost stage breaks the chain a second time. Sequence: the fastest
 // engine is lost; another engine of the chain, slower than it, is taken for its range. Cause: every
 // slower engine taken for a spare.
--- a/tests/forwarding/requests_test.cc
+++ b/tests/forwarding/requests_test.cc
@@ -177,6 +177,48 @@
   }
 };
 
+// Symptom: eleven seconds in which each instance tries a dead server several times a second, and
+// callers are refused. Sequence: a server dies while the store is away, so that its entry stays; it
+// is left for a moment, then all waiting requests try it at once. Cause: the end of an exclusion
+// taken for a recovery.
+TEST(ServerChoice, ASuspectIsTriedByOneRequestAtATimeUntilOneGetsThrough) {
+  health.Suspect("a", seconds(3));
+  CHECK_TRUE(health.IsExcluded("a"));
+  time.AdvanceBy(milliseconds(3'100));
+  CHECK_FALSE(health.IsExcluded("a"));
+  health.OnTried("a");
+  CHECK_TRUE(health.IsExcluded("a"));
+  time.AdvanceBy(milliseconds(600));
+  CHECK_FALSE(health.IsExcluded("a"));
+  health.OnTried("a");
+  health.OnReached("a");
+  CHECK_FALSE(health.IsExcluded("a"));
+  health.OnTried("a");
+  CHECK_FALSE(health.IsExcluded("a"));
+}
+
+TEST(ServerChoice, AServerThatKeepsRefusingIsLeftForLonger) {
+  health.ExcludeLonger("a", milliseconds(200), milliseconds(1'600));
+  health.ExcludeLonger("a", milliseconds(200), milliseconds(1'600));
+  time.AdvanceBy(milliseconds(250));
+  CHECK_FALSE(health.IsExcluded("a"));
+  health.ExcludeLonger("a", milliseconds(200), milliseconds(1'600));
+  time.AdvanceBy(milliseconds(250));
+  CHECK_TRUE(health.IsExcluded("a"));
+  time.AdvanceBy(milliseconds(250));
+  health.OnReached("a");
+  health.ExcludeLonger("a", milliseconds(200), milliseconds(1'600));
+  time.AdvanceBy(milliseconds(250));
+  CHECK_FALSE(health.IsExcluded("a"));
+}
+
+TEST(ServerChoice, AServerThatIsNotSuspectIsTriedByAll) {
+  health.Exclude("a", milliseconds(200));
+  time.AdvanceBy(milliseconds(300));
+  health.OnTried("a");
+  CHECK_FALSE(health.IsExcluded("a"));
+}
+
 TEST(ServerChoice, TakesTheEmptiestOfAllInstancesLoads) {
   loads.Add("a", 0);
   loads.SetPeerUses("peer", {{"b", {3, 0}}});
--- a/tests/forwarding_path/answers_test.cc
+++ b/tests/forwarding_path/answers_test.cc
@@ -46,6 +46,21 @@
   CHECK_TRUE(caller.Has("Retry-After: 0."));
 }
 
+// Symptom: six hundred callers are refused within a fifth of a second after all instances had been
+// without power. Sequence: instances start and listen, callers connect at once, the configuration
+// arrives. Cause: what is about to be known treated like an outage.
+TEST(Answers, ARequestWaitsBrieflyForTheConfigurationOfANewInstance) {
+  f.Script(
+      [this](Connection& connection) { connection.Write(f.Head("Content-Length: 2\r\n") + "ok"); });
+  f.traffic->SetView(std::make_shared<ForwardingView>());
+  TestCaller& caller = f.Call("/safe/x");
+  f.thread.Loop().restart();
+  f.thread.Loop().run_for(std::chrono::milliseconds(200));
+  CHECK_FALSE(caller.Has("HTTP"));
+  f.traffic->SetView(f.view);
+  CHECK_TRUE(f.Until([&] { return caller.Has("200 OK"); }));
+}
+
 // Symptom: a caller sees all events of a stream at its end. Sequence: a server sends events in
 // chunks as they are made. Cause: the reader waited for the whole chunked body.
 TEST(Answers, EventsArriveBeforeTheStreamEnds) {
@@ -94,7 +109,7 @@
 // Symptom: a booking made twice. Sequence: the server takes the request and its connection ends
 // without an answer. Cause: sent again though it may have run.
 TEST(Answers, ANonIdempotentRequestIsNotSentAgainWhenItsAnswerIsLost) {
-  f.Script([](Connection& connection) { connection.Close(); });
+  f.Script([this](Connection& connection) { connection.Close(); });
   TestCaller& caller = f.Call("/once/x");
   CHECK_TRUE(f.Until([&] { return caller.Has("502"); }));
   CHECK_EQUAL(1U, f.Arrivals());
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <fmt/format.h>
+
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -56,7 +58,10 @@
     ++reports;
     callback(report);
   }
-  void Probe(const PathPart&, std::function<void(bool)> callback) override { callback(true); }
+  void Probe(const PathPart&, std::function<void(bool)> callback) override {
+    ++probes;
+    callback(answers_probes);
+  }
   void Reroute(const std::string&,
                const LayerPath& path,
                std::function<void(RerouteAnswer)> callback) override {
@@ -65,6 +70,8 @@
   }
   Result<EngineReport> report = EngineReport();
   int reports = 0;
+  int probes = 0;
+  bool answers_probes = true;
   std::vector<LayerPath> rerouted;
 };
 
@@ -144,7 +151,7 @@
     AddRoute(*rules, "/once/", Repeatability::kNonIdempotent, false);
     AddRoute(*rules, "/safe/", Repeatability::kIdempotent, false);
     AddRoute(*rules, "/events/", Repeatability::kStream, true);
-    auto view = std::make_shared<ForwardingView>();
+    view = std::make_shared<ForwardingView>();
     view->rules = rules;
     view->routes = std::make_shared<RouteTable>(*rules);
     for (auto& [name, server] : {std::pair<std::string, RawServer*>("a", &a), {"b", &b}}) {
@@ -224,6 +231,7 @@
   TrafficThread thread;  // Not started: the test runs its loop.
   RawServer a{thread.Loop()};
   RawServer b{thread.Loop()};
+  std::shared_ptr<ForwardingView> view;
   std::unique_ptr<ForwardingTraffic> traffic;
   std::vector<std::unique_ptr<TestCaller>> callers;
 };
