--- a/packages/zinnia_decisions/orders/order_role.h
+++ b/packages/zinnia_decisions/orders/order_role.h
@@ -31,8 +31,8 @@
   std::chrono::milliseconds retry_pause{25};
   std::size_t most_loads = 4;
 
-  /** Whether the engines of a LayerPlacer's pool refuse fencing numbers that they have seen exceeded.
-      A reconciler's engines each say it for themselves. */
+  /** Whether the engines of a LayerPlacer's pool refuse fencing numbers that they have seen
+     exceeded. A reconciler's engines each say it for themselves. */
   bool engines_check_fencing = true;
 };
 
