Accept callers' connections in one place

Cause: the two callers' servers had the same code to accept, pause and count. Change: CallerAcceptor; the daemon's and the forwarding server use it.

--- a/packages/zinnia_adapters/callers/caller_server.cc
+++ b/packages/zinnia_adapters/callers/caller_server.cc
@@ -25,7 +25,6 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
-constexpr Duration kAcceptAgainAfter = std::chrono::milliseconds(100);
 constexpr std::uint64_t kMostDeadlineMilliseconds = 24ULL * 3600 * 1000;
 
 std::string PathOf(const CallerRequest& request) {
@@ -101,13 +100,16 @@
     return acceptor.error();
   }
   std::unique_ptr<CallerServer> server(new CallerServer(std::move(parts), std::move(*acceptor)));
-  server->Accept();
+  server->m_acceptor.Start();
   return server;
 }
 
 CallerServer::CallerServer(CallerServerParts parts, tcp::acceptor acceptor)
     : m_parts(std::move(parts)),
-      m_acceptor(std::move(acceptor)),
+      m_acceptor(std::move(acceptor),
+                 m_parts.scheduler,
+                 m_parts.metrics,
+                 [this](tcp::socket socket) { TakeConnection(std::move(socket)); }),
       m_forwarder(ServiceForwarder::Create(m_parts.loop, m_parts.clock, m_parts.snapshots)),
       m_random(m_parts.random_seed) {}
 
@@ -116,38 +118,18 @@
 }
 
 std::uint16_t CallerServer::Port() const {
-  boost::system::error_code error;
-  return m_acceptor.local_endpoint(error).port();
+  return m_acceptor.Port();
 }
 
-void CallerServer::Accept() {
-  m_acceptor.async_accept([this, alive = std::weak_ptr<bool>(m_alive)](
-                              const boost::system::error_code& error, tcp::socket socket) {
-    if (!alive.expired()) {
-      OnAccepted(error, std::move(socket));
-    }
-  });
-}
-
-void CallerServer::OnAccepted(const boost::system::error_code& error, tcp::socket socket) {
-  if (error == asio::error::operation_aborted) {
-    return;
-  }
-  if (error) {
-    // Out of descriptors: accepting again at once would spin on the same error.
-    m_parts.metrics.Count("caller_accepts_failed");
-    m_accept_again = m_parts.scheduler.ScheduleAfter(kAcceptAgainAfter, [this] { Accept(); });
-    return;
-  }
+void CallerServer::TakeConnection(tcp::socket socket) {
   if (m_connections.size() >= m_parts.limits.most_connections) {
     m_parts.metrics.Count("caller_connections_refused");
     socket.close();
-  } else {
-    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_parts.limits, *this);
-    m_connections.emplace(connection.get(), connection);
-    connection->Start();
+    return;
   }
-  Accept();
+  auto connection = std::make_shared<CallerConnection>(std::move(socket), m_parts.limits, *this);
+  m_connections.emplace(connection.get(), connection);
+  connection->Start();
 }
 
 std::shared_ptr<CallerExchange> CallerServer::CreateExchange(CallerRequest request,
@@ -285,8 +267,7 @@
 
 void CallerServer::CutOff() {
   m_draining = true;
-  boost::system::error_code ignored;
-  m_acceptor.close(ignored);
+  m_acceptor.Close();
   const auto connections = m_connections;
   for (const auto& [key, connection] : connections) {
     connection->Close();
--- a/packages/zinnia_adapters/callers/caller_server.h
+++ b/packages/zinnia_adapters/callers/caller_server.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "zinnia_adapters/callers/caller_acceptor.h"
 #include "zinnia_adapters/callers/caller_connection.h"
 #include "zinnia_adapters/callers/caller_server_parts.h"
 #include "zinnia_adapters/callers/exchange_context.h"
@@ -61,8 +62,7 @@
  private:
   CallerServer(CallerServerParts parts, boost::asio::ip::tcp::acceptor acceptor);
 
-  void Accept();
-  void OnAccepted(const boost::system::error_code& error, boost::asio::ip::tcp::socket socket);
+  void TakeConnection(boost::asio::ip::tcp::socket socket);
 
   std::shared_ptr<CallerExchange> CreateExchange(CallerRequest request,
                                                  std::shared_ptr<Responder> responder) override;
@@ -80,12 +80,10 @@
   std::shared_ptr<CallerExchange> Register(std::shared_ptr<CallerExchange> exchange);
 
   const CallerServerParts m_parts;
-  boost::asio::ip::tcp::acceptor m_acceptor;
+  CallerAcceptor m_acceptor;
   ExchangeRegistry m_registry;
   std::shared_ptr<ServiceForwarder> m_forwarder;
   std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> m_connections;
-  std::unique_ptr<ScheduledCall> m_accept_again;
-  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   RandomSource m_random;
   std::uint64_t m_next_request = 1;
   bool m_draining = false;
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -28,8 +28,6 @@
 /** How long a server that answered no probe gets no requests, until engines' reports confirm it. */
 constexpr Duration kDeadExclusion = std::chrono::milliseconds(1'500);
 
-constexpr Duration kAcceptAgainAfter = std::chrono::milliseconds(100);
-
 }  // namespace
 
 Result<std::unique_ptr<ForwardServer>> ForwardServer::Create(asio::io_context& loop,
@@ -42,51 +40,35 @@
   }
   std::unique_ptr<ForwardServer> server(
       new ForwardServer(scheduler, std::move(parts), std::move(*acceptor)));
-  server->Accept();
+  server->m_acceptor.Start();
   server->ScheduleTick();
   return server;
 }
 
 ForwardServer::ForwardServer(Scheduler& scheduler, ForwardingParts parts, tcp::acceptor acceptor)
-    : m_scheduler(scheduler), m_parts(std::move(parts)), m_acceptor(std::move(acceptor)) {}
+    : m_scheduler(scheduler),
+      m_parts(std::move(parts)),
+      m_acceptor(std::move(acceptor), m_scheduler, m_parts.metrics, [this](tcp::socket socket) {
+        TakeConnection(std::move(socket));
+      }) {}
 
 ForwardServer::~ForwardServer() {
   CutOff();
 }
 
 std::uint16_t ForwardServer::Port() const {
-  boost::system::error_code error;
-  return m_acceptor.local_endpoint(error).port();
-}
-
-void ForwardServer::Accept() {
-  m_acceptor.async_accept([this, alive = std::weak_ptr<bool>(m_alive)](
-                              const boost::system::error_code& error, tcp::socket socket) {
-    if (!alive.expired()) {
-      OnAccepted(error, std::move(socket));
-    }
-  });
+  return m_acceptor.Port();
 }
 
-void ForwardServer::OnAccepted(const boost::system::error_code& error, tcp::socket socket) {
-  if (error == asio::error::operation_aborted) {
-    return;
-  }
-  if (error) {
-    // Out of descriptors: accepting again at once would spin on the same error.
-    m_parts.metrics.Count("caller_accepts_failed");
-    m_accept_again = m_scheduler.ScheduleAfter(kAcceptAgainAfter, [this] { Accept(); });
-    return;
-  }
+void ForwardServer::TakeConnection(tcp::socket socket) {
   if (m_connections.size() >= m_limits.most_connections) {
     m_parts.metrics.Count("caller_connections_refused");
     socket.close();
-  } else {
-    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_limits, *this);
-    m_connections.emplace(connection.get(), connection);
-    connection->Start();
+    return;
   }
-  Accept();
+  auto connection = std::make_shared<CallerConnection>(std::move(socket), m_limits, *this);
+  m_connections.emplace(connection.get(), connection);
+  connection->Start();
 }
 
 void ForwardServer::ScheduleTick() {
@@ -184,8 +166,7 @@
 
 void ForwardServer::StopAccepting() {
   m_draining = true;
-  boost::system::error_code ignored;
-  m_acceptor.close(ignored);
+  m_acceptor.Close();
   const auto connections = m_connections;
   for (const auto& [key, connection] : connections) {
     connection->CloseIfIdle();
@@ -210,8 +191,7 @@
 
 void ForwardServer::CutOff() {
   m_draining = true;
-  boost::system::error_code ignored;
-  m_acceptor.close(ignored);
+  m_acceptor.Close();
   const auto connections = m_connections;
   for (const auto& [key, connection] : connections) {
     connection->Close();
--- a/packages/zinnia_adapters/forwarding/forward_server.h
+++ b/packages/zinnia_adapters/forwarding/forward_server.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "zinnia_adapters/callers/caller_acceptor.h"
 #include "zinnia_adapters/callers/caller_connection.h"
 #include "zinnia_adapters/callers/caller_limits.h"
 #include "zinnia_adapters/forwarding/forward_exchange.h"
@@ -59,8 +60,7 @@
 
   using Exchanges = std::unordered_map<ForwardExchange*, std::shared_ptr<ForwardExchange>>;
 
-  void Accept();
-  void OnAccepted(const boost::system::error_code& error, boost::asio::ip::tcp::socket socket);
+  void TakeConnection(boost::asio::ip::tcp::socket socket);
   void ScheduleTick();
   void AskSlowServersAgain();
   void Tick();
@@ -74,13 +74,11 @@
 
   Scheduler& m_scheduler;
   const ForwardingParts m_parts;
-  boost::asio::ip::tcp::acceptor m_acceptor;
+  CallerAcceptor m_acceptor;
   CallerLimits m_limits;
   std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> m_connections;
   Exchanges m_exchanges;
   std::unique_ptr<ScheduledCall> m_tick;
-  std::unique_ptr<ScheduledCall> m_accept_again;
-  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   std::uint64_t m_ticks = 0;
   bool m_draining = false;
 };
