Answer what a planned stop cannot wait for

Ruled out: a kill by the platform (drained cut_off=1, 0.6 s before it), the caller (it was still waiting). The new test passes; its call does not exist without the change.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -437,6 +437,21 @@
   Answer(PerhapsRun(ErrorKind::kBackendTimeout, "the time for the answer is over"));
 }
 
+void ForwardExchange::OnInstanceStops() {
+  if (m_ended) {
+    return;
+  }
+  if (m_stream_started) {
+    m_responder->CutOff();
+    End("instance_stops");
+  } else if (m_awaits_rules) {
+    Answer(NotRun(ErrorKind::kStoreUnavailable, "this instance stops"));
+  } else {
+    Answer(PerhapsRun(ErrorKind::kBackendUnavailable,
+                      "this instance stops before the server has answered"));
+  }
+}
+
 void ForwardExchange::OnCallerGone() {
   End("caller_gone");
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -56,6 +56,9 @@
   void OnServerStalled(const BackendServerName& server);
 
   /** The view changed: leaves servers that are draining, if that can be done. */
+  /** The instance ends before the request does: its caller gets the final answer now. */
+  void OnInstanceStops();
+
   void OnViewChanged();
 
   void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) override;
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -173,6 +173,12 @@
   }
 }
 
+void ForwardServer::AnswerRest() {
+  for (const auto& exchange : Exchanging()) {
+    exchange->OnInstanceStops();
+  }
+}
+
 std::size_t ForwardServer::InFlight() const {
   std::size_t count = m_exchanges.size();
   for (const auto& [key, connection] : m_connections) {
--- a/packages/zinnia_adapters/forwarding/forward_server.h
+++ b/packages/zinnia_adapters/forwarding/forward_server.h
@@ -43,6 +43,9 @@
   /** Takes no new connections and closes idle ones. */
   void StopAccepting();
 
+  /** Ends every request with a final answer, or its stream where it is. */
+  void AnswerRest();
+
   std::size_t InFlight() const;
   std::vector<std::string> Describe() const;
   void CutOff();
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -237,6 +237,10 @@
   m_traffic_thread->RunAndWait([this] { m_traffic->Server().StopAccepting(); });
 }
 
+void ForwardingDaemon::AnswerRest() {
+  m_traffic_thread->RunAndWait([this] { m_traffic->Server().AnswerRest(); });
+}
+
 std::vector<std::string> ForwardingDaemon::InFlight() {
   std::vector<std::string> lines;
   m_traffic_thread->RunAndWait([&] { lines = m_traffic->Server().Describe(); });
--- a/packages/zinnia_apps/daemon/forwarding_daemon.h
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.h
@@ -43,6 +43,9 @@
   /** From now on not ready; requests that still come are served. */
   void BeginDrain();
   void StopAccepting();
+
+  /** Gives callers whose requests will not end in time their final answers. */
+  void AnswerRest();
   std::vector<std::string> InFlight();
   void Stop();
 
--- a/packages/zinnia_apps/daemon/forwarding_run.cc
+++ b/packages/zinnia_apps/daemon/forwarding_run.cc
@@ -72,6 +72,9 @@
   std::chrono::steady_clock::time_point m_drain_began{};
   bool m_draining = false;
   bool m_accepting = true;
+
+  /** Their answers leave until the next look. */
+  bool m_rest_answered = false;
 };
 
 void Lifecycle::WaitForSignal() {
@@ -107,14 +110,17 @@
   }
   if (!m_accepting) {
     const std::vector<std::string> in_flight = m_daemon.InFlight();
-    const bool out_of_time = passed >= m_grace - kEndBeforeKill;
-    if (in_flight.empty() || out_of_time) {
-      m_logger.Log(LogLevel::kInfo, "drained",
-                   {{"cut_off", std::to_string(in_flight.size())},
-                    {"first", in_flight.empty() ? "none" : in_flight.front()}});
+    if (in_flight.empty() || m_rest_answered) {
+      m_logger.Log(LogLevel::kInfo, "drained", {{"cut_off", std::to_string(in_flight.size())}});
       m_loop.stop();
       return;
     }
+    if (passed >= m_grace - kEndBeforeKill) {
+      m_logger.Log(LogLevel::kWarning, "drain_out_of_time",
+                   {{"requests", std::to_string(in_flight.size())}, {"first", in_flight.front()}});
+      m_daemon.AnswerRest();
+      m_rest_answered = true;
+    }
   }
   m_drain_timer.expires_after(kCheckInterval);
   m_drain_timer.async_wait([this](const auto& error) {
--- a/tests/forwarding_path/answers_test.cc
+++ b/tests/forwarding_path/answers_test.cc
@@ -244,6 +244,20 @@
   CHECK_TRUE(f.Until([&] { return f.a.other_side_closed || f.b.other_side_closed; }));
 }
 
+// Symptom: a caller's connection ends without an answer at a planned stop. Sequence: an instance is
+// asked to stop, a server never answers a request with a long deadline, the grace time ends. Cause:
+// what was still under way was dropped.
+TEST(Answers, ARequestThatDoesNotEndBeforeItsInstanceGetsItsFinalAnswer) {
+  f.Script([](Connection&) {});
+  TestCaller& caller = f.Call("/once/x");
+  CHECK_TRUE(f.Until([&] { return f.Arrivals() == 1; }));
+  f.traffic->Server().BeginDrain();
+  f.traffic->Server().StopAccepting();
+  f.traffic->Server().AnswerRest();
+  CHECK_TRUE(f.Until([&] { return caller.Has("502") && caller.IsClosed(); }));
+  CHECK_EQUAL(0U, f.traffic->Server().InFlight());
+}
+
 TEST(Answers, ADrainingInstanceFinishesAndEndsItsConnections) {
   f.Script(Whole);
   f.traffic->Server().BeginDrain();
