Tell starts of a server apart; entries that break a rule name no server

Cause: an entry's name stood for a server and not for one of its starts, so a server that started again under its registration looked like a change of layers; fields that were missing or of another type read as defaults, an unknown state as ready, and an address that does not parse threw. Change: names of servers are names of starts, composed and taken apart in platform/ alone, so all that is kept by name ends with its start; ServerDirectory knows ended starts, postpones entries of earlier ones, and drops what cannot be read. Engines that start again get their own ranges back.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -55,10 +55,11 @@
   /** A server is known not to go on; acts if this request depends on it. */
   void OnServerStalled(const BackendServerName& server);
 
-  /** The view changed: leaves servers that are draining, if that can be done. */
   /** The instance ends before the request does: its caller gets the final answer now. */
   void OnInstanceStops();
 
+  /** The view changed: leaves servers that have started again since, and those that are draining if
+      that can be done. */
   void OnViewChanged();
 
   void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) override;
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -194,10 +194,17 @@
     AwaitRules();
     return;
   }
-  if (m_ended || m_path.size() < 2 || !m_connection || m_rerouting) {
+  if (m_ended || !m_connection) {
     return;
   }
   const auto view = m_parts.view();
+  if (view->ended_starts.contains(m_server)) {
+    AbandonServer("the server has started again");
+    return;
+  }
+  if (m_path.size() < 2 || m_rerouting) {
+    return;
+  }
   const bool leaving = std::any_of(m_path.begin() + 1, m_path.end(), [&](const PathPart& part) {
     const auto server = view->servers.find(part.server);
     return server == view->servers.end() || server->second.draining;
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -93,8 +93,8 @@
 void ForwardingControl::OnMirroredRecord(const MirroredRecord& record) {
   if (m_parts.reader.IsConfiguration(record.key)) {
     OnRules(record);
-  } else if (const auto server = m_parts.reader.ServerNameOf(record.key)) {
-    OnServer(*server, record);
+  } else if (const auto registration = m_parts.reader.RegistrationOf(record.key)) {
+    OnServer(*registration, record);
   } else if (record.key.starts_with(InstanceRegistration::kKeyPrefix)) {
     OnInstance(record);
   }
@@ -122,19 +122,34 @@
                       {"routes", std::to_string(m_rules->routes.size())}});
 }
 
-void ForwardingControl::OnServer(const BackendServerName& name, const MirroredRecord& record) {
+void ForwardingControl::OnServer(const std::string& registration, const MirroredRecord& record) {
   if (!record.value) {
     // A store that serves some instance steadily had no outage: entries go only when servers do.
-    m_servers.Remove(name, !StoreIsSteady(), [this] { PublishView(); });
+    m_servers.Remove(registration, !StoreIsSteady(), [this] { PublishView(); });
     return;
   }
-  auto server = m_parts.reader.ReadServer(name, *record.value);
+  auto server = m_parts.reader.ReadServer(registration, *record.value);
   if (!server) {
     m_parts.logger.Log(LogLevel::kError, "server_entry_unreadable",
-                       {{"server", name}, {"reason", Describe(server.error())}});
+                       {{"key", record.key},
+                        {"revision", std::to_string(record.revision)},
+                        {"reason", Describe(server.error())}});
+    m_servers.Invalidate(registration);
     return;
   }
-  m_servers.Put(std::move(*server));
+  m_servers.Put(std::move(*server), [this] { PublishView(); });
+}
+
+/** Whether the layers that it says it holds are layers of the service's model. One that claims
+    others was registered by somebody who serves another model: no request can run there. */
+bool ForwardingControl::FitsItsService(const ServerEntry& server) const {
+  if (!m_rules) {
+    return true;
+  }
+  const auto service = m_rules->services.find(server.service);
+  const bool layered = service != m_rules->services.end() && service->second.engine &&
+                       service->second.engine->IsLayered();
+  return !layered || server.layers.end <= service->second.engine->layers;
 }
 
 void ForwardingControl::OnInstance(const MirroredRecord& record) {
@@ -154,7 +169,12 @@
   auto view = std::make_shared<ForwardingView>();
   view->rules = m_rules;
   view->routes = m_routes;
-  view->servers = m_servers.All();
+  for (const auto& [name, server] : m_servers.All()) {
+    if (FitsItsService(server)) {
+      view->servers.emplace(name, server);
+    }
+  }
+  view->ended_starts = m_servers.Ended();
   view->live_instances = m_instances.LiveInstances().size();
   view->revision = m_mirror.Revision();
   view->as_of = m_parts.clock.Now();
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -70,7 +70,8 @@
   void OnMirroredRecord(const MirroredRecord& record) override;
   void OnMirrorAdvanced() override;
   void OnRules(const MirroredRecord& record);
-  void OnServer(const BackendServerName& name, const MirroredRecord& record);
+  void OnServer(const std::string& registration, const MirroredRecord& record);
+  bool FitsItsService(const ServerEntry& server) const;
   void OnInstance(const MirroredRecord& record);
   bool StoreIsSteady() const;
   void PublishView();
--- a/packages/zinnia_decisions/forwarding/forwarding_view.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_view.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
   /** Draining servers are in here, those that left are not. */
   std::map<BackendServerName, ServerEntry> servers;
 
+  /** Starts of servers that have started again since: what ran there is lost. */
+  std::set<BackendServerName> ended_starts;
+
   /** This instance and the peers that it knows to live. At least 1. */
   std::size_t live_instances = 1;
 
--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -105,6 +105,7 @@
   for (const auto& [name, server] : m_seen) {
     const auto now = view.servers.find(name);
     if (now != view.servers.end() && !now->second.draining) {
+      NoteEmptied(server, now->second);
       continue;
     }
     const auto assigned = m_assignments.find(name);
@@ -129,6 +130,20 @@
   }
 }
 
+/** A server that held layers holds none: it started again while the store is away, so that only its
+    own word shows it. Its range would wait as a gap for seconds; it is to have it back at once. */
+void LayerPlacer::NoteEmptied(const ServerEntry& before, const ServerEntry& now) {
+  if (before.layers.Count() == 0 || now.layers.Count() > 0) {
+    return;
+  }
+  const auto assigned = m_assignments.find(now.name);
+  if (assigned == m_assignments.end()) {
+    m_assignments[now.name].layers = before.layers;
+  } else {
+    assigned->second.sent_at.reset();
+  }
+}
+
 bool LayerPlacer::IsSettled(const std::vector<ServerEntry>& servers) {
   const bool any_holds = std::any_of(servers.begin(), servers.end(), [](const ServerEntry& server) {
     return server.layers.Count() > 0;
@@ -217,10 +232,23 @@
 }
 
 /** A server that came back after a crash, or its replacement, takes the range that was left, also
-    when slower ones share it by now: they are spares again. */
+    when slower ones share it by now: they are spares again. A server that started again goes first
+    for what it held itself: its neighbours are fitted to that range. */
 void LayerPlacer::AssignVacated(const std::vector<ServerEntry>& servers) {
+  const auto is_free = [&](const ServerEntry& server) {
+    return server.layers.Count() == 0 && !m_assignments.contains(server.name);
+  };
   for (const ServerEntry& server : servers) {
-    if (server.layers.Count() > 0 || m_assignments.contains(server.name)) {
+    const auto own =
+        std::find_if(m_vacancies.begin(), m_vacancies.end(), [&](const Vacancy& candidate) {
+          return !server.registration.empty() && candidate.left.registration == server.registration;
+        });
+    if (is_free(server) && own != m_vacancies.end()) {
+      TakeOver(server, own);
+    }
+  }
+  for (const ServerEntry& server : servers) {
+    if (!is_free(server)) {
       continue;
     }
     const auto vacancy =
@@ -228,17 +256,20 @@
           return candidate.left.accelerator == server.accelerator &&
                  candidate.left.failure_domain == server.failure_domain;
         });
-    if (vacancy == m_vacancies.end()) {
-      continue;
-    }
-    m_assignments[server.name].layers = vacancy->left.layers;
-    for (const BackendServerName& name : vacancy->shared_by) {
-      m_repairing.erase(name);
+    if (vacancy != m_vacancies.end()) {
+      TakeOver(server, vacancy);
     }
-    m_vacancies.erase(vacancy);
   }
 }
 
+void LayerPlacer::TakeOver(const ServerEntry& server, std::vector<Vacancy>::iterator vacancy) {
+  m_assignments[server.name].layers = vacancy->left.layers;
+  for (const BackendServerName& name : vacancy->shared_by) {
+    m_repairing.erase(name);
+  }
+  m_vacancies.erase(vacancy);
+}
+
 /** Engines of the same failure domain that it can do without: others there hold each of their
     layers. The slowest come first, and with them the cheapest to take out of service. */
 std::vector<const ServerEntry*> LayerPlacer::SparesFor(
--- a/packages/zinnia_decisions/forwarding/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/layer_placer.h
@@ -75,12 +75,14 @@
   bool MayOrder() const;
   void Assign(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
   void NoteVacancies(const ForwardingView& view);
+  void NoteEmptied(const ServerEntry& before, const ServerEntry& now);
   void NoteGaps(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
   std::vector<LayerRange> GapsOf(const FailureDomainName& domain,
                                  const EngineProfile& engine,
                                  const std::vector<ServerEntry>& servers) const;
   bool IsVacant(const FailureDomainName& domain, const LayerRange& layers) const;
   void AssignVacated(const std::vector<ServerEntry>& servers);
+  void TakeOver(const ServerEntry& server, std::vector<Vacancy>::iterator vacancy);
   bool ShareOut(Vacancy& vacancy,
                 const EngineProfile& engine,
                 const std::vector<ServerEntry>& servers);
--- a/packages/zinnia_decisions/forwarding/server_directory.cc
+++ b/packages/zinnia_decisions/forwarding/server_directory.cc
@@ -8,20 +8,56 @@
 
 namespace zinnia {
 
-void ServerDirectory::Put(ServerEntry entry) {
-  m_doubtful.erase(entry.name);
-  ServerEntry& known = m_servers[entry.name];
-  const bool is_new = known.name.empty();
-  if (is_new || known.draining != entry.draining || known.layers != entry.layers) {
-    m_logger.Log(
-        LogLevel::kInfo, is_new ? "server_registered" : "server_changed",
-        {{"server", entry.name},
-         {"service", entry.service},
-         {"failure_domain", entry.failure_domain},
-         {"draining", entry.draining ? "yes" : "no"},
-         {"layers", std::to_string(entry.layers.first) + "-" + std::to_string(entry.layers.end)}});
+const ServerEntry* ServerDirectory::Known(const std::string& registration) const {
+  const auto present = m_present.find(registration);
+  return present == m_present.end() ? nullptr : &m_servers.at(present->second);
+}
+
+void ServerDirectory::Put(ServerEntry entry, std::function<void()> changed) {
+  const std::string registration = entry.registration;
+  m_postponed.erase(registration);
+  const ServerEntry* known = Known(registration);
+  if (known == nullptr || entry.started_at_ms >= known->started_at_ms) {
+    TakeIn(std::move(entry));
+    return;
+  }
+  m_logger.Log(LogLevel::kInfo, "server_entry_of_earlier_start",
+               {{"server", known->name}, {"entry", entry.name}});
+  Postpone(registration, kEarlierStartBelieved,
+           [this, entry = std::move(entry), changed = std::move(changed)] {
+             TakeIn(entry);
+             changed();
+           });
+}
+
+void ServerDirectory::TakeIn(ServerEntry entry) {
+  const ServerEntry* known = Known(entry.registration);
+  if (known != nullptr && known->name != entry.name) {
+    m_logger.Log(LogLevel::kInfo, "server_started_again",
+                 {{"server", entry.name}, {"before", known->name}});
+    End(known->name);
+    known = nullptr;
   }
-  known = std::move(entry);
+  if (known == nullptr || known->draining != entry.draining || known->layers != entry.layers) {
+    m_logger.Log(LogLevel::kInfo, known == nullptr ? "server_registered" : "server_changed",
+                 {{"server", entry.name},
+                  {"service", entry.service},
+                  {"failure_domain", entry.failure_domain},
+                  {"draining", entry.draining ? "yes" : "no"},
+                  {"layers", fmt::format("{}-{}", entry.layers.first, entry.layers.end)}});
+  }
+  m_present[entry.registration] = entry.name;
+  m_ended.erase(entry.name);
+  const BackendServerName name = entry.name;
+  m_servers[name] = std::move(entry);
+}
+
+void ServerDirectory::End(const BackendServerName& start) {
+  if (m_ended.size() >= kMostEnded) {
+    m_ended.erase(m_ended.begin());
+  }
+  m_ended.insert(start);
+  m_servers.erase(BackendServerName(start));
 }
 
 bool ServerDirectory::NoteLayers(const LayersNews& news) {
@@ -36,29 +72,46 @@
   return true;
 }
 
-void ServerDirectory::Remove(const BackendServerName& server,
+void ServerDirectory::Remove(const std::string& registration,
                              bool in_doubt,
                              std::function<void()> changed) {
-  if (!m_servers.contains(server)) {
+  m_postponed.erase(registration);
+  if (Known(registration) == nullptr) {
     return;
   }
   if (!in_doubt) {
-    Drop(server, "removed");
+    Drop(registration, "removed");
     return;
   }
-  m_doubtful[server] =
-      m_scheduler.ScheduleAfter(kDoubtAfterFailure, [this, server, changed = std::move(changed)] {
-        // The call erases its own timer's entry, so what is still needed then is copied.
-        const auto notify = changed;
-        Drop(BackendServerName(server), "lapsed in an outage and did not return");
-        notify();
+  Postpone(registration, kDoubtAfterFailure, [this, registration, changed = std::move(changed)] {
+    Drop(registration, "lapsed in an outage and did not return");
+    changed();
+  });
+}
+
+void ServerDirectory::Invalidate(const std::string& registration) {
+  m_postponed.erase(registration);
+  if (Known(registration) != nullptr) {
+    Drop(registration, "its entry cannot be read");
+  }
+}
+
+void ServerDirectory::Postpone(const std::string& registration,
+                               Duration delay,
+                               std::function<void()> act) {
+  m_postponed[registration] =
+      m_scheduler.ScheduleAfter(delay, [this, registration, act = std::move(act)] {
+        // Kept until it has run: erasing the timer destroys what the call holds.
+        const auto timer = m_postponed.extract(registration);
+        act();
       });
 }
 
-void ServerDirectory::Drop(const BackendServerName& server, const char* reason) {
-  m_logger.Log(LogLevel::kInfo, "server_gone", {{"server", server}, {"reason", reason}});
-  m_servers.erase(server);
-  m_doubtful.erase(server);
+void ServerDirectory::Drop(const std::string& registration, const char* reason) {
+  const BackendServerName name = m_present.at(registration);
+  m_logger.Log(LogLevel::kInfo, "server_gone", {{"server", name}, {"reason", reason}});
+  m_servers.erase(name);
+  m_present.erase(registration);
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/server_directory.h
+++ b/packages/zinnia_decisions/forwarding/server_directory.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "zinnia_base/time/clock.h"
@@ -13,42 +16,73 @@
 
 class Logger;
 
-/** Which backend servers exist: the registered ones, with care about entries that vanish around an
-    outage of the store.
+/** Which backend servers exist: the registered ones, one start of each.
+
+    Three things can go wrong with entries, and each has its care here.
 
     Entries carry a lease of their server, and leases may lapse while the store is away although the
     server lives. Dropping them at once would empty the directory when the store comes back, and one
     would notice refusals of everything for seconds. So a removal that is seen within
     `kDoubtAfterFailure` of a failed call waits that long for the entry to come back.
+
+    A server may start again under its registration. The earlier start is over at once, and with it
+    all that ran there: waiting for its silence would cost each of its streams most of a second.
+
+    A write of an earlier start may reach the store after the first one of a later start, as may a
+    later start's whose clock is behind. Both look alike. So an entry that began before the known
+    one waits for `kEarlierStartBelieved`: a server that lives has written again by then.
 */
 class ServerDirectory {
  public:
   /** A little over the two seconds within which lapsed entries return. */
   static constexpr Duration kDoubtAfterFailure = std::chrono::milliseconds(2'300);
 
+  /** Two of the servers' usual intervals between writes, 1.2 s. */
+  static constexpr Duration kEarlierStartBelieved = std::chrono::milliseconds(2'500);
+
+  /** Ended starts are remembered for those who still run requests there; more is never asked. */
+  static constexpr std::size_t kMostEnded = 256;
+
   using Servers = std::map<BackendServerName, ServerEntry>;
 
   ServerDirectory(Scheduler& scheduler, Logger& logger)
       : m_scheduler(scheduler), m_logger(logger) {}
 
-  void Put(ServerEntry entry);
+  /** `changed` is called if the entry is taken in later. */
+  void Put(ServerEntry entry, std::function<void()> changed);
 
   /** Whether this changes what is known. The next entry that is put counts again. */
   bool NoteLayers(const LayersNews& news);
 
   /** `in_doubt`: the store failed lately. `changed` is called if the removal is carried out later.
    */
-  void Remove(const BackendServerName& server, bool in_doubt, std::function<void()> changed);
+  void Remove(const std::string& registration, bool in_doubt, std::function<void()> changed);
+
+  /** The registration's record cannot be read: whatever wrote it, no server is known there now. */
+  void Invalidate(const std::string& registration);
 
   const Servers& All() const { return m_servers; }
 
+  /** Starts whose server is known to have started again since. */
+  const std::set<BackendServerName>& Ended() const { return m_ended; }
+
  private:
-  void Drop(const BackendServerName& server, const char* reason);
+  const ServerEntry* Known(const std::string& registration) const;
+  void TakeIn(ServerEntry entry);
+  void End(const BackendServerName& start);
+  void Drop(const std::string& registration, const char* reason);
+  void Postpone(const std::string& registration, Duration delay, std::function<void()> act);
 
   Scheduler& m_scheduler;
   Logger& m_logger;
   Servers m_servers;
-  std::map<BackendServerName, std::unique_ptr<ScheduledCall>> m_doubtful;
+
+  /** By registration, the present start. */
+  std::map<std::string, BackendServerName> m_present;
+  std::set<BackendServerName> m_ended;
+
+  /** By registration, what is to happen unless another entry comes first. */
+  std::map<std::string, std::unique_ptr<ScheduledCall>> m_postponed;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/ports/record_reader.h
+++ b/packages/zinnia_decisions/ports/record_reader.h
@@ -16,11 +16,14 @@
 
   virtual bool IsConfiguration(const std::string& key) const = 0;
 
-  /** The server's name, if the key is that of a server's entry. */
-  virtual std::optional<BackendServerName> ServerNameOf(const std::string& key) const = 0;
+  /** What the server calls itself, if the key is that of a server's entry. */
+  virtual std::optional<std::string> RegistrationOf(const std::string& key) const = 0;
 
   virtual Result<ForwardingRules> ReadRules(const std::string& value) const = 0;
-  virtual Result<ServerEntry> ReadServer(const BackendServerName& name,
+
+  /** Entries come from many writers. One that breaks any rule of its fields is no entry, and the
+      error names the field. */
+  virtual Result<ServerEntry> ReadServer(const std::string& registration,
                                          const std::string& value) const = 0;
 };
 
--- a/packages/zinnia_world/forwarding/server_entry.h
+++ b/packages/zinnia_world/forwarding/server_entry.h
@@ -9,9 +9,25 @@
 
 namespace zinnia {
 
-/** A running backend server as it registered itself. Each start has a new name. */
+/** One start of a backend server, as it registered itself.
+
+    A server may start again under the identifier that it had, and then holds nothing of what it
+    held. So `name` stands for one start: whatever is kept by it (connections, loads, suspicion,
+    orders, running requests) ends with that start by itself, and nothing that was learned of an
+    earlier one is believed of a later one.
+*/
 struct ServerEntry {
+  /** Unique to this start. */
   BackendServerName name;
+
+  /** What the server calls itself, the same at each start. */
+  std::string registration;
+
+  /** When this start began by the server's clock, which may be behind an earlier start's: only the
+      order of entries in the store tells which start is the later one. 0 if the server does not
+      say; it then has a new registration at each start. */
+  std::uint64_t started_at_ms = 0;
+
   ServiceName service;
   NetworkAddress address;
   FailureDomainName failure_domain;
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -160,7 +160,16 @@
   int changes = 0;
 
   void setup() override {
-    directory.Put(EngineServer("s", "fast", "x"));
+    Put(EngineServer("s", "fast", "x"));
+  }
+  void Put(ServerEntry entry) {
+    directory.Put(std::move(entry), [this] { ++changes; });
+  }
+  ServerEntry Start(std::uint64_t started_at_ms, LayerRange layers = {}) {
+    ServerEntry entry = EngineServer("s", "fast", "x", layers);
+    entry.name = "s@" + std::to_string(started_at_ms);
+    entry.started_at_ms = started_at_ms;
+    return entry;
   }
   void Remove(bool in_doubt) {
     directory.Remove("s", in_doubt, [this] { ++changes; });
@@ -179,7 +188,7 @@
   Remove(true);
   CHECK_EQUAL(1U, directory.All().size());
   time.AdvanceBy(seconds(1));
-  directory.Put(EngineServer("s", "fast", "x"));
+  Put(EngineServer("s", "fast", "x"));
   time.AdvanceBy(seconds(5));
   CHECK_EQUAL(1U, directory.All().size());
   CHECK_EQUAL(0, changes);
@@ -193,10 +202,69 @@
   CHECK_FALSE(directory.NoteLayers({"s", {20, 40}}));
   CHECK_FALSE(directory.NoteLayers({"stranger", {20, 40}}));
   CHECK_EQUAL(20U, directory.All().at("s").layers.first);
-  directory.Put(EngineServer("s", "fast", "x", {0, 5}));
+  Put(EngineServer("s", "fast", "x", {0, 5}));
   CHECK_EQUAL(0U, directory.All().at("s").layers.first);
 }
 
+// Symptom: streams stand still for half a second and more, and orders meant for an engine's former
+// start are counted on. Sequence: a server crashes and starts again under its registration before
+// its entry lapses. Cause: the new entry taken for a change of the old one.
+TEST(Servers, ALaterStartEndsTheEarlierOne) {
+  Put(Start(100, {0, 40}));
+  Put(Start(200));
+  CHECK_EQUAL(1U, directory.All().size());
+  CHECK_EQUAL(0U, directory.All().at("s@200").layers.Count());
+  CHECK_TRUE(directory.Ended().contains("s@100"));
+  CHECK_FALSE(directory.NoteLayers({"s@100", {0, 40}}));
+  Put(Start(300));
+  CHECK_EQUAL(1U, directory.All().size());
+  CHECK_TRUE(directory.Ended().contains("s@200"));
+}
+
+// Symptom: requests go to layers that a server lost when it crashed. Sequence: the last write of
+// the earlier start reaches the store after the later start has registered. Cause: the newest
+// record believed, whoever wrote it.
+TEST(Servers, ALateWriteOfAnEarlierStartIsNotBelieved) {
+  Put(Start(200));
+  Put(Start(100, {0, 40}));
+  time.AdvanceBy(seconds(1));
+  CHECK_TRUE(directory.All().contains("s@200"));
+  Put(Start(200, {0, 20}));
+  time.AdvanceBy(seconds(5));
+  CHECK_EQUAL(20U, directory.All().at("s@200").layers.end);
+  CHECK_EQUAL(0, changes);
+}
+
+// Symptom: a server that lives gets nothing for good. Sequence: it starts again with a clock that
+// is behind. Cause: starts ordered by their clocks alone.
+TEST(Servers, AStartWhoseClockIsBehindIsBelievedWhenItsEntryStays) {
+  Put(Start(200, {0, 40}));
+  Put(Start(100));
+  time.AdvanceBy(seconds(3));
+  CHECK_EQUAL(1, changes);
+  CHECK_TRUE(directory.All().contains("s@100"));
+  CHECK_TRUE(directory.Ended().contains("s@200"));
+}
+
+TEST(Servers, ARecordThatCannotBeReadNamesNoServer) {
+  Put(Start(100));
+  directory.Invalidate("s");
+  CHECK_TRUE(directory.All().empty());
+  Put(Start(100));
+  CHECK_EQUAL(1U, directory.All().size());
+}
+
+// A start again within an outage: the entry lapses, and what returns is another start.
+TEST(Servers, AnEntryThatLapsedMayReturnAsALaterStart) {
+  Put(Start(100, {0, 40}));
+  Remove(true);
+  time.AdvanceBy(seconds(1));
+  Put(Start(200));
+  time.AdvanceBy(seconds(5));
+  CHECK_EQUAL(1U, directory.All().size());
+  CHECK_TRUE(directory.All().contains("s@200"));
+}
+
 TEST(Servers, AnEntryThatDoesNotReturnIsGone) {
   Remove(true);
   time.AdvanceBy(seconds(3));
--- a/tests/forwarding/forwarding_fakes.h
+++ b/tests/forwarding/forwarding_fakes.h
@@ -51,6 +51,7 @@
                                 LayerRange layers = {}) {
   ServerEntry server;
   server.name = name;
+  server.registration = name;
   server.service = "pool";
   static std::uint16_t port = 1'000;
   server.address = {"10.0.0.1", ++port};
--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -126,6 +126,41 @@
   CHECK_TRUE(left == orders.placed["fast9"]);
 }
 
+// Symptom: refusals for eight seconds after several engines came back empty. Sequence: engines of
+// one kind crash together and start again under their registrations, in another order. Cause: each
+// took the first vacant range of its kind, and chains were cut into parts that no neighbour fits.
+TEST(Placement, EnginesThatStartAgainGetTheirOwnRangesBack) {
+  Run(seconds(2));
+  CarryOut();
+  const std::map<std::string, LayerRange> before = orders.placed;
+  for (ServerEntry& server : servers) {
+    if (server.accelerator == "fast") {
+      server.name = server.name == "fast0" ? "fast0@later" : "fast1@early";
+      server.layers = {};
+    }
+  }
+  std::swap(servers[0], servers[1]);
+  orders.placed.clear();
+  Run(milliseconds(300));
+  CHECK_TRUE(before.at("fast0") == orders.placed["fast0@later"]);
+  CHECK_TRUE(before.at("fast1") == orders.placed["fast1@early"]);
+}
+
+// Symptom: a range without a holder for five seconds. Sequence: the store is away, an engine starts
+// again, and refuses what it does not hold. Cause: only entries that vanish counted as losses.
+TEST(Placement, AnEngineThatSaysItIsEmptyGetsItsRangeBackAtOnce) {
+  Run(seconds(2));
+  CarryOut();
+  Run(seconds(1));
+  const LayerRange held = RangeOf("middle0");
+  orders.placed.clear();
+  for (ServerEntry& server : servers) {
+    server.layers = server.name == "middle0" ? LayerRange() : server.layers;
+  }
+  Run(milliseconds(300));
+  CHECK_TRUE(held == orders.placed["middle0"]);
+}
+
 // Symptom: a domain serves nothing until its lost engine is back. Sequence: an engine of the chain
 // is lost for good, slower ones hold spare ranges elsewhere. Cause: ranges left vacant.
 TEST(Placement, SlowerEnginesShareARangeThatStaysVacant) {
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -1,6 +1,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <deque>
+#include <random>
 
 #include "platform/base64.h"
 #include "platform/engine_client.h"
@@ -93,8 +94,8 @@
 
 TEST(PlatformRecords, KnowsWhoseRecordAKeyIs) {
   CHECK_TRUE(reader.IsConfiguration("op/config"));
-  STRCMP_EQUAL("i-1", reader.ServerNameOf("servers/i-1")->c_str());
-  CHECK_FALSE(reader.ServerNameOf("instances/n").has_value());
+  STRCMP_EQUAL("i-1", reader.RegistrationOf("servers/i-1")->c_str());
+  CHECK_FALSE(reader.RegistrationOf("instances/n").has_value());
 }
 
 TEST(PlatformRecords, ReadsTheConfiguration) {
@@ -150,10 +151,96 @@
   }
 }
 
+namespace {
+
+constexpr const char* kEntry = R"({"service":"s","address":"10.0.0.1:80","zone":"k","version":"v1",
+    "max_batch_size":6,"phase":"draining","cold_remaining_ms":0,"sequence":4,"born":1700000000123,
+    "type":"l4","layers":{"source":3,"to":9,"version":1}})";
+
+/** The entry with one text in it replaced by another. */
+std::string EntryWith(const std::string& text, const std::string& other) {
+  std::string entry = kEntry;
+  const std::size_t at = entry.find(text);
+  CHECK_TRUE(at != std::string::npos);
+  return entry.replace(at, text.size(), other);
+}
+
+}  // namespace
+
+// Symptom: requests go to a server that is none, or a good one is never used again. Sequence:
+// somebody else writes under the servers' keys, or a write goes wrong. Cause: missing fields and
+// fields of other types read as defaults.
+TEST(PlatformRecords, AnEntryThatBreaksAnyRuleNamesNoServer) {
+  CHECK_TRUE(reader.ReadServer("i", kEntry).has_value());
+  const std::pair<const char*, const char*> changes[] = {
+      {R"("service":"s",)", ""},
+      {R"("service":"s")", R"("service":7)"},
+      {R"("service":"s")", R"("service":"")"},
+      {R"("address":"10.0.0.1:80")", R"("address":"10.0.0.1")"},
+      {R"("address":"10.0.0.1:80")", R"("address":"host:80")"},
+      {R"("address":"10.0.0.1:80")", R"("address":"10.0.0.1:99999")"},
+      {R"("zone":"k",)", ""},
+      {R"("zone":"k")", R"("zone":["k"])"},
+      {R"("max_batch_size":6)", R"("max_batch_size":"6")"},
+      {R"("max_batch_size":6)", R"("max_batch_size":0)"},
+      {R"("max_batch_size":6)", R"("max_batch_size":-6)"},
+      {R"("max_batch_size":6)", R"("max_batch_size":6.5)"},
+      {R"("max_batch_size":6)", R"("max_batch_size":1e30)"},
+      {R"("phase":"draining")", R"("phase":"resting")"},
+      {R"("phase":"draining")", R"("phase":true)"},
+      {R"("sequence":4)", R"("sequence":null)"},
+      {R"("born":1700000000123)", R"("born":"1700000000123")"},
+      {R"("born":1700000000123)", R"("born":1700000000123.5)"},
+      {R"("born":1700000000123)", R"("born":-1)"},
+      {R"("type":"l4")", R"("type":4)"},
+      {R"("source":3,"to":9)", R"("source":9,"to":3)"},
+      {R"("source":3)", R"("source":-3)"},
+      {R"("to":9)", R"("to":9000000000)"},
+      {R"({"source":3,"to":9,"version":1})", R"("3-9")"},
+  };
+  for (const auto& [text, other] : changes) {
+    CHECK_FALSE_TEXT(reader.ReadServer("i", EntryWith(text, other)).has_value(), other);
+  }
+  const std::string deep(100'000, '[');
+  CHECK_FALSE(reader.ReadServer("i", EntryWith("\"v1\"", deep)).has_value());
+}
+
+// Any bytes may lie under a server's key. Whatever is believed of them keeps the rules of its
+// fields.
+TEST(PlatformRecords, RandomlySpoiltEntriesNeverReadAsSomethingElse) {
+  std::mt19937 random(20'261'203);
+  int believed = 0;
+  for (int round = 0; round < 20'000; ++round) {
+    std::string entry = kEntry;
+    for (unsigned changes = 1 + random() % 4; changes > 0; --changes) {
+      entry[random() % entry.size()] = static_cast<char>(random() % 256);
+    }
+    const auto server = reader.ReadServer("i", entry);
+    if (!server) {
+      CHECK_FALSE(server.error().message.empty());
+      continue;
+    }
+    ++believed;
+    CHECK_TRUE(server->most_requests >= 1);
+    CHECK_TRUE(server->layers.first <= server->layers.end);
+    CHECK_FALSE(server->service.empty());
+    CHECK_FALSE(server->failure_domain.empty());
+    CHECK_TRUE(server->address.port > 0);
+  }
+  CHECK_TRUE(believed > 0);  // Changes within texts and numbers leave it an entry.
+}
+
+TEST(PlatformRecords, NamesOfStartsBelongToOneStartAndOneRegistration) {
+  const auto server = reader.ReadServer("i-1", kEntry);
+  const auto later = reader.ReadServer("i-1", EntryWith("1700000000123", "1700000000124"));
+  CHECK_TRUE(server->name != later->name);
+  CHECK_TRUE(server->registration == later->registration);
+  CHECK_TRUE(RegistrationIn(server->name) == "i-1");
+  CHECK_TRUE(RegistrationIn(NameOfStart("a@b", 3)) == "a@b");
+}
+
 TEST(PlatformRecords, ReadsAServersEntry) {
-  const auto server = reader.ReadServer(
-      "i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"k","max_batch_size":6,
-      "phase":"draining","type":"l4","layers":{"source":3,"to":9,"version":1}})");
+  const auto server = reader.ReadServer("i-1", kEntry);
   CHECK_TRUE(server.has_value());
   CHECK_TRUE(server->draining);
   CHECK_EQUAL(6U, server->most_requests);
