--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -27,9 +27,7 @@
   settings.transport_timeout = std::chrono::milliseconds(1'000);
   settings.valid_for = std::chrono::milliseconds(0);  // These orders carry no end of validity.
   settings.engines_check_fencing = engines_check_fencing;
-  if (engines_check_fencing) {
-    settings.outage_grace = kOutageGrace;
-  }
+  settings.outage_grace = kOutageGrace;
   return settings;
 }
 
@@ -203,6 +201,7 @@
   bool is_placer = false;
   const bool renew = m_ticks++ % kTicksBetweenRenewals == 0;
   for (auto& [service, placer] : m_placers) {
+    placer->NoteStoreServesOthers(m_news.SomePeerIsSteady());
     if (renew) {
       placer->TickRole(m_mirror.Has(OrderRole::LeaseKeyOf(service)));
     }
--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -46,6 +46,21 @@
 constexpr double kUsualWeightShare = 0.5;
 constexpr double kMostWeightShare = 0.8;
 
+/** The runs of layers of `range` that are not held. */
+std::vector<LayerRange> RangesNotIn(const std::vector<bool>& held, const LayerRange& range) {
+  std::vector<LayerRange> missing;
+  for (std::uint32_t layer = range.first; layer < range.end && layer < held.size(); ++layer) {
+    if (held[layer]) {
+      continue;
+    }
+    if (missing.empty() || missing.back().end != layer) {
+      missing.push_back({layer, layer});
+    }
+    missing.back().end = layer + 1;
+  }
+  return missing;
+}
+
 }  // namespace
 
 LayerPlacer::LayerPlacer(const OrderRoleParts& parts,
@@ -155,37 +170,32 @@
   return any_holds || m_parts.clock.Now() - m_last_change >= kSettleTime;
 }
 
-/** Layers of a failure domain that none of its engines holds or is to hold. Nothing if they are
-   more than half: such a pool has its chains across failure domains. */
-std::vector<LayerRange> LayerPlacer::GapsOf(const FailureDomainName& domain,
-                                            const EngineProfile& engine,
-                                            const std::vector<ServerEntry>& servers) const {
+std::vector<bool> LayerPlacer::HeldLayers(const FailureDomainName& domain,
+                                          const EngineProfile& engine,
+                                          const std::vector<ServerEntry>& servers) const {
   std::vector<bool> held(engine.layers, false);
   for (const ServerEntry& server : servers) {
     if (server.failure_domain != domain || m_stalled.contains(server.name)) {
       continue;
     }
-    const auto assigned = m_assignments.find(server.name);
-    const LayerRange& layers =
-        assigned == m_assignments.end() ? server.layers : assigned->second.layers;
+    const LayerRange layers = PlannedLayers(server);
     for (std::uint32_t layer = layers.first; layer < std::min(layers.end, engine.layers); ++layer) {
       held[layer] = true;
     }
   }
+  return held;
+}
+
+/** Layers of a failure domain that none of its engines holds or is to hold. Nothing if they are
+   more than half: such a pool has its chains across failure domains. */
+std::vector<LayerRange> LayerPlacer::GapsOf(const FailureDomainName& domain,
+                                            const EngineProfile& engine,
+                                            const std::vector<ServerEntry>& servers) const {
+  const std::vector<bool> held = HeldLayers(domain, engine, servers);
   if (std::count(held.begin(), held.end(), true) * 2 < static_cast<std::int64_t>(engine.layers)) {
     return {};
   }
-  std::vector<LayerRange> gaps;
-  for (std::uint32_t layer = 0; layer < engine.layers; ++layer) {
-    if (held[layer]) {
-      continue;
-    }
-    if (gaps.empty() || gaps.back().end != layer) {
-      gaps.push_back({layer, layer});
-    }
-    gaps.back().end = layer + 1;
-  }
-  return gaps;
+  return RangesNotIn(held, {0, engine.layers});
 }
 
 bool LayerPlacer::IsVacant(const FailureDomainName& domain, const LayerRange& layers) const {
@@ -195,6 +205,24 @@
   });
 }
 
+/** Who held a missing range is not known. Counted as the slowest kind but one of its failure domain,
+    it is given to the slowest alone: engines of faster kinds are the stages of its chain. */
+std::string LayerPlacer::KindAboveSlowest(const EngineProfile& engine,
+                                          const FailureDomainName& domain,
+                                          const std::vector<ServerEntry>& servers) {
+  std::map<double, std::string, std::greater<>> kinds;
+  for (const ServerEntry& server : servers) {
+    const auto found = engine.accelerators.find(server.accelerator);
+    if (server.failure_domain == domain && found != engine.accelerators.end()) {
+      kinds[found->second.step_factor] = server.accelerator;
+    }
+  }
+  if (kinds.empty()) {
+    return {};
+  }
+  return kinds.size() == 1 ? kinds.begin()->second : std::next(kinds.begin())->second;
+}
+
 /** Finds vacancies that this instance has not seen arise: an engine left while nobody held the
     orders, or before the holder started. One missing layer takes a whole failure domain's chain out
     of service, and nothing else would show it. */
@@ -221,6 +249,7 @@
       ServerEntry left;
       left.service = m_service;
       left.failure_domain = domain;
+      left.accelerator = KindAboveSlowest(engine, domain, servers);
       left.layers = gap;
       m_logger.Log(LogLevel::kInfo, "layers_missing",
                    {{"failure_domain", domain},
@@ -264,8 +293,14 @@
 
 void LayerPlacer::TakeOver(const ServerEntry& server, std::vector<Vacancy>::iterator vacancy) {
   m_assignments[server.name].layers = vacancy->left.layers;
+  // What they held before is what others may need next; left where they are, each loss would leave
+  // the pool with fewer holders of some layer.
   for (const BackendServerName& name : vacancy->shared_by) {
-    m_repairing.erase(name);
+    const auto spare = m_repairing.find(name);
+    if (spare != m_repairing.end()) {
+      m_assignments[name] = {spare->second, {}, false};
+      m_repairing.erase(spare);
+    }
   }
   m_vacancies.erase(vacancy);
 }
@@ -287,7 +322,9 @@
         m_stalled.contains(server.name)) {
       continue;
     }
-    for (std::uint32_t layer = server.layers.first; layer < server.layers.end; ++layer) {
+    const LayerRange planned = PlannedLayers(server);
+    for (std::uint32_t layer = planned.first; layer < std::min(planned.end, engine.layers);
+         ++layer) {
       ++holders[layer];
     }
     // Taking an equally fast engine out of another chain would only move the gap there.
@@ -301,15 +338,15 @@
   std::vector<const ServerEntry*> spares;
   for (const ServerEntry* server : candidates) {
     bool needed = false;
-    for (std::uint32_t layer = server->layers.first; layer < server->layers.end; ++layer) {
-      const bool vacant = layer >= left.layers.first && layer < left.layers.end;
-      needed = needed || (!vacant && holders[layer] <= 1);
+    const LayerRange planned = PlannedLayers(*server);
+    for (std::uint32_t layer = planned.first; layer < planned.end; ++layer) {
+      needed = needed || holders[layer] <= 1;
     }
     if (needed) {
       continue;
     }
     spares.push_back(server);
-    for (std::uint32_t layer = server->layers.first; layer < server->layers.end; ++layer) {
+    for (std::uint32_t layer = planned.first; layer < planned.end; ++layer) {
       --holders[layer];
     }
   }
@@ -328,14 +365,26 @@
 void LayerPlacer::RepairWithSpares(const EngineProfile& engine,
                                    const std::vector<ServerEntry>& servers) {
   for (Vacancy& vacancy : m_vacancies) {
-    const bool due = m_parts.clock.Now() - vacancy.since >= kRepairAfter;
-    if (due && vacancy.shared_by.empty()) {
-      ShareOut(vacancy, engine, servers);
+    if (m_parts.clock.Now() - vacancy.since < kRepairAfter) {
+      continue;
+    }
+    // Where others of the failure domain hold the layers too, requests go on there, and moving
+    // engines would only take layers from others.
+    const auto held = HeldLayers(vacancy.left.failure_domain, engine, servers);
+    for (const LayerRange& missing : RangesNotIn(held, vacancy.left.layers)) {
+      ShareOut(vacancy, missing, engine, servers);
     }
   }
 }
 
+/** The layers that it holds, or is to hold. */
+LayerRange LayerPlacer::PlannedLayers(const ServerEntry& server) const {
+  const auto assigned = m_assignments.find(server.name);
+  return assigned == m_assignments.end() ? server.layers : assigned->second.layers;
+}
+
 bool LayerPlacer::ShareOut(Vacancy& vacancy,
+                           const LayerRange& missing,
                            const EngineProfile& engine,
                            const std::vector<ServerEntry>& servers) {
   const ServerEntry& left = vacancy.left;
@@ -350,7 +399,7 @@
   if (spares.empty()) {
     return false;
   }
-  const double weights = left.layers.Count() * engine.layer_mb;
+  const double weights = missing.Count() * engine.layer_mb;
   const double memory = engine.accelerators.at(spares.front()->accelerator).memory_mb;
   const double share = alike ? 1.0 : kUsualWeightShare;
   const auto wanted = static_cast<std::size_t>(std::ceil(weights / (memory * share)));
@@ -361,10 +410,10 @@
   }
   for (std::size_t index = 0; index < count; ++index) {
     const auto boundary = [&](std::size_t part) {
-      return left.layers.first + static_cast<std::uint32_t>(left.layers.Count() * part / count);
+      return missing.first + static_cast<std::uint32_t>(missing.Count() * part / count);
     };
     m_assignments[spares[index]->name] = {{boundary(index), boundary(index + 1)}, {}, false};
-    m_repairing.insert(spares[index]->name);
+    m_repairing[spares[index]->name] = spares[index]->layers;
     vacancy.shared_by.push_back(spares[index]->name);
   }
   return true;
--- a/packages/zinnia_decisions/forwarding/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/layer_placer.h
@@ -45,6 +45,8 @@
   /** Traffic found that an engine does not go on. Its range counts as vacant from now on. */
   void NoteStalled(const BackendServerName& server);
 
+  void NoteStoreServesOthers(bool serves) { m_role.NoteStoreServesOthers(serves); }
+
   bool HoldsRole() const { return m_role.IsHeld(); }
 
   const ServiceName& Service() const { return m_service; }
@@ -80,10 +82,18 @@
   std::vector<LayerRange> GapsOf(const FailureDomainName& domain,
                                  const EngineProfile& engine,
                                  const std::vector<ServerEntry>& servers) const;
+  static std::string KindAboveSlowest(const EngineProfile& engine,
+                                      const FailureDomainName& domain,
+                                      const std::vector<ServerEntry>& servers);
   bool IsVacant(const FailureDomainName& domain, const LayerRange& layers) const;
   void AssignVacated(const std::vector<ServerEntry>& servers);
   void TakeOver(const ServerEntry& server, std::vector<Vacancy>::iterator vacancy);
+  LayerRange PlannedLayers(const ServerEntry& server) const;
+  std::vector<bool> HeldLayers(const FailureDomainName& domain,
+                               const EngineProfile& engine,
+                               const std::vector<ServerEntry>& servers) const;
   bool ShareOut(Vacancy& vacancy,
+                const LayerRange& missing,
                 const EngineProfile& engine,
                 const std::vector<ServerEntry>& servers);
   std::vector<const ServerEntry*> SparesFor(const ServerEntry& left,
@@ -110,8 +120,8 @@
   /** Engines that came late and got what the pool lacked, so that no chain rests on them. */
   std::set<BackendServerName> m_extras;
 
-  /** Spares that took over a part of a vacant range. */
-  std::set<BackendServerName> m_repairing;
+  /** Spares that took over a part of a vacant range, and what they held before. */
+  std::map<BackendServerName, LayerRange> m_repairing;
 
   /** Engines whose ranges were taken for vacant while they are still on record. */
   std::set<BackendServerName> m_stalled;
--- a/packages/zinnia_decisions/forwarding/layer_planner.cc
+++ b/packages/zinnia_decisions/forwarding/layer_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 #include <set>
 
@@ -24,6 +25,10 @@
 /** The part of a late engine's memory that weights may take; about what planned chains have. */
 constexpr double kWeightShareOfSpare = 0.6;
 
+/** The same for an engine that holds ranges of its failure domain's chain a second time. The more
+    layers, the more losses it stands in for; what is left must hold the requests of one chain. */
+constexpr double kWeightShareOfSecondHolder = 0.82;
+
 using Chain = std::vector<const ServerEntry*>;
 
 const AcceleratorProfile* AcceleratorOf(const EngineProfile& engine, const ServerEntry& server) {
@@ -53,6 +58,12 @@
   return static_cast<std::uint32_t>(MemoryOf(engine, server) / engine.layer_mb);
 }
 
+void CountHolders(const LayerRange& range, std::vector<std::uint32_t>& counts) {
+  for (std::uint32_t layer = range.first; layer < range.end && layer < counts.size(); ++layer) {
+    ++counts[layer];
+  }
+}
+
 /** Splits all layers over the chain by memory, whole layers, never more than fit. */
 LayerPlanner::Ranges SplitLayers(const EngineProfile& engine, const Chain& chain) {
   const double memory = MemoryOf(engine, chain);
@@ -113,6 +124,61 @@
   return chains;
 }
 
+/** Where second holders of `count` layers stand in for most of the chain's stages. Of equal places
+    the one whose layers the pool holds least often. */
+std::uint32_t BestFirstLayer(const EngineProfile& engine,
+                             const std::vector<LayerRange>& stages,
+                             const std::vector<std::uint32_t>& holders,
+                             std::uint32_t count) {
+  std::uint32_t best = 0;
+  std::pair<std::size_t, std::int64_t> most = {0, std::numeric_limits<std::int64_t>::min()};
+  for (std::uint32_t first = 0; first + count <= engine.layers; ++first) {
+    const auto covered = static_cast<std::size_t>(
+        std::count_if(stages.begin(), stages.end(), [&](const LayerRange& stage) {
+          return stage.first >= first && stage.end <= first + count;
+        }));
+    std::int64_t held = 0;
+    for (std::uint32_t layer = first; layer < first + count; ++layer) {
+      held += holders[layer];
+    }
+    if (std::make_pair(covered, -held) > most) {
+      most = {covered, -held};
+      best = first;
+    }
+  }
+  return best;
+}
+
+/** Ranges for the engines that a failure domain has beside its chains: its layers a second time, as
+    many of them as fit. */
+LayerPlanner::Ranges PlanSecondHolders(const EngineProfile& engine,
+                                       const Chain& left_over,
+                                       const std::vector<LayerRange>& stages,
+                                       const std::vector<std::uint32_t>& holders) {
+  std::vector<std::uint32_t> most;
+  std::uint32_t sum = 0;
+  for (const ServerEntry* server : left_over) {
+    const double share = MemoryOf(engine, *server) * kWeightShareOfSecondHolder / engine.layer_mb;
+    most.push_back(std::min(static_cast<std::uint32_t>(share), engine.layers));
+    sum += most.back();
+  }
+  LayerPlanner::Ranges ranges;
+  const std::uint32_t count = std::min(sum, engine.layers);
+  const std::uint32_t first = BestFirstLayer(engine, stages, holders, count);
+  std::uint64_t before = 0;
+  for (std::size_t index = 0; index < left_over.size(); ++index) {
+    const auto boundary = [&](std::uint64_t part) {
+      return first + static_cast<std::uint32_t>(count * part / sum);
+    };
+    const LayerRange range = {boundary(before), boundary(before + most[index])};
+    before += most[index];
+    if (range.Count() > 0) {
+      ranges[left_over[index]->name] = range;
+    }
+  }
+  return ranges;
+}
+
 /** For each layer the tokens that its holders have room for together. */
 std::vector<double> RoomByLayer(const EngineProfile& engine,
                                 const std::vector<ServerEntry>& holders) {
@@ -145,13 +211,29 @@
     }
   };
   Chain rest;
+  std::vector<std::uint32_t> holder_counts(engine.layers, 0);
+  std::map<FailureDomainName, std::vector<LayerRange>> stages;
   for (auto& [domain, pool] : by_domain) {
     for (Chain chain = TakeChain(engine, pool); !chain.empty(); chain = TakeChain(engine, pool)) {
       for (const Chain& part : SplitGroup(engine, chain)) {
         place(part);
+        for (const ServerEntry* server : part) {
+          stages[domain].push_back(ranges[server->name]);
+          CountHolders(ranges[server->name], holder_counts);
+        }
       }
     }
-    rest.insert(rest.end(), pool.begin(), pool.end());
+  }
+  for (auto& [domain, pool] : by_domain) {
+    if (stages[domain].empty()) {
+      rest.insert(rest.end(), pool.begin(), pool.end());
+      continue;
+    }
+    for (const auto& [name, range] :
+         PlanSecondHolders(engine, pool, stages[domain], holder_counts)) {
+      ranges[name] = range;
+      CountHolders(range, holder_counts);
+    }
   }
   // What is left in single failure domains forms chains across them, in the order of the domains,
   // so that a token crosses between them as rarely as possible.
--- a/packages/zinnia_decisions/forwarding/layer_planner.h
+++ b/packages/zinnia_decisions/forwarding/layer_planner.h
@@ -17,7 +17,9 @@
     A pool that holds nothing is planned whole: chains of engines that hold every layer once, the
     fastest accelerators of one failure domain together, since each hop and each crossing between
     failure domains costs every token. Inside a chain layers go by memory, so that all stages run
-    out of room for requests at the same load.
+    out of room for requests at the same load. Engines that are left over in a failure domain with
+    a chain hold its ranges a second time, so that requests go round a lost stage at once, without
+    a load and without the pipe between failure domains.
 
     Engines that come later get the range that the pool lacks most; engines that hold a range keep
     it, as loading costs seconds.
--- a/packages/zinnia_decisions/forwarding/load_book.cc
+++ b/packages/zinnia_decisions/forwarding/load_book.cc
@@ -28,6 +28,7 @@
   ++use.requests;
   use.token_layers += token_layers;
   use.begun += begins ? 1 : 0;
+  m_own_begun += begins ? 1 : 0;
   RecentAdditions& recent = m_recent[server];
   recent = Decayed(recent);
   recent.requests += 1;
@@ -41,6 +42,7 @@
   ServerUse& use = found->second;
   --use.requests;
   use.begun -= begins ? 1 : 0;
+  m_own_begun -= begins ? 1 : 0;
   use.token_layers = std::max(0.0, use.token_layers - token_layers);
   if (use.requests == 0) {
     m_own.erase(found);
@@ -56,12 +58,12 @@
 
 void LoadBook::SetPeerUses(const InstanceName& instance, Uses uses) {
   m_peers[instance] = {m_clock.Now(), std::move(uses)};
-  DropOld(m_peers);
+  CountOthers();
 }
 
 void LoadBook::SetDomainUses(const FailureDomainName& domain, Uses uses) {
   m_domains[domain] = {m_clock.Now(), std::move(uses)};
-  DropOld(m_domains);
+  CountOthers();
 }
 
 LoadBook::Uses LoadBook::SumOfOwnDomain() const {
@@ -92,6 +94,26 @@
   }
 }
 
+/** Callers are spread unevenly, and while instances restart in turn one may take a third of all
+    traffic: for it eight peers that choose as often as itself would take 32 thousand tokens of
+    memory that nobody uses, half of what a failure domain has. */
+double LoadBook::OthersShare() const {
+  const double share = static_cast<double>(m_others_begun) / std::max(1U, m_own_begun);
+  return std::min(static_cast<double>(m_peer_count), share);
+}
+
+void LoadBook::CountOthers() {
+  m_others_begun = 0;
+  for (Reports* reports : {&m_peers, &m_domains}) {
+    DropOld(*reports);
+    for (const auto& [name, report] : *reports) {
+      for (const auto& [server, use] : report.uses) {
+        m_others_begun += use.begun;
+      }
+    }
+  }
+}
+
 /** Peers that see the same loads choose the same server at the same time. Without this estimate all
     of them fill the best one until the next reports, and its requests wait for memory. */
 void LoadBook::AddUnreported(const BackendServerName& server, ServerUse& sum) const {
@@ -100,7 +122,7 @@
     return;
   }
   const RecentAdditions recent = Decayed(found->second);
-  const double others = kLikeness * static_cast<double>(m_peer_count);
+  const double others = kLikeness * OthersShare();
   sum.requests += static_cast<std::uint32_t>(recent.requests * others);
   sum.token_layers += recent.token_layers * others;
   sum.begun += static_cast<std::uint32_t>(recent.begun * others);
--- a/packages/zinnia_decisions/forwarding/load_book.h
+++ b/packages/zinnia_decisions/forwarding/load_book.h
@@ -71,8 +71,14 @@
   void AddUnreported(const BackendServerName& server, ServerUse& sum) const;
   RecentAdditions Decayed(const RecentAdditions& additions) const;
 
+  /** How many times as much as this instance all others together take of the traffic. */
+  double OthersShare() const;
+  void CountOthers();
+
   const Clock& m_clock;
   Uses m_own;
+  std::uint32_t m_own_begun = 0;
+  std::uint32_t m_others_begun = 0;
   Reports m_peers;
   Reports m_domains;
   std::map<BackendServerName, RecentAdditions> m_recent;
--- a/packages/zinnia_decisions/orders/order_role.cc
+++ b/packages/zinnia_decisions/orders/order_role.cc
@@ -53,7 +53,8 @@
 void OrderRole::Tick(std::uint64_t least_epoch) {
   m_least_epoch = std::max(m_least_epoch, least_epoch);
   if (m_state == State::kHeld) {
-    return MaySend() ? KeepAlive() : StepDown("the lease ran out by this instance's clock");
+    const bool may_go_on = IsWithinLease() || IsWithinOutageGrace();
+    return may_go_on ? KeepAlive() : StepDown("the lease ran out by this instance's clock");
   }
   m_idle_ticks += 1;
   if (m_state == State::kIdle && (IsPreferred() || m_idle_ticks % kTicksBetweenLooks == 0)) {
@@ -61,10 +62,21 @@
   }
 }
 
+bool OrderRole::IsWithinLease() const {
+  return m_parts.clock.Now() + m_settings.lease_margin < m_valid_until;
+}
+
+bool OrderRole::IsWithinOutageGrace() const {
+  const TimePoint end = m_valid_until + m_settings.outage_grace;
+  return m_renewal_unanswered && m_parts.clock.Now() + m_settings.lease_margin < end;
+}
+
 bool OrderRole::MaySend() const {
-  const Duration grace = m_renewal_unanswered ? m_settings.outage_grace : Duration::zero();
-  return m_state == State::kHeld &&
-         m_parts.clock.Now() + m_settings.lease_margin < m_valid_until + grace;
+  if (m_state != State::kHeld) {
+    return false;
+  }
+  const bool nobody_else_can = m_settings.engines_check_fencing || !m_store_serves_others;
+  return IsWithinLease() || (nobody_else_can && IsWithinOutageGrace());
 }
 
 bool OrderRole::IsPreferred() const {
--- a/packages/zinnia_decisions/orders/order_role.h
+++ b/packages/zinnia_decisions/orders/order_role.h
@@ -36,8 +36,8 @@
   bool engines_check_fencing = true;
 
   /** How long a holder goes on after its lease by its own clock while the store leaves its renewals
-      unanswered. Then nobody else can take over either; only for engines that check fencing
-     numbers, which refuse an old holder if somebody does. */
+      unanswered. Then nobody else can take over either. Engines that check fencing numbers refuse
+      the old holder if somebody does; for others see OrderRole::NoteStoreServesOthers. */
   std::chrono::milliseconds outage_grace{0};
 };
 
@@ -76,6 +76,11 @@
   /** Whether orders may be sent at this moment. Ask before each one. */
   bool MaySend() const;
 
+  /** Whether some other instance says that the store serves it. Where engines do not check fencing
+      numbers, a holder outlives its lease only while none does: who cannot reach the store cannot
+      take over, and who can has the lease's end to wait for and transport_timeout more. */
+  void NoteStoreServesOthers(bool serves) { m_store_serves_others = serves; }
+
   /** Whether this instance holds the right, also when it is too near its end to be used. */
   bool IsHeld() const { return m_state != State::kIdle; }
 
@@ -93,6 +98,12 @@
  private:
   enum class State { kIdle, kAcquiring, kHeld };
 
+  bool IsWithinLease() const;
+
+  /** Past the lease, and the store has left the last renewal unanswered for no longer than
+      `outage_grace`. */
+  bool IsWithinOutageGrace() const;
+
   std::string LeaseKey() const { return LeaseKeyOf(m_pool); }
   std::string EpochKey() const { return "orders/epoch/" + m_pool; }
   void Acquire();
@@ -118,6 +129,7 @@
   TimePoint m_lease_asked_at{};
   TimePoint m_valid_until{};
   bool m_renewal_unanswered = false;
+  bool m_store_serves_others = false;
   TimePoint m_unchecked_from{};
   TimePoint m_acquiring_since{};
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
