--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/layer_placer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "zinnia_base/logging/logger.h"
+#include "zinnia_decisions/forwarding/path_finder.h"
 #include "zinnia_decisions/once/alive_guard.h"
 #include "zinnia_decisions/ports/layer_orders.h"
 
@@ -41,16 +42,30 @@
 /** Old vacancies go when there are more; no pool waits for so many replacements. */
 constexpr std::size_t kMostVacancies = 64;
 
+/** A layer with less than this part of the room that the layers of its failure domain usually have
+    binds all requests there. Two slow engines that stood in for one fast one had room for 38
+    requests where 75 came, and the others' memory stayed empty. */
+constexpr double kLeastShareOfUsualRoom = 0.5;
+
 /** Part of a spare's memory that weights of a vacant range may take at first choice, and at most.
  */
 constexpr double kUsualWeightShare = 0.5;
 constexpr double kMostWeightShare = 0.8;
 
-/** The runs of layers of `range` that are not held. */
-std::vector<LayerRange> RangesNotIn(const std::vector<bool>& held, const LayerRange& range) {
+/** What a layer must have room for, so that it does not keep the others' room from being used. */
+double LeastRoom(std::vector<double> room) {
+  const auto middle = room.begin() + static_cast<std::ptrdiff_t>(room.size() / 2);
+  std::nth_element(room.begin(), middle, room.end());
+  return *middle * kLeastShareOfUsualRoom;
+}
+
+/** The runs of layers of `range` with less room than `least`, or none. */
+std::vector<LayerRange> RangesBelow(const std::vector<double>& room,
+                                    double least,
+                                    const LayerRange& range) {
   std::vector<LayerRange> missing;
-  for (std::uint32_t layer = range.first; layer < range.end && layer < held.size(); ++layer) {
-    if (held[layer]) {
+  for (std::uint32_t layer = range.first; layer < range.end && layer < room.size(); ++layer) {
+    if (room[layer] > 0 && room[layer] >= least) {
       continue;
     }
     if (missing.empty() || missing.back().end != layer) {
@@ -170,32 +185,40 @@
   return any_holds || m_parts.clock.Now() - m_last_change >= kSettleTime;
 }
 
-std::vector<bool> LayerPlacer::HeldLayers(const FailureDomainName& domain,
-                                          const EngineProfile& engine,
-                                          const std::vector<ServerEntry>& servers) const {
-  std::vector<bool> held(engine.layers, false);
+/** The tokens that it has room for in each layer that it holds or is to hold. */
+double LayerPlacer::RoomPerLayer(const EngineProfile& engine, const ServerEntry& server) const {
+  ServerEntry planned = server;
+  planned.layers = PlannedLayers(server);
+  const std::uint32_t count = planned.layers.Count();
+  return count == 0 ? 0.0 : TokenLayerCapacity(engine, planned) / count;
+}
+
+std::vector<double> LayerPlacer::RoomByLayer(const FailureDomainName& domain,
+                                             const EngineProfile& engine,
+                                             const std::vector<ServerEntry>& servers) const {
+  std::vector<double> room(engine.layers, 0.0);
   for (const ServerEntry& server : servers) {
     if (server.failure_domain != domain || m_stalled.contains(server.name)) {
       continue;
     }
     const LayerRange layers = PlannedLayers(server);
     for (std::uint32_t layer = layers.first; layer < std::min(layers.end, engine.layers); ++layer) {
-      held[layer] = true;
+      room[layer] += RoomPerLayer(engine, server);
     }
   }
-  return held;
+  return room;
 }
 
-/** Layers of a failure domain that none of its engines holds or is to hold. Nothing if they are
-   more than half: such a pool has its chains across failure domains. */
+/** Layers of a failure domain that its engines do not hold, or with much less room than the others.
+    Nothing if more than half are not held: such a pool has its chains across failure domains. */
 std::vector<LayerRange> LayerPlacer::GapsOf(const FailureDomainName& domain,
                                             const EngineProfile& engine,
                                             const std::vector<ServerEntry>& servers) const {
-  const std::vector<bool> held = HeldLayers(domain, engine, servers);
-  if (std::count(held.begin(), held.end(), true) * 2 < static_cast<std::int64_t>(engine.layers)) {
+  const std::vector<double> room = RoomByLayer(domain, engine, servers);
+  if (std::count(room.begin(), room.end(), 0.0) * 2 > static_cast<std::int64_t>(engine.layers)) {
     return {};
   }
-  return RangesNotIn(held, {0, engine.layers});
+  return RangesBelow(room, LeastRoom(room), {0, engine.layers});
 }
 
 bool LayerPlacer::IsVacant(const FailureDomainName& domain, const LayerRange& layers) const {
@@ -205,8 +228,8 @@
   });
 }
 
-/** Who held a missing range is not known. Counted as the slowest kind but one of its failure domain,
-    it is given to the slowest alone: engines of faster kinds are the stages of its chain. */
+/** Who held a missing range is not known. Counted as the slowest kind but one of its failure
+   domain, it is given to the slowest alone: engines of faster kinds are the stages of its chain. */
 std::string LayerPlacer::KindAboveSlowest(const EngineProfile& engine,
                                           const FailureDomainName& domain,
                                           const std::vector<ServerEntry>& servers) {
@@ -316,17 +339,13 @@
     return found == engine.accelerators.end() ? 0.0 : found->second.step_factor;
   };
   std::vector<const ServerEntry*> candidates;
-  std::vector<std::uint32_t> holders(engine.layers, 0);
+  std::vector<double> room = RoomByLayer(left.failure_domain, engine, servers);
+  const double least = LeastRoom(room);
   for (const ServerEntry& server : servers) {
     if (server.failure_domain != left.failure_domain || server.layers.end > engine.layers ||
         m_stalled.contains(server.name)) {
       continue;
     }
-    const LayerRange planned = PlannedLayers(server);
-    for (std::uint32_t layer = planned.first; layer < std::min(planned.end, engine.layers);
-         ++layer) {
-      ++holders[layer];
-    }
     // Taking an equally fast engine out of another chain would only move the gap there.
     const bool worth_taking = speed(server) > speed(left) || m_extras.contains(server.name);
     if (worth_taking && server.layers.Count() > 0 && !m_repairing.contains(server.name)) {
@@ -337,17 +356,17 @@
                    [&](const auto* one, const auto* other) { return speed(*one) > speed(*other); });
   std::vector<const ServerEntry*> spares;
   for (const ServerEntry* server : candidates) {
-    bool needed = false;
     const LayerRange planned = PlannedLayers(*server);
-    for (std::uint32_t layer = planned.first; layer < planned.end; ++layer) {
-      needed = needed || holders[layer] <= 1;
-    }
+    const double own = RoomPerLayer(engine, *server);
+    const bool needed =
+        std::any_of(room.begin() + planned.first, room.begin() + planned.end,
+                    [&](double tokens) { return tokens - own <= std::max(0.0, least - 1.0); });
     if (needed) {
       continue;
     }
     spares.push_back(server);
     for (std::uint32_t layer = planned.first; layer < planned.end; ++layer) {
-      --holders[layer];
+      room[layer] -= own;
     }
   }
   return spares;
@@ -368,10 +387,10 @@
     if (m_parts.clock.Now() - vacancy.since < kRepairAfter) {
       continue;
     }
-    // Where others of the failure domain hold the layers too, requests go on there, and moving
-    // engines would only take layers from others.
-    const auto held = HeldLayers(vacancy.left.failure_domain, engine, servers);
-    for (const LayerRange& missing : RangesNotIn(held, vacancy.left.layers)) {
+    // Where others of the failure domain hold the layers too and have room, requests go on there,
+    // and moving engines would only take layers from others.
+    const auto room = RoomByLayer(vacancy.left.failure_domain, engine, servers);
+    for (const LayerRange& missing : RangesBelow(room, LeastRoom(room), vacancy.left.layers)) {
       ShareOut(vacancy, missing, engine, servers);
     }
   }
--- a/packages/zinnia_decisions/forwarding/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/layer_placer.h
@@ -89,9 +89,10 @@
   void AssignVacated(const std::vector<ServerEntry>& servers);
   void TakeOver(const ServerEntry& server, std::vector<Vacancy>::iterator vacancy);
   LayerRange PlannedLayers(const ServerEntry& server) const;
-  std::vector<bool> HeldLayers(const FailureDomainName& domain,
-                               const EngineProfile& engine,
-                               const std::vector<ServerEntry>& servers) const;
+  double RoomPerLayer(const EngineProfile& engine, const ServerEntry& server) const;
+  std::vector<double> RoomByLayer(const FailureDomainName& domain,
+                                  const EngineProfile& engine,
+                                  const std::vector<ServerEntry>& servers) const;
   bool ShareOut(Vacancy& vacancy,
                 const LayerRange& missing,
                 const EngineProfile& engine,
