--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -14,6 +14,7 @@
 #include "zinnia_adapters/services/header_filter.h"
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/forwarding/forwarding_view.h"
+#include "zinnia_decisions/forwarding/room_queue.h"
 #include "zinnia_decisions/forwarding/server_health.h"
 #include "zinnia_decisions/forwarding/shared_retry_budget.h"
 #include "zinnia_decisions/ports/metrics.h"
@@ -47,9 +48,9 @@
 /** Less time than this is not worth sending a request for. */
 constexpr Duration kLeastTimeLeft = milliseconds(30);
 
-/** Callers that were refused for want of room come back spread over this time. */
-constexpr double kRetryAfterLeastSeconds = 0.25;
-constexpr double kRetryAfterSpreadSeconds = 0.75;
+/** Callers that are refused together come back up to this part later than they could, so that they
+    do not meet again. */
+constexpr double kRetryAfterSpread = 0.5;
 
 constexpr unsigned kStatusMisdirected = 421;
 
@@ -129,12 +130,39 @@
   m_service = ChooseService();
   m_parts.retries.OnRequest(m_service);
   if (!ChooseServer()) {
-    Answer(NotRun(ErrorKind::kOverloaded, "no server of " + m_service + " has room"));
+    WaitForRoom();
     return;
   }
   Send();
 }
 
+/** For paths of engines only: plain servers queue by themselves, and one that is free is taken. */
+void ForwardExchange::WaitForRoom() {
+  if (m_route->repeatability == Repeatability::kStream) {
+    const TimePoint on_time_until = m_started_at + m_route->latency_objective / 2;
+    m_room_ticket = m_parts.room.Enter({m_route->priority, m_started_at, on_time_until});
+  }
+  if (m_room_ticket == RoomQueue::kNoTicket) {
+    RefuseForWantOfRoom();
+  }
+}
+
+void ForwardExchange::RefuseForWantOfRoom() {
+  Answer(NotRun(ErrorKind::kOverloaded, "no server of " + m_service + " has room"));
+}
+
+bool ForwardExchange::TryToBegin() {
+  if (m_ended || !ChooseServer()) {
+    return false;
+  }
+  m_parts.room.Leave(std::exchange(m_room_ticket, RoomQueue::kNoTicket));
+  m_parts.logger.Log(
+      LogLevel::kInfo, "request_waited_for_room",
+      {{"request", m_facts.id}, {"waited_ms", Milliseconds(m_parts.clock.Now() - m_started_at)}});
+  Send();
+  return true;
+}
+
 Duration ForwardExchange::TimeLeft() const {
   return m_deadline - m_parts.clock.Now();
 }
@@ -393,9 +421,9 @@
                                                              : http::status::bad_gateway);
     response.erase(http::field::retry_after);
   } else if (IsPromise(response.result_int())) {
-    const double seconds =
-        kRetryAfterLeastSeconds + kRetryAfterSpreadSeconds * RandomUnit(m_parts.random);
-    response.set(http::field::retry_after, fmt::format("{:.2f}", seconds));
+    const std::chrono::duration<double> until_room = m_parts.room.OnRefused();
+    const double spread = 1.0 + kRetryAfterSpread * RandomUnit(m_parts.random);
+    response.set(http::field::retry_after, fmt::format("{:.2f}", until_room.count() * spread));
   }
   m_parts.metrics.Count(fmt::format("forward_{}", NameOf(error.kind)));
   m_parts.logger.Log(LogLevel::kInfo, "request_refused",
@@ -416,6 +444,9 @@
   if (m_connection) {
     std::exchange(m_connection, nullptr)->Close();
   }
+  if (m_room_ticket != RoomQueue::kNoTicket) {
+    m_parts.room.Leave(std::exchange(m_room_ticket, RoomQueue::kNoTicket));
+  }
   ReleaseReservations();
   m_parts.logger.Log(LogLevel::kInfo, "request_ended",
                      {{"request", m_facts.id},
@@ -429,6 +460,10 @@
 }
 
 void ForwardExchange::OnDeadline() {
+  if (m_room_ticket != RoomQueue::kNoTicket) {
+    RefuseForWantOfRoom();
+    return;
+  }
   if (m_stream_started) {
     m_responder->CutOff();
     End("deadline");
@@ -444,7 +479,7 @@
   if (m_stream_started) {
     m_responder->CutOff();
     End("instance_stops");
-  } else if (m_awaits_rules) {
+  } else if (m_awaits_rules || m_room_ticket != RoomQueue::kNoTicket) {
     Answer(NotRun(ErrorKind::kStoreUnavailable, "this instance stops"));
   } else {
     Answer(PerhapsRun(ErrorKind::kBackendUnavailable,
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -49,6 +49,12 @@
 
   void Tick();
 
+  /** The ticket with which it waits for room; RoomQueue::kNoTicket if it does not. */
+  std::uint64_t RoomTicket() const { return m_room_ticket; }
+
+  /** Begins if there is room now. Only for requests that wait for it. */
+  bool TryToBegin();
+
   /** Nothing while no event has come, or while no server is at work. */
   std::optional<StreamProgress> Progress() const;
 
@@ -77,6 +83,8 @@
   /** Goes on once the configuration is known, or refuses when that takes too long. */
   void AwaitRules();
   void Begin();
+  void WaitForRoom();
+  void RefuseForWantOfRoom();
   std::optional<Error> FindRoute();
   ServiceName ChooseService();
   bool ChooseServer();
@@ -105,7 +113,9 @@
   void CheckSilence();
   void AskForStall();
   void OnReport(const Result<EngineReport>& report);
-  void Reroute(std::string_view reason);
+  /** `is_broken`: no more events will come over the present path, so that the stream may also start
+      again elsewhere. While it flows, that would only risk it. */
+  void Reroute(std::string_view reason, bool is_broken);
   void ChangePath(const FoundPath& found, std::string_view reason);
   bool MayStartAgain() const;
   void StartAgain(const FoundPath& found, std::string_view reason);
@@ -145,6 +155,8 @@
   /** The configuration is not known yet. */
   bool m_awaits_rules = false;
 
+  std::uint64_t m_room_ticket = 0;
+
   /** Whether an event came over the present path. */
   bool m_path_proved = false;
   bool m_rerouting = false;
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -13,6 +13,7 @@
 #include "zinnia_decisions/forwarding/forwarding_view.h"
 #include "zinnia_decisions/forwarding/pipe_meter.h"
 #include "zinnia_decisions/forwarding/recovery_chooser.h"
+#include "zinnia_decisions/forwarding/room_queue.h"
 #include "zinnia_decisions/forwarding/server_health.h"
 #include "zinnia_decisions/forwarding/shared_retry_budget.h"
 
@@ -74,6 +75,10 @@
     OnDeadline();
     return;
   }
+  if (m_room_ticket != RoomQueue::kNoTicket && m_parts.room.IsOverdue(m_room_ticket)) {
+    RefuseForWantOfRoom();
+    return;
+  }
   if (!m_path.empty() && m_connection) {
     CheckSilence();
   }
@@ -154,7 +159,7 @@
     AbandonServer("the first server is silent");
     return;
   }
-  Reroute("a server on the path is stalled");
+  Reroute("a server on the path is stalled", true);
 }
 
 /** Events come too slowly: some server of the path may be slow, and only it knows. */
@@ -212,14 +217,14 @@
     return server == view->servers.end() || server->second.draining;
   });
   if (leaving) {
-    Reroute("a server on the path is leaving");
+    Reroute("a server on the path is leaving", false);
   }
 }
 
-void ForwardExchange::Reroute(std::string_view reason) {
+void ForwardExchange::Reroute(std::string_view reason, bool is_broken) {
   const auto view = m_parts.view();
-  const auto recovery =
-      m_parts.recovery.Choose(*view, m_service, ExpectedSize(), m_path, {}, MayStartAgain());
+  const auto recovery = m_parts.recovery.Choose(*view, m_service, ExpectedSize(), m_path, {},
+                                                is_broken && MayStartAgain());
   if (recovery && recovery->keeps_first) {
     ChangePath(recovery->found, reason);
     return;
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -7,6 +7,7 @@
 #include "zinnia_adapters/http/listening_socket.h"
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/forwarding/forwarding_view.h"
+#include "zinnia_decisions/forwarding/room_queue.h"
 #include "zinnia_decisions/forwarding/server_health.h"
 #include "zinnia_decisions/ports/metrics.h"
 
@@ -17,6 +18,9 @@
 using asio::ip::tcp;
 
 /** Deadlines and silences are noticed this late at most; the pauses that count are 200 ms. */
+/** Waiting requests that may find no room in one tick before the others wait for the next. */
+constexpr int kMostFailedTries = 3;
+
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 
 /** Unused connections are looked through once in so many ticks: every second. */
@@ -96,6 +100,7 @@
       streams.push_back(*progress);
     }
   }
+  BeginWaiting(exchanges);
   const auto suspects = SilenceDetector::Suspects(streams, m_parts.clock.Now());
   if (!suspects.empty()) {
     m_parts.stalls.Check(suspects, [this](const BackendServerName& server) {
@@ -111,6 +116,25 @@
   }
 }
 
+/** A large request may find no room where a smaller one behind it does, but a search costs time, so
+    only a few are tried past the first that finds none. */
+void ForwardServer::BeginWaiting(const std::vector<std::shared_ptr<ForwardExchange>>& exchanges) {
+  std::map<std::uint64_t, ForwardExchange*> waiting;
+  for (const auto& exchange : exchanges) {
+    if (exchange->RoomTicket() != RoomQueue::kNoTicket) {
+      waiting[exchange->RoomTicket()] = exchange.get();
+    }
+  }
+  int failed = 0;
+  for (const std::uint64_t ticket : m_parts.room.InOrder()) {
+    const auto exchange = waiting.find(ticket);
+    if (exchange != waiting.end() && !exchange->second->TryToBegin() &&
+        ++failed >= kMostFailedTries) {
+      return;
+    }
+  }
+}
+
 std::shared_ptr<CallerExchange> ForwardServer::CreateExchange(
     CallerRequest request,
     std::shared_ptr<Responder> responder) {
--- a/packages/zinnia_adapters/forwarding/forwarding_parts.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_parts.h
@@ -19,6 +19,7 @@
 class PipeMeter;
 class PlainServerChooser;
 class RecoveryChooser;
+class RoomQueue;
 class ServerConnectionPool;
 class ServerHealth;
 class SharedRetryBudget;
@@ -36,6 +37,7 @@
   ServerHealth& health;
   const PathFinder& paths;
   RecoveryChooser& recovery;
+  RoomQueue& room;
   PipeMeter& pipe;
   const PlainServerChooser& plain_servers;
   SharedRetryBudget& retries;
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -15,6 +15,7 @@
 #include "zinnia_decisions/forwarding/pipe_meter.h"
 #include "zinnia_decisions/forwarding/plain_server_chooser.h"
 #include "zinnia_decisions/forwarding/recovery_chooser.h"
+#include "zinnia_decisions/forwarding/room_queue.h"
 #include "zinnia_decisions/forwarding/server_health.h"
 #include "zinnia_decisions/forwarding/shared_retry_budget.h"
 
@@ -73,6 +74,7 @@
   PipeMeter m_pipe;
   PathFinder m_paths;
   RecoveryChooser m_recovery;
+  RoomQueue m_room;
   PlainServerChooser m_plain_servers;
   SharedRetryBudget m_retries;
   ServerConnectionPool m_connections;
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/room_queue.cc
@@ -0,0 +1,57 @@
+#include "zinnia_decisions/forwarding/room_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace zinnia {
+namespace {
+
+/** Without a refusal for this long there is room again. */
+constexpr Duration kShortnessEndsAfter = std::chrono::milliseconds(1'000);
+
+/** Bounds of what callers are told: sooner finds the same want of room, and later is no use to who
+    waits at a counter. The mending of a loss, by loads of weights, takes up to three seconds. */
+constexpr Duration kSoonest = std::chrono::milliseconds(500);
+constexpr Duration kLatest = std::chrono::milliseconds(3'000);
+
+}  // namespace
+
+std::uint64_t RoomQueue::Enter(const WaitingRequest& request) {
+  if (m_waiting.size() >= kMostWaiting) {
+    return kNoTicket;
+  }
+  m_waiting[++m_last_ticket] = request;
+  return m_last_ticket;
+}
+
+std::vector<std::uint64_t> RoomQueue::InOrder() const {
+  const TimePoint now = m_clock.Now();
+  const auto rank = [&](std::uint64_t ticket) {
+    const WaitingRequest& request = m_waiting.at(ticket);
+    const bool is_late = request.on_time_until < now;
+    return std::make_tuple(request.priority, is_late,
+                           is_late ? request.arrived_at : request.on_time_until, ticket);
+  };
+  std::vector<std::uint64_t> tickets;
+  for (const auto& [ticket, request] : m_waiting) {
+    tickets.push_back(ticket);
+  }
+  std::sort(tickets.begin(), tickets.end(),
+            [&](std::uint64_t one, std::uint64_t other) { return rank(one) < rank(other); });
+  return tickets;
+}
+
+bool RoomQueue::IsOverdue(std::uint64_t ticket) const {
+  return m_clock.Now() - m_waiting.at(ticket).arrived_at >= kLongestWait;
+}
+
+Duration RoomQueue::OnRefused() {
+  const TimePoint now = m_clock.Now();
+  if (!m_short_since || now - m_last_refused_at > kShortnessEndsAfter) {
+    m_short_since = now;
+  }
+  m_last_refused_at = now;
+  return std::clamp(now - *m_short_since, kSoonest, kLatest);
+}
+
+}  // namespace zinnia
