New instances wait for the configuration as long as callers do, and say later when to come back

Cause: all instances killed while the store is away: requests waited a second and were told to come back within a second, which used their last try. The test of an instance without configuration asked for a Retry-After under a second and now asks for two to three.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -27,8 +27,13 @@
 
 /** An instance that has just started hears the configuration from the store or a peer within about
    a fifth of a second. After all had been without power, six hundred callers were refused in that
-    time who could have been served. */
-constexpr Duration kWaitForRules = milliseconds(1'000);
+    time who could have been served. When the store is away too it takes longer; callers leave after
+    two seconds without an event, and one that is still there by then mostly has no try left. */
+constexpr Duration kWaitForRules = milliseconds(1'700);
+
+/** Who is refused all the same comes back when an outage of the store, seen to last 2.5 to 8 s, may
+   be over. */
+constexpr Duration kRetryAfterNoRules = milliseconds(2'000);
 
 /** A connection to a sound server is there within a few milliseconds; a dark one never answers. */
 constexpr Duration kConnectLimit = milliseconds(250);
@@ -427,10 +432,13 @@
   } else if (IsPromise(response.result_int())) {
     const bool wants_room = error.kind == ErrorKind::kOverloaded && m_route &&
                             m_route->repeatability == Repeatability::kStream;
-    const std::chrono::duration<double> soonest =
-        wants_room ? m_parts.room.OnRefused() : kRetryAfterBriefWant;
+    Duration soonest = wants_room ? m_parts.room.OnRefused() : kRetryAfterBriefWant;
+    if (error.kind == ErrorKind::kStoreUnavailable) {
+      soonest = kRetryAfterNoRules;
+    }
     const double spread = 1.0 + kRetryAfterSpread * RandomUnit(m_parts.random);
-    response.set(http::field::retry_after, fmt::format("{:.2f}", soonest.count() * spread));
+    response.set(http::field::retry_after,
+                 fmt::format("{:.2f}", std::chrono::duration<double>(soonest).count() * spread));
   }
   m_parts.metrics.Count(fmt::format("forward_{}", NameOf(error.kind)));
   m_parts.logger.Log(LogLevel::kInfo, "request_refused",
