--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -13,10 +13,10 @@
 #include "zinnia_adapters/forwarding/server_connection_pool.h"
 #include "zinnia_adapters/services/header_filter.h"
 #include "zinnia_base/logging/logger.h"
-#include "zinnia_decisions/forwarding/forwarding_view.h"
-#include "zinnia_decisions/forwarding/room_queue.h"
-#include "zinnia_decisions/forwarding/server_health.h"
-#include "zinnia_decisions/forwarding/shared_retry_budget.h"
+#include "zinnia_decisions/forwarding/admission/room_queue.h"
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 #include "zinnia_decisions/ports/metrics.h"
 
 namespace zinnia {
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -14,10 +14,10 @@
 #include "zinnia_adapters/forwarding/message_codec.h"
 #include "zinnia_adapters/forwarding/server_answer_listener.h"
 #include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/beliefs/silence_detector.h"
 #include "zinnia_decisions/forwarding/event_splitter.h"
-#include "zinnia_decisions/forwarding/path_finder.h"
-#include "zinnia_decisions/forwarding/retry_policy.h"
-#include "zinnia_decisions/forwarding/silence_detector.h"
+#include "zinnia_decisions/forwarding/paths/path_finder.h"
+#include "zinnia_decisions/forwarding/retries/retry_policy.h"
 #include "zinnia_world/forwarding/forward_route.h"
 
 namespace zinnia {
--- a/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
@@ -4,14 +4,14 @@
 
 #include "zinnia_adapters/forwarding/forward_exchange.h"
 #include "zinnia_base/time/clock.h"
-#include "zinnia_decisions/forwarding/forwarding_view.h"
-#include "zinnia_decisions/forwarding/load_book.h"
-#include "zinnia_decisions/forwarding/path_finder.h"
-#include "zinnia_decisions/forwarding/pipe_meter.h"
-#include "zinnia_decisions/forwarding/plain_server_chooser.h"
-#include "zinnia_decisions/forwarding/recovery_chooser.h"
-#include "zinnia_decisions/forwarding/route_table.h"
-#include "zinnia_decisions/forwarding/server_health.h"
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/beliefs/load_book.h"
+#include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
+#include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/paths/path_finder.h"
+#include "zinnia_decisions/forwarding/paths/plain_server_chooser.h"
+#include "zinnia_decisions/forwarding/paths/recovery_chooser.h"
+#include "zinnia_decisions/forwarding/paths/route_table.h"
 
 // The part of ForwardExchange that decides where a request goes: its route, organisation, service
 // and servers.
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -10,12 +10,12 @@
 #include "zinnia_adapters/forwarding/stall_inquiry.h"
 #include "zinnia_base/errors/error.h"
 #include "zinnia_base/logging/logger.h"
-#include "zinnia_decisions/forwarding/forwarding_view.h"
-#include "zinnia_decisions/forwarding/pipe_meter.h"
-#include "zinnia_decisions/forwarding/recovery_chooser.h"
-#include "zinnia_decisions/forwarding/room_queue.h"
-#include "zinnia_decisions/forwarding/server_health.h"
-#include "zinnia_decisions/forwarding/shared_retry_budget.h"
+#include "zinnia_decisions/forwarding/admission/room_queue.h"
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
+#include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/paths/recovery_chooser.h"
+#include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 
 // The part of ForwardExchange that watches a running request: its silence, and the servers on its
 // path that stall or leave.
--- a/packages/zinnia_adapters/forwarding/forwarding_parts.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_parts.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "zinnia_base/random/random_source.h"
-#include "zinnia_decisions/forwarding/layers_news.h"
+#include "zinnia_decisions/forwarding/beliefs/layers_news.h"
 #include "zinnia_world/names/names.h"
 
 namespace zinnia {
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/beliefs/beliefs.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/** What an instance believes of the store, servers, peers and their loads, from whom and how old it
+    is. The other rooms read it; it reads none of them. */
+
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/beliefs/instance_directory.h"
+#include "zinnia_decisions/forwarding/beliefs/instance_registration.h"
+#include "zinnia_decisions/forwarding/beliefs/layers_news.h"
+#include "zinnia_decisions/forwarding/beliefs/load_book.h"
+#include "zinnia_decisions/forwarding/beliefs/mirrored_record.h"
+#include "zinnia_decisions/forwarding/beliefs/news_exchange.h"
+#include "zinnia_decisions/forwarding/beliefs/news_report.h"
+#include "zinnia_decisions/forwarding/beliefs/pace_news.h"
+#include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
+#include "zinnia_decisions/forwarding/beliefs/reading_backlog.h"
+#include "zinnia_decisions/forwarding/beliefs/server_directory.h"
+#include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/beliefs/server_use.h"
+#include "zinnia_decisions/forwarding/beliefs/silence_detector.h"
+#include "zinnia_decisions/forwarding/beliefs/store_mirror.h"
--- a/packages/zinnia_decisions/forwarding/load_book.cc
+++ b/packages/zinnia_decisions/forwarding/beliefs/load_book.cc
@@ -1,4 +1,4 @@
-#include "zinnia_decisions/forwarding/load_book.h"
+#include "zinnia_decisions/forwarding/beliefs/load_book.h"
 
 #include <algorithm>
 #include <cassert>
--- a/packages/zinnia_decisions/forwarding/load_book.h
+++ b/packages/zinnia_decisions/forwarding/beliefs/load_book.h
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "zinnia_base/time/clock.h"
-#include "zinnia_decisions/forwarding/server_use.h"
+#include "zinnia_decisions/forwarding/beliefs/server_use.h"
 #include "zinnia_world/names/names.h"
 
 namespace zinnia {
--- a/packages/zinnia_decisions/forwarding/news_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/beliefs/news_exchange.cc
@@ -1,12 +1,12 @@
-#include "zinnia_decisions/forwarding/news_exchange.h"
+#include "zinnia_decisions/forwarding/beliefs/news_exchange.h"
 
 #include <algorithm>
 #include <set>
 #include <utility>
 
-#include "zinnia_decisions/forwarding/instance_directory.h"
-#include "zinnia_decisions/forwarding/server_directory.h"
-#include "zinnia_decisions/forwarding/store_mirror.h"
+#include "zinnia_decisions/forwarding/beliefs/instance_directory.h"
+#include "zinnia_decisions/forwarding/beliefs/server_directory.h"
+#include "zinnia_decisions/forwarding/beliefs/store_mirror.h"
 #include "zinnia_decisions/once/alive_guard.h"
 
 namespace zinnia {
--- a/packages/zinnia_decisions/forwarding/news_exchange.h
+++ b/packages/zinnia_decisions/forwarding/beliefs/news_exchange.h
@@ -8,7 +8,7 @@
 
 #include "zinnia_base/time/clock.h"
 #include "zinnia_base/time/scheduler.h"
-#include "zinnia_decisions/forwarding/news_report.h"
+#include "zinnia_decisions/forwarding/beliefs/news_report.h"
 #include "zinnia_decisions/ports/news_transport.h"
 
 namespace zinnia {
--- a/packages/zinnia_decisions/forwarding/news_report.h
+++ b/packages/zinnia_decisions/forwarding/beliefs/news_report.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "zinnia_decisions/forwarding/layers_news.h"
-#include "zinnia_decisions/forwarding/load_book.h"
-#include "zinnia_decisions/forwarding/pace_news.h"
+#include "zinnia_decisions/forwarding/beliefs/layers_news.h"
+#include "zinnia_decisions/forwarding/beliefs/load_book.h"
+#include "zinnia_decisions/forwarding/beliefs/pace_news.h"
 #include "zinnia_world/fleet/instance.h"
 
 namespace zinnia {
--- a/packages/zinnia_decisions/forwarding/pipe_meter.cc
+++ b/packages/zinnia_decisions/forwarding/beliefs/pipe_meter.cc
@@ -1,4 +1,4 @@
-#include "zinnia_decisions/forwarding/pipe_meter.h"
+#include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
 
 #include <cmath>
 
--- a/packages/zinnia_decisions/forwarding/reading_backlog.cc
+++ b/packages/zinnia_decisions/forwarding/beliefs/reading_backlog.cc
@@ -1,4 +1,4 @@
-#include "zinnia_decisions/forwarding/reading_backlog.h"
+#include "zinnia_decisions/forwarding/beliefs/reading_backlog.h"
 
 #include <algorithm>
 
--- a/packages/zinnia_decisions/forwarding/server_health.h
+++ b/packages/zinnia_decisions/forwarding/beliefs/server_health.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "zinnia_base/time/clock.h"
-#include "zinnia_decisions/forwarding/pace_news.h"
+#include "zinnia_decisions/forwarding/beliefs/pace_news.h"
 #include "zinnia_world/names/names.h"
 
 namespace zinnia {
--- a/packages/zinnia_decisions/forwarding/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/beliefs/store_mirror.h
@@ -9,7 +9,7 @@
 
 #include "zinnia_base/time/clock.h"
 #include "zinnia_base/time/scheduler.h"
-#include "zinnia_decisions/forwarding/mirrored_record.h"
+#include "zinnia_decisions/forwarding/beliefs/mirrored_record.h"
 #include "zinnia_decisions/ports/platform_store.h"
 
 namespace zinnia {
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include "zinnia_base/logging/logger.h"
-#include "zinnia_decisions/forwarding/layer_placer.h"
-#include "zinnia_decisions/forwarding/route_table.h"
+#include "zinnia_decisions/forwarding/paths/route_table.h"
+#include "zinnia_decisions/forwarding/placement/layer_placer.h"
 #include "zinnia_decisions/ports/record_reader.h"
 
 namespace zinnia {
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -7,12 +7,12 @@
 
 #include "zinnia_base/time/clock.h"
 #include "zinnia_base/time/scheduler.h"
-#include "zinnia_decisions/forwarding/forwarding_view.h"
-#include "zinnia_decisions/forwarding/instance_directory.h"
-#include "zinnia_decisions/forwarding/instance_registration.h"
-#include "zinnia_decisions/forwarding/news_exchange.h"
-#include "zinnia_decisions/forwarding/server_directory.h"
-#include "zinnia_decisions/forwarding/store_mirror.h"
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/beliefs/instance_directory.h"
+#include "zinnia_decisions/forwarding/beliefs/instance_registration.h"
+#include "zinnia_decisions/forwarding/beliefs/news_exchange.h"
+#include "zinnia_decisions/forwarding/beliefs/server_directory.h"
+#include "zinnia_decisions/forwarding/beliefs/store_mirror.h"
 #include "zinnia_decisions/orders/order_role.h"
 
 namespace zinnia {
--- a/packages/zinnia_decisions/forwarding/path_finder.cc
+++ b/packages/zinnia_decisions/forwarding/paths/path_finder.cc
@@ -1,14 +1,14 @@
-#include "zinnia_decisions/forwarding/path_finder.h"
+#include "zinnia_decisions/forwarding/paths/path_finder.h"
 
 #include <algorithm>
 #include <array>
 #include <limits>
 #include <map>
 
-#include "zinnia_decisions/forwarding/forwarding_view.h"
-#include "zinnia_decisions/forwarding/load_book.h"
-#include "zinnia_decisions/forwarding/pipe_meter.h"
-#include "zinnia_decisions/forwarding/server_health.h"
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/beliefs/load_book.h"
+#include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
+#include "zinnia_decisions/forwarding/beliefs/server_health.h"
 
 namespace zinnia {
 namespace {
--- a/packages/zinnia_decisions/forwarding/recovery_chooser.cc
+++ b/packages/zinnia_decisions/forwarding/paths/recovery_chooser.cc
@@ -1,11 +1,11 @@
-#include "zinnia_decisions/forwarding/recovery_chooser.h"
+#include "zinnia_decisions/forwarding/paths/recovery_chooser.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "zinnia_decisions/forwarding/forwarding_view.h"
-#include "zinnia_decisions/forwarding/load_book.h"
-#include "zinnia_decisions/forwarding/server_health.h"
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/beliefs/load_book.h"
+#include "zinnia_decisions/forwarding/beliefs/server_health.h"
 
 namespace zinnia {
 namespace {
--- a/packages/zinnia_decisions/forwarding/recovery_chooser.h
+++ b/packages/zinnia_decisions/forwarding/paths/recovery_chooser.h
@@ -3,8 +3,8 @@
 #include <optional>
 #include <set>
 
-#include "zinnia_decisions/forwarding/path_finder.h"
-#include "zinnia_decisions/forwarding/reading_backlog.h"
+#include "zinnia_decisions/forwarding/beliefs/reading_backlog.h"
+#include "zinnia_decisions/forwarding/paths/path_finder.h"
 #include "zinnia_world/forwarding/path_part.h"
 #include "zinnia_world/names/names.h"
 
--- a/packages/zinnia_decisions/forwarding/route_table.cc
+++ b/packages/zinnia_decisions/forwarding/paths/route_table.cc
@@ -1,4 +1,4 @@
-#include "zinnia_decisions/forwarding/route_table.h"
+#include "zinnia_decisions/forwarding/paths/route_table.h"
 
 #include <algorithm>
 #include <cctype>
--- a/packages/zinnia_decisions/forwarding/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/placement/layer_placer.cc
@@ -1,11 +1,11 @@
-#include "zinnia_decisions/forwarding/layer_placer.h"
+#include "zinnia_decisions/forwarding/placement/layer_placer.h"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
 #include "zinnia_base/logging/logger.h"
-#include "zinnia_decisions/forwarding/path_finder.h"
+#include "zinnia_decisions/forwarding/paths/path_finder.h"
 #include "zinnia_decisions/once/alive_guard.h"
 #include "zinnia_decisions/ports/layer_orders.h"
 
--- a/packages/zinnia_decisions/forwarding/layer_planner.cc
+++ b/packages/zinnia_decisions/forwarding/placement/layer_planner.cc
@@ -1,4 +1,4 @@
-#include "zinnia_decisions/forwarding/layer_planner.h"
+#include "zinnia_decisions/forwarding/placement/layer_planner.h"
 
 #include <algorithm>
 #include <cmath>
@@ -6,7 +6,7 @@
 #include <numeric>
 #include <set>
 
-#include "zinnia_decisions/forwarding/path_finder.h"
+#include "zinnia_decisions/forwarding/paths/path_finder.h"
 #include "zinnia_world/forwarding/engine_profile.h"
 #include "zinnia_world/forwarding/server_entry.h"
 
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/placement/placement.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/** Which engine is to hold which layers, and the orders that make it so. */
+
+#include "zinnia_decisions/forwarding/placement/layer_placer.h"
+#include "zinnia_decisions/forwarding/placement/layer_planner.h"
--- a/packages/zinnia_decisions/forwarding/retry_policy.cc
+++ b/packages/zinnia_decisions/forwarding/retries/retry_policy.cc
@@ -1,4 +1,4 @@
-#include "zinnia_decisions/forwarding/retry_policy.h"
+#include "zinnia_decisions/forwarding/retries/retry_policy.h"
 
 #include "zinnia_world/forwarding/forward_route.h"
 
--- a/packages/zinnia_decisions/forwarding/shared_retry_budget.cc
+++ b/packages/zinnia_decisions/forwarding/retries/shared_retry_budget.cc
@@ -1,4 +1,4 @@
-#include "zinnia_decisions/forwarding/shared_retry_budget.h"
+#include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 
 #include <algorithm>
 
--- a/packages/zinnia_decisions/ports/news_transport.h
+++ b/packages/zinnia_decisions/ports/news_transport.h
@@ -3,8 +3,8 @@
 #include <functional>
 
 #include "zinnia_base/errors/result.h"
-#include "zinnia_decisions/forwarding/mirrored_record.h"
-#include "zinnia_decisions/forwarding/news_report.h"
+#include "zinnia_decisions/forwarding/beliefs/mirrored_record.h"
+#include "zinnia_decisions/forwarding/beliefs/news_report.h"
 #include "zinnia_world/fleet/network_address.h"
 
 namespace zinnia {
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -1,9 +1,9 @@
 #include "tests/forwarding/forwarding_fakes.h"
-#include "zinnia_decisions/forwarding/instance_directory.h"
-#include "zinnia_decisions/forwarding/instance_registration.h"
-#include "zinnia_decisions/forwarding/news_exchange.h"
-#include "zinnia_decisions/forwarding/server_directory.h"
-#include "zinnia_decisions/forwarding/store_mirror.h"
+#include "zinnia_decisions/forwarding/beliefs/instance_directory.h"
+#include "zinnia_decisions/forwarding/beliefs/instance_registration.h"
+#include "zinnia_decisions/forwarding/beliefs/news_exchange.h"
+#include "zinnia_decisions/forwarding/beliefs/server_directory.h"
+#include "zinnia_decisions/forwarding/beliefs/store_mirror.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/forwarding/paths_test.cc
+++ b/tests/forwarding/paths_test.cc
@@ -1,10 +1,10 @@
 #include "tests/forwarding/forwarding_fakes.h"
-#include "zinnia_decisions/forwarding/layer_planner.h"
-#include "zinnia_decisions/forwarding/load_book.h"
-#include "zinnia_decisions/forwarding/path_finder.h"
-#include "zinnia_decisions/forwarding/pipe_meter.h"
-#include "zinnia_decisions/forwarding/server_health.h"
-#include "zinnia_decisions/forwarding/silence_detector.h"
+#include "zinnia_decisions/forwarding/beliefs/load_book.h"
+#include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
+#include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/beliefs/silence_detector.h"
+#include "zinnia_decisions/forwarding/paths/path_finder.h"
+#include "zinnia_decisions/forwarding/placement/layer_planner.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -1,7 +1,7 @@
 #include "tests/forwarding/forwarding_fakes.h"
 #include "zinnia_base/decisions/decision_record.h"
-#include "zinnia_decisions/forwarding/instance_directory.h"
-#include "zinnia_decisions/forwarding/layer_placer.h"
+#include "zinnia_decisions/forwarding/beliefs/instance_directory.h"
+#include "zinnia_decisions/forwarding/placement/layer_placer.h"
 
 #include <algorithm>
 
--- a/tests/forwarding/requests_test.cc
+++ b/tests/forwarding/requests_test.cc
@@ -1,11 +1,11 @@
 #include "tests/forwarding/forwarding_fakes.h"
+#include "zinnia_decisions/forwarding/beliefs/load_book.h"
+#include "zinnia_decisions/forwarding/beliefs/server_health.h"
 #include "zinnia_decisions/forwarding/event_splitter.h"
-#include "zinnia_decisions/forwarding/load_book.h"
-#include "zinnia_decisions/forwarding/plain_server_chooser.h"
-#include "zinnia_decisions/forwarding/retry_policy.h"
-#include "zinnia_decisions/forwarding/route_table.h"
-#include "zinnia_decisions/forwarding/server_health.h"
-#include "zinnia_decisions/forwarding/shared_retry_budget.h"
+#include "zinnia_decisions/forwarding/paths/plain_server_chooser.h"
+#include "zinnia_decisions/forwarding/paths/route_table.h"
+#include "zinnia_decisions/forwarding/retries/retry_policy.h"
+#include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -19,7 +19,7 @@
 #include "zinnia_adapters/forwarding/forwarding_traffic.h"
 #include "zinnia_adapters/threads/traffic_thread.h"
 #include "zinnia_base/time/system_clock.h"
-#include "zinnia_decisions/forwarding/route_table.h"
+#include "zinnia_decisions/forwarding/paths/route_table.h"
 
 namespace zinnia {
 
