zinnia losses: when requests were lost and to which cause, from log files

Reads the project's own log lines: by span of two seconds, served, late by first event or gap, refused for want of room or of a configuration, cut off, failed.

--- a/packages/zinnia_apps/command_line/arguments.h
+++ b/packages/zinnia_apps/command_line/arguments.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "zinnia_adapters/language/output_format.h"
+#include "zinnia_adapters/log_summary/loss_summary.h"
 #include "zinnia_base/errors/result.h"
 
 namespace zinnia {
@@ -15,6 +16,9 @@
   std::string change_id;
   OutputFormat format = OutputFormat::kTable;
   bool wants_help = false;
+
+  /** For `losses`. */
+  LossObjectives objectives;
   std::vector<std::string> words;
 };
 
--- a/packages/zinnia_apps/command_line/main.cc
+++ b/packages/zinnia_apps/command_line/main.cc
@@ -8,6 +8,7 @@
 #include "zinnia_adapters/settings/text_file.h"
 #include "zinnia_apps/command_line/arguments.h"
 #include "zinnia_apps/command_line/command_runner.h"
+#include "zinnia_apps/command_line/log_losses.h"
 #include "zinnia_apps/command_line/report_error.h"
 #include "zinnia_apps/command_line/settings_check.h"
 #include "zinnia_apps/command_line/shell.h"
@@ -53,6 +54,10 @@
     fmt::print("{}", HelpText());
     return ExitCode::kDone;
   }
+  if (arguments->words.front() == "losses") {
+    return PrintLogLosses({arguments->words.begin() + 1, arguments->words.end()},
+                          arguments->objectives);
+  }
   if (arguments->words.front() != "check") {
     return RunAgainstInstance(*arguments);
   }
