--- a/packages/zinnia_decisions/forwarding/placement/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/placement/layer_placer.h
@@ -23,8 +23,9 @@
     An engine that comes gets the range that another one left, or what the pool lacks most. A range
     that stays without a holder breaks the chain of its failure domain; slower engines of the same
     failure domain then share it. An order that was carried out much too late shows in the engine's
-    entry and is followed by the right one again. After everything restarted at once, engines still
-    hold their layers, and nothing is ordered.
+    entry and is followed by the right one again. Layers that its domain holds with little room
+   count as missing, and spares go back when a range has its holder again. After everything
+   restarted at once, engines still hold their layers, and nothing is ordered.
 */
 class LayerPlacer {
  public:
@@ -45,6 +46,7 @@
   /** Traffic found that an engine does not go on. Its range counts as vacant from now on. */
   void NoteStalled(const BackendServerName& server);
 
+  /** Whether some peer says that the store serves it; see OrderRole::NoteStoreServesOthers. */
   void NoteStoreServesOthers(bool serves) { m_role.NoteStoreServesOthers(serves); }
 
   bool HoldsRole() const { return m_role.IsHeld(); }
