Tests of returning engines and of spares could not fail; make them fail

Cause: with "own range first" or "spares go back" taken out, both tests passed. The names in the first sorted the starts in the order of the vacancies, so the swap of the servers had no effect; the second looked only at orders that were given, and none were. Change: names that sort the other way; the second asks that spares were taken at first and hold what they held in the end. Behaviour unchanged.

--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -132,18 +132,21 @@
 TEST(Placement, EnginesThatStartAgainGetTheirOwnRangesBack) {
   Run(seconds(2));
   CarryOut();
-  const std::map<std::string, LayerRange> before = orders.placed;
+  Run(seconds(1));
+  const LayerRange of_fast0 = RangeOf("fast0");
+  const LayerRange of_fast1 = RangeOf("fast1");
+  CHECK_TRUE(of_fast0 != of_fast1);
   for (ServerEntry& server : servers) {
     if (server.accelerator == "fast") {
-      server.name = server.name == "fast0" ? "fast0@later" : "fast1@early";
+      // Sorted by name, the later starts come in the other order than the earlier ones.
+      server.name = server.name == "fast0" ? "b-start" : "a-start";
       server.layers = {};
     }
   }
-  std::swap(servers[0], servers[1]);
   orders.placed.clear();
   Run(milliseconds(300));
-  CHECK_TRUE(before.at("fast0") == orders.placed["fast0@later"]);
-  CHECK_TRUE(before.at("fast1") == orders.placed["fast1@early"]);
+  CHECK_TRUE(of_fast0 == orders.placed.at("b-start"));
+  CHECK_TRUE(of_fast1 == orders.placed.at("a-start"));
 }
 
 // Symptom: a range without a holder for five seconds. Sequence: the store is away, an engine starts
@@ -271,24 +274,31 @@
 TEST(Placement, SparesGoBackToWhatTheyHeld) {
   Run(seconds(2));
   CarryOut();
+  Run(seconds(1));
   std::map<std::string, LayerRange> before;
   for (const ServerEntry& server : servers) {
     before[server.name] = server.layers;
   }
   const ServerEntry lost = servers[2];
+  STRCMP_EQUAL("middle0", lost.name.c_str());
   Lose("middle0");
+  orders.placed.clear();
   Run(seconds(2));
+  const std::map<std::string, LayerRange> taken_over = orders.placed;
+  CHECK_FALSE(taken_over.empty());
+  for (const auto& [name, range] : taken_over) {
+    CHECK_TRUE(range != before.at(name));
+  }
   CarryOut();
-  orders.placed.clear();
   servers.push_back(lost);
   servers.back().name = "middle0@later";
   servers.back().layers = {};
   Run(seconds(1));
   CarryOut();
   Run(seconds(1));
-  CHECK_TRUE(before.at("middle0") == orders.placed.at("middle0@later"));
-  for (const auto& [name, range] : orders.placed) {
-    CHECK_TRUE(name == "middle0@later" || range == before.at(name));
+  CHECK_TRUE(before.at("middle0") == RangeOf("middle0@later"));
+  for (const auto& [name, range] : taken_over) {
+    CHECK_TRUE(before.at(name) == RangeOf(name));
   }
 }
 
