--- /dev/null
+++ b/tests/forwarding/spares_test.cc
@@ -0,0 +1,99 @@
+#include "tests/forwarding/forwarding_fakes.h"
+#include "zinnia_decisions/forwarding/placement/domain_room.h"
+#include "zinnia_decisions/forwarding/placement/spare_chooser.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+TEST_GROUP(Spares) {
+  EngineProfile profile = MixedEngine();
+  SparePool pool;
+  ServerEntry left = EngineServer("left", "middle", "k", {40, 60});
+
+  void setup() override {
+    pool.engines = {EngineServer("fast", "fast", "k", {0, 20}),
+                    EngineServer("fast2", "fast", "k", {20, 40}),
+                    EngineServer("middle", "middle", "k", {60, 70}),
+                    EngineServer("middle2", "middle", "k", {70, 80})};
+    for (std::uint32_t index = 0; index < 4; ++index) {
+      pool.engines.push_back(
+          EngineServer("slow" + std::to_string(index), "slow", "k", {index * 10, index * 10 + 10}));
+    }
+    pool.engines.push_back(EngineServer("elsewhere", "slow", "m", {40, 50}));
+  }
+
+  const ServerEntry& Engine(const std::string& name) {
+    return *std::find_if(pool.engines.begin(), pool.engines.end(),
+                         [&](const ServerEntry& engine) { return engine.name == name; });
+  }
+
+  std::vector<SpareShare> ShareOut() {
+    return SpareChooser::ShareOut(profile, pool, left, left.layers);
+  }
+};
+
+TEST(Spares, TheSlowestOfTheDomainShareTheRangeWhole) {
+  const auto shares = ShareOut();
+  CHECK_EQUAL(4U, shares.size());  // Half of a slow engine's memory holds six layers.
+  std::uint32_t layer = 40;
+  for (const SpareShare& share : shares) {
+    STRNCMP_EQUAL("slow", share.server.c_str(), 4);
+    CHECK_EQUAL(layer, share.layers.first);
+    layer = share.layers.end;
+  }
+  CHECK_EQUAL(60U, layer);
+}
+
+TEST(Spares, BusyEnginesAndThoseOfOtherDomainsAreNotTaken) {
+  pool.busy = {"slow0"};
+  const auto shares = ShareOut();
+  CHECK_EQUAL(3U, shares.size());
+  CHECK_TRUE(std::none_of(shares.begin(), shares.end(), [&](const SpareShare& share) {
+    return pool.busy.contains(share.server) || share.server == "elsewhere";
+  }));
+  pool.busy.insert("slow1");
+  CHECK_TRUE(ShareOut().empty());  // Ten layers would be 0.81 of a slow engine's memory.
+}
+
+// Symptom: the fastest engine of a domain is ordered to five layers, and its own range has no
+// holder for the rest of the day. Sequence: spares that stand in for it are sent to another
+// vacancy, and in the same moment it counts as covered by them. Cause: what engines hold counted,
+// not what they are to hold.
+TEST(Spares, AnEngineIsNeededWhenItsStandInsAreToHoldSomethingElse) {
+  pool.extras = {"fast"};
+  for (ServerEntry& engine : pool.engines) {
+    if (engine.accelerator == "slow" && engine.failure_domain == "k") {
+      engine.layers = {60, 65};
+      pool.busy.insert(engine.name);
+    }
+  }
+  CHECK_TRUE(ShareOut().empty());
+}
+
+TEST(Spares, AnExtraOfTheSameKindTakesTheRangeAlone) {
+  pool.engines.push_back(EngineServer("extra", "middle", "k", {60, 70}));
+  pool.extras = {"extra"};
+  const auto shares = ShareOut();
+  CHECK_EQUAL(1U, shares.size());
+  STRCMP_EQUAL("extra", shares[0].server.c_str());
+  CHECK_TRUE(shares[0].layers == left.layers);
+}
+
+TEST(Spares, LayersWithLittleRoomAreLackingLikeThoseWithout) {
+  const DomainRoom room(profile, "k", pool.engines);
+  const auto lacking = room.Lacking({0, 80});
+  CHECK_EQUAL(1U, lacking.size());
+  CHECK_TRUE((lacking[0] == LayerRange{40, 60}));
+  pool.engines.push_back(
+      EngineServer("full", "slow", "k", {40, 52}));  // Its memory is all weights.
+  const DomainRoom little(profile, "k", pool.engines);
+  CHECK_TRUE((little.Lacking({0, 80}).front() == LayerRange{40, 60}));
+  CHECK_FALSE(little.CanSpare(Engine("middle")));
+  CHECK_TRUE(little.CanSpare(Engine("slow0")));
+  CHECK_TRUE(DomainRoom(profile, "empty", pool.engines).IsMostlyEmpty());
+}
+
+}  // namespace zinnia
--- a/tests/forwarding_path/answers_test.cc
+++ b/tests/forwarding_path/answers_test.cc
@@ -134,6 +134,73 @@
   STRCMP_EQUAL("1", std::string(second["X-Last-Event"]).c_str());
 }
 
+// Symptom: a stream stands still for half a second and more. Sequence: its server crashes and
+// starts again under its registration; its connection stays open, as nobody is left to close it.
+// Cause: the new start shows in the servers' entries, and only silence was looked at.
+TEST(Answers, AStreamLeavesAServerThatHasStartedAgainAtOnce) {
+  bool first = true;
+  f.Script([&](Connection& connection) {
+    const bool goes_on = !std::exchange(first, false);
+    connection.Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n") +
+                     ForwardingFixture::Chunk(ForwardingFixture::Event(goes_on ? 2 : 1)) +
+                     (goes_on ? "0\r\n\r\n" : ""));
+  });
+  TestCaller& caller = f.Call("/events/x");
+  CHECK_TRUE(f.Until([&] { return caller.Has("data: e1"); }));
+  const auto later = std::make_shared<ForwardingView>(*f.view);
+  const BackendServerName lost = f.a.received.empty() ? "b" : "a";
+  later->servers.erase(lost);
+  later->ended_starts = {lost};
+  f.traffic->SetView(later);
+  CHECK_TRUE(f.Until([&] { return caller.Has("data: e2"); }));
+  CHECK_EQUAL(2U, f.Arrivals());
+}
+
+// Symptom: a stream that was well is cut off with an answer begun, beside a planned replacement of
+// servers. Sequence: a
+// later server of its path leaves; the stream starts again elsewhere though it still flows; the new
+// first server refuses it, and its tries are used up. Cause: a leaving server treated like a lost
+// one.
+TEST(Answers, AStreamThatFlowsKeepsItsFirstServerWhenALaterOneLeaves) {
+  const auto rules = std::make_shared<ForwardingRules>(*f.view->rules);
+  rules->services["pool"].name = "pool";
+  rules->services["pool"].engine = MixedEngine();
+  for (ForwardRoute& route : rules->routes) {
+    route.services = {{"pool", 1}};
+  }
+  const auto view = std::make_shared<ForwardingView>(*f.view);
+  view->rules = rules;
+  view->routes = std::make_shared<RouteTable>(*rules);
+  view->servers.clear();
+  const auto add = [&](const std::string& name, const std::string& domain, LayerRange layers,
+                       const RawServer* server) {
+    view->servers[name] = EngineServer(name, "fast", domain, layers);
+    if (server != nullptr) {
+      view->servers[name].address = server->Address();
+    }
+  };
+  add("x1", "x", {0, 40}, &f.a);
+  add("x2", "x", {40, 80}, nullptr);
+  add("y1", "y", {0, 40}, &f.b);
+  add("y2", "y", {40, 80}, nullptr);
+  f.Script([](Connection& connection) {
+    connection.Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n") +
+                     ForwardingFixture::Chunk(ForwardingFixture::Event(1)));
+  });
+  f.traffic->SetView(view);
+  TestCaller& caller = f.Call("/events/x");
+  CHECK_TRUE(f.Until([&] { return caller.Has("data: e1"); }));
+  CHECK_EQUAL(1U, f.a.received.size());
+  const auto later = std::make_shared<ForwardingView>(*view);
+  later->servers["x2"].draining = true;
+  f.traffic->SetView(later);
+  f.thread.Loop().restart();
+  f.thread.Loop().run_for(std::chrono::milliseconds(100));
+  CHECK_EQUAL(1U, f.Arrivals());
+  CHECK_EQUAL(1U, f.calls.rerouted.size());
+  STRCMP_EQUAL("x1", f.calls.rerouted.front().front().server.c_str());
+}
+
 // Symptom: a booking made twice. Sequence: the server takes the request and its connection ends
 // without an answer. Cause: sent again though it may have run.
 TEST(Answers, ANonIdempotentRequestIsNotSentAgainWhenItsAnswerIsLost) {
