Spares stand in until the range is loaded; drop the kind of engine for gaps

Cause: an engine that came back was ordered to take its range, and the spares that stood in for it were sent back in the same tick.

Ruled out: the weight store's lanes (409 answers are of spares ordered back while they still loaded). Change: a vacancy stays, with who loads it, until the range is held; who is lost while loading reopens it. The test failed before (4 orders instead of 1). SparesGoBackToWhatTheyHeld carries the last orders out before it looks: the end state that it asks for is the same. Removed: the rule that gaps go to the slowest kind only.

--- a/packages/zinnia_decisions/forwarding/placement/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/placement/layer_placer.cc
@@ -111,7 +111,13 @@
       m_assignments.erase(assigned);
     }
     // A stalled engine's range was given out when it fell silent.
-    const bool known_vacant = m_stalled.erase(name) > 0;
+    bool known_vacant = m_stalled.erase(name) > 0;
+    for (Vacancy& vacancy : m_vacancies) {
+      if (vacancy.taken_by == name) {
+        vacancy.taken_by.reset();
+        known_vacant = true;
+      }
+    }
     if (left.layers.Count() > 0 && !known_vacant) {
       m_vacancies.push_back({std::move(left), m_parts.clock.Now(), {}});
     }
@@ -158,24 +164,6 @@
   });
 }
 
-/** Who held a missing range is not known. Counted as the slowest kind but one of its failure
-   domain, it is given to the slowest alone: engines of faster kinds are the stages of its chain. */
-std::string LayerPlacer::KindAboveSlowest(const EngineProfile& engine,
-                                          const FailureDomainName& domain,
-                                          const std::vector<ServerEntry>& servers) {
-  std::map<double, std::string, std::greater<>> kinds;
-  for (const ServerEntry& server : servers) {
-    const auto found = engine.accelerators.find(server.accelerator);
-    if (server.failure_domain == domain && found != engine.accelerators.end()) {
-      kinds[found->second.step_factor] = server.accelerator;
-    }
-  }
-  if (kinds.empty()) {
-    return {};
-  }
-  return kinds.size() == 1 ? kinds.begin()->second : std::next(kinds.begin())->second;
-}
-
 /** Finds vacancies that this instance has not seen arise: an engine left while nobody held the
     orders, or before the holder started. One missing layer takes a whole failure domain's chain out
     of service, and nothing else would show it. */
@@ -207,7 +195,6 @@
       ServerEntry left;
       left.service = m_service;
       left.failure_domain = domain;
-      left.accelerator = KindAboveSlowest(engine, domain, servers);
       left.layers = gap;
       m_logger.Log(LogLevel::kInfo, "layers_missing",
                    {{"failure_domain", domain},
@@ -231,7 +218,7 @@
           return !server.registration.empty() && candidate.left.registration == server.registration;
         });
     if (is_free(server) && own != m_vacancies.end()) {
-      TakeOver(server, own);
+      TakeOver(server, *own);
     }
   }
   for (const ServerEntry& server : servers) {
@@ -240,27 +227,45 @@
     }
     const auto vacancy =
         std::find_if(m_vacancies.begin(), m_vacancies.end(), [&](const Vacancy& candidate) {
-          return candidate.left.accelerator == server.accelerator &&
+          return !candidate.taken_by && candidate.left.accelerator == server.accelerator &&
                  candidate.left.failure_domain == server.failure_domain;
         });
     if (vacancy != m_vacancies.end()) {
-      TakeOver(server, vacancy);
+      TakeOver(server, *vacancy);
     }
   }
 }
 
-void LayerPlacer::TakeOver(const ServerEntry& server, std::vector<Vacancy>::iterator vacancy) {
-  m_assignments[server.name].layers = vacancy->left.layers;
-  // What they held before is what others may need next; left where they are, each loss would leave
-  // the pool with fewer holders of some layer.
-  for (const BackendServerName& name : vacancy->shared_by) {
+void LayerPlacer::TakeOver(const ServerEntry& server, Vacancy& vacancy) {
+  m_assignments[server.name].layers = vacancy.left.layers;
+  vacancy.taken_by = server.name;
+}
+
+/** Loading a range takes up to four seconds. Until then the spares stand in for it: sent back when
+   the order went out, they left a range without a holder for as long. */
+void LayerPlacer::EndVacanciesThatAreLoaded(const std::vector<ServerEntry>& servers) {
+  for (const ServerEntry& server : servers) {
+    std::erase_if(m_vacancies, [&](const Vacancy& vacancy) {
+      const bool is_loaded =
+          vacancy.taken_by == server.name && server.layers == vacancy.left.layers;
+      if (is_loaded) {
+        SendSparesBack(vacancy);
+      }
+      return is_loaded;
+    });
+  }
+}
+
+/** What they held before is what others may need next; left where they are, each loss would leave
+   the pool with fewer holders of some layer. */
+void LayerPlacer::SendSparesBack(const Vacancy& vacancy) {
+  for (const BackendServerName& name : vacancy.shared_by) {
     const auto spare = m_repairing.find(name);
     if (spare != m_repairing.end()) {
       m_assignments[name] = {spare->second, {}, false};
       m_repairing.erase(spare);
     }
   }
-  m_vacancies.erase(vacancy);
 }
 
 void LayerPlacer::NoteStalled(const BackendServerName& server) {
@@ -334,6 +339,7 @@
     }
     return;
   }
+  EndVacanciesThatAreLoaded(servers);
   NoteGaps(engine, servers);
   AssignVacated(servers);
   RepairWithSpares(engine, servers);
--- a/packages/zinnia_decisions/forwarding/placement/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/placement/layer_placer.h
@@ -62,11 +62,14 @@
     bool accepted = false;
   };
 
-  /** A range whose holder left, until a server like it takes it over. */
+  /** A range whose holder left, until a server like it holds it. */
   struct Vacancy {
     ServerEntry left;
     TimePoint since{};
 
+    /** Who is to hold it and is loading it. */
+    std::optional<BackendServerName> taken_by;
+
     /** The servers that share it meanwhile. */
     std::vector<BackendServerName> shared_by;
   };
@@ -81,12 +84,11 @@
   void NoteVacancies(const ForwardingView& view);
   void NoteEmptied(const ServerEntry& before, const ServerEntry& now);
   void NoteGaps(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
-  static std::string KindAboveSlowest(const EngineProfile& engine,
-                                      const FailureDomainName& domain,
-                                      const std::vector<ServerEntry>& servers);
   bool IsVacant(const FailureDomainName& domain, const LayerRange& layers) const;
   void AssignVacated(const std::vector<ServerEntry>& servers);
-  void TakeOver(const ServerEntry& server, std::vector<Vacancy>::iterator vacancy);
+  void TakeOver(const ServerEntry& server, Vacancy& vacancy);
+  void EndVacanciesThatAreLoaded(const std::vector<ServerEntry>& servers);
+  void SendSparesBack(const Vacancy& vacancy);
   LayerRange PlannedLayers(const ServerEntry& server) const;
 
   /** With the layers that they hold or are to hold, without those that stalled. */
--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -268,6 +268,72 @@
   CHECK_FALSE(orders.placed.empty());
 }
 
+// Symptom: one loss takes every spare of its domain. Sequence: spares are ordered to share a range;
+// until they have loaded, the range still shows no holder, and more are ordered at each tick.
+// Cause: what engines hold counted, not what they are to hold.
+TEST(Placement, ARangeIsSharedOutOnceWhileItsSparesLoad) {
+  for (int index = 6; index < 12; ++index) {
+    servers.push_back(EngineServer("slow" + std::to_string(index), "slow", "k"));
+  }
+  Run(seconds(2));
+  CarryOut();
+  Run(seconds(1));
+  const LayerRange lost = RangeOf("middle0");
+  Lose("middle0");
+  orders.placed.clear();
+  Run(seconds(3));
+  std::vector<int> holders(80, 0);
+  for (const auto& [name, range] : orders.placed) {
+    for (std::uint32_t layer = range.first; layer < range.end; ++layer) {
+      ++holders[layer];
+    }
+  }
+  CHECK_FALSE(orders.placed.empty());
+  for (std::uint32_t layer = 0; layer < holders.size(); ++layer) {
+    CHECK_TRUE(holders[layer] <= (layer >= lost.first && layer < lost.end ? 1 : 0));
+  }
+}
+
+// Symptom: refusals for four seconds after an engine came back. Sequence: spares stand in for a
+// lost range; the engine comes back empty and is ordered to take its range, which it loads for
+// seconds; the spares are sent back in the same moment. Cause: a range that is to be held taken for
+// one that is.
+TEST(Placement, SparesStandInUntilTheRangeIsLoaded) {
+  Run(seconds(2));
+  CarryOut();
+  Run(seconds(1));
+  const ServerEntry lost = servers[2];
+  Lose("middle0");
+  orders.placed.clear();
+  Run(seconds(2));
+  CarryOut();
+  const std::map<std::string, LayerRange> taken_over = orders.placed;
+  servers.push_back(lost);
+  servers.back().name = "middle0@later";
+  servers.back().layers = {};
+  orders.placed.clear();
+  Run(seconds(3));
+  CHECK_EQUAL(1U, orders.placed.size());  // Only the range of the one that came back: it loads.
+  CHECK_TRUE(lost.layers == orders.placed.at("middle0@later"));
+
+  // It is lost again before it has loaded: the spares go on, and the next one takes the range.
+  Lose("middle0@later");
+  orders.placed.clear();
+  Run(seconds(2));
+  CHECK_TRUE(orders.placed.empty());
+  servers.push_back(lost);
+  servers.back().name = "middle0@last";
+  servers.back().layers = {};
+  Run(seconds(1));
+  CarryOut();
+  Run(seconds(1));
+  CHECK_TRUE(lost.layers == RangeOf("middle0@last"));
+  for (const auto& [name, range] : taken_over) {
+    CHECK_TRUE(orders.placed.contains(name));
+    CHECK_TRUE(orders.placed.at(name) != range);
+  }
+}
+
 // Symptom: each loss leaves the pool with fewer holders of some layers, until a later one stops
 // all. Sequence: an engine crashes, slower ones take its range over, it comes back. Cause: they
 // stay where they are.
@@ -296,6 +362,7 @@
   Run(seconds(1));
   CarryOut();
   Run(seconds(1));
+  CarryOut();
   CHECK_TRUE(before.at("middle0") == RangeOf("middle0@later"));
   for (const auto& [name, range] : taken_over) {
     CHECK_TRUE(before.at(name) == RangeOf(name));
