--- a/tests/forwarding/placement_test.cc
+++ b/tests/forwarding/placement_test.cc
@@ -272,7 +272,7 @@
 // until they have loaded, the range still shows no holder, and more are ordered at each tick.
 // Cause: what engines hold counted, not what they are to hold.
 TEST(Placement, ARangeIsSharedOutOnceWhileItsSparesLoad) {
-  for (int index = 6; index < 12; ++index) {
+  for (int index = 6; index < 8; ++index) {
     servers.push_back(EngineServer("slow" + std::to_string(index), "slow", "k"));
   }
   Run(seconds(2));
