Keep open connections of callers in one class; log moves of streams in one place

Cause: CallerServer and ForwardServer kept their connections with the same four functions, and two functions of ForwardExchange logged the same fields. Change: CallerConnections serves both; LogMove. Behaviour unchanged.

--- a/packages/zinnia_adapters/callers/caller_server.cc
+++ b/packages/zinnia_adapters/callers/caller_server.cc
@@ -122,13 +122,13 @@
 }
 
 void CallerServer::TakeConnection(tcp::socket socket) {
-  if (m_connections.size() >= m_parts.limits.most_connections) {
+  if (m_connections.Count() >= m_parts.limits.most_connections) {
     m_parts.metrics.Count("caller_connections_refused");
     socket.close();
     return;
   }
   auto connection = std::make_shared<CallerConnection>(std::move(socket), m_parts.limits, *this);
-  m_connections.emplace(connection.get(), connection);
+  m_connections.Add(connection);
   connection->Start();
 }
 
@@ -242,7 +242,7 @@
 }
 
 void CallerServer::OnConnectionClosed(CallerConnection& connection) {
-  m_connections.erase(&connection);
+  m_connections.Remove(connection);
 }
 
 void CallerServer::CountConnectionEvent(std::string_view event) {
@@ -251,27 +251,17 @@
 
 void CallerServer::BeginDrain() {
   m_draining = true;
-  const auto connections = m_connections;
-  for (const auto& [key, connection] : connections) {
-    connection->CloseIfIdle();
-  }
+  m_connections.CloseIdle();
 }
 
 std::size_t CallerServer::InFlight() const {
-  std::size_t count = m_registry.Count();
-  for (const auto& [key, connection] : m_connections) {
-    count += connection->HasUnsentAnswer() ? 1 : 0;
-  }
-  return count;
+  return m_registry.Count() + m_connections.CountUnsentAnswers();
 }
 
 void CallerServer::CutOff() {
   m_draining = true;
   m_acceptor.Close();
-  const auto connections = m_connections;
-  for (const auto& [key, connection] : connections) {
-    connection->Close();
-  }
+  m_connections.CloseAll();
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/callers/caller_server.h
+++ b/packages/zinnia_adapters/callers/caller_server.h
@@ -11,6 +11,7 @@
 
 #include "zinnia_adapters/callers/caller_acceptor.h"
 #include "zinnia_adapters/callers/caller_connection.h"
+#include "zinnia_adapters/callers/caller_connections.h"
 #include "zinnia_adapters/callers/caller_server_parts.h"
 #include "zinnia_adapters/callers/exchange_context.h"
 #include "zinnia_adapters/callers/exchange_registry.h"
@@ -83,7 +84,7 @@
   CallerAcceptor m_acceptor;
   ExchangeRegistry m_registry;
   std::shared_ptr<ServiceForwarder> m_forwarder;
-  std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> m_connections;
+  CallerConnections m_connections;
   RandomSource m_random;
   std::uint64_t m_next_request = 1;
   bool m_draining = false;
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -117,6 +117,7 @@
       again elsewhere. While it flows, that would only risk it. */
   void Reroute(std::string_view reason, bool is_broken);
   void ChangePath(const FoundPath& found, std::string_view reason);
+  void LogMove(std::string_view event, const LayerPath& to, std::string_view reason) const;
   bool MayStartAgain() const;
   void StartAgain(const FoundPath& found, std::string_view reason);
   void OnNoReroute(std::string_view reason);
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -253,25 +253,26 @@
 /** Leaves the present servers, of which the first still works, for others where the stream goes on
     after its last whole event. */
 void ForwardExchange::StartAgain(const FoundPath& found, std::string_view reason) {
-  m_parts.logger.Log(LogLevel::kInfo, "request_started_again",
-                     {{"request", m_facts.id},
-                      {"reason", std::string(reason)},
-                      {"from", DescribePath(m_path)},
-                      {"to", DescribePath(found.path)},
-                      {"silent_ms", Milliseconds(m_parts.clock.Now() - m_last_progress)}});
+  LogMove("request_started_again", found.path, reason);
   std::exchange(m_connection, nullptr)->Close();
   m_history.may_have_run = true;
   TakePath(found);
   Send();
 }
 
-void ForwardExchange::ChangePath(const FoundPath& found, std::string_view reason) {
-  m_parts.logger.Log(LogLevel::kInfo, "request_rerouted",
+void ForwardExchange::LogMove(std::string_view event,
+                              const LayerPath& to,
+                              std::string_view reason) const {
+  m_parts.logger.Log(LogLevel::kInfo, event,
                      {{"request", m_facts.id},
                       {"reason", std::string(reason)},
                       {"from", DescribePath(m_path)},
-                      {"to", DescribePath(found.path)},
+                      {"to", DescribePath(to)},
                       {"silent_ms", Milliseconds(m_parts.clock.Now() - m_last_progress)}});
+}
+
+void ForwardExchange::ChangePath(const FoundPath& found, std::string_view reason) {
+  LogMove("request_rerouted", found.path, reason);
   m_parts.pipe.Add(found.pipe_ms);
   m_rerouting = true;
   m_parts.engine_calls.Reroute(
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -68,13 +68,13 @@
 }
 
 void ForwardServer::TakeConnection(tcp::socket socket) {
-  if (m_connections.size() >= m_limits.most_connections) {
+  if (m_connections.Count() >= m_limits.most_connections) {
     m_parts.metrics.Count("caller_connections_refused");
     socket.close();
     return;
   }
   auto connection = std::make_shared<CallerConnection>(std::move(socket), m_limits, *this);
-  m_connections.emplace(connection.get(), connection);
+  m_connections.Add(connection);
   connection->Start();
 }
 
@@ -151,7 +151,7 @@
 }
 
 void ForwardServer::OnConnectionClosed(CallerConnection& connection) {
-  m_connections.erase(&connection);
+  m_connections.Remove(connection);
 }
 
 void ForwardServer::CountConnectionEvent(std::string_view event) {
@@ -196,10 +196,7 @@
 void ForwardServer::StopAccepting() {
   m_draining = true;
   m_acceptor.Close();
-  const auto connections = m_connections;
-  for (const auto& [key, connection] : connections) {
-    connection->CloseIfIdle();
-  }
+  m_connections.CloseIdle();
 }
 
 void ForwardServer::AnswerRest() {
@@ -209,11 +206,7 @@
 }
 
 std::size_t ForwardServer::InFlight() const {
-  std::size_t count = m_exchanges.size();
-  for (const auto& [key, connection] : m_connections) {
-    count += connection->HasUnsentAnswer() ? 1 : 0;
-  }
-  return count;
+  return m_exchanges.size() + m_connections.CountUnsentAnswers();
 }
 
 std::vector<std::string> ForwardServer::Describe() const {
@@ -227,10 +220,7 @@
 void ForwardServer::CutOff() {
   m_draining = true;
   m_acceptor.Close();
-  const auto connections = m_connections;
-  for (const auto& [key, connection] : connections) {
-    connection->Close();
-  }
+  m_connections.CloseAll();
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/forward_server.h
+++ b/packages/zinnia_adapters/forwarding/forward_server.h
@@ -10,6 +10,7 @@
 
 #include "zinnia_adapters/callers/caller_acceptor.h"
 #include "zinnia_adapters/callers/caller_connection.h"
+#include "zinnia_adapters/callers/caller_connections.h"
 #include "zinnia_adapters/callers/caller_limits.h"
 #include "zinnia_adapters/forwarding/forward_exchange.h"
 #include "zinnia_adapters/forwarding/forwarding_parts.h"
@@ -80,7 +81,7 @@
   const ForwardingParts m_parts;
   CallerAcceptor m_acceptor;
   CallerLimits m_limits;
-  std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> m_connections;
+  CallerConnections m_connections;
   Exchanges m_exchanges;
   std::unique_ptr<ScheduledCall> m_tick;
   std::uint64_t m_ticks = 0;
