--- /dev/null
+++ b/tests/forwarding/news_test.cc
@@ -0,0 +1,289 @@
+#include "tests/forwarding/forwarding_fakes.h"
+#include "zinnia_decisions/forwarding/beliefs/instance_directory.h"
+#include "zinnia_decisions/forwarding/beliefs/instance_registration.h"
+#include "zinnia_decisions/forwarding/beliefs/news_exchange.h"
+#include "zinnia_decisions/forwarding/beliefs/store_mirror.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(News) {
+  struct Transport final : NewsTransport {
+    void Exchange(const NetworkAddress& peer,
+                  const NewsReport& report,
+                  std::function<void(Result<MirrorDelta>)> callback) override {
+      sent.emplace_back(peer, report);
+      if (report.wants_records && answers_to_fetches) {
+        callback(*answers_to_fetches);
+      } else if (answer) {
+        callback(*answer);
+      }
+    }
+    std::vector<std::pair<NetworkAddress, NewsReport>> sent;
+    std::optional<MirrorDelta> answer;
+    std::optional<MirrorDelta> answers_to_fetches;
+  };
+  struct Sink final : NewsSink {
+    void OnDomainUses(const FailureDomainName& domain, LoadBook::Uses reported) override {
+      uses[domain] = std::move(reported);
+    }
+    void OnPeerStall(const StallNews& stall) override { stalls.push_back(stall.server); }
+    void OnPeerPaces(const std::vector<PaceNews>& slow_servers) override { slow = slow_servers; }
+    void OnPeerLayers(const LayersNews& heard) override { layers.push_back(heard); }
+    std::map<InstanceName, LoadBook::Uses> uses;
+    std::vector<std::string> stalls;
+    std::vector<PaceNews> slow;
+    std::vector<LayersNews> layers;
+  };
+
+  VirtualTime time;
+  HeldStore store{time};
+  SilentLogger logger;
+  StoreMirror mirror{store, time, time, logger, {}};
+  InstanceDirectory instances{time, MakeInstance("self", 1)};
+  Transport transport;
+  Sink sink;
+  NewsExchange news{transport, time, time, instances, mirror, sink, {{"10.0.0.7", 7}}, {}};
+
+  static Instance MakeInstance(const std::string& name, std::uint16_t port) {
+    Instance instance;
+    instance.name = name;
+    instance.peer_address = {"10.0.0.1", port};
+    return instance;
+  }
+
+  NewsReport ReportOf(const std::string& name) {
+    NewsReport report;
+    report.instance = MakeInstance(name, 2);
+    return report;
+  }
+
+  /** Lets it hear the peers and know what is whose part. */
+  void Know(std::initializer_list<const char*> names) {
+    for (const char* name : names) {
+      news.OnNews(ReportOf(name));
+    }
+    news.Start();
+    transport.sent.clear();
+  }
+
+  /** What it tells peers now. */
+  NewsReport LastReport() {
+    news.TellLeaving();
+    return transport.sent.back().second;
+  }
+};
+
+// Symptom: an instance that starts while the store refuses it never serves. Sequence: start, store
+// silent, no peer known. Cause: peers looked up only in the store.
+TEST(News, AnInstanceThatKnowsNobodyAsksTheSeedsAndLearnsEverything) {
+  transport.answer = MirrorDelta{true, 9, {{"k", 5, "v"}}};
+  news.Start();
+  time.AdvanceBy(milliseconds(250));
+  CHECK_FALSE(transport.sent.empty());
+  CHECK_EQUAL(7, transport.sent.front().first.port);
+  CHECK_TRUE(mirror.IsFilled());
+  CHECK_TRUE(mirror.Has("k"));
+}
+
+// Symptom: a configuration is not in force eleven seconds after its change. Sequence: the store
+// refuses an instance on a slow link; its peers know a large configuration; each answers its
+// reports with all of it. Cause: sixteen copies at once, none of which arrived within its limit.
+TEST(News, AnInstanceThatIsBehindFetchesFromOnePeerAtATime) {
+  for (const char* name : {"a", "b", "c"}) {
+    NewsReport report = ReportOf(name);
+    report.revision = 9;
+    news.OnNews(report);
+  }
+  CHECK_EQUAL(1U, transport.sent.size());
+  CHECK_TRUE(transport.sent[0].second.wants_records);
+
+  time.AdvanceBy(seconds(1));
+  NewsReport report = ReportOf("b");
+  report.revision = 9;
+  transport.answer = MirrorDelta{true, 9, {{"k", 5, "v"}}};
+  news.OnNews(report);
+  CHECK_EQUAL(2U, transport.sent.size());
+  CHECK_TRUE(mirror.Has("k"));
+  news.OnNews(report);
+  CHECK_EQUAL(2U, transport.sent.size());
+}
+
+TEST(News, AReportIsAnsweredWithRecordsOnlyIfItWantsThem) {
+  mirror.Merge({true, 9, {{"k", 5, "v"}}});
+  NewsReport report = ReportOf("peer");
+  CHECK_EQUAL(0U, news.OnNews(report).records.size());
+  CHECK_EQUAL(9U, news.OnNews(report).revision);
+  report.wants_records = true;
+  CHECK_EQUAL(1U, news.OnNews(report).records.size());
+}
+
+// Symptom: an instance keeps an old configuration for good. Sequence: a peer's answer says how far
+// it knows the records without holding any. Cause: such an answer taken for "nothing changed".
+TEST(News, AnAnswerWithoutRecordsDoesNotMoveTheCopyForward) {
+  mirror.Merge({true, 4, {{"k", 4, "old"}}});
+  Know({"peer"});
+  transport.answer = MirrorDelta{false, 9, {}};
+  transport.answers_to_fetches = MirrorDelta{false, 9, {{"k", 8, "new"}}};
+  news.TellLeaving();
+  CHECK_EQUAL(2U, transport.sent.size());
+  CHECK_EQUAL(8U, mirror.ChangesAfter(4).records.at(0).revision);
+}
+
+TEST(News, PeersThatWereHeardCountAsAliveForAWhile) {
+  news.OnNews(ReportOf("peer"));
+  CHECK_EQUAL(2U, instances.LiveInstances().size());
+  time.AdvanceBy(seconds(6));
+  CHECK_EQUAL(1U, instances.LiveInstances().size());
+}
+
+TEST(News, AStallGoesToPeersAtOnceAndOnlyOnce) {
+  Know({"peer"});
+  news.TellStall("s");
+  news.TellStall("s");
+  CHECK_EQUAL(1U, transport.sent.size());
+  STRCMP_EQUAL("s", transport.sent[0].second.stalls[0].server.c_str());
+}
+
+TEST(News, SlowServersAreToldAndHeard) {
+  Know({"peer"});
+  news.SetSlowServers({{"s", 5.0, milliseconds(10)}});
+  news.TellLeaving();
+  CHECK_EQUAL(1U, transport.sent.back().second.slow_servers.size());
+  NewsReport report = ReportOf("peer");
+  report.slow_servers = {{"other", 4.0, milliseconds(30)}};
+  news.OnNews(report);
+  STRCMP_EQUAL("other", sink.slow.at(0).server.c_str());
+}
+
+TEST(News, LayersThatAServerNamedAreToldForAMoment) {
+  Know({"peer"});
+  news.TellLayers({"s", {20, 40}});
+  news.TellLeaving();
+  CHECK_EQUAL(1U, transport.sent.back().second.layers.size());
+  time.AdvanceBy(seconds(1));
+  news.TellLeaving();
+  CHECK_EQUAL(0U, transport.sent.back().second.layers.size());
+  NewsReport report = ReportOf("peer");
+  report.layers = {{"other", {0, 5}}};
+  news.OnNews(report);
+  STRCMP_EQUAL("other", sink.layers.at(0).server.c_str());
+}
+
+TEST(News, AStallHeardIsTakenInOnce) {
+  NewsReport report = ReportOf("peer");
+  report.stalls.push_back({"s", milliseconds(30)});
+  news.OnNews(report);
+  news.OnNews(report);
+  CHECK_EQUAL(1U, sink.stalls.size());
+}
+
+// Symptom: a leaving server gets requests two seconds after it said so. Sequence: the store refuses
+// one instance and serves the others; the server leaves meanwhile. Cause: the refused instance
+// takes its own failures for an outage of the store.
+TEST(News, APeerThatTheStoreServesProvesThatThereIsNoOutage) {
+  CHECK_FALSE(news.SomePeerIsSteady());
+  NewsReport report = ReportOf("peer");
+  report.steady_age = milliseconds(0);
+  news.OnNews(report);
+  CHECK_TRUE(news.SomePeerIsSteady());
+  time.AdvanceBy(milliseconds(1'300));
+  CHECK_FALSE(news.SomePeerIsSteady());
+}
+
+// Symptom: the store's rates are used up by waiting watches of eighty instances. Sequence: each
+// instance polls briefly for fear of deaf watches. Cause: no division of that work.
+TEST(News, TheReadersReadAndTheOthersOnlyWhenTheyAreSilent) {
+  const auto hear = [this](const char* name) {
+    NewsReport report = ReportOf(name);
+    report.reader_age = milliseconds(0);
+    news.OnNews(report);
+  };
+  news.Start();
+  hear("another");
+  time.AdvanceBy(milliseconds(200));
+  CHECK_TRUE(news.ShouldRead());
+  hear("before");
+  time.AdvanceBy(milliseconds(200));
+  CHECK_FALSE(news.ShouldRead());
+  time.AdvanceBy(milliseconds(700));
+  CHECK_FALSE(news.ShouldRead());
+  time.AdvanceBy(seconds(2));
+  CHECK_TRUE(news.ShouldRead());
+}
+
+// Symptom: after the readers were lost, a configuration comes into force ten seconds late.
+// Sequence: two relays tell each other that a reader was heard, for ever. Cause: news of a reader
+// without its age.
+TEST(News, TheWordOfAReaderAgesOnItsWay) {
+  Know({"another", "before"});
+  NewsReport report = ReportOf("another");
+  report.reader_age = milliseconds(700);
+  news.OnNews(report);
+  time.AdvanceBy(milliseconds(400));
+  report.reader_age = milliseconds(1'100);
+  news.OnNews(report);
+  CHECK_FALSE(news.ShouldRead());
+  CHECK_EQUAL(1'100, LastReport().reader_age->count());
+  time.AdvanceBy(milliseconds(200));
+  report.reader_age = milliseconds(1'300);
+  news.OnNews(report);
+  CHECK_TRUE(news.ShouldRead());
+}
+
+// Symptom: a change is in force two seconds late on instances that do not read the store. Sequence:
+// their reader learns of it and tells them in turn. Cause: news of a change waited for its turn.
+TEST(News, AReaderTellsItsDomainOfAChangeAtOnceAndOnlyOnce) {
+  Know({"peer"});
+  mirror.Merge({true, 9, {{"k", 5, "v"}}});
+  news.TellAdvance();
+  news.TellAdvance();
+  CHECK_EQUAL(1U, transport.sent.size());
+  CHECK_EQUAL(9U, transport.sent[0].second.revision);
+}
+
+TEST(News, AnInstanceThatLeavesIsForgottenAtOnce) {
+  NewsReport report = ReportOf("peer");
+  news.OnNews(report);
+  report.leaving = true;
+  news.OnNews(report);
+  CHECK_EQUAL(1U, instances.LiveInstances().size());
+}
+
+// Symptom: 195 instances that start again together make 390 calls more than they need. Sequence:
+// each writes its record as new, is told that there is one, reads it and writes again. Cause: the
+// record of its former self, which the first list showed, is not used.
+TEST(News, ARecordThatIsKnownIsWrittenWithoutBeingReadFirst) {
+  store.Put("instances/self", "of before");
+  InstanceRegistration registration(store, time, logger, MakeInstance("self", 1));
+  registration.Start();
+  registration.NoteRecord(store.version);
+  time.AdvanceBy(milliseconds(200));
+  CHECK_EQUAL(0, store.gets);
+  CHECK_TRUE(*store.records["instances/self"].value != "of before");
+}
+
+TEST(News, ARecordOfAnUnknownVersionIsReadAndReplaced) {
+  store.Put("instances/self", "of before");
+  InstanceRegistration registration(store, time, logger, MakeInstance("self", 1));
+  registration.Start();
+  time.AdvanceBy(seconds(3));
+  CHECK_EQUAL(1, store.gets);
+  CHECK_TRUE(*store.records["instances/self"].value != "of before");
+}
+
+TEST(News, InstanceRecordsReadBackAsWritten) {
+  const Instance written = MakeInstance("n", 5);
+  const auto read =
+      InstanceRegistration::Decode("instances/n", InstanceRegistration::Encode(written));
+  CHECK_TRUE(read.has_value());
+  CHECK_TRUE(written == *read);
+  CHECK_FALSE(InstanceRegistration::Decode("instances/n", "nonsense").has_value());
+  CHECK_FALSE(InstanceRegistration::Decode("other/n", "{}").has_value());
+}
+
+}  // namespace zinnia
