Log and count the limits that servers name

Hypotheses on the server that was given twice what it takes could not be told apart: no line says what an answer's head held. A line now says which instance heard or lost a limit, of whom and with which request, and a gauge how many are in force. No decision uses it yet.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -16,6 +16,7 @@
 #include "zinnia_decisions/forwarding/admission/room_queue.h"
 #include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 #include "zinnia_decisions/ports/metrics.h"
 
@@ -190,6 +191,7 @@
     AbandonServer("an answer to another request arrived");
     return;
   }
+  NoteLimit();
   if (!IsSuccess(status)) {
     return;
   }
@@ -202,6 +204,23 @@
   }
 }
 
+/** 421 may come from another server that got the address. That there is no limit any more is
+    believed of signed answers only: others may be cut short, or not be the server's. */
+void ForwardExchange::NoteLimit() {
+  const std::optional<double> limit = m_answer_facts.requests_per_second;
+  const bool is_own_word = m_status != kStatusMisdirected && (limit || m_answer_facts.is_signed);
+  if (!is_own_word || !m_parts.limits.OnAnswer(m_server, limit, m_sent_at)) {
+    return;
+  }
+  m_parts.metrics.SetGauge("server_limits_in_force",
+                           static_cast<double>(m_parts.limits.CountInForce()));
+  m_parts.logger.Log(LogLevel::kInfo, limit ? "server_limit_heard" : "server_limit_lifted",
+                     {{"server", m_server},
+                      {"heard_from", "server"},
+                      {"requests_per_second", fmt::format("{:.2f}", limit.value_or(0.0))},
+                      {"request", m_facts.id}});
+}
+
 void ForwardExchange::OnStreamHead(unsigned status, const http::fields& fields) {
   m_is_streaming = true;
   if (std::exchange(m_stream_started, true)) {
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -97,6 +97,7 @@
   void Reserve(const LayerPath& path);
   void ReleaseReservations();
 
+  void NoteLimit();
   void OnStreamHead(unsigned status, const boost::beast::http::fields& fields);
   void OnWholeAnswer();
   void AskForPaces();
--- a/packages/zinnia_adapters/forwarding/forwarding_parts.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_parts.h
@@ -24,6 +24,7 @@
 class RoomQueue;
 class ServerConnectionPool;
 class ServerHealth;
+class ServerLimits;
 class SharedRetryBudget;
 class StallInquiry;
 struct ForwardingView;
@@ -37,6 +38,7 @@
   EngineCalls& engine_calls;
   LoadBook& loads;
   ServerHealth& health;
+  ServerLimits& limits;
   const PathFinder& paths;
   RecoveryChooser& recovery;
   RoomQueue& room;
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -15,6 +15,7 @@
 #include "zinnia_decisions/forwarding/beliefs/news_report.h"
 #include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/paths/path_finder.h"
 #include "zinnia_decisions/forwarding/paths/plain_server_chooser.h"
 #include "zinnia_decisions/forwarding/paths/recovery_chooser.h"
@@ -75,6 +76,7 @@
   RandomSource m_random;
   LoadBook m_loads;
   ServerHealth m_health;
+  ServerLimits m_limits;
   PipeMeter m_pipe;
   ServerConnectionPool m_connections;
   PathFinder m_paths;
--- a/packages/zinnia_adapters/forwarding/message_codec.h
+++ b/packages/zinnia_adapters/forwarding/message_codec.h
@@ -43,6 +43,9 @@
 
   /** The "IP:PORT" of the server on the path that is at fault for a refusal; may be empty. */
   std::string server_at_fault;
+
+  /** How many requests a second the server takes from all instances together, if it says so. */
+  std::optional<double> requests_per_second;
 };
 
 /** The names and formats in which requests and answers carry what forwarding needs to know. */
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -49,6 +49,9 @@
     facts.not_run = fields.count("X-Not-Run") > 0;
     facts.request_id = std::string(fields["X-Id"]);
     facts.is_signed = fields.count("X-Signature") > 0;
+    if (fields.count("X-Limit") > 0) {
+      facts.requests_per_second = std::stod(std::string(fields["X-Limit"]));
+    }
     return facts;
   }
 };
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -80,6 +80,18 @@
   STRCMP_EQUAL("10.0.0.2:80", facts.server_at_fault.c_str());
 }
 
+TEST(PlatformHeaders, ReadsTheLimitThatAServerNames) {
+  CHECK_FALSE(codec.ReadAnswer(200, fields).requests_per_second.has_value());
+  fields.set("Server-Limit", "11.2");
+  DOUBLES_EQUAL(11.2, codec.ReadAnswer(200, fields).requests_per_second.value(), 1e-9);
+  fields.set("Server-Limit", "0");
+  DOUBLES_EQUAL(0.0, codec.ReadAnswer(503, fields).requests_per_second.value(), 1e-9);
+  for (const char* no_rate : {"", "many", "-1", "nan", "inf", "12 a second"}) {
+    fields.set("Server-Limit", no_rate);
+    CHECK_FALSE(codec.ReadAnswer(200, fields).requests_per_second.has_value());
+  }
+}
+
 TEST_GROUP(PlatformRecords) {
   PlatformRecordReader reader;
 };
