--- a/bench/forward_choice/main.cc
+++ b/bench/forward_choice/main.cc
@@ -10,6 +10,8 @@
 
 #include "zinnia_base/time/virtual_time.h"
 #include "zinnia_decisions/forwarding/beliefs/beliefs.h"
+#include "zinnia_decisions/forwarding/limits/holder_division.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/paths/paths.h"
 #include "zinnia_decisions/forwarding/placement/layer_planner.h"
 
@@ -67,10 +69,12 @@
   VirtualTime time;
   LoadBook loads(time);
   ServerHealth health(time);
+  const HolderDivision division;
+  const ServerLimits limits(time, division, "self");
   PipeMeter pipe(time);
   RandomSource random(1);
   const NoConnections connections;
-  const PathFinder paths(loads, health, pipe, connections, random);
+  const PathFinder paths(loads, health, limits, pipe, connections, random);
   RecoveryChooser recovery(time, paths, loads, health);
   std::vector<ServerEntry> servers;
   servers.reserve(engines);
--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp
@@ -37,6 +37,13 @@
   leaving @3 :Bool;
 }
 
+struct NewsServerLimit {
+  server @0 :Text;
+  requestsPerSecond @1 :Float64;
+  ended @2 :Bool;
+  ageMs @3 :UInt32;
+}
+
 struct NewsInstance {
   name @0 :Text;
   ip @1 :Text;
@@ -68,6 +75,8 @@
   steadyAgeMs @12 :UInt32 = 0xffffffff;
   # How long ago an instance was known to read the store, and to be served by it steadily. Left out
   # by an older version, which says it of itself alone with storeIsSteady and isReader.
+
+  serverLimits @13 :List(NewsServerLimit);
 }
 
 struct NewsRecord {
--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(cf66d0929ca283f6);
 CAPNP_DECLARE_SCHEMA(afdb328e84422b53);
 CAPNP_DECLARE_SCHEMA(d359019802dc87af);
+CAPNP_DECLARE_SCHEMA(a78d7de7e9b3792a);
 CAPNP_DECLARE_SCHEMA(82fe748887a4ab38);
 CAPNP_DECLARE_SCHEMA(cdb7872f24f6fa70);
 CAPNP_DECLARE_SCHEMA(ecd3b5dc71c16b23);
@@ -115,6 +116,21 @@
   };
 };
 
+struct NewsServerLimit {
+  NewsServerLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a78d7de7e9b3792a, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NewsInstance {
   NewsInstance() = delete;
 
@@ -138,7 +154,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cdb7872f24f6fa70, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(cdb7872f24f6fa70, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -686,6 +702,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class NewsServerLimit::Reader {
+public:
+  typedef NewsServerLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline double getRequestsPerSecond() const;
+
+  inline bool getEnded() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NewsServerLimit::Builder {
+public:
+  typedef NewsServerLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline double getRequestsPerSecond();
+  inline void setRequestsPerSecond(double value);
+
+  inline bool getEnded();
+  inline void setEnded(bool value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NewsServerLimit::Pipeline {
+public:
+  typedef NewsServerLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NewsInstance::Reader {
 public:
   typedef NewsInstance Reads;
@@ -856,6 +968,9 @@
 
   inline  ::uint32_t getSteadyAgeMs() const;
 
+  inline bool hasServerLimits() const;
+  inline  ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>::Reader getServerLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -947,6 +1062,13 @@
   inline  ::uint32_t getSteadyAgeMs();
   inline void setSteadyAgeMs( ::uint32_t value);
 
+  inline bool hasServerLimits();
+  inline  ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>::Builder getServerLimits();
+  inline void setServerLimits( ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>::Builder initServerLimits(unsigned int size);
+  inline void adoptServerLimits(::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>> disownServerLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1715,6 +1837,82 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NewsServerLimit::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsServerLimit::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NewsServerLimit::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NewsServerLimit::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NewsServerLimit::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NewsServerLimit::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NewsServerLimit::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NewsServerLimit::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double NewsServerLimit::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double NewsServerLimit::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NewsServerLimit::Builder::setRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NewsServerLimit::Reader::getEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool NewsServerLimit::Builder::getEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void NewsServerLimit::Builder::setEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t NewsServerLimit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NewsServerLimit::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NewsServerLimit::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsInstance::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2180,6 +2378,40 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline bool NewsReport::Reader::hasServerLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool NewsReport::Builder::hasServerLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>::Reader NewsReport::Reader::getServerLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>::Builder NewsReport::Builder::getServerLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void NewsReport::Builder::setServerLimits( ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>::Builder NewsReport::Builder::initServerLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void NewsReport::Builder::adoptServerLimits(
+    ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>> NewsReport::Builder::disownServerLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool NewsRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/zinnia_adapters/fleet_news/news_codec.cc
+++ b/packages/zinnia_adapters/fleet_news/news_codec.cc
@@ -94,6 +94,14 @@
     slow[index].setPace(static_cast<float>(report.slow_servers[index].pace));
     slow[index].setAgeMs(static_cast<std::uint32_t>(report.slow_servers[index].age.count()));
   }
+  auto limits = to.initServerLimits(static_cast<unsigned>(report.server_limits.size()));
+  for (unsigned index = 0; index < report.server_limits.size(); ++index) {
+    const ServerLimitNews& news = report.server_limits[index];
+    limits[index].setServer(news.server);
+    limits[index].setRequestsPerSecond(news.requests_per_second.value_or(0.0));
+    limits[index].setEnded(!news.requests_per_second);
+    limits[index].setAgeMs(WriteAge(news.age));
+  }
   auto stalls = to.initStalls(static_cast<unsigned>(report.stalls.size()));
   for (unsigned stall = 0; stall < report.stalls.size(); ++stall) {
     stalls[stall].setServer(report.stalls[stall].server);
@@ -127,6 +135,11 @@
     report.slow_servers.push_back(
         {ToText(slow.getServer()), slow.getPace(), std::chrono::milliseconds(slow.getAgeMs())});
   }
+  for (const auto limit : from.getServerLimits()) {
+    const auto rate = limit.getEnded() ? std::nullopt : std::optional(limit.getRequestsPerSecond());
+    report.server_limits.push_back(
+        {ToText(limit.getServer()), rate, std::chrono::milliseconds(limit.getAgeMs())});
+  }
   for (const auto stall : from.getStalls()) {
     report.stalls.push_back(
         {ToText(stall.getServer()), std::chrono::milliseconds(stall.getAgeMs())});
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -16,6 +16,7 @@
 #include "zinnia_decisions/forwarding/admission/room_queue.h"
 #include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/limits/limit_outlook.h"
 #include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 #include "zinnia_decisions/ports/metrics.h"
@@ -111,10 +112,17 @@
   Send();
 }
 
-/** For paths of engines only: plain servers queue by themselves, and one that is free is taken. */
+/** Plain servers queue by themselves, and one that is free is taken: there only a server's turn at
+    its limit is worth waiting for. Nobody waits for a turn that comes too late. */
 void ForwardExchange::WaitForRoom() {
-  if (m_route->repeatability == Repeatability::kStream) {
-    const TimePoint on_time_until = m_started_at + m_route->latency_objective / 2;
+  const Duration worth_waiting = m_route->latency_objective / 2;
+  const LimitOutlook outlook = OutlookOfLimits();
+  const Duration longest = std::min(worth_waiting, RoomQueue::kLongestWait);
+  const bool turn_is_near = outlook.next_turn && *outlook.next_turn <= longest;
+  const bool may_wait =
+      outlook.all_closed ? turn_is_near : m_route->repeatability == Repeatability::kStream;
+  if (may_wait) {
+    const TimePoint on_time_until = m_started_at + worth_waiting;
     m_room_ticket = m_parts.room.Enter({m_route->priority, m_started_at, on_time_until});
   }
   if (m_room_ticket == RoomQueue::kNoTicket) {
@@ -123,7 +131,14 @@
 }
 
 void ForwardExchange::RefuseForWantOfRoom() {
-  Answer(NotRun(ErrorKind::kOverloaded, "no server of " + m_service + " has room"));
+  const bool is_limit = OutlookOfLimits().all_closed;
+  Answer(NotRun(ErrorKind::kOverloaded,
+                is_limit ? "every server of " + m_service + " has as many requests as it takes"
+                         : "no server of " + m_service + " has room"));
+}
+
+LimitOutlook ForwardExchange::OutlookOfLimits() const {
+  return LookAtLimits(*m_parts.view(), m_service, m_avoided, m_parts.limits);
 }
 
 bool ForwardExchange::TryToBegin() {
@@ -166,6 +181,8 @@
   m_last_progress = m_parts.clock.Now();
   m_sent_at = m_last_progress;
   ++m_history.servers_reached;
+  LogServersAtLimit();
+  m_parts.limits.OnSent(m_server);
   m_connection = m_parts.connections.Take(m_server, m_server_address,
                                           m_route->MayRepeat() ? kIdleForRepeatable : kIdleForOnce);
   m_parts.logger.Log(LogLevel::kInfo, "request_sent",
@@ -180,6 +197,17 @@
   m_connection->Send(std::move(request), weak_from_this(), kConnectLimit);
 }
 
+/** Who asks why a request went elsewhere finds the servers that it was kept from. */
+void ForwardExchange::LogServersAtLimit() {
+  const LimitOutlook outlook = OutlookOfLimits();
+  if (!outlook.closed.empty()) {
+    m_parts.metrics.Count("requests_past_server_limits");
+    m_parts.logger.Log(
+        LogLevel::kInfo, "servers_at_limit",
+        {{"request", m_facts.id}, {"servers", fmt::format("{}", fmt::join(outlook.closed, ","))}});
+  }
+}
+
 void ForwardExchange::OnServerAnswerHead(unsigned status, const http::fields& fields) {
   m_status = status;
   m_fields = fields;
@@ -209,16 +237,9 @@
 void ForwardExchange::NoteLimit() {
   const std::optional<double> limit = m_answer_facts.requests_per_second;
   const bool is_own_word = m_status != kStatusMisdirected && (limit || m_answer_facts.is_signed);
-  if (!is_own_word || !m_parts.limits.OnAnswer(m_server, limit, m_sent_at)) {
-    return;
+  if (is_own_word && m_parts.limits.OnAnswer(m_server, limit, m_sent_at)) {
+    m_parts.report_limit(m_server);
   }
-  m_parts.metrics.SetGauge("server_limits_in_force",
-                           static_cast<double>(m_parts.limits.CountInForce()));
-  m_parts.logger.Log(LogLevel::kInfo, limit ? "server_limit_heard" : "server_limit_lifted",
-                     {{"server", m_server},
-                      {"heard_from", "server"},
-                      {"requests_per_second", fmt::format("{:.2f}", limit.value_or(0.0))},
-                      {"request", m_facts.id}});
 }
 
 void ForwardExchange::OnStreamHead(unsigned status, const http::fields& fields) {
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -24,6 +24,7 @@
 namespace zinnia {
 
 class ServerConnection;
+struct LimitOutlook;
 
 /** One request on its way to a server and its answer back.
 
@@ -86,6 +87,8 @@
   void Begin();
   void WaitForRoom();
   void RefuseForWantOfRoom();
+  LimitOutlook OutlookOfLimits() const;
+  void LogServersAtLimit();
   std::optional<Error> FindRoute();
   ServiceName ChooseService();
   bool ChooseServer();
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -1,5 +1,6 @@
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/beast/http/field.hpp>
 #include <utility>
 
@@ -12,6 +13,7 @@
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/forwarding/admission/room_queue.h"
 #include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/limits/limit_outlook.h"
 #include "zinnia_decisions/ports/metrics.h"
 
 // The part of ForwardExchange that ends a request: what its caller gets, and when to come back.
@@ -30,6 +32,10 @@
    instance that has just started within a fifth of a second. */
 constexpr Duration kRetryAfterBriefWant = milliseconds(300);
 
+/** All servers are at their limits, of which this instance has no part: callers that come back
+   reach another instance, and limits change within seconds. */
+constexpr Duration kRetryAfterNoTurn = milliseconds(1'000);
+
 /** Callers that are refused together come back up to this part later than they could, so that they
     do not meet again. */
 constexpr double kRetryAfterSpread = 0.5;
@@ -75,6 +81,7 @@
 
 void ForwardExchange::Answer(const Error& error) {
   CallerResponse response = MakeProblemResponse(error);
+  const LimitOutlook limits = OutlookOfLimits();
   if (error.was_run == WasRun::kUnknown) {
     response.result(error.kind == ErrorKind::kBackendTimeout ? http::status::gateway_timeout
                                                              : http::status::bad_gateway);
@@ -85,6 +92,8 @@
     Duration soonest = wants_room ? m_parts.room.OnRefused() : kRetryAfterBriefWant;
     if (error.kind == ErrorKind::kStoreUnavailable) {
       soonest = kRetryAfterNoRules;
+    } else if (limits.all_closed) {
+      soonest = std::max(kRetryAfterBriefWant, limits.next_turn.value_or(kRetryAfterNoTurn));
     }
     const double spread = 1.0 + kRetryAfterSpread * RandomUnit(m_parts.random);
     response.set(http::field::retry_after,
@@ -97,6 +106,7 @@
                       {"reason", error.message},
                       {"was_run", std::string(NameOf(error.was_run))},
                       {"status", std::to_string(response.result_int())},
+                      {"at_limit", limits.all_closed ? "yes" : "no"},
                       {"revision", std::to_string(m_parts.view()->revision)}});
   m_responder->SendWhole(std::move(response));
   End("refused");
--- a/packages/zinnia_adapters/forwarding/forwarding_parts.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_parts.h
@@ -58,6 +58,9 @@
 
   /** A server's layers are not what the view has. */
   std::function<void(const ServerNews&)> report_server_news;
+
+  /** A server named another limit than it had, or none: logs it and tells peers. */
+  std::function<void(const BackendServerName&)> report_limit;
 };
 
 /** Asks a server how slow it is, for the choice of paths. */
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -1,28 +1,41 @@
 #include "zinnia_adapters/forwarding/forwarding_traffic.h"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 #include "zinnia_adapters/forwarding/exclusion_times.h"
+#include "zinnia_adapters/forwarding/log_text.h"
 #include "zinnia_adapters/threads/traffic_thread.h"
 #include "zinnia_base/logging/logger.h"
+#include "zinnia_decisions/ports/metrics.h"
 
 namespace zinnia {
+namespace {
+
+/** From whom a server's limit was heard. */
+constexpr std::string_view kServerItself = "server";
+constexpr std::string_view kPeer = "peer";
+
+}  // namespace
+
 ForwardingTraffic::ForwardingTraffic(TrafficThread& thread, ForwardingTrafficParts parts)
     : m_parts(std::move(parts)),
       m_view(std::make_shared<const ForwardingView>()),
       m_random(m_parts.random_seed),
       m_loads(m_parts.clock),
       m_health(m_parts.clock),
-      m_limits(m_parts.clock),
+      m_limits(m_parts.clock, m_limit_division, m_parts.own_name),
       m_pipe(m_parts.clock),
       m_connections(thread.Loop(), m_parts.clock),
-      m_paths(m_loads, m_health, m_pipe, m_connections, m_random),
+      m_paths(m_loads, m_health, m_limits, m_pipe, m_connections, m_random),
       m_recovery(m_parts.clock, m_paths, m_loads, m_health),
       m_room(m_parts.clock),
       m_departures(m_random, m_parts.departure_notice),
-      m_plain_servers(m_loads, m_health, m_random),
+      m_plain_servers(m_loads, m_health, m_limits, m_random),
       m_retries(m_parts.clock, m_parts.retry_budget),
-      m_stalls(m_parts.engine_calls, m_parts.clock),
+      m_counted_calls(m_parts.engine_calls, m_limits),
+      m_stalls(m_counted_calls, m_parts.clock),
       m_server(ForwardServer::Create(thread.Loop(),
                                      thread.GetScheduler(),
                                      MakeParts(),
@@ -34,7 +47,7 @@
           m_parts.logger,
           m_parts.metrics,
           m_parts.codec,
-          m_parts.engine_calls,
+          m_counted_calls,
           m_loads,
           m_health,
           m_limits,
@@ -51,12 +64,14 @@
           m_parts.own_failure_domain,
           [this] { return m_view; },
           [this](const std::vector<BackendServerName>& servers) { OnStalledHere(servers); },
-          m_parts.tell_server_news};
+          m_parts.tell_server_news,
+          [this](const BackendServerName& server) { OnLimitHeard(server, kServerItself); }};
 }
 
 void ForwardingTraffic::SetView(std::shared_ptr<const ForwardingView> view) {
   m_view = std::move(view);
   m_loads.SetPeerCount(m_view->live_instances - 1);
+  m_limits.SetView(m_view);
   m_server->OnViewChanged();
 }
 
@@ -70,6 +85,28 @@
   }
 }
 
+void ForwardingTraffic::OnPeerServerLimits(const std::vector<ServerLimitNews>& limits) {
+  for (const ServerLimitNews& news : limits) {
+    if (m_view->servers.contains(news.server) && m_limits.OnNews(news)) {
+      OnLimitHeard(news.server, kPeer);
+    }
+  }
+}
+
+void ForwardingTraffic::OnLimitHeard(const BackendServerName& server, std::string_view heard_from) {
+  const ServerLimits::Limit limit = m_limits.LimitOf(server);
+  m_parts.metrics.SetGauge("server_limits_in_force", static_cast<double>(m_limits.CountInForce()));
+  m_parts.logger.Log(
+      LogLevel::kInfo, limit.requests_per_second ? "server_limit_heard" : "server_limit_lifted",
+      {{"server", server},
+       {"heard_from", std::string(heard_from)},
+       {"age_ms", Milliseconds(limit.age)},
+       {"requests_per_second", fmt::format("{:.2f}", limit.requests_per_second.value_or(0.0))},
+       {"own_part", fmt::format("{:.2f}", limit.own_part)},
+       {"live_instances", std::to_string(m_view->live_instances)}});
+  m_parts.tell_server_limits(m_limits.TakeNews(), heard_from == kServerItself);
+}
+
 void ForwardingTraffic::OnStalledHere(const std::vector<BackendServerName>& servers) {
   for (const BackendServerName& server : servers) {
     m_parts.logger.Log(LogLevel::kInfo, "server_stalled",
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 
+#include "zinnia_adapters/forwarding/counted_engine_calls.h"
 #include "zinnia_adapters/forwarding/engine_calls.h"
 #include "zinnia_adapters/forwarding/forward_server.h"
 #include "zinnia_adapters/forwarding/message_codec.h"
@@ -15,6 +16,7 @@
 #include "zinnia_decisions/forwarding/beliefs/news_report.h"
 #include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/limits/holder_division.h"
 #include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/paths/path_finder.h"
 #include "zinnia_decisions/forwarding/paths/plain_server_chooser.h"
@@ -46,6 +48,11 @@
 
   /** Called on the traffic thread when a server's layers were found to be others. */
   std::function<void(const ServerNews&)> tell_server_news;
+
+  /** Called on the traffic thread when a server's limit has changed; `heard_here` from the server
+      itself, and not from a peer. */
+  std::function<void(std::vector<ServerLimitNews>, bool heard_here)> tell_server_limits;
+  InstanceName own_name;
 };
 
 /** Everything that forwarding keeps on the traffic thread. Create, use and destroy it there. */
@@ -59,6 +66,7 @@
   void SetView(std::shared_ptr<const ForwardingView> view);
   void SetDomainUses(const FailureDomainName& domain, LoadBook::Uses uses);
   void OnPeerStalls(const std::vector<StallNews>& stalls);
+  void OnPeerServerLimits(const std::vector<ServerLimitNews>& limits);
   void OnPeerPaces(const std::vector<PaceNews>& slow_servers);
   void SetRetryBudget(SharedRetryBudgetSettings settings) { m_retries.SetSettings(settings); }
   void SetDepartureNotice(Duration notice) { m_departures.SetNotice(notice); }
@@ -66,9 +74,11 @@
   /** What this instance has in flight, for its peers. */
   const LoadBook::Uses& OwnUses() const { return m_loads.Own(); }
   std::vector<PaceNews> SlowServers() const { return m_health.SlowServers(); }
+  std::vector<ServerLimitNews> TakeServerLimits() { return m_limits.TakeNews(); }
 
  private:
   ForwardingParts MakeParts();
+  void OnLimitHeard(const BackendServerName& server, std::string_view heard_from);
   void OnStalledHere(const std::vector<BackendServerName>& servers);
 
   const ForwardingTrafficParts m_parts;
@@ -76,6 +86,7 @@
   RandomSource m_random;
   LoadBook m_loads;
   ServerHealth m_health;
+  HolderDivision m_limit_division;
   ServerLimits m_limits;
   PipeMeter m_pipe;
   ServerConnectionPool m_connections;
@@ -85,6 +96,7 @@
   DepartureSchedule m_departures;
   PlainServerChooser m_plain_servers;
   SharedRetryBudget m_retries;
+  CountedEngineCalls m_counted_calls;
   StallInquiry m_stalls;
   std::unique_ptr<ForwardServer> m_server;
 };
--- a/packages/zinnia_adapters/log_summary/loss_summary.cc
+++ b/packages/zinnia_adapters/log_summary/loss_summary.cc
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::array<std::string_view, kLossCauses> kNames = {
-    "served",  "late_first_event", "late_gap", "no_room",    "no_configuration",
-    "refused", "cut_off",          "failed",   "caller_gone"};
+    "served",           "late_first_event", "late_gap", "no_room", "server_limit",
+    "no_configuration", "refused",          "cut_off",  "failed",  "caller_gone"};
 
 constexpr double kMillisecondsPerSecond = 1'000.0;
 
@@ -23,7 +23,7 @@
 LossCause CauseOfRefusal(const LogLine& refused) {
   const std::string kind = refused.Field("kind");
   if (kind == "overloaded") {
-    return LossCause::kNoRoom;
+    return refused.Field("at_limit") == "yes" ? LossCause::kServerLimit : LossCause::kNoRoom;
   }
   if (kind == "store_unavailable") {
     return LossCause::kNoConfiguration;
--- a/packages/zinnia_adapters/log_summary/loss_summary.h
+++ b/packages/zinnia_adapters/log_summary/loss_summary.h
@@ -17,6 +17,7 @@
   kLateFirstEvent,
   kLateGap,
   kNoRoom,
+  kServerLimit,
   kNoConfiguration,
   kRefused,
   kCutOff,
@@ -24,7 +25,7 @@
   kCallerGone,
 };
 
-inline constexpr std::size_t kLossCauses = 9;
+inline constexpr std::size_t kLossCauses = 10;
 
 /** "no_room" and so on, as the table's head has them. */
 std::string_view NameOf(LossCause cause);
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -171,7 +171,13 @@
           },
           [this](const ServerNews& news) {
             m_control_thread->Post([this, news] { m_control->NoteServerNews(news); });
-          }});
+          },
+          [this](std::vector<ServerLimitNews> limits, bool heard_here) {
+            m_control_thread->Post([this, limits = std::move(limits), heard_here]() mutable {
+              m_control->News().TellServerLimits(std::move(limits), heard_here);
+            });
+          },
+          m_settings.instance});
   ListenForTexts();
   ScheduleUpkeep();
 }
@@ -194,13 +200,14 @@
 
 void ForwardingDaemon::Upkeep() {
   m_logger.Flush();
-  m_control_thread->Post(
-      [this, own = m_traffic->OwnUses(), slow = m_traffic->SlowServers()]() mutable {
-        if (m_control) {
-          m_control->News().SetUses(std::move(own));
-          m_control->News().SetSlowServers(std::move(slow));
-        }
-      });
+  m_control_thread->Post([this, own = m_traffic->OwnUses(), slow = m_traffic->SlowServers(),
+                          limits = m_traffic->TakeServerLimits()]() mutable {
+    if (m_control) {
+      m_control->News().SetServerLimits(std::move(limits));
+      m_control->News().SetUses(std::move(own));
+      m_control->News().SetSlowServers(std::move(slow));
+    }
+  });
   ScheduleUpkeep();
 }
 
@@ -225,6 +232,10 @@
   m_traffic_thread->Post([this, slow_servers] { m_traffic->OnPeerPaces(slow_servers); });
 }
 
+void ForwardingDaemon::OnPeerServerLimits(const std::vector<ServerLimitNews>& limits) {
+  m_traffic_thread->Post([this, limits] { m_traffic->OnPeerServerLimits(limits); });
+}
+
 void ForwardingDaemon::Reload(const ForwardingSettings& settings) {
   m_traffic_thread->Post(
       [this, budget = RetryBudgetOf(settings), notice = settings.departure_notice] {
--- a/packages/zinnia_decisions/forwarding/beliefs/forwarding_view.h
+++ b/packages/zinnia_decisions/forwarding/beliefs/forwarding_view.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "zinnia_base/time/clock.h"
+#include "zinnia_world/fleet/instance.h"
 #include "zinnia_world/forwarding/forwarding_rules.h"
 #include "zinnia_world/forwarding/server_entry.h"
 
@@ -31,6 +32,10 @@
   /** This instance and the peers that it knows to live. At least 1. */
   std::size_t live_instances = 1;
 
+  /** Those that live, or did some seconds ago: who takes part in what is divided. Null in a fleet
+     of one. */
+  std::shared_ptr<const std::vector<Instance>> instances;
+
   /** The store's revision that this view stands for, and when it was read. */
   std::uint64_t revision = 0;
   TimePoint as_of{};
--- a/packages/zinnia_decisions/forwarding/beliefs/news_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/beliefs/news_exchange.cc
@@ -219,6 +219,7 @@
     report.server_news.push_back(heard.second);
   }
   report.slow_servers = m_slow_servers;
+  report.server_limits = m_server_limits;
   report.leaving = m_leaving;
   report.reader_age = ReaderAge();
   report.steady_age = SteadyAge();
@@ -279,6 +280,16 @@
   TellRelays(Recipient::kFarRelay, m_relays.FarRelays());
 }
 
+void NewsExchange::TellServerLimits(std::vector<ServerLimitNews> limits, bool heard_here) {
+  SetServerLimits(std::move(limits));
+  if (heard_here) {
+    TellOwnDomain();
+    TellRelays(Recipient::kFarRelay, m_relays.FarRelays());
+  } else if (m_relays.IsRelay()) {
+    TellMembers();
+  }
+}
+
 void NewsExchange::TellAdvance() {
   if (m_mirror.Revision() <= m_told_revision) {
     return;
@@ -366,6 +377,9 @@
   if (!report.slow_servers.empty()) {
     m_sink.OnPeerPaces(report.slow_servers);
   }
+  if (!report.server_limits.empty()) {
+    m_sink.OnPeerServerLimits(report.server_limits);
+  }
   TakeInStalls(report);
   if (!report.leaving) {
     FetchIfNewer(report.instance.peer_address, report.revision);
--- a/packages/zinnia_decisions/forwarding/beliefs/news_report.h
+++ b/packages/zinnia_decisions/forwarding/beliefs/news_report.h
@@ -10,6 +10,7 @@
 #include "zinnia_decisions/forwarding/beliefs/load_book.h"
 #include "zinnia_decisions/forwarding/beliefs/pace_news.h"
 #include "zinnia_decisions/forwarding/beliefs/server_news.h"
+#include "zinnia_decisions/forwarding/limits/server_limit_news.h"
 #include "zinnia_world/fleet/instance.h"
 
 namespace zinnia {
@@ -35,6 +36,7 @@
   std::map<FailureDomainName, LoadBook::Uses> domain_uses;
   std::vector<StallNews> stalls;
   std::vector<PaceNews> slow_servers;
+  std::vector<ServerLimitNews> server_limits;
 
   /** Heard from servers lately, not from the store. */
   std::vector<ServerNews> server_news;
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -49,6 +49,7 @@
     : m_parts(std::move(parts)),
       m_publish(std::move(publish)),
       m_instances(m_parts.clock, m_parts.self),
+      m_recent_instances(m_parts.clock),
       m_mirror(m_parts.store,
                m_parts.scheduler,
                m_parts.clock,
@@ -195,6 +196,7 @@
   }
   view->ended_starts = m_servers.Ended();
   view->live_instances = m_instances.Live().size();
+  view->instances = m_recent_instances.Update(m_instances.Live());
   view->revision = m_mirror.Revision();
   view->as_of = m_parts.clock.Now();
   m_view = view;
@@ -260,6 +262,9 @@
     placer->Tick(*m_view);
     is_placer = is_placer || placer->HoldsRole();
   }
+  if (m_recent_instances.Update(m_instances.Live()) != m_view->instances) {
+    PublishView();
+  }
   m_mirror.SetIsPlacer(is_placer);
   SetReading(ReadingFor(is_placer));
   m_timer = m_parts.scheduler.ScheduleAfter(kTickInterval, [this] { Tick(); });
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -13,6 +13,7 @@
 #include "zinnia_decisions/forwarding/beliefs/news_exchange.h"
 #include "zinnia_decisions/forwarding/beliefs/server_directory.h"
 #include "zinnia_decisions/forwarding/beliefs/store_mirror.h"
+#include "zinnia_decisions/forwarding/limits/recent_instances.h"
 #include "zinnia_decisions/orders/order_role.h"
 
 namespace zinnia {
@@ -84,6 +85,7 @@
   const ForwardingControlParts m_parts;
   const Publish m_publish;
   InstanceDirectory m_instances;
+  RecentInstances m_recent_instances;
   StoreMirror m_mirror;
   ServerDirectory m_servers;
   InstanceRegistration m_registration;
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/limits/holder_division.cc
@@ -0,0 +1,55 @@
+#include "zinnia_decisions/forwarding/limits/holder_division.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <tuple>
+
+#include "zinnia_decisions/membership/rendezvous.h"
+#include "zinnia_world/fleet/instance.h"
+
+namespace zinnia {
+namespace {
+
+/** Holders for each request a second of the limit, and some more that share small limits. What all
+   of them may send at once, `kLeastSaved` each, must stay well below one and a half times what the
+    server takes in a second, and some. */
+constexpr double kHoldersPerRequest = 0.75;
+constexpr double kMoreHolders = 2.0;
+
+/** In requests. With less, a holder whose requests do not come evenly would miss turns. */
+constexpr double kLeastSaved = 2.0;
+
+/** Of a large part, so much as comes together in this time. */
+constexpr std::chrono::duration<double> kMostSaved{0.5};
+
+}  // namespace
+
+LimitPart HolderDivision::PartOf(const InstanceName& self,
+                                 const std::vector<Instance>& instances,
+                                 const BackendServerName& server,
+                                 const FailureDomainName& server_domain,
+                                 double requests_per_second) const {
+  const auto own = std::find_if(instances.begin(), instances.end(),
+                                [&](const Instance& instance) { return instance.name == self; });
+  if (own == instances.end()) {
+    return {};
+  }
+  const auto rank = [&](const Instance& instance) {
+    return std::make_tuple(instance.failure_domain == server_domain,
+                           RendezvousWeight(server, instance.name), instance.name);
+  };
+  const auto own_rank = rank(*own);
+  const auto before = std::count_if(instances.begin(), instances.end(),
+                                    [&](const auto& other) { return rank(other) > own_rank; });
+  const auto count = static_cast<double>(instances.size());
+  const double holders =
+      std::clamp(std::floor(requests_per_second * kHoldersPerRequest + kMoreHolders), 1.0, count);
+  if (static_cast<double>(before) >= holders) {
+    return {};
+  }
+  const double part = requests_per_second / holders;
+  return {part, std::max(kLeastSaved, part * kMostSaved.count()), count / holders};
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/limits/limit_outlook.cc
@@ -0,0 +1,48 @@
+#include "zinnia_decisions/forwarding/limits/limit_outlook.h"
+
+#include <algorithm>
+
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
+
+namespace zinnia {
+namespace {
+
+/** Plain servers, and engines that hold the first layers. */
+bool MayBeginAt(const ServerEntry& server) {
+  const bool is_engine = !server.accelerator.empty();
+  return !is_engine || (server.layers.Count() > 0 && server.layers.first == 0);
+}
+
+}  // namespace
+
+LimitOutlook LookAtLimits(const ForwardingView& view,
+                          const ServiceName& service,
+                          const std::set<BackendServerName>& avoided,
+                          const ServerLimits& limits) {
+  LimitOutlook outlook;
+  if (limits.CountInForce() == 0) {
+    return outlook;
+  }
+  outlook.all_closed = true;
+  for (const auto& [name, server] : view.servers) {
+    const bool is_choice = server.service == service && !server.draining &&
+                           !avoided.contains(name) && MayBeginAt(server);
+    if (!is_choice) {
+      continue;
+    }
+    const std::optional<Duration> turn = limits.UntilTurn(name);
+    if (turn == Duration::zero()) {
+      outlook.all_closed = false;
+      continue;
+    }
+    outlook.closed.push_back(name);
+    if (turn) {
+      outlook.next_turn = std::min(*turn, outlook.next_turn.value_or(*turn));
+    }
+  }
+  outlook.all_closed = outlook.all_closed && !outlook.closed.empty();
+  return outlook;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/limits/limit_outlook.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "zinnia_base/time/clock.h"
+#include "zinnia_world/names/names.h"
+
+namespace zinnia {
+
+class ServerLimits;
+struct ForwardingView;
+
+/** What servers' limits leave a request of one service. */
+struct LimitOutlook {
+  /** Servers where requests begin that take none from this instance now. */
+  std::vector<BackendServerName> closed;
+
+  /** Whether there is no other server where a request could begin. */
+  bool all_closed = false;
+
+  /** Until the first of them takes one from this instance; nothing if none will. */
+  std::optional<Duration> next_turn;
+};
+
+/** Looks at the servers of `service` that requests may be sent to, but for `avoided`. */
+LimitOutlook LookAtLimits(const ForwardingView& view,
+                          const ServiceName& service,
+                          const std::set<BackendServerName>& avoided,
+                          const ServerLimits& limits);
+
+}  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/limits/server_limits.cc
+++ b/packages/zinnia_decisions/forwarding/limits/server_limits.cc
@@ -1,25 +1,208 @@
 #include "zinnia_decisions/forwarding/limits/server_limits.h"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/limits/limit_division.h"
 
 namespace zinnia {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/** What was sent this long before a limit was heard counts against it. */
+constexpr Duration kSendsThatCount = std::chrono::milliseconds(1'500);
+
+/** Longer ago, they no longer burden the server. */
+constexpr Duration kLongestPause = std::chrono::seconds(3);
+
+/** An instance that has just started knows few peers, and would take too large a part. */
+constexpr Duration kLearnsFleetIn = std::chrono::seconds(2);
+
+/** Whoever held the part before hears within this time that another instance does now. */
+constexpr Duration kHandOver = std::chrono::seconds(2);
+
+/** In requests a second of all instances. A server that takes none must still be asked now and
+   then, or nobody would hear that it takes some again. */
+constexpr double kLeastLimit = 0.2;
+
+/** A change by this part is told at once, a smaller one with the next reports. */
+constexpr double kNotableChange = 0.2;
+
+/** How long a change goes before other rows of a report, and how long the end of a limit is told.
+ */
+constexpr Duration kToldFirst = std::chrono::seconds(2);
+constexpr Duration kEndIsTold = std::chrono::seconds(10);
+
+constexpr double kNoLimit = std::numeric_limits<double>::infinity();
+
+bool IsNotable(std::optional<double> before, std::optional<double> after) {
+  if (!before || !after) {
+    return before.has_value() != after.has_value();
+  }
+  return std::abs(*after - *before) > kNotableChange * std::max(*before, *after);
+}
+
+}  // namespace
+
+ServerLimits::ServerLimits(const Clock& clock, const LimitDivision& division, InstanceName self)
+    : m_clock(clock),
+      m_division(division),
+      m_self(std::move(self)),
+      m_started_at(clock.Now()),
+      m_instances(std::make_shared<const std::vector<Instance>>(1, Instance{m_self})) {}
+
+void ServerLimits::SetView(std::shared_ptr<const ForwardingView> view) {
+  m_view = std::move(view);
+  const auto is_gone = [&](const auto& entry) { return !m_view->servers.contains(entry.first); };
+  std::erase_if(m_beliefs, is_gone);
+  std::erase_if(m_recent_sends, is_gone);
+  if (!m_view->instances || m_view->instances == m_instances) {
+    return;
+  }
+  m_instances = m_view->instances;
+  for (auto& [name, belief] : m_beliefs) {
+    Divide(name, belief);
+  }
+}
 
 bool ServerLimits::OnAnswer(const BackendServerName& server,
                             std::optional<double> requests_per_second,
                             TimePoint sent_at) {
-  const auto found = m_beliefs.find(server);
-  const bool had_limit = found != m_beliefs.end() && found->second.requests_per_second;
   if (!requests_per_second) {
+    const auto found = m_beliefs.find(server);
     // An answer to a request from before the limit was heard may have left before it was named.
-    if (!had_limit || sent_at <= found->second.known_at) {
-      return false;
-    }
-    found->second = {std::nullopt, m_clock.Now()};
-    return true;
+    const bool ends_it = found != m_beliefs.end() && found->second.requests_per_second &&
+                         sent_at > found->second.known_at;
+    return ends_it && Believe(server, std::nullopt, m_clock.Now());
   }
-  const bool is_change = !had_limit || found->second.requests_per_second != requests_per_second;
-  m_beliefs[server] = {requests_per_second, m_clock.Now()};
-  return is_change;
+  return Believe(server, requests_per_second, m_clock.Now());
+}
+
+bool ServerLimits::OnNews(const ServerLimitNews& news) {
+  const auto found = m_beliefs.find(news.server);
+  const TimePoint known_at = m_clock.Now() - news.age;
+  if (found != m_beliefs.end() && found->second.known_at >= known_at) {
+    return false;
+  }
+  return Believe(news.server, news.requests_per_second, known_at);
+}
+
+bool ServerLimits::Believe(const BackendServerName& server,
+                           std::optional<double> requests_per_second,
+                           TimePoint known_at) {
+  Belief& belief = m_beliefs[server];
+  const std::optional<double> before = belief.requests_per_second;
+  belief.known_at = known_at;
+  if (before == requests_per_second) {
+    return false;
+  }
+  const bool is_notable = IsNotable(before, requests_per_second);
+  belief.requests_per_second = requests_per_second;
+  if (is_notable) {
+    belief.changed_at = m_clock.Now();
+  }
+  Divide(server, belief);
+  if (requests_per_second && is_notable && requests_per_second < before.value_or(kNoLimit)) {
+    ChargeSendsBefore(server, belief);
+  }
+  return is_notable;
+}
+
+void ServerLimits::Divide(const BackendServerName& server, Belief& belief) {
+  if (!belief.requests_per_second) {
+    belief.part = {};
+    return;
+  }
+  const double limit = std::max(*belief.requests_per_second, kLeastLimit);
+  const LimitPart part = m_division.PartOf(m_self, *m_instances, server, DomainOf(server), limit);
+  belief.saved = SavedNow(belief);
+  belief.counted_at = m_clock.Now();
+  if (belief.part.requests_per_second <= 0.0) {
+    belief.saved = -part.requests_per_second * Seconds(kHandOver).count();
+  }
+  belief.part = part;
+}
+
+FailureDomainName ServerLimits::DomainOf(const BackendServerName& server) const {
+  if (!m_view) {
+    return {};
+  }
+  const auto entry = m_view->servers.find(server);
+  return entry == m_view->servers.end() ? FailureDomainName() : entry->second.failure_domain;
+}
+
+/** The server was given this much already. The other instances are taken to have sent as often. */
+void ServerLimits::ChargeSendsBefore(const BackendServerName& server, Belief& belief) {
+  const double sent =
+      static_cast<double>(CountRecentSends(server)) * belief.part.instances_per_holder;
+  const double due = belief.part.requests_per_second * Seconds(kSendsThatCount).count();
+  const double longest_pause = belief.part.requests_per_second * Seconds(kLongestPause).count();
+  belief.saved = std::clamp(due - sent, -longest_pause, 0.0);
+  belief.counted_at = m_clock.Now();
+}
+
+double ServerLimits::SavedNow(const Belief& belief) const {
+  const Seconds passed = m_clock.Now() - belief.counted_at;
+  return std::min(belief.part.most_saved,
+                  belief.saved + belief.part.requests_per_second * passed.count());
+}
+
+std::size_t ServerLimits::CountRecentSends(const BackendServerName& server) {
+  const auto found = m_recent_sends.find(server);
+  if (found == m_recent_sends.end()) {
+    return 0;
+  }
+  std::deque<TimePoint>& sends = found->second;
+  while (!sends.empty() && m_clock.Now() - sends.front() > kSendsThatCount) {
+    sends.pop_front();
+  }
+  return sends.size();
+}
+
+void ServerLimits::OnSent(const BackendServerName& server) {
+  m_recent_sends[server].push_back(m_clock.Now());
+  CountRecentSends(server);
+  const auto found = m_beliefs.find(server);
+  if (found != m_beliefs.end() && found->second.requests_per_second) {
+    Belief& belief = found->second;
+    belief.saved = SavedNow(belief) - 1.0;
+    belief.counted_at = m_clock.Now();
+  }
+}
+
+std::optional<Duration> ServerLimits::UntilTurn(const BackendServerName& server) const {
+  const auto found = m_beliefs.find(server);
+  if (found == m_beliefs.end() || !found->second.requests_per_second) {
+    return Duration::zero();
+  }
+  const Belief& belief = found->second;
+  if (belief.part.requests_per_second <= 0.0) {
+    return std::nullopt;
+  }
+  const Duration until_fleet_is_known = m_started_at + kLearnsFleetIn - m_clock.Now();
+  const double missing = std::max(0.0, 1.0 - SavedNow(belief));
+  const auto until_saved =
+      std::chrono::duration_cast<Duration>(Seconds(missing / belief.part.requests_per_second));
+  return std::max({Duration::zero(), until_fleet_is_known, until_saved});
+}
+
+bool ServerLimits::MaySend(const BackendServerName& server) const {
+  return UntilTurn(server) == Duration::zero();
+}
+
+ServerLimits::Limit ServerLimits::LimitOf(const BackendServerName& server) const {
+  const auto found = m_beliefs.find(server);
+  if (found == m_beliefs.end()) {
+    return {};
+  }
+  const Belief& belief = found->second;
+  return {belief.requests_per_second, belief.part.requests_per_second,
+          m_clock.Now() - belief.known_at};
 }
 
 std::size_t ServerLimits::CountInForce() const {
@@ -28,4 +211,32 @@
       [](const auto& entry) { return entry.second.requests_per_second.has_value(); }));
 }
 
+ServerLimitNews ServerLimits::NewsOf(const BackendServerName& server, const Belief& belief) const {
+  return {server, belief.requests_per_second,
+          std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.Now() - belief.known_at)};
+}
+
+std::vector<ServerLimitNews> ServerLimits::TakeNews() {
+  const TimePoint now = m_clock.Now();
+  std::vector<ServerLimitNews> news;
+  std::vector<BackendServerName> others;
+  for (const auto& [name, belief] : m_beliefs) {
+    if (now - belief.changed_at < kToldFirst && news.size() < kMostNews) {
+      news.push_back(NewsOf(name, belief));
+    } else if (belief.requests_per_second || now - belief.changed_at < kEndIsTold) {
+      others.push_back(name);
+    }
+  }
+  const auto next = std::upper_bound(others.begin(), others.end(), m_last_told);
+  std::rotate(others.begin(), next, others.end());
+  for (const BackendServerName& name : others) {
+    if (news.size() >= kMostNews) {
+      break;
+    }
+    news.push_back(NewsOf(name, m_beliefs.at(name)));
+    m_last_told = name;
+  }
+  return news;
+}
+
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/limits/server_limits.h
+++ b/packages/zinnia_decisions/forwarding/limits/server_limits.h
@@ -1,25 +1,80 @@
 #pragma once
 
 #include <cstddef>
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
+#include <vector>
 
 #include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/limits/limit_division.h"
+#include "zinnia_decisions/forwarding/limits/server_limit_news.h"
+#include "zinnia_world/fleet/instance.h"
 #include "zinnia_world/names/names.h"
 
 namespace zinnia {
 
-/** Which servers have said that they take only so many requests a second. */
+struct ForwardingView;
+
+/** Which servers have said that they take only so many requests a second, and this instance's part
+    of each such limit.
+
+    A server names one limit for all instances together. Were it kept by each instance alone, or by
+    none, a server in need would get many times what it can take. So each instance works out its own
+    part from the fleet that it knows, see LimitDivision, and spends it evenly.
+
+    The newest word of a server counts, heard here or by a peer, until it says otherwise: a limit
+    does not lapse, for with nobody sending there is nobody who would hear that it still holds.
+    What the server got shortly before it named its limit counts against the limit.
+
+    Belongs to one traffic thread. Tell it of every request that is sent, also to servers without a
+    limit.
+*/
 class ServerLimits {
  public:
-  explicit ServerLimits(const Clock& clock) : m_clock(clock) {}
+  /** Most rows of one report to a peer; more take turns. */
+  static constexpr std::size_t kMostNews = 16;
+
+  /** `division` must outlive it. */
+  ServerLimits(const Clock& clock, const LimitDivision& division, InstanceName self);
+
+  /** Forgets servers that are not in the view, and divides anew if the instances have changed. */
+  void SetView(std::shared_ptr<const ForwardingView> view);
 
   /** A server's answer to a request that was sent at `sent_at` names a limit, in requests a second
-      from all instances together, or none. Returns whether that changes what is believed. */
+      from all instances together, or none. Returns whether peers should hear of it at once. */
   bool OnAnswer(const BackendServerName& server,
                 std::optional<double> requests_per_second,
                 TimePoint sent_at);
 
+  /** A peer's word. Returns the same. */
+  bool OnNews(const ServerLimitNews& news);
+
+  /** What to tell peers: what changed lately, and the others in turn. */
+  std::vector<ServerLimitNews> TakeNews();
+
+  /** A request leaves for the server. */
+  void OnSent(const BackendServerName& server);
+
+  /** Whether one more request may go there now. */
+  bool MaySend(const BackendServerName& server) const;
+
+  /** Until one more may; nothing if that is not for this instance. */
+  std::optional<Duration> UntilTurn(const BackendServerName& server) const;
+
+  /** What is believed of a server. */
+  struct Limit {
+    std::optional<double> requests_per_second;
+
+    /** What this instance may send there, in requests a second. */
+    double own_part = 0.0;
+
+    /** Of the server's word. */
+    Duration age{};
+  };
+  Limit LimitOf(const BackendServerName& server) const;
+
   /** How many servers have a limit now. */
   std::size_t CountInForce() const;
 
@@ -27,10 +82,36 @@
   struct Belief {
     std::optional<double> requests_per_second;
     TimePoint known_at{};
+    TimePoint changed_at{};
+
+    /** The own part. What may be sent now is `saved`, as of `counted_at`; below 0 after more was
+        sent than the part. */
+    LimitPart part;
+    double saved = 0.0;
+    TimePoint counted_at{};
   };
 
+  bool Believe(const BackendServerName& server,
+               std::optional<double> requests_per_second,
+               TimePoint known_at);
+  void Divide(const BackendServerName& server, Belief& belief);
+  void ChargeSendsBefore(const BackendServerName& server, Belief& belief);
+  double SavedNow(const Belief& belief) const;
+  std::size_t CountRecentSends(const BackendServerName& server);
+  FailureDomainName DomainOf(const BackendServerName& server) const;
+  ServerLimitNews NewsOf(const BackendServerName& server, const Belief& belief) const;
+
   const Clock& m_clock;
+  const LimitDivision& m_division;
+  const InstanceName m_self;
+  const TimePoint m_started_at;
   std::map<BackendServerName, Belief> m_beliefs;
+  std::map<BackendServerName, std::deque<TimePoint>> m_recent_sends;
+  std::shared_ptr<const ForwardingView> m_view;
+  std::shared_ptr<const std::vector<Instance>> m_instances;
+
+  /** After whom the others go on taking turns in news. */
+  BackendServerName m_last_told;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/paths/path_finder.cc
+++ b/packages/zinnia_decisions/forwarding/paths/path_finder.cc
@@ -9,6 +9,7 @@
 #include "zinnia_decisions/forwarding/beliefs/load_book.h"
 #include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/paths/first_server_sampler.h"
 #include "zinnia_decisions/forwarding/paths/kept_connections.h"
 #include "zinnia_decisions/forwarding/paths/reading_time.h"
@@ -387,7 +388,8 @@
       FirstEventMsPerLayer(engine, accelerator, size, use.token_layers, pace) * slowness;
   candidate.free_token_layers =
       TokenLayerCapacity(engine, server) * kReservableShare - use.token_layers;
-  candidate.may_begin = use.begun < server.most_requests * kBegunShare;
+  candidate.may_begin =
+      use.begun < server.most_requests * kBegunShare && m_limits.MaySend(server.name);
   candidate.wait_ms = Milliseconds(m_health.FirstEventDelay(server.name));
   candidate.has_connection = server.layers.first == 0 && m_connections.HasUnused(server.name);
   return candidate;
--- a/packages/zinnia_decisions/forwarding/paths/path_finder.h
+++ b/packages/zinnia_decisions/forwarding/paths/path_finder.h
@@ -16,6 +16,7 @@
 class LoadBook;
 class PipeMeter;
 class ServerHealth;
+class ServerLimits;
 struct AcceleratorProfile;
 struct EngineProfile;
 struct ForwardingView;
@@ -62,11 +63,13 @@
   /** All must outlive it. */
   PathFinder(const LoadBook& loads,
              const ServerHealth& health,
+             const ServerLimits& limits,
              const PipeMeter& pipe,
              const KeptConnections& connections,
              RandomSource& random)
       : m_loads(loads),
         m_health(health),
+        m_limits(limits),
         m_pipe(pipe),
         m_connections(connections),
         m_random(random) {}
@@ -121,6 +124,7 @@
 
   const LoadBook& m_loads;
   const ServerHealth& m_health;
+  const ServerLimits& m_limits;
   const PipeMeter& m_pipe;
   const KeptConnections& m_connections;
   RandomSource& m_random;
--- a/packages/zinnia_decisions/forwarding/paths/plain_server_chooser.cc
+++ b/packages/zinnia_decisions/forwarding/paths/plain_server_chooser.cc
@@ -6,6 +6,7 @@
 #include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
 #include "zinnia_decisions/forwarding/beliefs/load_book.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
 
 namespace zinnia {
 namespace {
@@ -28,7 +29,8 @@
   std::optional<BackendServerName> best;
   double least = std::numeric_limits<double>::infinity();
   for (const auto& [name, server] : view.servers) {
-    if (server.service != service || server.draining || avoided.contains(name)) {
+    if (server.service != service || server.draining || avoided.contains(name) ||
+        !m_limits.MaySend(name)) {
       continue;
     }
     const double slots = std::max(1U, server.most_requests);
--- a/packages/zinnia_decisions/forwarding/paths/plain_server_chooser.h
+++ b/packages/zinnia_decisions/forwarding/paths/plain_server_chooser.h
@@ -10,6 +10,7 @@
 
 class LoadBook;
 class ServerHealth;
+class ServerLimits;
 struct ForwardingView;
 
 /** Chooses a server of a plain service: the one with the most room among those that traffic finds
@@ -17,11 +18,15 @@
 class PlainServerChooser {
  public:
   /** All must outlive it. */
-  PlainServerChooser(const LoadBook& loads, const ServerHealth& health, RandomSource& random)
-      : m_loads(loads), m_health(health), m_random(random) {}
-
-  /** Nothing if no server takes requests. Excluded servers are used if no other is left: with all
-      of them suspected, the suspicion is more likely wrong than all servers dead. */
+  PlainServerChooser(const LoadBook& loads,
+                     const ServerHealth& health,
+                     const ServerLimits& limits,
+                     RandomSource& random)
+      : m_loads(loads), m_health(health), m_limits(limits), m_random(random) {}
+
+  /** Nothing if no server takes requests, or each is at the limit that it named. Excluded servers
+     are used if no other is left: with all of them suspected, the suspicion is more likely wrong
+     than all servers dead. */
   std::optional<BackendServerName> Choose(const ForwardingView& view,
                                           const ServiceName& service,
                                           const std::set<BackendServerName>& avoided) const;
@@ -29,6 +34,7 @@
  private:
   const LoadBook& m_loads;
   const ServerHealth& m_health;
+  const ServerLimits& m_limits;
   RandomSource& m_random;
 };
 
--- a/tests/fleet/server_limit_test.cc
+++ b/tests/fleet/server_limit_test.cc
@@ -28,13 +28,18 @@
 // Order of events: a server that is the first of a path gets 21 to 42 requests a second from nine
 // instances; it begins to name its limit in its answers; each instance passes such answers on to
 // callers, and goes on choosing the server as before.
-// Cause and evidence: see the mend.
+// Cause: no instance knew of limits, neither its own nor the fleet's: the answer's field was passed
+// on unread. Evidence: each of nine instances had passed the limit on, and sent as before; the
+// server got 57 in four seconds where 35 are allowed, as often as the others.
 TEST_GROUP(ServerInNeed) {
   static constexpr std::size_t kInstances = 9;
   static constexpr std::size_t kServers = 4;
   static constexpr std::size_t kCallers = 12;
   static constexpr double kLimit = 5.0;
 
+  /** In four seconds. */
+  static constexpr std::size_t kMostWithLimit = 35;
+
   Ledger ledger;
   StoreStandin store;
   std::vector<std::unique_ptr<Backend>> backends;
@@ -113,8 +118,11 @@
   std::this_thread::sleep_for(seconds(3));
   backends[0]->SetLimit(kLimit);
   std::this_thread::sleep_for(seconds(10));
-  const double use = ledger.Limits().HighestUse();
-  CHECK_TRUE(use > 0.0);  // It still gets requests.
+  CHECK_TRUE(ledger.Limits().HighestUse() > 0.0);  // It still gets requests.
+  CheckNoViolations();
+  backends[0]->SetLimit(std::nullopt);
+  std::this_thread::sleep_for(seconds(6));
+  CHECK_TRUE(ledger.Limits().RecentRequests("server-0") > kMostWithLimit);
   CheckNoViolations();
 }
 
--- a/tests/forwarding/crowd_test.cc
+++ b/tests/forwarding/crowd_test.cc
@@ -2,6 +2,8 @@
 #include "zinnia_decisions/forwarding/beliefs/load_book.h"
 #include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/limits/holder_division.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/paths/first_server_sampler.h"
 #include "zinnia_decisions/forwarding/paths/path_finder.h"
 
@@ -37,15 +39,21 @@
 TEST_GROUP(Crowd) {
   struct Chooser {
     Chooser(VirtualTime& time, int number)
-        : loads(time), health(time), pipe(time), random(number + 1) {
+        : loads(time),
+          health(time),
+          limits(time, division, "self"),
+          pipe(time),
+          random(number + 1) {
       loads.SetPeerCount(kInstances - 1);
     }
     LoadBook loads;
     ServerHealth health;
+    HolderDivision division;
+    ServerLimits limits;
     PipeMeter pipe;
     RandomSource random;
     NamedConnections connections;
-    PathFinder finder{loads, health, pipe, connections, random};
+    PathFinder finder{loads, health, limits, pipe, connections, random};
   };
   struct Running {
     TimePoint ends_at;
--- /dev/null
+++ b/tests/forwarding/limits_test.cc
@@ -0,0 +1,371 @@
+#include "zinnia_decisions/forwarding/limits/limits.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "tests/forwarding/forwarding_fakes.h"
+#include "zinnia_base/random/random_source.h"
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Instances in three failure domains that send to one server as often as they may, and hear its
+    limit from its answers and from each other. */
+struct LimitedFleet {
+  static constexpr Duration kStep = milliseconds(10);
+  static constexpr Duration kAnswerAfter = milliseconds(60);
+  static constexpr Duration kNewsAfter = milliseconds(80);
+  static constexpr Duration kWindow = seconds(4);
+
+  struct Member {
+    Instance instance;
+    std::unique_ptr<ServerLimits> limits;
+    double requests_per_second = 0.0;
+    bool is_cut = false;
+  };
+  struct Answer {
+    TimePoint due{};
+    Member* member = nullptr;
+    TimePoint sent_at{};
+  };
+  struct News {
+    TimePoint due{};
+    ServerLimitNews news;
+  };
+
+  LimitedFleet(const LimitDivision& chosen_division, std::size_t count, double demand)
+      : division(chosen_division) {
+    for (std::size_t index = 0; index < count; ++index) {
+      AddMember(demand / static_cast<double>(count));
+    }
+    ShareView();
+  }
+
+  Member& AddMember(double requests_per_second) {
+    auto member = std::make_unique<Member>();
+    const std::size_t index = members.size();
+    member->instance.name = fmt::format("instance-{}", index);
+    member->instance.failure_domain = fmt::format("domain-{}", index % 3);
+    member->limits = std::make_unique<ServerLimits>(time, division, member->instance.name);
+    // Callers are spread unevenly: a third of the instances get half as much again.
+    member->requests_per_second = requests_per_second * (index % 3 == 0 ? 1.5 : 0.75);
+    members.push_back(std::move(member));
+    return *members.back();
+  }
+
+  std::shared_ptr<ForwardingView> ViewOf(const std::vector<Instance>& instances) const {
+    auto view = std::make_shared<ForwardingView>();
+    view->servers["server"] = EngineServer("server", "fast", "domain-0", {0, 40});
+    view->instances = std::make_shared<const std::vector<Instance>>(instances);
+    return view;
+  }
+
+  void ShareView() {
+    std::vector<Instance> instances;
+    for (const auto& member : members) {
+      instances.push_back(member->instance);
+    }
+    const auto view = ViewOf(instances);
+    for (const auto& member : members) {
+      member->limits->SetView(view);
+    }
+  }
+
+  void Run(Duration duration) {
+    for (const TimePoint end = time.Now() + duration; time.Now() < end;) {
+      time.AdvanceBy(kStep);
+      Deliver();
+      for (const auto& member : members) {
+        SendOf(*member);
+      }
+    }
+  }
+
+  void SendOf(Member& member) {
+    const double chance = member.requests_per_second * std::chrono::duration<double>(kStep).count();
+    if (RandomUnit(random) >= chance || !member.limits->MaySend("server")) {
+      return;
+    }
+    member.limits->OnSent("server");
+    sends.push_back(time.Now());
+    answers.push_back({time.Now() + kAnswerAfter, &member, time.Now()});
+  }
+
+  void Deliver() {
+    while (!answers.empty() && answers.front().due <= time.Now()) {
+      const Answer answer = answers.front();
+      answers.pop_front();
+      if (answer.member->limits->OnAnswer("server", limit, answer.sent_at)) {
+        told.push_back({time.Now() + kNewsAfter, answer.member->limits->TakeNews().front()});
+      }
+    }
+    while (!told.empty() && told.front().due <= time.Now()) {
+      for (const auto& member : members) {
+        if (!member->is_cut) {
+          member->limits->OnNews(told.front().news);
+        }
+      }
+      told.pop_front();
+    }
+  }
+
+  /** The most that the server got in any window that ends after `from`. */
+  std::size_t MostInWindow(TimePoint from) const {
+    std::size_t most = 0;
+    for (auto last = sends.begin(); last != sends.end(); ++last) {
+      const auto first = std::upper_bound(sends.begin(), last, *last - kWindow);
+      if (*last >= from) {
+        most = std::max<std::size_t>(most, last - first + 1);
+      }
+    }
+    return most;
+  }
+
+  double SentPerSecond(TimePoint from) const {
+    const auto first = std::upper_bound(sends.begin(), sends.end(), from);
+    return static_cast<double>(sends.end() - first) /
+           std::chrono::duration<double>(time.Now() - from).count();
+  }
+
+  double Allowed() const { return *limit * 1.5 * 4.0 + 5.0; }
+
+  const LimitDivision& division;
+  VirtualTime time;
+  RandomSource random{7};
+  std::vector<std::unique_ptr<Member>> members;
+  std::optional<double> limit;
+  std::vector<TimePoint> sends;
+  std::deque<Answer> answers;
+  std::deque<News> told;
+};
+
+TEST_GROUP(Limits) {
+  HolderDivision division;
+
+  static std::shared_ptr<ForwardingView> ViewOf(const std::vector<std::string>& servers) {
+    auto view = std::make_shared<ForwardingView>();
+    for (const std::string& name : servers) {
+      view->servers[name] = EngineServer(name, "fast", "domain-0", {0, 40});
+    }
+    return view;
+  }
+
+  /** Requests that `limits` lets through if somebody always has one. */
+  static int SendAll(ServerLimits & limits, VirtualTime & time, Duration duration) {
+    int sent = 0;
+    for (const TimePoint end = time.Now() + duration; time.Now() < end;) {
+      time.AdvanceBy(milliseconds(10));
+      if (limits.MaySend("server")) {
+        limits.OnSent("server");
+        ++sent;
+      }
+    }
+    return sent;
+  }
+};
+
+// Guards against a server in need that gets as much as before from instances that each keep its
+// limit alone, or keep none.
+TEST(Limits, AllInstancesTogetherKeepALimitAndUseIt) {
+  for (const std::size_t instances : {9, 65, 300}) {
+    for (const double limit : {2.0, 12.0, 60.0}) {
+      LimitedFleet fleet(division, instances, 2.5 * limit);
+      fleet.Run(seconds(5));
+      fleet.limit = limit;
+      const TimePoint named_at = fleet.time.Now();
+      fleet.Run(seconds(10));
+      for (const auto& member : fleet.members) {
+        member->requests_per_second = std::max(3.0, 2.5 * limit / instances);
+      }
+      fleet.Run(seconds(30));
+      CHECK_TRUE(fleet.MostInWindow(named_at + seconds(3)) <= fleet.Allowed());
+      CHECK_TRUE(fleet.SentPerSecond(named_at + seconds(10)) >= 0.9 * limit);
+    }
+  }
+}
+
+// Guards against a whole fleet that has saved up its parts and spends them in one moment.
+TEST(Limits, ARushAfterAPauseStaysWithinTheLimit) {
+  for (const std::size_t instances : {9, 65, 300}) {
+    for (const double limit : {0.0, 0.5, 2.0, 12.0, 60.0}) {
+      LimitedFleet fleet(division, instances, limit);
+      fleet.limit = limit;
+      for (const auto& member : fleet.members) {
+        member->limits->OnNews({"server", limit, milliseconds(0)});
+      }
+      fleet.Run(seconds(20));
+      for (const auto& member : fleet.members) {
+        member->requests_per_second = 100.0;
+      }
+      const TimePoint rush_at = fleet.time.Now();
+      fleet.Run(seconds(10));
+      CHECK_TRUE(fleet.MostInWindow(rush_at) <= fleet.Allowed());
+    }
+  }
+}
+
+// Guards against new instances that take their parts while the old ones still spend theirs.
+TEST(Limits, InstancesThatJoinTakeTheirPartsAfterTheOthersHaveGivenThemUp) {
+  LimitedFleet fleet(division, 9, 30.0);
+  fleet.limit = 12.0;
+  fleet.Run(seconds(20));
+  const TimePoint joined_at = fleet.time.Now();
+  std::vector<Instance> instances;
+  for (int number = 0; number < 30; ++number) {
+    fleet.AddMember(10.0);
+  }
+  for (const auto& member : fleet.members) {
+    instances.push_back(member->instance);
+  }
+  const auto view = fleet.ViewOf(instances);
+  for (std::size_t index = 9; index < fleet.members.size(); ++index) {
+    fleet.members[index]->limits->SetView(view);
+    fleet.members[index]->limits->OnNews({"server", fleet.limit, milliseconds(100)});
+  }
+  fleet.Run(seconds(1));  // The old ones hear of them later.
+  fleet.ShareView();
+  fleet.Run(seconds(10));
+  CHECK_TRUE(fleet.MostInWindow(joined_at) <= fleet.Allowed());
+}
+
+// Guards against an instance that takes a whole limit for itself before it has met its peers.
+TEST(Limits, AnInstanceThatHasJustStartedWaitsUntilItKnowsTheFleet) {
+  VirtualTime time;
+  ServerLimits limits(time, division, "self");
+  limits.SetView(ViewOf({"server"}));
+  limits.OnNews({"server", 20.0, milliseconds(0)});
+  CHECK_EQUAL(0, SendAll(limits, time, milliseconds(1'900)));
+  CHECK_TRUE(SendAll(limits, time, seconds(4)) >= 60);
+}
+
+// Guards against a limit that is kept from the moment it was heard on, on top of what the server
+// got in the moments before.
+TEST(Limits, WhatWasSentBeforeTheLimitWasHeardCounts) {
+  VirtualTime time;
+  ServerLimits limits(time, division, "self");
+  limits.SetView(ViewOf({"server"}));
+  time.AdvanceBy(seconds(10));
+  for (int sent = 0; sent < 30; ++sent) {
+    limits.OnSent("server");
+    time.AdvanceBy(milliseconds(33));
+  }
+  limits.OnAnswer("server", 10.0, time.Now());
+  CHECK_EQUAL(0, SendAll(limits, time, milliseconds(1'400)));
+  CHECK_TRUE(SendAll(limits, time, seconds(3)) > 20);
+}
+
+// Guards against a limit that outlives its need, and against one that a late answer ends too early.
+TEST(Limits, TheNewestWordOfAServerCounts) {
+  VirtualTime time;
+  ServerLimits limits(time, division, "self");
+  limits.SetView(ViewOf({"server"}));
+  time.AdvanceBy(seconds(10));
+  const TimePoint before = time.Now();
+  time.AdvanceBy(milliseconds(50));
+  CHECK_TRUE(limits.OnAnswer("server", 2.0, before));
+  CHECK_FALSE(limits.MaySend("server"));
+  CHECK_FALSE(limits.OnAnswer("server", std::nullopt, before));  // Overtaken on its way.
+  CHECK_EQUAL(1U, limits.CountInForce());
+  time.AdvanceBy(milliseconds(50));
+  CHECK_FALSE(
+      limits.OnNews({"server", std::nullopt, milliseconds(60)}));  // Older than what it knows.
+  CHECK_EQUAL(1U, limits.CountInForce());
+  CHECK_TRUE(limits.OnAnswer("server", std::nullopt, time.Now()));
+  CHECK_EQUAL(0U, limits.CountInForce());
+  CHECK_TRUE(limits.MaySend("server"));
+  CHECK_FALSE(limits.OnNews({"server", 2.0, milliseconds(50)}));
+  CHECK_TRUE(limits.MaySend("server"));
+}
+
+// Guards against a server that is never asked again after it has said that it takes nothing.
+TEST(Limits, AServerThatTakesNothingIsAskedNowAndThen) {
+  VirtualTime time;
+  ServerLimits limits(time, division, "self");
+  limits.SetView(ViewOf({"server"}));
+  time.AdvanceBy(seconds(10));
+  limits.OnAnswer("server", 0.0, time.Now());
+  const int sent = SendAll(limits, time, seconds(60));
+  CHECK_TRUE(sent >= 6 && sent <= 15);
+}
+
+TEST(Limits, AStartOfTheServerEndsItsLimit) {
+  VirtualTime time;
+  ServerLimits limits(time, division, "self");
+  limits.SetView(ViewOf({"server"}));
+  limits.OnAnswer("server", 2.0, time.Now());
+  limits.SetView(ViewOf({"server again"}));
+  CHECK_EQUAL(0U, limits.CountInForce());
+}
+
+// Guards against news that swallow a link when many servers are in need, and never tell of some.
+TEST(Limits, NewsAreBoundedAndTellOfEachServerInTurn) {
+  VirtualTime time;
+  ServerLimits limits(time, division, "self");
+  constexpr std::size_t kServers = 40;
+  std::vector<std::string> servers;
+  servers.reserve(kServers);
+  for (std::size_t number = 0; number < kServers; ++number) {
+    servers.push_back(fmt::format("server-{}", number));
+  }
+  limits.SetView(ViewOf(servers));
+  for (const std::string& server : servers) {
+    limits.OnAnswer(server, 2.0, time.Now());
+  }
+  time.AdvanceBy(seconds(5));
+  std::set<std::string> told;
+  for (int report = 0; report < 3; ++report) {
+    const auto news = limits.TakeNews();
+    CHECK_TRUE(news.size() <= ServerLimits::kMostNews);
+    for (const ServerLimitNews& row : news) {
+      told.insert(row.server);
+    }
+  }
+  CHECK_EQUAL(servers.size(), told.size());
+}
+
+TEST(Limits, OutlookNamesTheFirstTurnAndWhetherThereIsAnotherServer) {
+  VirtualTime time;
+  ServerLimits limits(time, division, "self");
+  const auto view = ViewOf({"a", "b"});
+  view->servers["middle"] = EngineServer("middle", "fast", "domain-0", {40, 80});
+  limits.SetView(view);
+  time.AdvanceBy(seconds(10));
+  limits.OnAnswer("a", 2.0, time.Now());
+  LimitOutlook outlook = LookAtLimits(*view, "pool", {}, limits);
+  CHECK_FALSE(outlook.all_closed);
+  CHECK_EQUAL(1U, outlook.closed.size());
+  limits.OnAnswer("b", 4.0, time.Now());
+  outlook = LookAtLimits(*view, "pool", {}, limits);
+  CHECK_TRUE(outlook.all_closed);
+  CHECK_TRUE(outlook.next_turn == milliseconds(250));
+  outlook = LookAtLimits(*view, "pool", {"b"}, limits);
+  CHECK_TRUE(outlook.next_turn == milliseconds(500));
+  time.AdvanceBy(milliseconds(300));
+  CHECK_FALSE(LookAtLimits(*view, "pool", {}, limits).all_closed);
+}
+
+// Guards against parts that grow while an instance restarts or is out of sight.
+TEST(Limits, InstancesCountForSomeSecondsAfterTheyWereLastSeen) {
+  VirtualTime time;
+  RecentInstances recent(time);
+  const Instance one{"one"};
+  const Instance other{"other"};
+  const auto both = recent.Update({one, other});
+  CHECK_EQUAL(2U, both->size());
+  time.AdvanceBy(seconds(9));
+  CHECK_TRUE(recent.Update({one}) == both);
+  time.AdvanceBy(seconds(2));
+  CHECK_EQUAL(1U, recent.Update({one})->size());
+}
+
+}  // namespace zinnia
--- a/tests/forwarding/paths_test.cc
+++ b/tests/forwarding/paths_test.cc
@@ -4,6 +4,8 @@
 #include "zinnia_decisions/forwarding/beliefs/probe_round.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
 #include "zinnia_decisions/forwarding/beliefs/silence_detector.h"
+#include "zinnia_decisions/forwarding/limits/holder_division.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/paths/path_finder.h"
 #include "zinnia_decisions/forwarding/placement/layer_planner.h"
 
@@ -17,10 +19,12 @@
   VirtualTime time;
   LoadBook loads{time};
   ServerHealth health{time};
+  HolderDivision division;
+  ServerLimits limits{time, division, "self"};
   PipeMeter pipe{time};
   RandomSource random{1};
   NamedConnections connections;
-  PathFinder finder{loads, health, pipe, connections, random};
+  PathFinder finder{loads, health, limits, pipe, connections, random};
   GenerationSize size{774, 200};
   std::vector<ServerEntry> servers = {
       EngineServer("x1", "fast", "x", {0, 40}),    EngineServer("x2", "fast", "x", {40, 80}),
--- a/tests/forwarding/recovery_test.cc
+++ b/tests/forwarding/recovery_test.cc
@@ -3,6 +3,8 @@
 #include "zinnia_decisions/forwarding/beliefs/pipe_meter.h"
 #include "zinnia_decisions/forwarding/beliefs/reading_backlog.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
+#include "zinnia_decisions/forwarding/limits/holder_division.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/paths/path_finder.h"
 #include "zinnia_decisions/forwarding/paths/reading_time.h"
 #include "zinnia_decisions/forwarding/paths/recovery_chooser.h"
@@ -20,10 +22,12 @@
   VirtualTime time;
   LoadBook loads{time};
   ServerHealth health{time};
+  HolderDivision division;
+  ServerLimits limits{time, division, "self"};
   PipeMeter pipe{time};
   RandomSource random{1};
   NamedConnections connections;
-  PathFinder finder{loads, health, pipe, connections, random};
+  PathFinder finder{loads, health, limits, pipe, connections, random};
   RecoveryChooser chooser{time, finder, loads, health};
   GenerationSize size{774, 200};
 
--- a/tests/forwarding/relays_test.cc
+++ b/tests/forwarding/relays_test.cc
@@ -47,7 +47,9 @@
     }
   }
   void OnPeerServerNews(const ServerNews&) override {}
+  void OnPeerServerLimits(const std::vector<ServerLimitNews>& heard) override { limits = heard; }
   void OnPeerPaces(const std::vector<PaceNews>&) override {}
+  std::vector<ServerLimitNews> limits;
 
   HeldStore store;
   SilentLogger logger;
--- a/tests/forwarding/requests_test.cc
+++ b/tests/forwarding/requests_test.cc
@@ -2,6 +2,8 @@
 #include "zinnia_decisions/forwarding/beliefs/load_book.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
 #include "zinnia_decisions/forwarding/event_splitter.h"
+#include "zinnia_decisions/forwarding/limits/holder_division.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/paths/plain_server_chooser.h"
 #include "zinnia_decisions/forwarding/paths/route_table.h"
 #include "zinnia_decisions/forwarding/retries/retry_policy.h"
@@ -156,8 +158,10 @@
   VirtualTime time;
   LoadBook loads{time};
   ServerHealth health{time};
+  HolderDivision division;
+  ServerLimits limits{time, division, "self"};
   RandomSource random{1};
-  PlainServerChooser chooser{loads, health, random};
+  PlainServerChooser chooser{loads, health, limits, random};
   ForwardingView view;
 
   void setup() override {
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -193,7 +193,11 @@
                                        Duration::zero(),
                                        1,
                                        [](const BackendServerName&) {},
-                                       [this](const ServerNews& news) { told.push_back(news); }});
+                                       [this](const ServerNews& news) { told.push_back(news); },
+                                       [this](const std::vector<ServerLimitNews>& limits, bool) {
+                                         told_limits = limits;
+                                       },
+                                       "self"});
     traffic->SetView(view);
   }
 
@@ -256,6 +260,7 @@
 
   /** What control, and with it peers, were told of servers. */
   std::vector<ServerNews> told;
+  std::vector<ServerLimitNews> told_limits;
   std::unique_ptr<ForwardingTraffic> traffic;
   std::vector<std::unique_ptr<TestCaller>> callers;
 };
--- /dev/null
+++ b/tests/forwarding_path/limits_test.cc
@@ -0,0 +1,90 @@
+#include <thread>
+
+#include "tests/forwarding_path/forwarding_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using Connection = RawServer::Connection;
+using std::chrono::milliseconds;
+
+TEST_GROUP(ServerLimitPath) {
+  ForwardingFixture f;
+
+  static RawServer::Script Naming(const std::string& limit) {
+    return [limit](Connection& connection) {
+      connection.Write(ForwardingFixture::Head("X-Limit: " + limit + "\r\nContent-Length: 2\r\n") +
+                       "ok");
+    };
+  }
+  static void Plain(Connection & connection) {
+    connection.Write(ForwardingFixture::Head("Content-Length: 2\r\n") + "ok");
+  }
+
+  void CallUntilServed(const std::string& path) {
+    TestCaller& caller = f.Call(path);
+    CHECK_TRUE(f.Until([&] { return caller.Has("ok") || caller.Has("503"); }));
+  }
+
+  /** Until both servers' limits are known here. */
+  void HearLimits() {
+    for (int call = 0; call < 40 && (f.a.received.empty() || f.b.received.empty()); ++call) {
+      CallUntilServed("/safe/x");
+    }
+  }
+};
+
+// Guards against a server in need that is chosen as if it had said nothing.
+TEST(ServerLimitPath, RequestsGoToTheOtherServer) {
+  f.a.scripts = {Naming("0.5")};
+  f.b.scripts = {Plain};
+  for (int call = 0; call < 40; ++call) {
+    CallUntilServed("/safe/x");
+  }
+  CHECK_TRUE(f.a.received.size() <= 8);  // One and a half times 0.5 a second for 4 s, and 5.
+  CHECK_EQUAL(40U, f.Arrivals());
+  CHECK_EQUAL(1U, f.told_limits.size());
+  DOUBLES_EQUAL(0.5, f.told_limits.front().requests_per_second.value(), 1e-9);
+}
+
+// Guards against a caller who waits in vain, or is told of work that was not done, when every
+// server has as many requests as it takes.
+TEST(ServerLimitPath, WhatNoServerTakesIsRefusedAtOnceAndToldWhenToComeBack) {
+  f.Script(Naming("0.2"));
+  HearLimits();
+  const std::size_t arrivals = f.Arrivals();
+  TestCaller& caller = f.Call("/once/x");
+  CHECK_TRUE(f.Until([&] { return caller.Has("503"); }));
+  CHECK_TRUE(caller.Has("Retry-After: "));
+  CHECK_EQUAL(arrivals, f.Arrivals());
+}
+
+// Guards against a peer's word that is not believed before the server itself has said it here.
+TEST(ServerLimitPath, APeersWordKeepsRequestsAway) {
+  f.Script(Plain);
+  f.traffic->OnPeerServerLimits({{"a", 0.2, milliseconds(20)}, {"gone", 0.2, milliseconds(20)}});
+  for (int call = 0; call < 20; ++call) {
+    CallUntilServed("/safe/x");
+  }
+  CHECK_EQUAL(0U, f.a.received.size());
+  CHECK_EQUAL(20U, f.b.received.size());
+}
+
+// Guards against a server that is left alone after its need is over.
+TEST(ServerLimitPath, AnAnswerWithoutALimitEndsIt) {
+  f.a.scripts = {Naming("1000"), Plain};
+  f.b.scripts = {Plain};
+  for (int call = 0; call < 20 && f.a.received.empty(); ++call) {
+    CallUntilServed("/safe/x");
+  }
+  CHECK_EQUAL(1U, f.told_limits.size());
+  CHECK_TRUE(f.told_limits.front().requests_per_second.has_value());
+  for (int call = 0; call < 400 && f.a.received.size() < 2; ++call) {
+    CallUntilServed("/safe/x");
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  CHECK_FALSE(f.told_limits.front().requests_per_second.has_value());
+}
+
+}  // namespace zinnia
