Divide the slack of retries among the instances of the last ten seconds

Found while going through the bounds on sums that instances divide by a count. What callers saw: nothing yet. Now the count is that of the last ten seconds, the budget's window. Cost: fewer retries at survivors of a mass end.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -371,7 +371,7 @@
   NextStep step = DecideNextStep(*m_route, outcome, m_history);
   if (step == NextStep::kSendAgain) {
     const bool allowed = outcome == SendOutcome::kNotSent ||
-                         m_parts.retries.TrySpend(m_service, m_parts.view()->live_instances);
+                         m_parts.retries.TrySpend(m_service, *m_parts.view());
     m_history.has_alternative = allowed && ChooseServer();
     step = DecideNextStep(*m_route, outcome, m_history);
   }
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -304,7 +304,7 @@
     ChangePath(recovery->found, reason);
     return;
   }
-  if (recovery && m_parts.retries.TrySpend(m_service, view->live_instances)) {
+  if (recovery && m_parts.retries.TrySpend(m_service, *view)) {
     StartAgain(recovery->found, reason);
     return;
   }
--- a/packages/zinnia_decisions/forwarding/beliefs/forwarding_view.h
+++ b/packages/zinnia_decisions/forwarding/beliefs/forwarding_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -36,6 +37,12 @@
      of one. */
   std::shared_ptr<const std::vector<Instance>> instances;
 
+  /** How many instances a bound on a sum is divided by. More than live at the moment: one that
+      restarts has spent its part already and comes back to spend it again. */
+  std::size_t CountForShares() const {
+    return std::max(live_instances, instances ? instances->size() : std::size_t{1});
+  }
+
   /** The store's revision that this view stands for, and when it was read. */
   std::uint64_t revision = 0;
   TimePoint as_of{};
--- a/packages/zinnia_decisions/forwarding/retries/shared_retry_budget.cc
+++ b/packages/zinnia_decisions/forwarding/retries/shared_retry_budget.cc
@@ -1,6 +1,6 @@
 #include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 
-#include <algorithm>
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
 
 namespace zinnia {
 namespace {
@@ -29,7 +29,7 @@
   ++CurrentSlice(service).requests;
 }
 
-bool SharedRetryBudget::TrySpend(const ServiceName& service, std::size_t live_instances) {
+bool SharedRetryBudget::TrySpend(const ServiceName& service, const ForwardingView& view) {
   Slice& current = CurrentSlice(service);
   const std::int64_t oldest = current.number - static_cast<std::int64_t>(kSlices);
   double requests = 0;
@@ -40,7 +40,7 @@
       retries += slice.retries;
     }
   }
-  const double instances = static_cast<double>(std::max<std::size_t>(1, live_instances));
+  const double instances = static_cast<double>(view.CountForShares());
   const double allowed =
       kGivenRatio * m_settings.ratio * requests + kGivenSlack * m_settings.slack / instances;
   if (retries + 1 > allowed) {
--- a/packages/zinnia_decisions/forwarding/retries/shared_retry_budget.h
+++ b/packages/zinnia_decisions/forwarding/retries/shared_retry_budget.h
@@ -10,6 +10,8 @@
 
 namespace zinnia {
 
+struct ForwardingView;
+
 /** The bound that all instances keep together, per service and sliding window: retries up to
     `ratio` times the requests, plus `slack`. */
 struct SharedRetryBudgetSettings {
@@ -34,7 +36,7 @@
   void OnRequest(const ServiceName& service);
 
   /** Takes one retry; false if none is left in this window. */
-  [[nodiscard]] bool TrySpend(const ServiceName& service, std::size_t live_instances);
+  [[nodiscard]] bool TrySpend(const ServiceName& service, const ForwardingView& view);
 
  private:
   static constexpr std::size_t kSlices = 10;
--- a/tests/forwarding/requests_test.cc
+++ b/tests/forwarding/requests_test.cc
@@ -3,6 +3,7 @@
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
 #include "zinnia_decisions/forwarding/event_splitter.h"
 #include "zinnia_decisions/forwarding/limits/holder_division.h"
+#include "zinnia_decisions/forwarding/limits/recent_instances.h"
 #include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/paths/plain_server_chooser.h"
 #include "zinnia_decisions/forwarding/paths/route_table.h"
@@ -127,14 +128,57 @@
   SharedRetryBudget budget{time, {0.2, 100.0, seconds(10)}};
 
   int SpendAll(std::size_t instances) {
+    ForwardingView view;
+    view.live_instances = instances;
+    return SpendAll(budget, view);
+  }
+
+  static int SpendAll(SharedRetryBudget & budget, const ForwardingView& view) {
     int spent = 0;
-    while (budget.TrySpend("plain", instances)) {
+    while (budget.TrySpend("plain", view)) {
       ++spent;
     }
     return spent;
   }
 };
 
+// Guards against survivors that spend the parts of those that restart, who come back and spend them
+// again.
+TEST(RetryBudgetOfAll, HoldsWhileMostInstancesRestart) {
+  constexpr std::size_t kInstances = 9;
+  constexpr std::size_t kSurvivors = 4;
+  std::vector<Instance> all(kInstances);
+  for (std::size_t index = 0; index < kInstances; ++index) {
+    all[index].name = std::to_string(index);
+  }
+  RecentInstances recent(time);
+  std::vector<std::unique_ptr<SharedRetryBudget>> budgets(kInstances);
+  const auto start = [&](std::size_t first) {
+    for (std::size_t index = first; index < kInstances; ++index) {
+      budgets[index] = std::make_unique<SharedRetryBudget>(
+          time, SharedRetryBudgetSettings{0.2, 100.0, seconds(10)});
+    }
+  };
+  start(0);
+  const auto spend = [&](std::size_t first, std::size_t end, const std::vector<Instance>& live) {
+    ForwardingView view;
+    view.live_instances = live.size();
+    view.instances = recent.Update(live);
+    int spent = 0;
+    for (std::size_t index = first; index < end; ++index) {
+      spent += SpendAll(*budgets[index], view);
+    }
+    return spent;
+  };
+  int spent = spend(0, kInstances, all);
+  time.AdvanceBy(seconds(1));
+  spent += spend(0, kSurvivors, {all.begin(), all.begin() + kSurvivors});
+  time.AdvanceBy(seconds(1));
+  start(kSurvivors);
+  spent += spend(kSurvivors, kInstances, all);
+  CHECK_TRUE(spent <= 100);
+}
+
 // Symptom: a failing service gets several times its load. Sequence: nine instances each spend the
 // whole slack. Cause: the bound kept by each instead of by all.
 TEST(RetryBudgetOfAll, NineInstancesTogetherStayWithinTheSlack) {
