A request is not blamed for servers that die together

What callers saw: an answer whose two servers were killed in one moment ended as quarantined, though others could have gone on with it. Cause: being in flight at crashes of two servers was proof, whatever lay between them, and the second try could reach a server that was being killed and still took connections.

Change: crashes within a second are one event for a request in flight at each, unless it ran alone at the second; reports and rumours carry that; an isolated step asks its server whether it answers before it is sent, which a process that is being killed cannot do. Why it holds: proof now needs a server that lived on after the first crash was known.

Cost: copies that run through two instances at the first crash take down four servers instead of two; one more round trip before each isolated step. The poison tests' second try now says that it runs alone, as the links report it; their bounds are unchanged.

--- a/bench/engine_link/main.cc
+++ b/bench/engine_link/main.cc
@@ -24,8 +24,7 @@
 
 class IgnoringListener final : public ChannelListener {
  public:
-  void OnServerCrashed(const BackendServerName&, std::uint64_t, std::vector<Fingerprint>) override {
-  }
+  void OnServerCrashed(const BackendServerName&, std::uint64_t, InFlightAtCrash) override {}
   void OnServerSuspect(const BackendServerName&) override { ++suspects; }
   void OnServerRecovered(const BackendServerName&) override {}
   void OnServerLoad(const BackendServerName&, std::uint32_t, std::uint32_t) override { ++batches; }
--- a/packages/zinnia_adapters/engines/channel_listener.h
+++ b/packages/zinnia_adapters/engines/channel_listener.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include <vector>
 
-#include "zinnia_base/hashing/fingerprint.h"
+#include "zinnia_decisions/ports/in_flight_at_crash.h"
 #include "zinnia_world/names/names.h"
 
 namespace zinnia {
@@ -19,11 +18,11 @@
  public:
   virtual ~ChannelListener() = default;
 
-  /** The server crashed; `fingerprints` name the requests whose steps were sent and not answered.
+  /** The server crashed; `in_flight` names the requests whose steps were sent and not answered.
       `incarnation` is the one that crashed, 0 if it was never learned. */
   virtual void OnServerCrashed(const BackendServerName& server,
                                std::uint64_t incarnation,
-                               std::vector<Fingerprint> fingerprints) = 0;
+                               InFlightAtCrash in_flight) = 0;
 
   /** It missed a deadline or lost a connection, and has not answered since. */
   virtual void OnServerSuspect(const BackendServerName& server) = 0;
--- a/packages/zinnia_adapters/engines/engine_channel.cc
+++ b/packages/zinnia_adapters/engines/engine_channel.cc
@@ -52,13 +52,15 @@
   return fingerprints;
 }
 
-std::vector<Fingerprint> FingerprintsOf(const std::vector<std::shared_ptr<StepBatch>>& batches) {
-  std::unordered_set<Fingerprint> distinct;
+InFlightAtCrash InFlightOf(const std::vector<std::shared_ptr<StepBatch>>& batches) {
+  std::unordered_set<Fingerprint> alone;
+  std::unordered_set<Fingerprint> beside_others;
   for (const auto& batch : batches) {
     const std::vector<Fingerprint> fingerprints = FingerprintsOf(*batch);
+    auto& distinct = batch->kind == BatchKind::kIsolated ? alone : beside_others;
     distinct.insert(fingerprints.begin(), fingerprints.end());
   }
-  return {distinct.begin(), distinct.end()};
+  return {{beside_others.begin(), beside_others.end()}, {alone.begin(), alone.end()}};
 }
 
 }  // namespace
@@ -103,10 +105,19 @@
   });
 }
 
+/** An isolated step shows whether its request crashes servers, so the server must have outlived the
+    crash that made the request suspect: one that was killed in the same moment takes connections
+    until it is gone, and its end would be blamed on the request. It cannot answer a question. */
 void EngineChannel::Flush() {
   for (StepQueue& queue : m_queues) {
     while (!m_probing && !queue.IsEmpty() &&
            queue.batches_in_flight < StepQueue::LanesFor(queue.Kind())) {
+      const bool is_isolated = queue.Kind() == BatchKind::kIsolated;
+      if (is_isolated && !std::exchange(m_has_just_answered, false)) {
+        m_asks_for_isolated = true;
+        Probe();
+        return;
+      }
       SendBatch(queue);
     }
   }
@@ -323,7 +334,9 @@
   // a verdict, that is a lost connection: the request which crashed the server is not blamed, and
   // goes on to crash the next one.
   const bool is_cut = failure == ExchangeFailure::kLost || failure == ExchangeFailure::kUnreachable;
-  if (is_cut && !m_awaiting_verdict.empty() && m_cut_probes < kMostCutProbes) {
+  StepQueue& isolated = QueueFor(BatchKind::kIsolated);
+  const bool is_awaited = !m_awaiting_verdict.empty() || !isolated.IsEmpty();
+  if (is_cut && is_awaited && m_cut_probes < kMostCutProbes) {
     ++m_cut_probes;
     m_probe_again = m_parts.scheduler.ScheduleAfter(kProbeAgainAfter, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
@@ -333,7 +346,9 @@
     return;
   }
   m_probing = false;
-  if (m_awaiting_verdict.empty()) {
+  // A question asked before the step came may have been answered before the server was killed.
+  const bool asked_for_isolated = std::exchange(m_asks_for_isolated, false);
+  if (!is_awaited) {
     FlushSoon();  // a refused connection gave the verdict before the probe did
     return;
   }
@@ -345,6 +360,9 @@
   }
   if (failure == ExchangeFailure::kNone) {
     m_incarnation = incarnation;
+    m_has_just_answered = asked_for_isolated;
+  } else {
+    AnswerAll(isolated.TakeAll(), StepStatus::kConnectionLost);
   }
   DeclareConnectionLost();
 }
@@ -365,7 +383,7 @@
     }
     batch->connection->Close();
   }
-  const std::vector<Fingerprint> fingerprints = FingerprintsOf(blamed);
+  InFlightAtCrash in_flight = InFlightOf(blamed);
   std::vector<PendingStep> steps;
   for (const BatchPointer& batch : blamed) {
     std::ranges::move(batch->steps, std::back_inserter(steps));
@@ -378,10 +396,11 @@
   // Whoever comes back under this name may be another machine.
   m_decode_times = {};
   m_prefill_times = {};
-  const bool news = !std::exchange(m_down, true) || !fingerprints.empty();
+  const bool blames_some = !in_flight.beside_others.empty() || !in_flight.alone.empty();
+  const bool news = !std::exchange(m_down, true) || blames_some;
   const std::uint64_t incarnation = std::exchange(m_incarnation, 0);
   if (news) {
-    m_parts.listener.OnServerCrashed(m_server, incarnation, fingerprints);
+    m_parts.listener.OnServerCrashed(m_server, incarnation, std::move(in_flight));
   }
   AnswerAll(steps, StepStatus::kServerCrashed);
   AnswerUnsent(unsent);
--- a/packages/zinnia_adapters/engines/engine_channel.h
+++ b/packages/zinnia_adapters/engines/engine_channel.h
@@ -102,6 +102,8 @@
   std::uint32_t m_cut_probes = 0;
   std::uint64_t m_incarnation = 0;
   bool m_flush_posted = false;
+  bool m_asks_for_isolated = false;  // The present question.
+  bool m_has_just_answered = false;  // That question; lets one isolated batch go.
   bool m_probing = false;
   bool m_learning = false;
   bool m_suspect = false;
--- a/packages/zinnia_adapters/peers/peer.capnp
+++ b/packages/zinnia_adapters/peers/peer.capnp
@@ -56,6 +56,7 @@
   incarnation @1 :UInt64;
   fingerprints @2 :List(Fingerprint);
   ageMs @3 :UInt32;
+  alone @4 :Bool;
 }
 
 struct Rumour {
--- a/packages/zinnia_adapters/peers/peer.capnp.h
+++ b/packages/zinnia_adapters/peers/peer.capnp.h
@@ -1143,6 +1143,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline bool getAlone() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1191,6 +1193,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline bool getAlone();
+  inline void setAlone(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3720,6 +3725,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashRumour::Reader::getAlone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashRumour::Builder::getAlone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void CrashRumour::Builder::setAlone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::zinnia::wire::Rumour::Which Rumour::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/zinnia_adapters/peers/wire_conversion.cc
+++ b/packages/zinnia_adapters/peers/wire_conversion.cc
@@ -92,6 +92,7 @@
   to.setServer(ToWireText(rumour.server));
   to.setIncarnation(rumour.incarnation);
   to.setAgeMs(rumour.age_ms);
+  to.setAlone(rumour.alone);
   auto fingerprints = to.initFingerprints(rumour.fingerprints.size());
   for (unsigned i = 0; i < fingerprints.size(); ++i) {
     Write(fingerprints[i], rumour.fingerprints[i]);
@@ -101,7 +102,8 @@
 CrashRumour Read(wire::CrashRumour::Reader from) {
   const auto fingerprints = from.getFingerprints();
   RequireAtMost(fingerprints, kMostFingerprints, "fingerprints");
-  CrashRumour rumour{FromWireText(from.getServer()), from.getIncarnation(), {}, from.getAgeMs()};
+  CrashRumour rumour{
+      FromWireText(from.getServer()), from.getIncarnation(), {}, from.getAgeMs(), from.getAlone()};
   for (const auto fingerprint : fingerprints) {
     rumour.fingerprints.push_back(Read(fingerprint));
   }
--- a/packages/zinnia_apps/daemon/channel_reports.cc
+++ b/packages/zinnia_apps/daemon/channel_reports.cc
@@ -25,16 +25,16 @@
 
 void ChannelReports::OnServerCrashed(const BackendServerName& server,
                                      std::uint64_t,
-                                     std::vector<Fingerprint> fingerprints) {
+                                     InFlightAtCrash in_flight) {
   m_links->HoldIsolated();
   auto release = [this, alive = std::weak_ptr(m_alive)] {
     if (!alive.expired()) {
       m_links->ReleaseIsolated();
     }
   };
-  m_to_control([&control = m_control, server, fingerprints = std::move(fingerprints),
-                post = m_to_traffic, release]() mutable {
-    control.Control().ReportServerCrash(server, fingerprints, [post, release] { post(release); });
+  m_to_control([&control = m_control, server, in_flight = std::move(in_flight), post = m_to_traffic,
+                release]() mutable {
+    control.Control().ReportServerCrash(server, in_flight, [post, release] { post(release); });
   });
 }
 
--- a/packages/zinnia_apps/daemon/channel_reports.h
+++ b/packages/zinnia_apps/daemon/channel_reports.h
@@ -29,7 +29,7 @@
 
   void OnServerCrashed(const BackendServerName& server,
                        std::uint64_t incarnation,
-                       std::vector<Fingerprint> fingerprints) override;
+                       InFlightAtCrash in_flight) override;
   void OnServerSuspect(const BackendServerName& server) override;
   void OnServerRecovered(const BackendServerName& server) override;
   void OnServerLoad(const BackendServerName& server,
--- a/packages/zinnia_decisions/control/instance_control.cc
+++ b/packages/zinnia_decisions/control/instance_control.cc
@@ -10,6 +10,7 @@
 #include "zinnia_decisions/fleet_control/subset_selection.h"
 #include "zinnia_decisions/membership/message_size.h"
 #include "zinnia_decisions/once/intent_handler.h"
+#include "zinnia_decisions/ports/in_flight_at_crash.h"
 
 namespace zinnia {
 namespace {
@@ -204,31 +205,35 @@
   WantSnapshot(kPublishWithin);
 }
 
-std::vector<CrashRumour> InstanceControl::CrashRumours(
-    const BackendServerName& server,
-    const std::vector<Fingerprint>& in_flight) const {
+std::vector<CrashRumour> InstanceControl::CrashRumours(const BackendServerName& server,
+                                                       const InFlightAtCrash& in_flight) const {
   std::vector<CrashRumour> rumours;
   const std::uint64_t incarnation = m_servers.IncarnationOf(server);
-  for (std::size_t first = 0; first < in_flight.size(); first += kFingerprintsInRumour) {
-    const std::size_t end = std::min(first + kFingerprintsInRumour, in_flight.size());
-    rumours.push_back({server,
-                       incarnation,
-                       {in_flight.begin() + static_cast<std::ptrdiff_t>(first),
-                        in_flight.begin() + static_cast<std::ptrdiff_t>(end)},
-                       0});
+  for (const bool alone : {false, true}) {
+    const std::vector<Fingerprint>& fingerprints =
+        alone ? in_flight.alone : in_flight.beside_others;
+    for (std::size_t first = 0; first < fingerprints.size(); first += kFingerprintsInRumour) {
+      const std::size_t end = std::min(first + kFingerprintsInRumour, fingerprints.size());
+      rumours.push_back({server,
+                         incarnation,
+                         {fingerprints.begin() + static_cast<std::ptrdiff_t>(first),
+                          fingerprints.begin() + static_cast<std::ptrdiff_t>(end)},
+                         0,
+                         alone});
+    }
   }
   return rumours;
 }
 
 void InstanceControl::ReportServerCrash(const BackendServerName& server,
-                                        const std::vector<Fingerprint>& in_flight) {
+                                        const InFlightAtCrash& in_flight) {
   for (const CrashRumour& rumour : CrashRumours(server, in_flight)) {
     TakeCrash(rumour, true);
   }
 }
 
 void InstanceControl::ReportServerCrash(const BackendServerName& server,
-                                        const std::vector<Fingerprint>& in_flight,
+                                        const InFlightAtCrash& in_flight,
                                         std::function<void()> peers_know) {
   std::vector<CrashRumour> rumours = CrashRumours(server, in_flight);
   ReportServerCrash(server, in_flight);
--- a/packages/zinnia_decisions/control/instance_control.h
+++ b/packages/zinnia_decisions/control/instance_control.h
@@ -27,6 +27,7 @@
 class InstanceList;
 class IntentHandler;
 class Logger;
+struct InFlightAtCrash;
 struct ServerRatesReport;
 
 /** Settings of the control core. */
@@ -123,13 +124,12 @@
   void ReportServerLeaving(const BackendServerName& server);
 
   /** A server crashed while these requests of this instance were in flight at it. */
-  void ReportServerCrash(const BackendServerName& server,
-                         const std::vector<Fingerprint>& in_flight);
+  void ReportServerCrash(const BackendServerName& server, const InFlightAtCrash& in_flight);
 
   /** The same, and says when the live peers know, or after CrashAnnouncer::kLongestWait. Only then
       may one of those requests be tried again. */
   void ReportServerCrash(const BackendServerName& server,
-                         const std::vector<Fingerprint>& in_flight,
+                         const InFlightAtCrash& in_flight,
                          std::function<void()> peers_know);
 
   /** @see CrashQuarantine::Claim */
@@ -167,7 +167,7 @@
                    std::uint64_t incarnation,
                    LeavingSource source);
   std::vector<CrashRumour> CrashRumours(const BackendServerName& server,
-                                        const std::vector<Fingerprint>& in_flight) const;
+                                        const InFlightAtCrash& in_flight) const;
   void TakeCrash(const CrashRumour& rumour, bool first_hand);
   void TickQuarantine();
   void PublishQuarantine();
--- a/packages/zinnia_decisions/membership/message_size.cc
+++ b/packages/zinnia_decisions/membership/message_size.cc
@@ -18,7 +18,7 @@
     return SizeOfText(rumour.server) + 2 * kWord;
   }
   std::size_t operator()(const CrashRumour& rumour) const {
-    return SizeOfText(rumour.server) + 4 * kWord + rumour.fingerprints.size() * 2 * kWord;
+    return SizeOfText(rumour.server) + 5 * kWord + rumour.fingerprints.size() * 2 * kWord;
   }
   std::size_t operator()(const ConfigurationRumour& rumour) const {
     return EstimateSize(rumour.delta);
--- a/packages/zinnia_decisions/membership/rumour_queue.cc
+++ b/packages/zinnia_decisions/membership/rumour_queue.cc
@@ -18,7 +18,7 @@
   std::string operator()(const CrashRumour& rumour) const {
     // Several instances tell of one crash, each with the requests that it had there.
     const std::uint64_t first = rumour.fingerprints.empty() ? 0 : rumour.fingerprints.front().low;
-    return fmt::format("x {} {} {:x}", rumour.server, rumour.incarnation, first);
+    return fmt::format("x {} {} {:x} {}", rumour.server, rumour.incarnation, first, rumour.alone);
   }
   std::string operator()(const ConfigurationRumour& rumour) const {
     return fmt::format("c {}", rumour.delta.revision);
--- a/packages/zinnia_decisions/ports/peer_messages.h
+++ b/packages/zinnia_decisions/ports/peer_messages.h
@@ -41,6 +41,9 @@
   std::uint64_t incarnation = 0;
   std::vector<Fingerprint> fingerprints;
   std::uint32_t age_ms = 0;
+
+  /** @see InFlightAtCrash::alone */
+  bool alone = false;
   bool operator==(const CrashRumour&) const = default;
 };
 
--- a/packages/zinnia_decisions/quarantine/crash_quarantine.cc
+++ b/packages/zinnia_decisions/quarantine/crash_quarantine.cc
@@ -21,12 +21,19 @@
     return {};
   }
   const CrashKey key = KeyOf(rumour, now - age);
-  Crash& crash = m_crashes.try_emplace(key, Crash{now - age, {}, std::nullopt}).first->second;
+  Crash& crash = m_crashes.try_emplace(key, Crash{now - age, {}, {}, std::nullopt}).first->second;
   std::vector<Fingerprint> news;
   for (const Fingerprint& fingerprint : rumour.fingerprints) {
-    const bool room = crash.fingerprints.size() < m_settings.most_fingerprints_per_crash;
-    if (room && crash.fingerprints.insert(fingerprint).second) {
+    const bool is_known = crash.fingerprints.contains(fingerprint);
+    if (!is_known && crash.fingerprints.size() >= m_settings.most_fingerprints_per_crash) {
+      continue;
+    }
+    const bool is_new_evidence = rumour.alone && crash.alone.insert(fingerprint).second;
+    if (!is_known) {
+      crash.fingerprints.insert(fingerprint);
       m_suspects[fingerprint].push_back(key);
+    }
+    if (!is_known || is_new_evidence) {
       news.push_back(fingerprint);
     }
   }
@@ -49,9 +56,26 @@
   return {rumour.server, rumour.incarnation};
 }
 
+bool CrashQuarantine::IsProven(const Fingerprint& fingerprint,
+                               const std::vector<CrashKey>& crashes) const {
+  if (crashes.size() < 2) {
+    return false;
+  }
+  TimePoint first = TimePoint::max();
+  TimePoint last = TimePoint::min();
+  bool ran_alone = false;
+  for (const CrashKey& key : crashes) {
+    const Crash& crash = m_crashes.at(key);
+    first = std::min(first, crash.at);
+    last = std::max(last, crash.at);
+    ran_alone = ran_alone || crash.alone.contains(fingerprint);
+  }
+  return ran_alone || last - first >= m_settings.news_time;
+}
+
 void CrashQuarantine::QuarantineIfProven(const Fingerprint& fingerprint) {
   const std::vector<CrashKey>& crashes = m_suspects[fingerprint];
-  if (crashes.size() < 2) {
+  if (!IsProven(fingerprint, crashes)) {
     return;
   }
   TimePoint last{};
@@ -220,19 +244,21 @@
   std::vector<CrashRumour> rumours;
   for (const auto& [key, crash] : m_crashes) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at);
-    CrashRumour rumour{key.first, key.second, {}, static_cast<std::uint32_t>(age.count())};
-    for (const Fingerprint& fingerprint : crash.fingerprints) {
-      if (m_suspects.contains(fingerprint)) {
-        rumour.fingerprints.push_back(fingerprint);
+    for (const bool alone : {false, true}) {
+      CrashRumour rumour{key.first, key.second, {}, static_cast<std::uint32_t>(age.count()), alone};
+      for (const Fingerprint& fingerprint : crash.fingerprints) {
+        if (m_suspects.contains(fingerprint) && crash.alone.contains(fingerprint) == alone) {
+          rumour.fingerprints.push_back(fingerprint);
+        }
+        if (rumour.fingerprints.size() == kFingerprintsInRumour) {
+          rumours.push_back(rumour);
+          rumour.fingerprints.clear();
+        }
       }
-      if (rumour.fingerprints.size() == kFingerprintsInRumour) {
-        rumours.push_back(rumour);
-        rumour.fingerprints.clear();
+      if (!rumour.fingerprints.empty()) {
+        rumours.push_back(std::move(rumour));
       }
     }
-    if (!rumour.fingerprints.empty()) {
-      rumours.push_back(std::move(rumour));
-    }
   }
   return rumours;
 }
--- a/packages/zinnia_decisions/quarantine/crash_quarantine.h
+++ b/packages/zinnia_decisions/quarantine/crash_quarantine.h
@@ -23,6 +23,10 @@
   /** A suspect is not started anew within this time of its crash: every instance has heard of the
       crash by then, and agrees on the suspect's owner. */
   Duration hold = std::chrono::seconds(5);
+
+  /** News of a crash reaches every instance in this time, also on busy machines. Crashes closer
+     than that are one event for a request that was in flight at each, unless it ran alone. */
+  Duration news_time = std::chrono::seconds(1);
   std::size_t most_crashes = 64;
   std::size_t most_fingerprints_per_crash = 128;
   std::size_t most_quarantined = 1024;
@@ -39,10 +43,12 @@
 /** Finds the requests that crash backend servers, from what was in flight at each crash.
 
     A fingerprint in flight at one crash is a suspect; at crashes of two distinct servers, or of two
-    incarnations of one, it is quarantined. Everything is worked out from the crash rumours alone,
-   so that all instances that heard the same come to the same rows. Once a fingerprint is
-   quarantined, its crashes are explained: whoever was only in flight beside it is a suspect no
-   longer.
+    incarnations of one, it is quarantined, if the second attempt began when the first crash was
+    known: it ran alone, or the crashes are further apart than news takes. Servers that die in the
+    same moment prove nothing against those that ran at both. Everything is worked out from the
+   crash rumours alone, so that all instances that heard the same come to the same rows. Once a
+   fingerprint is quarantined, its crashes are explained: whoever was only in flight beside it is a
+   suspect no longer.
 
     Lives on the control thread.
 
@@ -82,10 +88,14 @@
   struct Crash {
     TimePoint at{};
     std::unordered_set<Fingerprint> fingerprints;
+
+    /** Of these, those that ran alone. */
+    std::unordered_set<Fingerprint> alone;
     std::optional<TimePoint> explained_at;
   };
 
   CrashKey KeyOf(const CrashRumour& rumour, TimePoint at) const;
+  bool IsProven(const Fingerprint& fingerprint, const std::vector<CrashKey>& crashes) const;
   void QuarantineIfProven(const Fingerprint& fingerprint);
   bool IsOwner(const Fingerprint& fingerprint) const;
   bool IsHeld(const Fingerprint& fingerprint, TimePoint now) const;
--- a/tests/adapters/control_peer_codec_test.cc
+++ b/tests/adapters/control_peer_codec_test.cc
@@ -25,12 +25,13 @@
   message.sender_incarnation = 3;
   message.target = MakeInstance("entry-2");
   message.revision = 99;
-  message.rumours = {MemberRumour{MakeInstance("entry-3"), 8, MemberState::kSuspect},
-                     LeavingRumour{"draft-7", 5}, CrashRumour{"draft-8", 6, {{1, 2}, {3, 4}}, 250},
-                     ConfigurationRumour{{98,
-                                          99,
-                                          {{"organisation/petrie", 99, "{\"weight\":2}"},
-                                           {"model/x", 99, std::nullopt}}}}};
+  message.rumours = {
+      MemberRumour{MakeInstance("entry-3"), 8, MemberState::kSuspect}, LeavingRumour{"draft-7", 5},
+      CrashRumour{"draft-8", 6, {{1, 2}, {3, 4}}, 250, true},
+      ConfigurationRumour{
+          {98,
+           99,
+           {{"organisation/petrie", 99, "{\"weight\":2}"}, {"model/x", 99, std::nullopt}}}}};
   return message;
 }
 
@@ -52,7 +53,8 @@
     case 1:
       return LeavingRumour{text, number};
     case 2:
-      return CrashRumour{text, number, {{number, ~number}}, static_cast<std::uint32_t>(number)};
+      return CrashRumour{
+          text, number, {{number, ~number}}, static_cast<std::uint32_t>(number), number % 2 == 0};
     default:
       return ConfigurationRumour{{number, number + 1, {{text, number, text}}}};
   }
--- a/tests/adapters/traffic_engine_links_test.cc
+++ b/tests/adapters/traffic_engine_links_test.cc
@@ -41,9 +41,11 @@
 struct Events final : ChannelListener {
   void OnServerCrashed(const BackendServerName& server,
                        std::uint64_t incarnation,
-                       std::vector<Fingerprint> fingerprints) override {
+                       InFlightAtCrash in_flight) override {
     log.push_back(fmt::format("crashed {} incarnation {}", server, incarnation));
-    blamed = std::move(fingerprints);
+    alone = std::move(in_flight.alone);
+    blamed = std::move(in_flight.beside_others);
+    blamed.insert(blamed.end(), alone.begin(), alone.end());
   }
   void OnServerSuspect(const BackendServerName& server) override {
     log.push_back("suspect " + server);
@@ -64,6 +66,7 @@
   }
   std::vector<std::string> log;
   std::vector<Fingerprint> blamed;
+  std::vector<Fingerprint> alone;  // Part of `blamed`.
   std::string load;
   std::optional<ServerRatesReport> rates;
 };
@@ -405,6 +408,38 @@
   LONGS_EQUAL(0, events.blamed.size());
 }
 
+// Guards against a request that is blamed for the death of two servers that went down together: its
+// second try reaches one that takes connections, but is about to be gone.
+TEST(TrafficEngineLinks, IsolatedStepsReachOnlyServersThatLive) {
+  WarmUp();
+  cut_probes = true;
+  Send(0, MakeStep(1, true));
+  CHECK(RunUntil(loop, [this] { return server.targets.back() == "/v1/state"; }));
+  RunReady(loop);
+  LONGS_EQUAL(0, batches.size());
+  server.Crash();
+  CHECK(RunUntil(loop, [this] {
+    time.AdvanceBy(std::chrono::milliseconds(5));
+    return answers->count == 1;
+  }));
+  CHECK(StepStatus::kServerCrashed == answers->StatusOf(0));
+  CHECK_TRUE(answers->answers[0][0].never_sent);
+  LONGS_EQUAL(0, events.blamed.size());
+}
+
+TEST(TrafficEngineLinks, ACrashUnderAnIsolatedStepSaysThatItRanAlone) {
+  WarmUp();
+  hold = true;
+  Send(0, MakeStep(1, true));
+  Send(1, MakeStep(1));
+  CHECK(RunUntil(loop, [this] { return batches.size() == 2; }));
+  server.Crash();
+  CHECK(RunUntil(loop, [this] { return answers->count == 2; }));
+  LONGS_EQUAL(2, events.blamed.size());
+  LONGS_EQUAL(1, events.alone.size());
+  CHECK(Fingerprint::Of("isolated") == events.alone.front());
+}
+
 TEST(TrafficEngineLinks, LeavingAnswerIsReported) {
   status = "leaving";
   Send(0, MakeStep(1));
--- a/tests/control/membership_test.cc
+++ b/tests/control/membership_test.cc
@@ -1,5 +1,6 @@
 #include "tests/control/control_fleet.h"
 #include "zinnia_decisions/membership/rumour_queue.h"
+#include "zinnia_decisions/ports/in_flight_at_crash.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -179,7 +180,7 @@
   fleet.Heal();
   for (int server = 0; server < 200; ++server) {
     fleet.At(0).ReportServerCrash(fmt::format("server-{}", server),
-                                  {Fingerprint::Of(fmt::format("{}", server))});
+                                  {{Fingerprint::Of(fmt::format("{}", server))}, {}});
   }
   fleet.time.AdvanceBy(seconds(30));
   CHECK_TRUE(fleet.network.largest <= kLargestDatagram + 28);
--- a/tests/control/quarantine_test.cc
+++ b/tests/control/quarantine_test.cc
@@ -1,6 +1,7 @@
 #include <set>
 
 #include "tests/control/control_fleet.h"
+#include "zinnia_decisions/ports/in_flight_at_crash.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -75,6 +76,44 @@
   CHECK_TRUE(quarantine.IsQuarantined(kPoison));
 }
 
+// What callers saw: an answer whose two servers died in the same moment ended as quarantined,
+// though other servers could have gone on with it. Order of events: the request has a step in
+// flight at one server; both of its servers are killed; the crash of each is reported with the
+// request in flight, before its session is rebuilt. Cause: crashes of two servers were proof,
+// whatever lay between them. Evidence: the error kind of the ended answer; two reports 0 to 50 ms
+// apart quarantine the request here, and no other one was in flight.
+TEST(Quarantine, ServersThatDieInOneMomentProveNothing) {
+  const Fingerprint innocent = Fingerprint::Of("innocent");
+  quarantine.OnCrash(CrashOf("b-1", {innocent}), At(seconds(1)));
+  quarantine.OnCrash(CrashOf("b-2", {innocent}), At(milliseconds(1'050)));
+  CHECK_TRUE(quarantine.IsSuspect(innocent));
+  CHECK_FALSE(quarantine.IsQuarantined(innocent));
+}
+
+// Guards against a culprit that goes free because its second server died soon after the first.
+TEST(Quarantine, ACrashUnderASecondTryAloneIsProofHoweverSoon) {
+  quarantine.OnCrash(CrashOf("b-1", {kPoison}), At(seconds(1)));
+  CrashRumour second = CrashOf("b-2", {kPoison});
+  second.alone = true;
+  quarantine.OnCrash(second, At(milliseconds(1'020)));
+  CHECK_TRUE(quarantine.IsQuarantined(kPoison));
+}
+
+// Guards against evidence that is lost when another instance told of the same crash first.
+TEST(Quarantine, EvidenceThatComesAfterTheCrashIsKnownIsTakenInAndToldOn) {
+  quarantine.OnCrash(CrashOf("b-1", {kPoison}), At(seconds(1)));
+  quarantine.OnCrash(CrashOf("b-2", {kPoison}), At(milliseconds(1'020)));
+  CrashRumour second = CrashOf("b-2", {kPoison});
+  second.alone = true;
+  CHECK_EQUAL(1U, quarantine.OnCrash(second, At(milliseconds(1'040))).size());
+  CHECK_TRUE(quarantine.IsQuarantined(kPoison));
+  CrashQuarantine newcomer{QuarantineSettings{}};
+  for (const CrashRumour& rumour : quarantine.Rumours(At(seconds(2)))) {
+    newcomer.OnCrash(rumour, At(seconds(2)));
+  }
+  CHECK_TRUE(newcomer.IsQuarantined(kPoison));
+}
+
 TEST(Quarantine, SuspicionsAndQuarantineExpire) {
   quarantine.OnCrash(CrashOf("b-1", {kPoison, Fingerprint::Of("one")}), At(seconds(0)));
   quarantine.Tick(At(minutes(2)));
@@ -126,7 +165,11 @@
     const BackendServerName server = fmt::format("b-{}", next_server++ % 12);
     fleet.processes[index]->scheduler.Post(milliseconds(30), [this, index, server, recovering] {
       crashes.insert(fmt::format("{} {}", server, ++fleet.engines.states[server].incarnation));
-      fleet.At(index).ReportServerCrash(server, {kPoison, Fingerprint::Of(server)});
+      // The second try is alone at its server, as the engine links have it.
+      const InFlightAtCrash in_flight =
+          recovering ? InFlightAtCrash{{Fingerprint::Of(server)}, {kPoison}}
+                     : InFlightAtCrash{{kPoison, Fingerprint::Of(server)}, {}};
+      fleet.At(index).ReportServerCrash(server, in_flight);
       fleet.At(index).ReleaseSuspect(kPoison);
       if (!recovering && !fleet.At(index).Quarantine()->IsQuarantined(kPoison)) {
         RunAt(index, true);
@@ -152,7 +195,7 @@
 // did not wait until the others knew.
 TEST(Poison, PeersKnowOfACrashBeforeTheSecondTry) {
   int known_at = -1;
-  fleet.At(0).ReportServerCrash("b-0", {kPoison}, [&] {
+  fleet.At(0).ReportServerCrash("b-0", {{kPoison}, {}}, [&] {
     known_at = 0;
     for (std::size_t index = 0; index < 5; ++index) {
       known_at += fleet.At(index).Quarantine()->MayStart(kPoison) ? 0 : 1;
@@ -167,7 +210,7 @@
 TEST(Poison, AFrozenPeerIsNotWaitedFor) {
   fleet.processes[3]->scheduler.Pause();
   bool known = false;
-  fleet.At(0).ReportServerCrash("b-0", {kPoison}, [&] { known = true; });
+  fleet.At(0).ReportServerCrash("b-0", {{kPoison}, {}}, [&] { known = true; });
   fleet.time.AdvanceBy(CrashAnnouncer::kLongestWait - milliseconds(1));
   CHECK_FALSE(known);
   fleet.time.AdvanceBy(milliseconds(2));
@@ -191,7 +234,7 @@
 // Sequence: its first caller is gone after one crash; two copies come through two instances at the
 // same moment. Cause: each instance alone may try a suspect once more.
 TEST(Poison, CopiesOfASuspectRunOneAtATime) {
-  fleet.At(0).ReportServerCrash("b-11", {kPoison});
+  fleet.At(0).ReportServerCrash("b-11", {{kPoison}, {}});
   crashes.insert("b-11 1");
   fleet.time.AdvanceBy(seconds(6));
   for (int round = 0; round < 100; ++round) {
@@ -204,8 +247,32 @@
   CHECK_EQUAL(2, crashes.size());
 }
 
+// What the evidence costs: copies that already run through two instances when the first server goes
+// down each get their second try, so a culprit takes down four servers instead of two. An innocent
+// request in flight at both of two servers that die together is never refused for it, and its
+// second try waits no longer than that of any request after a crash.
+TEST(Poison, CopiesUnderWayTakeDownAServerMoreEachAndInnocentsGoFree) {
+  const Fingerprint innocent = Fingerprint::Of("innocent");
+  int waits_ended = 0;
+  fleet.At(0).ReportServerCrash("b-10", {{innocent}, {}}, [&] { ++waits_ended; });
+  fleet.At(0).ReportServerCrash("b-11", {{innocent}, {}}, [&] { ++waits_ended; });
+  RunAt(1, false);
+  RunAt(2, false);
+  fleet.time.AdvanceBy(CrashAnnouncer::kLongestWait);
+  CHECK_EQUAL(2, waits_ended);
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    fleet.time.AdvanceBy(milliseconds(500));
+    Send(static_cast<std::size_t>(attempt) % 5);
+  }
+  CHECK_EQUAL(4, crashes.size());
+  for (std::size_t index = 0; index < 5; ++index) {
+    CHECK_TRUE(fleet.At(index).Quarantine()->IsQuarantined(kPoison));
+    CHECK_FALSE(fleet.At(index).Quarantine()->IsQuarantined(innocent));
+  }
+}
+
 TEST(Poison, SuspectIsHeldUntilAllInstancesKnow) {
-  fleet.At(0).ReportServerCrash("b-11", {kPoison});
+  fleet.At(0).ReportServerCrash("b-11", {{kPoison}, {}});
   for (std::size_t index = 0; index < 5; ++index) {
     CHECK_FALSE(index == 0 && Send(index));
   }
