--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -16,7 +16,6 @@
 #include "zinnia_decisions/forwarding/admission/room_queue.h"
 #include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
 #include "zinnia_decisions/forwarding/beliefs/server_health.h"
-#include "zinnia_decisions/forwarding/limits/limit_outlook.h"
 #include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 #include "zinnia_decisions/ports/metrics.h"
@@ -49,8 +48,6 @@
 /** Less time than this is not worth sending a request for. */
 constexpr Duration kLeastTimeLeft = milliseconds(30);
 
-constexpr unsigned kStatusMisdirected = 421;
-
 }  // namespace
 
 ForwardExchange::ForwardExchange(const ForwardingParts& parts,
@@ -112,47 +109,6 @@
   Send();
 }
 
-/** Plain servers queue by themselves, and one that is free is taken: there only a server's turn at
-    its limit is worth waiting for. Nobody waits for a turn that comes too late. */
-void ForwardExchange::WaitForRoom() {
-  const Duration worth_waiting = m_route->latency_objective / 2;
-  const LimitOutlook outlook = OutlookOfLimits();
-  const Duration longest = std::min(worth_waiting, RoomQueue::kLongestWait);
-  const bool turn_is_near = outlook.next_turn && *outlook.next_turn <= longest;
-  const bool may_wait =
-      outlook.all_closed ? turn_is_near : m_route->repeatability == Repeatability::kStream;
-  if (may_wait) {
-    const TimePoint on_time_until = m_started_at + worth_waiting;
-    m_room_ticket = m_parts.room.Enter({m_route->priority, m_started_at, on_time_until});
-  }
-  if (m_room_ticket == RoomQueue::kNoTicket) {
-    RefuseForWantOfRoom();
-  }
-}
-
-void ForwardExchange::RefuseForWantOfRoom() {
-  const bool is_limit = OutlookOfLimits().all_closed;
-  Answer(NotRun(ErrorKind::kOverloaded,
-                is_limit ? "every server of " + m_service + " has as many requests as it takes"
-                         : "no server of " + m_service + " has room"));
-}
-
-LimitOutlook ForwardExchange::OutlookOfLimits() const {
-  return LookAtLimits(*m_parts.view(), m_service, m_avoided, m_parts.limits);
-}
-
-bool ForwardExchange::TryToBegin() {
-  if (m_ended || !ChooseServer()) {
-    return false;
-  }
-  m_parts.room.Leave(std::exchange(m_room_ticket, RoomQueue::kNoTicket));
-  m_parts.logger.Log(
-      LogLevel::kInfo, "request_waited_for_room",
-      {{"request", m_facts.id}, {"waited_ms", Milliseconds(m_parts.clock.Now() - m_started_at)}});
-  Send();
-  return true;
-}
-
 Duration ForwardExchange::TimeLeft() const {
   return m_deadline - m_parts.clock.Now();
 }
@@ -197,17 +153,6 @@
   m_connection->Send(std::move(request), weak_from_this(), kConnectLimit);
 }
 
-/** Who asks why a request went elsewhere finds the servers that it was kept from. */
-void ForwardExchange::LogServersAtLimit() {
-  const LimitOutlook outlook = OutlookOfLimits();
-  if (!outlook.closed.empty()) {
-    m_parts.metrics.Count("requests_past_server_limits");
-    m_parts.logger.Log(
-        LogLevel::kInfo, "servers_at_limit",
-        {{"request", m_facts.id}, {"servers", fmt::format("{}", fmt::join(outlook.closed, ","))}});
-  }
-}
-
 void ForwardExchange::OnServerAnswerHead(unsigned status, const http::fields& fields) {
   m_status = status;
   m_fields = fields;
@@ -232,16 +177,6 @@
   }
 }
 
-/** 421 may come from another server that got the address. That there is no limit any more is
-    believed of signed answers only: others may be cut short, or not be the server's. */
-void ForwardExchange::NoteLimit() {
-  const std::optional<double> limit = m_answer_facts.requests_per_second;
-  const bool is_own_word = m_status != kStatusMisdirected && (limit || m_answer_facts.is_signed);
-  if (is_own_word && m_parts.limits.OnAnswer(m_server, limit, m_sent_at)) {
-    m_parts.report_limit(m_server);
-  }
-}
-
 void ForwardExchange::OnStreamHead(unsigned status, const http::fields& fields) {
   m_is_streaming = true;
   if (std::exchange(m_stream_started, true)) {
@@ -370,8 +305,8 @@
   const BackendServerName failed = m_server;
   NextStep step = DecideNextStep(*m_route, outcome, m_history);
   if (step == NextStep::kSendAgain) {
-    const bool allowed = outcome == SendOutcome::kNotSent ||
-                         m_parts.retries.TrySpend(m_service, *m_parts.view());
+    const bool allowed =
+        outcome == SendOutcome::kNotSent || m_parts.retries.TrySpend(m_service, *m_parts.view());
     m_history.has_alternative = allowed && ChooseServer();
     step = DecideNextStep(*m_route, outcome, m_history);
   }
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_room.cc
@@ -0,0 +1,83 @@
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "zinnia_adapters/forwarding/forward_exchange.h"
+#include "zinnia_adapters/forwarding/forward_outcomes.h"
+#include "zinnia_adapters/forwarding/log_text.h"
+#include "zinnia_base/logging/logger.h"
+#include "zinnia_decisions/forwarding/admission/room_queue.h"
+#include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
+#include "zinnia_decisions/forwarding/limits/limit_outlook.h"
+#include "zinnia_decisions/forwarding/limits/server_limits.h"
+#include "zinnia_decisions/ports/metrics.h"
+
+// The part of ForwardExchange that waits for room, and heeds the limits that servers name.
+
+namespace zinnia {
+
+/** Plain servers queue by themselves, and one that is free is taken: there only a server's turn at
+    its limit is worth waiting for. Nobody waits for a turn that comes too late. */
+void ForwardExchange::WaitForRoom() {
+  const Duration worth_waiting = m_route->latency_objective / 2;
+  const LimitOutlook outlook = OutlookOfLimits();
+  const Duration longest = std::min(worth_waiting, RoomQueue::kLongestWait);
+  const bool turn_is_near = outlook.next_turn && *outlook.next_turn <= longest;
+  const bool may_wait =
+      outlook.all_closed ? turn_is_near : m_route->repeatability == Repeatability::kStream;
+  if (may_wait) {
+    const TimePoint on_time_until = m_started_at + worth_waiting;
+    m_room_ticket = m_parts.room.Enter({m_route->priority, m_started_at, on_time_until});
+  }
+  if (m_room_ticket == RoomQueue::kNoTicket) {
+    RefuseForWantOfRoom();
+  }
+}
+
+void ForwardExchange::RefuseForWantOfRoom() {
+  const bool is_limit = OutlookOfLimits().all_closed;
+  Answer(NotRun(ErrorKind::kOverloaded,
+                is_limit ? "every server of " + m_service + " has as many requests as it takes"
+                         : "no server of " + m_service + " has room"));
+}
+
+LimitOutlook ForwardExchange::OutlookOfLimits() const {
+  return LookAtLimits(*m_parts.view(), m_service, m_avoided, m_parts.limits);
+}
+
+bool ForwardExchange::TryToBegin() {
+  if (m_ended || !ChooseServer()) {
+    return false;
+  }
+  m_parts.room.Leave(std::exchange(m_room_ticket, RoomQueue::kNoTicket));
+  m_parts.logger.Log(
+      LogLevel::kInfo, "request_waited_for_room",
+      {{"request", m_facts.id}, {"waited_ms", Milliseconds(m_parts.clock.Now() - m_started_at)}});
+  Send();
+  return true;
+}
+
+/** Who asks why a request went elsewhere finds the servers that it was kept from. */
+void ForwardExchange::LogServersAtLimit() {
+  const LimitOutlook outlook = OutlookOfLimits();
+  if (!outlook.closed.empty()) {
+    m_parts.metrics.Count("requests_past_server_limits");
+    m_parts.logger.Log(
+        LogLevel::kInfo, "servers_at_limit",
+        {{"request", m_facts.id}, {"servers", fmt::format("{}", fmt::join(outlook.closed, ","))}});
+  }
+}
+
+/** 421 may come from another server that got the address. That there is no limit any more is
+    believed of signed answers only: others may be cut short, or not be the server's. */
+void ForwardExchange::NoteLimit() {
+  const std::optional<double> limit = m_answer_facts.requests_per_second;
+  const bool is_own_word = m_status != kStatusMisdirected && (limit || m_answer_facts.is_signed);
+  if (is_own_word && m_parts.limits.OnAnswer(m_server, limit, m_sent_at)) {
+    m_parts.report_limit(m_server);
+  }
+}
+
+}  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/forward_outcomes.h
+++ b/packages/zinnia_adapters/forwarding/forward_outcomes.h
@@ -6,6 +6,9 @@
 
 namespace zinnia {
 
+/** The answer of a server that is not the one that the request was meant for. */
+inline constexpr unsigned kStatusMisdirected = 421;
+
 bool IsSuccess(unsigned status);
 
 /** Statuses that promise that a request was not run and never will be. */
--- a/tests/adapters/news_codec_test.cc
+++ b/tests/adapters/news_codec_test.cc
@@ -37,6 +37,17 @@
   CHECK_FALSE(read.steady_age.has_value());
 }
 
+TEST(NewsCodec, LimitsOfServersAndTheirEndArrive) {
+  NewsReport report;
+  report.server_limits = {{"a", 11.2, milliseconds(40)}, {"b", std::nullopt, milliseconds(0)}};
+  const NewsReport read = SendOver(report);
+  CHECK_EQUAL(2U, read.server_limits.size());
+  STRCMP_EQUAL("a", read.server_limits[0].server.c_str());
+  DOUBLES_EQUAL(11.2, read.server_limits[0].requests_per_second.value(), 1e-9);
+  CHECK_EQUAL(40, read.server_limits[0].age.count());
+  CHECK_FALSE(read.server_limits[1].requests_per_second.has_value());
+}
+
 // During an upgrade both versions run. An older one says of itself alone that it reads.
 TEST(NewsCodec, AnOlderVersionsWordCountsAsNew) {
   capnp::MallocMessageBuilder message;
--- a/tests/forwarding/relays_test.cc
+++ b/tests/forwarding/relays_test.cc
@@ -47,7 +47,13 @@
     }
   }
   void OnPeerServerNews(const ServerNews&) override {}
-  void OnPeerServerLimits(const std::vector<ServerLimitNews>& heard) override { limits = heard; }
+  void OnPeerServerLimits(const std::vector<ServerLimitNews>& heard) override {
+    const bool is_new = limits.empty();
+    limits = heard;
+    if (is_new) {
+      news.TellServerLimits(heard, false);
+    }
+  }
   void OnPeerPaces(const std::vector<PaceNews>&) override {}
   std::vector<ServerLimitNews> limits;
 
@@ -204,6 +210,14 @@
 
 // Symptom: a configuration is late on instances that do not read the store. Sequence: a reader
 // learns of it. Cause: the news waited for the next report of each relay.
+// Guards against a server in need that goes on getting requests from instances that have not heard.
+TEST(Relays, AServersLimitReachesEveryInstanceWithinSomeMilliseconds) {
+  At(1, 3).news.TellServerLimits({{"s", 12.0, milliseconds(0)}}, true);
+  time.AdvanceBy(milliseconds(20));
+  // Its relays tell it back to the one that heard it.
+  CHECK_EQUAL(200, CountIf([](TestInstance& one) { return one.limits.size() == 1; }));
+}
+
 TEST(Relays, AChangeThatAReaderHearsReachesEveryInstanceAtOnce) {
   for (auto& [address, instance] : fleet) {
     if (instance->news.ShouldRead()) {
