--- a/packages/zinnia_adapters/forwarding/forward_exchange_room.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_room.cc
@@ -19,16 +19,11 @@
 namespace zinnia {
 
 /** Plain servers queue by themselves, and one that is free is taken: there only a server's turn at
-    its limit is worth waiting for. Nobody waits for a turn that comes too late. */
+    its limit is worth waiting for. */
 void ForwardExchange::WaitForRoom() {
-  const Duration worth_waiting = m_route->latency_objective / 2;
-  const LimitOutlook outlook = OutlookOfLimits();
-  const Duration longest = std::min(worth_waiting, RoomQueue::kLongestWait);
-  const bool turn_is_near = outlook.next_turn && *outlook.next_turn <= longest;
-  const bool may_wait =
-      outlook.all_closed ? turn_is_near : m_route->repeatability == Repeatability::kStream;
-  if (may_wait) {
-    const TimePoint on_time_until = m_started_at + worth_waiting;
+  const bool queues = m_route->repeatability == Repeatability::kStream;
+  if (MayWait(OutlookOfLimits(), queues, m_route->latency_objective)) {
+    const TimePoint on_time_until = m_started_at + m_route->latency_objective / 2;
     m_room_ticket = m_parts.room.Enter({m_route->priority, m_started_at, on_time_until});
   }
   if (m_room_ticket == RoomQueue::kNoTicket) {
--- a/packages/zinnia_decisions/forwarding/limits/limit_outlook.cc
+++ b/packages/zinnia_decisions/forwarding/limits/limit_outlook.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "zinnia_decisions/forwarding/admission/room_queue.h"
 #include "zinnia_decisions/forwarding/beliefs/forwarding_view.h"
 #include "zinnia_decisions/forwarding/limits/server_limits.h"
 
@@ -45,4 +46,12 @@
   return outlook;
 }
 
+bool MayWait(const LimitOutlook& outlook, bool queues, Duration latency_objective) {
+  if (!outlook.all_closed) {
+    return queues;
+  }
+  const Duration longest = std::min(latency_objective / 2, RoomQueue::kLongestWait);
+  return outlook.next_turn && *outlook.next_turn <= longest;
+}
+
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/limits/limit_outlook.h
+++ b/packages/zinnia_decisions/forwarding/limits/limit_outlook.h
@@ -30,4 +30,8 @@
                           const std::set<BackendServerName>& avoided,
                           const ServerLimits& limits);
 
+/** Whether a request that found no server waits. `queues`: its kind waits for room. For a server's
+    turn every kind waits, unless it would come too late: then it is refused at once. */
+bool MayWait(const LimitOutlook& outlook, bool queues, Duration latency_objective);
+
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/limits/server_limits.cc
+++ b/packages/zinnia_decisions/forwarding/limits/server_limits.cc
@@ -33,10 +33,15 @@
 /** A change by this part is told at once, a smaller one with the next reports. */
 constexpr double kNotableChange = 0.2;
 
-/** How long a change goes before other rows of a report, and how long the end of a limit is told.
- */
+/** How long a change goes before other rows of a report. */
 constexpr Duration kToldFirst = std::chrono::seconds(2);
-constexpr Duration kEndIsTold = std::chrono::seconds(10);
+
+/** How long the end of a limit is told. An instance that was out of reach meanwhile, and holds no
+    part, would leave the server alone for good: it sends nothing there that could be answered. */
+constexpr Duration kEndIsTold = std::chrono::minutes(10);
+
+/** Rows of a report for limits that ended some time ago. */
+constexpr std::size_t kMostEndedInNews = 1;
 
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();
 
@@ -219,24 +224,37 @@
 std::vector<ServerLimitNews> ServerLimits::TakeNews() {
   const TimePoint now = m_clock.Now();
   std::vector<ServerLimitNews> news;
-  std::vector<BackendServerName> others;
+  std::vector<BackendServerName> in_force;
+  std::vector<BackendServerName> ended;
   for (const auto& [name, belief] : m_beliefs) {
-    if (now - belief.changed_at < kToldFirst && news.size() < kMostNews) {
+    const Duration unchanged = now - belief.changed_at;
+    if (unchanged < kToldFirst && news.size() < kMostNews) {
       news.push_back(NewsOf(name, belief));
-    } else if (belief.requests_per_second || now - belief.changed_at < kEndIsTold) {
-      others.push_back(name);
+    } else if (belief.requests_per_second) {
+      in_force.push_back(name);
+    } else if (unchanged < kEndIsTold) {
+      ended.push_back(name);
     }
   }
-  const auto next = std::upper_bound(others.begin(), others.end(), m_last_told);
-  std::rotate(others.begin(), next, others.end());
-  for (const BackendServerName& name : others) {
-    if (news.size() >= kMostNews) {
-      break;
+  AddInTurn(in_force, kMostNews, m_last_told, news);
+  AddInTurn(ended, std::min(kMostNews, news.size() + kMostEndedInNews), m_last_end_told, news);
+  return news;
+}
+
+/** Until there are `most`, going on after `last`. */
+void ServerLimits::AddInTurn(std::vector<BackendServerName> servers,
+                             std::size_t most,
+                             BackendServerName& last,
+                             std::vector<ServerLimitNews>& news) const {
+  const auto next = std::upper_bound(servers.begin(), servers.end(), last);
+  std::rotate(servers.begin(), next, servers.end());
+  for (const BackendServerName& name : servers) {
+    if (news.size() >= most) {
+      return;
     }
     news.push_back(NewsOf(name, m_beliefs.at(name)));
-    m_last_told = name;
+    last = name;
   }
-  return news;
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/limits/server_limits.h
+++ b/packages/zinnia_decisions/forwarding/limits/server_limits.h
@@ -99,6 +99,10 @@
   double SavedNow(const Belief& belief) const;
   std::size_t CountRecentSends(const BackendServerName& server);
   FailureDomainName DomainOf(const BackendServerName& server) const;
+  void AddInTurn(std::vector<BackendServerName> servers,
+                 std::size_t most,
+                 BackendServerName& last,
+                 std::vector<ServerLimitNews>& news) const;
   ServerLimitNews NewsOf(const BackendServerName& server, const Belief& belief) const;
 
   const Clock& m_clock;
@@ -110,8 +114,9 @@
   std::shared_ptr<const ForwardingView> m_view;
   std::shared_ptr<const std::vector<Instance>> m_instances;
 
-  /** After whom the others go on taking turns in news. */
+  /** After whom the others go on taking turns in news: those with a limit, and those without. */
   BackendServerName m_last_told;
+  BackendServerName m_last_end_told;
 };
 
 }  // namespace zinnia
--- a/tests/forwarding/limits_test.cc
+++ b/tests/forwarding/limits_test.cc
@@ -238,6 +238,33 @@
   CHECK_TRUE(fleet.MostInWindow(joined_at) <= fleet.Allowed());
 }
 
+// Guards against a part that two instances spend, the old holder and the new one.
+TEST(Limits, ANewHolderWaitsUntilTheOneBeforeHasHeardOfIt) {
+  VirtualTime time;
+  std::vector<Instance> instances(9);
+  for (std::size_t index = 0; index < instances.size(); ++index) {
+    instances[index].name = fmt::format("instance-{}", index);
+  }
+  const auto view_of = [](const std::vector<Instance>& known) {
+    auto view = ViewOf({"server"});
+    view->instances = std::make_shared<const std::vector<Instance>>(known);
+    return view;
+  };
+  for (const Instance& instance : instances) {
+    ServerLimits limits(time, division, instance.name);
+    limits.SetView(view_of(instances));
+    time.AdvanceBy(seconds(10));
+    limits.OnNews({"server", 1.0, milliseconds(0)});
+    if (limits.UntilTurn("server")) {
+      continue;  // It holds a part from the beginning.
+    }
+    time.AdvanceBy(seconds(10));
+    limits.SetView(view_of({instance}));
+    CHECK_EQUAL(0, SendAll(limits, time, milliseconds(1'900)));
+    CHECK_TRUE(SendAll(limits, time, seconds(3)) > 0);
+  }
+}
+
 // Guards against an instance that takes a whole limit for itself before it has met its peers.
 TEST(Limits, AnInstanceThatHasJustStartedWaitsUntilItKnowsTheFleet) {
   VirtualTime time;
@@ -333,10 +360,32 @@
   CHECK_EQUAL(servers.size(), told.size());
 }
 
+// Guards against an instance that never sends to a server again: it holds no part, and was out of
+// reach when the others heard that the limit had ended.
+TEST(Limits, TheEndOfALimitIsStillToldMinutesLater) {
+  VirtualTime time;
+  ServerLimits limits(time, division, "self");
+  limits.SetView(ViewOf({"a", "b", "c"}));
+  for (const char* server : {"a", "b", "c"}) {
+    limits.OnAnswer(server, 2.0, time.Now());
+    time.AdvanceBy(milliseconds(10));
+    limits.OnAnswer(server, std::nullopt, time.Now());
+  }
+  time.AdvanceBy(std::chrono::minutes(5));
+  std::set<std::string> told;
+  for (int report = 0; report < 3; ++report) {
+    const auto news = limits.TakeNews();
+    CHECK_EQUAL(1U, news.size());
+    CHECK_FALSE(news.front().requests_per_second.has_value());
+    told.insert(news.front().server);
+  }
+  CHECK_EQUAL(3U, told.size());
+}
+
 TEST(Limits, OutlookNamesTheFirstTurnAndWhetherThereIsAnotherServer) {
   VirtualTime time;
   ServerLimits limits(time, division, "self");
-  const auto view = ViewOf({"a", "b"});
+  const auto view = ViewOf({"a", "b", "c"});
   view->servers["middle"] = EngineServer("middle", "fast", "domain-0", {40, 80});
   limits.SetView(view);
   time.AdvanceBy(seconds(10));
@@ -345,6 +394,7 @@
   CHECK_FALSE(outlook.all_closed);
   CHECK_EQUAL(1U, outlook.closed.size());
   limits.OnAnswer("b", 4.0, time.Now());
+  limits.OnAnswer("c", 1.0, time.Now());
   outlook = LookAtLimits(*view, "pool", {}, limits);
   CHECK_TRUE(outlook.all_closed);
   CHECK_TRUE(outlook.next_turn == milliseconds(250));
@@ -354,6 +404,20 @@
   CHECK_FALSE(LookAtLimits(*view, "pool", {}, limits).all_closed);
 }
 
+// Guards against callers who wait for a turn that comes too late for them.
+TEST(Limits, NobodyWaitsForATurnThatComesTooLate) {
+  LimitOutlook outlook;
+  CHECK_TRUE(MayWait(outlook, true, milliseconds(500)));
+  CHECK_FALSE(MayWait(outlook, false, milliseconds(150)));
+  outlook.all_closed = true;
+  CHECK_FALSE(MayWait(outlook, true, milliseconds(500)));
+  outlook.next_turn = milliseconds(60);
+  CHECK_TRUE(MayWait(outlook, false, milliseconds(150)));
+  CHECK_FALSE(MayWait(outlook, false, milliseconds(100)));
+  outlook.next_turn = milliseconds(310);
+  CHECK_FALSE(MayWait(outlook, true, milliseconds(1'000)));
+}
+
 // Guards against parts that grow while an instance restarts or is out of sight.
 TEST(Limits, InstancesCountForSomeSecondsAfterTheyWereLastSeen) {
   VirtualTime time;
--- a/tests/forwarding/paths_test.cc
+++ b/tests/forwarding/paths_test.cc
@@ -140,6 +140,18 @@
   STRCMP_EQUAL("x1 x2 ", Find().c_str());
 }
 
+// Guards against requests that begin at a server which has as many as it takes; work that passes
+// through it does not count.
+TEST(Paths, BeginsElsewhereWhereAServerIsAtItsLimit) {
+  time.AdvanceBy(seconds(10));
+  limits.OnNews({"x2", 2.0, {}});
+  STRCMP_EQUAL("x1 x2 ", Find().c_str());
+  limits.OnNews({"x1", 2.0, {}});
+  STRCMP_EQUAL("y1 y2 y3 y4 ", Find().c_str());
+  time.AdvanceBy(seconds(1));
+  STRCMP_EQUAL("x1 x2 ", Find().c_str());
+}
+
 TEST(Paths, LeavesExcludedServersUntilTheirTimeIsOver) {
   health.Exclude("x1", seconds(1));
   STRCMP_EQUAL("y1 y2 y3 y4 ", Find().c_str());
--- a/tests/forwarding_path/limits_test.cc
+++ b/tests/forwarding_path/limits_test.cc
@@ -37,15 +37,17 @@
 
 // Guards against a server in need that is chosen as if it had said nothing.
 TEST(ServerLimitPath, RequestsGoToTheOtherServer) {
-  f.a.scripts = {Naming("0.5")};
+  constexpr std::size_t kCalls = 200;
+  f.a.scripts = {Naming("2")};
   f.b.scripts = {Plain};
-  for (int call = 0; call < 40; ++call) {
+  for (std::size_t call = 0; call < kCalls; ++call) {
     CallUntilServed("/safe/x");
+    std::this_thread::sleep_for(milliseconds(8));
   }
-  CHECK_TRUE(f.a.received.size() <= 8);  // One and a half times 0.5 a second for 4 s, and 5.
-  CHECK_EQUAL(40U, f.Arrivals());
+  CHECK_TRUE(f.a.received.size() <= 17);  // One and a half times 2 a second for 4 s, and 5.
+  CHECK_EQUAL(kCalls, f.Arrivals());
   CHECK_EQUAL(1U, f.told_limits.size());
-  DOUBLES_EQUAL(0.5, f.told_limits.front().requests_per_second.value(), 1e-9);
+  DOUBLES_EQUAL(2.0, f.told_limits.front().requests_per_second.value(), 1e-9);
 }
 
 // Guards against a caller who waits in vain, or is told of work that was not done, when every
