--- a/tests/forwarding_path/limits_test.cc
+++ b/tests/forwarding_path/limits_test.cc
@@ -42,7 +42,7 @@
   f.b.scripts = {Plain};
   for (std::size_t call = 0; call < kCalls; ++call) {
     CallUntilServed("/safe/x");
-    std::this_thread::sleep_for(milliseconds(8));
+    std::this_thread::sleep_for(milliseconds(20));
   }
   CHECK_TRUE(f.a.received.size() <= 17);  // One and a half times 2 a second for 4 s, and 5.
   CHECK_EQUAL(kCalls, f.Arrivals());
