--- a/packages/zinnia_adapters/forwarding/forward_exchange_room.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_room.cc
@@ -2,6 +2,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "zinnia_adapters/forwarding/forward_exchange.h"
@@ -17,6 +18,12 @@
 // The part of ForwardExchange that waits for room, and heeds the limits that servers name.
 
 namespace zinnia {
+namespace {
+
+/** Servers named in one log line. */
+constexpr std::ptrdiff_t kMostNamed = 8;
+
+}  // namespace
 
 /** Plain servers queue by themselves, and one that is free is taken: there only a server's turn at
     its limit is worth waiting for. */
@@ -56,13 +63,16 @@
 
 /** Who asks why a request went elsewhere finds the servers that it was kept from. */
 void ForwardExchange::LogServersAtLimit() {
-  const LimitOutlook outlook = OutlookOfLimits();
-  if (!outlook.closed.empty()) {
-    m_parts.metrics.Count("requests_past_server_limits");
-    m_parts.logger.Log(
-        LogLevel::kInfo, "servers_at_limit",
-        {{"request", m_facts.id}, {"servers", fmt::format("{}", fmt::join(outlook.closed, ","))}});
+  const std::vector<BackendServerName> closed = OutlookOfLimits().closed;
+  if (closed.empty()) {
+    return;
   }
+  const auto end = closed.begin() + std::min<std::ptrdiff_t>(std::ssize(closed), kMostNamed);
+  m_parts.metrics.Count("requests_past_server_limits");
+  m_parts.logger.Log(LogLevel::kInfo, "servers_at_limit",
+                     {{"request", m_facts.id},
+                      {"count", std::to_string(closed.size())},
+                      {"servers", fmt::format("{}", fmt::join(closed.begin(), end, ","))}});
 }
 
 /** 421 may come from another server that got the address. That there is no limit any more is
