A server that had far more than its limit gets nothing until that is over

The pause after a limit is heard was three seconds at most: a server that had ten times its limit was sent to while what it got before it named the limit was still in the window of four seconds, and was over the bound in virtual time. The pause is four seconds at most now, the window. It is shorter where less was sent. Test: Limits.AServerThatHadFarTooMuchGetsNothingUntilThatIsOver (failed with three seconds).

--- a/packages/zinnia_decisions/forwarding/limits/server_limits.cc
+++ b/packages/zinnia_decisions/forwarding/limits/server_limits.cc
@@ -17,8 +17,8 @@
 /** What was sent this long before a limit was heard counts against it. */
 constexpr Duration kSendsThatCount = std::chrono::milliseconds(1'500);
 
-/** Longer ago, they no longer burden the server. */
-constexpr Duration kLongestPause = std::chrono::seconds(3);
+/** After this they no longer burden the server, however many they were. */
+constexpr Duration kLongestPause = std::chrono::seconds(4);
 
 /** An instance that has just started knows few peers, and would take too large a part. */
 constexpr Duration kLearnsFleetIn = std::chrono::seconds(2);
--- a/tests/forwarding/limits_test.cc
+++ b/tests/forwarding/limits_test.cc
@@ -291,6 +291,18 @@
   CHECK_TRUE(SendAll(limits, time, seconds(3)) > 20);
 }
 
+// Guards against a server that is sent to again while what it got before it named its limit is
+// still more than it may have: it had ten times its limit.
+TEST(Limits, AServerThatHadFarTooMuchGetsNothingUntilThatIsOver) {
+  LimitedFleet fleet(division, 9, 500.0);
+  fleet.Run(seconds(10));
+  fleet.limit = 50.0;
+  const TimePoint named_at = fleet.time.Now();
+  fleet.Run(seconds(12));
+  // From the first request after the pause on: until then nobody sends.
+  CHECK_TRUE(fleet.MostInWindow(named_at + seconds(1)) <= fleet.Allowed());
+}
+
 // Guards against a limit that outlives its need, and against one that a late answer ends too early.
 TEST(Limits, TheNewestWordOfAServerCounts) {
   VirtualTime time;
