--- a/tests/adapters/traffic_engine_crash_test.cc
+++ b/tests/adapters/traffic_engine_crash_test.cc
@@ -9,8 +9,6 @@
 namespace zinnia {
 namespace {
 
-namespace json = boost::json;
-
 TEST_GROUP_BASE(TrafficEngineLinks, EngineLinksTest){};
 
 TEST(TrafficEngineLinks, MissedDeadlineAnswersAllAndTheLateAnswerIsDropped) {
