Kept connections to an engine in one place

Cause: the channel of steps and the side calls each took and kept connections by the same lines. Change: EngineConnections serves both; behaviour is the same.

--- a/packages/zinnia_adapters/engines/engine_channel.cc
+++ b/packages/zinnia_adapters/engines/engine_channel.cc
@@ -74,6 +74,7 @@
     : m_parts(parts),
       m_server(std::move(server)),
       m_side(SideCalls::Create(parts, m_server)),
+      m_connections(parts, m_server, kMostIdle),
       m_queues{StepQueue(BatchKind::kDecode), StepQueue(BatchKind::kPrefill),
                StepQueue(BatchKind::kIsolated)} {}
 
@@ -124,7 +125,10 @@
 }
 
 void EngineChannel::SendBatch(StepQueue& queue) {
-  auto connection = TakeConnection();
+  auto [connection, found_stale] = m_connections.Take();
+  if (found_stale) {
+    m_incarnation = 0;  // What is known of the server is old.
+  }
   if (!connection) {
     AnswerAll(queue.TakeAll(), StepStatus::kConnectionLost);
     return;
@@ -153,32 +157,6 @@
                               });
 }
 
-std::shared_ptr<BackendConnection> EngineChannel::TakeConnection() {
-  const auto snapshot = m_parts.snapshots.Current();
-  const auto found = snapshot->servers.find(m_server);
-  if (found == snapshot->servers.end()) {
-    return nullptr;
-  }
-  const NetworkAddress& address = found->second.server.address;
-  while (!m_idle.empty()) {
-    auto connection = std::move(m_idle.back());
-    m_idle.pop_back();
-    if (connection->IsReusable() && connection->Address() == address) {
-      return connection;
-    }
-    // The server went away while the connection lay idle, or moved: what is known of it is old.
-    m_incarnation = 0;
-  }
-  return BackendConnection::Create(m_parts.loop, address);
-}
-
-void EngineChannel::KeepConnection(const std::shared_ptr<BackendConnection>& connection) {
-  constexpr std::size_t kMostIdle = 4;
-  if (connection->IsReusable() && m_idle.size() < kMostIdle) {
-    m_idle.push_back(connection);
-  }
-}
-
 void EngineChannel::OnDeadline(const BatchPointer& batch) {
   batch->answered = true;
   Forget(batch);
@@ -216,7 +194,7 @@
 
 void EngineChannel::OnResponse(const BatchPointer& batch, const BackendResponse& response) {
   DeadlineFor(batch->kind).Observe(m_parts.clock.Now() - batch->sent_at, batch->units);
-  KeepConnection(batch->connection);
+  m_connections.Keep(batch->connection);
   MarkRecovered();
   FlushSoon();
   const TimePoint last_answer = std::exchange(m_answered_at, m_parts.clock.Now());
@@ -270,7 +248,7 @@
     return;  // closed by this channel
   }
   if (outcome.failure == ExchangeFailure::kNone) {
-    KeepConnection(batch->connection);
+    m_connections.Keep(batch->connection);
     MarkRecovered();
   } else if (outcome.failure == ExchangeFailure::kLost) {
     // A request that first hangs the server and then kills it is to blame for the crash too.
@@ -389,7 +367,7 @@
     std::ranges::move(batch->steps, std::back_inserter(steps));
     batch->connection->Close();
   }
-  m_idle.clear();
+  m_connections.Clear();
   for (StepQueue& queue : m_queues) {
     std::ranges::move(queue.TakeAll(), std::back_inserter(unsent));
   }
--- a/packages/zinnia_adapters/engines/engine_channel.h
+++ b/packages/zinnia_adapters/engines/engine_channel.h
@@ -6,6 +6,7 @@
 
 #include "zinnia_adapters/engines/batch_times.h"
 #include "zinnia_adapters/engines/channel_parts.h"
+#include "zinnia_adapters/engines/engine_connections.h"
 #include "zinnia_adapters/engines/pending_step.h"
 #include "zinnia_adapters/engines/step_batch.h"
 #include "zinnia_adapters/engines/step_deadline.h"
@@ -39,6 +40,7 @@
   static constexpr std::uint32_t kMostCutProbes = 40;
   static constexpr Duration kLateGrace = std::chrono::seconds(20);
   static constexpr std::size_t kMostLateBatches = 4;
+  static constexpr std::size_t kMostIdle = 4;
 
   static std::shared_ptr<EngineChannel> Create(const ChannelParts& parts, BackendServerName server);
 
@@ -56,8 +58,6 @@
   void FlushSoon();
   void Flush();
   void SendBatch(StepQueue& queue);
-  std::shared_ptr<BackendConnection> TakeConnection();
-  void KeepConnection(const std::shared_ptr<BackendConnection>& connection);
 
   void OnDeadline(const BatchPointer& batch);
   void KeepLate(const BatchPointer& batch);
@@ -87,6 +87,7 @@
   const ChannelParts m_parts;
   const BackendServerName m_server;
   const std::shared_ptr<SideCalls> m_side;
+  EngineConnections m_connections;
   std::vector<StepQueue> m_queues;
   StepDeadline m_decode_deadline;
   StepDeadline m_prefill_deadline;
@@ -97,7 +98,6 @@
   std::vector<BatchPointer> m_in_flight;
   std::vector<BatchPointer> m_late;
   std::vector<BatchPointer> m_awaiting_verdict;
-  std::vector<std::shared_ptr<BackendConnection>> m_idle;
   std::unique_ptr<ScheduledCall> m_probe_again;
   std::uint32_t m_cut_probes = 0;
   std::uint64_t m_incarnation = 0;
--- a/packages/zinnia_adapters/engines/side_calls.cc
+++ b/packages/zinnia_adapters/engines/side_calls.cc
@@ -76,7 +76,9 @@
 }
 
 SideCalls::SideCalls(const ChannelParts& parts, BackendServerName server)
-    : m_parts(parts), m_server(std::move(server)) {}
+    : m_parts(parts),
+      m_server(std::move(server)),
+      m_connections(parts, m_server, kMostConnections) {}
 
 void SideCalls::Call(std::string target, std::string body, Duration timeout, Callback callback) {
   if (m_urgent.size() >= kMostUrgent) {
@@ -134,7 +136,7 @@
 
 void SideCalls::Send(PendingCall call) {
   ++m_in_flight;
-  auto connection = TakeConnection();
+  auto connection = m_connections.Take().connection;
   if (!connection) {
     boost::asio::post(m_parts.loop,
                       [self = shared_from_this(), callback = std::move(call.callback)] {
@@ -148,33 +150,10 @@
                        [self = shared_from_this(), connection,
                         callback = std::move(call.callback)](ExchangeOutcome outcome) {
                          --self->m_in_flight;
-                         self->GiveBack(connection);
+                         self->m_connections.Keep(connection);
                          callback(ResultOf(std::move(outcome), self->m_server));
                          self->SendNext();
                        });
 }
 
-std::shared_ptr<BackendConnection> SideCalls::TakeConnection() {
-  const auto snapshot = m_parts.snapshots.Current();
-  const auto found = snapshot->servers.find(m_server);
-  if (found == snapshot->servers.end()) {
-    return nullptr;
-  }
-  const NetworkAddress& address = found->second.server.address;
-  while (!m_idle.empty()) {
-    auto connection = std::move(m_idle.back());
-    m_idle.pop_back();
-    if (connection->IsReusable() && connection->Address() == address) {
-      return connection;
-    }
-  }
-  return BackendConnection::Create(m_parts.loop, address);
-}
-
-void SideCalls::GiveBack(std::shared_ptr<BackendConnection> connection) {
-  if (connection->IsReusable() && m_idle.size() < kMostConnections) {
-    m_idle.push_back(std::move(connection));
-  }
-}
-
 }  // namespace zinnia
--- a/packages/zinnia_adapters/engines/side_calls.h
+++ b/packages/zinnia_adapters/engines/side_calls.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "zinnia_adapters/engines/channel_parts.h"
+#include "zinnia_adapters/engines/engine_connections.h"
 #include "zinnia_adapters/http/backend_connection.h"
 #include "zinnia_base/errors/result.h"
 #include "zinnia_world/names/names.h"
@@ -50,14 +51,12 @@
   SideCalls(const ChannelParts& parts, BackendServerName server);
   void SendNext();
   void Send(PendingCall call);
-  std::shared_ptr<BackendConnection> TakeConnection();
-  void GiveBack(std::shared_ptr<BackendConnection> connection);
 
   const ChannelParts m_parts;
   const BackendServerName m_server;
   std::deque<PendingCall> m_urgent;
   std::deque<PendingCall> m_releases;
-  std::vector<std::shared_ptr<BackendConnection>> m_idle;
+  EngineConnections m_connections;
   std::size_t m_in_flight = 0;
 };
 
