The era of the store is decoded, logged and bounded; lists that are behind are logged

Now each answer's Store-Era is decoded in platform/ (also that of failed calls), StoreEraTracker decides what to believe of it (the first, then only rising by at most 1,000), and store_list_behind names both revisions. No decision depends on it yet.

Proved by: test_platform (FailedCallsNameTheStoresEraToo, ABatchCarriesTheEraOfItsAnswer), test_forwarding -sg StoreEras, all other tests of both programs pass.

--- a/packages/zinnia_adapters/platform/counting_platform_store.h
+++ b/packages/zinnia_adapters/platform/counting_platform_store.h
@@ -25,6 +25,7 @@
   /** All must outlive it. */
   CountingPlatformStore(PlatformStore& store, const Clock& clock, Logger& logger);
 
+  void SetEraListener(StoreEraListener* listener) override { m_store.SetEraListener(listener); }
   void Get(std::string key, ReadCallback callback) override;
   void List(std::string prefix, BatchCallback callback) override;
   void ListMayLag(std::string prefix, BatchCallback callback) override;
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -50,6 +50,7 @@
       m_publish(std::move(publish)),
       m_instances(m_parts.clock, m_parts.self),
       m_recent_instances(m_parts.clock),
+      m_store_era(m_parts.logger, [this](StoreEra era) { OnStoreEraChanged(era); }),
       m_mirror(m_parts.store,
                m_parts.scheduler,
                m_parts.clock,
@@ -67,9 +68,12 @@
                 {}),
       m_view(std::make_shared<const ForwardingView>()) {
   m_mirror.SetListener(this);
+  m_parts.store.SetEraListener(&m_store_era);
 }
 
-ForwardingControl::~ForwardingControl() = default;
+ForwardingControl::~ForwardingControl() {
+  m_parts.store.SetEraListener(nullptr);
+}
 
 void ForwardingControl::Start() {
   m_mirror.Start();
@@ -98,6 +102,8 @@
          m_reports.AnyPeerSeesStableStore();
 }
 
+void ForwardingControl::OnStoreEraChanged(StoreEra /*era*/) {}
+
 void ForwardingControl::OnServerStateReport(const ServerStateReport& report) {
   // While the store is available, its records on layers are newer than reports from peers. A report
   // that a server leaves is applied at once, as a store outage may take seconds to be detected.
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -13,6 +13,7 @@
 #include "zinnia_decisions/forwarding/observed_state/instance_registration.h"
 #include "zinnia_decisions/forwarding/observed_state/report_exchange.h"
 #include "zinnia_decisions/forwarding/observed_state/server_directory.h"
+#include "zinnia_decisions/forwarding/observed_state/store_era_tracker.h"
 #include "zinnia_decisions/forwarding/observed_state/store_mirror.h"
 #include "zinnia_decisions/orders/order_role.h"
 
@@ -76,6 +77,7 @@
   bool LayersFitModel(const ServerEntry& server) const;
   void OnInstance(const MirroredRecord& record);
   bool IsStoreSteady() const;
+  void OnStoreEraChanged(StoreEra era);
   void PublishView();
   void Tick();
   StoreWatchRole ReadingFor(bool is_placer) const;
@@ -87,6 +89,7 @@
   const Publish m_publish;
   InstanceDirectory m_instances;
   RecentInstances m_recent_instances;
+  StoreEraTracker m_store_era;
   StoreMirror m_mirror;
   ServerDirectory m_servers;
   InstanceRegistration m_registration;
--- a/packages/zinnia_decisions/forwarding/observed_state/observed_state.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/observed_state.h
@@ -20,4 +20,5 @@
 #include "zinnia_decisions/forwarding/observed_state/server_use.h"
 #include "zinnia_decisions/forwarding/observed_state/silence_detector.h"
 #include "zinnia_decisions/forwarding/observed_state/slowdown_report.h"
+#include "zinnia_decisions/forwarding/observed_state/store_era_tracker.h"
 #include "zinnia_decisions/forwarding/observed_state/store_mirror.h"
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
@@ -73,6 +73,11 @@
   }
   RecordContact();
   const bool is_first = !m_filled;
+  if (m_filled && result->version < m_revision) {
+    m_logger.Log(LogLevel::kWarning, "store_list_behind",
+                 {{"listed", std::to_string(result->version)},
+                  {"revision", std::to_string(m_revision)}});
+  }
   MirrorDelta delta;
   delta.complete = true;
   delta.revision = result->version;
--- a/packages/zinnia_decisions/ports/platform_store.h
+++ b/packages/zinnia_decisions/ports/platform_store.h
@@ -22,10 +22,26 @@
   bool operator==(const StoreRecord&) const = default;
 };
 
+/** Counts how often the store came back from an older copy of its data. Versions are only
+   comparable within one era, since such a store gives the versions after that copy out again. */
+using StoreEra = std::uint64_t;
+
 /** The records under a prefix that changed after some version, and the store's current version. */
 struct StoreBatch {
   std::vector<StoreRecord> records;
   std::uint64_t version = 0;
+
+  /** The era of all versions in this batch. Empty if the store named none. */
+  std::optional<StoreEra> era;
+};
+
+/** Receives the era named in each response of the store, also of failed calls, before the
+   response's own callback runs. Called on the control thread. */
+class StoreEraListener {
+ public:
+  virtual ~StoreEraListener() = default;
+  virtual void OnStoreEra(StoreEra era) = 0;
+  virtual void OnUnreadableStoreEra(const std::string& text) = 0;
 };
 
 using StoreLeaseId = std::uint64_t;
@@ -51,6 +67,9 @@
 
   virtual ~PlatformStore() = default;
 
+  /** Sets who hears of eras; null for nobody. A store without eras ignores it. */
+  virtual void SetEraListener(StoreEraListener* /*listener*/) {}
+
   virtual void Get(std::string key, ReadCallback callback) = 0;
 
   virtual void List(std::string prefix, BatchCallback callback) = 0;
--- a/tests/adapters/traffic_scripted_server.h
+++ b/tests/adapters/traffic_scripted_server.h
@@ -48,6 +48,9 @@
 
   std::vector<std::string> targets;
 
+  /** Headers of every response, beside the usual ones. */
+  std::map<std::string, std::string> response_headers;
+
  private:
   struct Connection {
     explicit Connection(boost::asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
@@ -96,6 +99,9 @@
   void Answer(const ConnectionPointer& connection, unsigned status, std::string body) {
     connection->response = {static_cast<boost::beast::http::status>(status), 11};
     connection->response.set("Content-Type", "application/json");
+    for (const auto& [name, value] : response_headers) {
+      connection->response.set(name, value);
+    }
     connection->response.body() = std::move(body);
     connection->response.prepare_payload();
     boost::beast::http::async_write(
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -284,6 +284,17 @@
   CHECK_FALSE(reader.ReadServer("i-1", R"({"service":"s","address":"nowhere"})").has_value());
 }
 
+namespace {
+
+struct RecordingEraListener final : StoreEraListener {
+  void OnStoreEra(StoreEra era) override { eras.push_back(era); }
+  void OnUnreadableStoreEra(const std::string& text) override { unreadable.push_back(text); }
+  std::vector<StoreEra> eras;
+  std::vector<std::string> unreadable;
+};
+
+}  // namespace
+
 TEST_GROUP(PlatformCalls) {
   SystemClock clock;
   boost::asio::io_context loop;
@@ -346,6 +357,39 @@
   STRCMP_EQUAL("store_history_lost", kind.c_str());
 }
 
+// Guards against a change of era that is noticed only once a call succeeds.
+TEST(PlatformCalls, FailedCallsNameTheStoresEraToo) {
+  RecordingEraListener heard;
+  store.SetEraListener(&heard);
+  server.response_headers["Store-Era"] = "7";
+  KindAfter(200);
+  KindAfter(503);
+  server.response_headers["store-era"] = "-1";
+  KindAfter(412);
+  server.response_headers.clear();
+  KindAfter(200);
+  CHECK_EQUAL(2U, heard.eras.size());
+  CHECK_EQUAL(7U, heard.eras.back());
+  CHECK_EQUAL(1U, heard.unreadable.size());
+}
+
+TEST(PlatformCalls, ABatchCarriesTheEraOfItsAnswer) {
+  body = R"({"events":[],"entries":[],"at":6})";
+  server.response_headers["Store-Era"] = "2";
+  std::vector<std::optional<StoreEra>> eras;
+  const auto keep = [&](const Result<StoreBatch>& result) { eras.push_back(result.value().era); };
+  store.Watch("", 4, std::chrono::milliseconds(100), keep);
+  CHECK_TRUE(RunUntil(loop, [&] { return eras.size() == 1; }));
+  store.List("", keep);
+  CHECK_TRUE(RunUntil(loop, [&] { return eras.size() == 2; }));
+  server.response_headers.clear();
+  store.List("", keep);
+  CHECK_TRUE(RunUntil(loop, [&] { return eras.size() == 3; }));
+  CHECK_EQUAL(2U, *eras[0]);
+  CHECK_EQUAL(2U, *eras[1]);
+  CHECK_FALSE(eras[2].has_value());
+}
+
 TEST(PlatformCalls, AMalformedAnswerIsNoAnswer) {
   for (const char* text : {"", "nonsense", "[]", R"({"events":7,"at":1})",
                            R"({"events":[{"key":"a","value":"?","revision":5}],"at":6})"}) {
