--- /dev/null
+++ b/tests/forwarding/control_fleet.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/forwarding/forwarding_fakes.h"
+#include "tests/forwarding/older_copy_store.h"
+#include "zinnia_base/decisions/decision_record.h"
+#include "zinnia_decisions/forwarding/forwarding_control.h"
+#include "zinnia_decisions/ports/record_reader.h"
+
+namespace zinnia {
+
+/** Reads server entries of the form "START STATE", STATE being "ready" or "draining", and
+    configurations that consist of their version. */
+struct PlainRecordReader final : RecordReader {
+  bool IsConfiguration(const std::string& key) const override { return key == "configuration"; }
+  std::optional<std::string> RegistrationOf(const std::string& key) const override {
+    return key.starts_with("s/") ? std::optional(key.substr(2)) : std::nullopt;
+  }
+  Result<ForwardingRules> ReadRules(const std::string& value) const override {
+    ForwardingRules rules = *ViewOf({}).rules;
+    rules.version = std::stoull(value);
+    return rules;
+  }
+  Result<ServerEntry> ReadServer(const std::string& registration,
+                                 const std::string& value) const override {
+    ServerEntry entry = EngineServer(registration, "fast", "d0", {0, 80});
+    entry.started_at_ms = std::stoull(value);
+    entry.name = registration + "@" + std::to_string(entry.started_at_ms);
+    entry.draining = value.ends_with("draining");
+    return entry;
+  }
+};
+
+/** Control states of a whole fleet, connected with each other and with one store, in virtual time.
+ */
+class ControlFleet {
+ public:
+  ControlFleet(int instances, int domains) : m_domains(domains) {
+    for (int number = 0; number < instances; ++number) {
+      m_members.push_back(std::make_unique<Member>(*this, number));
+    }
+    for (auto& member : m_members) {
+      Start(*member);
+    }
+  }
+
+  VirtualTime time;
+  OlderCopyStore store{time};
+
+  void Advance(Duration duration) { time.AdvanceBy(duration); }
+
+  /** Kills an instance and starts it anew, without anything that it knew. */
+  void Restart(std::size_t number) {
+    m_members[number]->control.reset();
+    m_members[number]->view.reset();
+    Start(*m_members[number]);
+  }
+
+  std::size_t Size() const { return m_members.size(); }
+
+  const ForwardingView& ViewOfMember(std::size_t number) const { return *m_members[number]->view; }
+
+  int CountViews(const std::function<bool(const ForwardingView&)>& holds) const {
+    return static_cast<int>(std::count_if(
+        m_members.begin(), m_members.end(),
+        [&](const auto& member) { return member->view != nullptr && holds(*member->view); }));
+  }
+
+  int CountWithVersion(std::uint64_t version) const {
+    return CountViews([version](const ForwardingView& view) {
+      return view.rules != nullptr && view.rules->version == version;
+    });
+  }
+
+  int CountThatMaySendTo(const BackendServerName& server) const {
+    return CountViews([&server](const ForwardingView& view) {
+      const auto found = view.servers.find(server);
+      return found != view.servers.end() && !found->second.draining;
+    });
+  }
+
+  /** The fencing number of each order so far, with the instance that gave it. */
+  std::vector<std::pair<std::uint64_t, InstanceName>> orders;
+
+ private:
+  struct Member final : ReportTransport, ReportSink, LayerOrders, DecisionRecorder {
+    Member(ControlFleet& owner, int number) : fleet(owner), client(owner.store, owner.time) {
+      self.name = "n" + std::to_string(number);
+      self.peer_address = {"10.0.0.1", static_cast<std::uint16_t>(number + 1)};
+      self.failure_domain = "d" + std::to_string(number % owner.m_domains);
+      self.start = 1;
+      self.link_mbps = 20;
+    }
+    void Exchange(const NetworkAddress& peer,
+                  const InstanceReport& report,
+                  std::function<void(Result<MirrorDelta>)> callback) override {
+      fleet.Deliver(peer, report, std::move(callback));
+    }
+    void OnDomainUses(const FailureDomainName&, LoadTracker::Uses) override {}
+    void OnPeerStalls(const std::vector<StallReport>&) override {}
+    void OnPeerServerState(const ServerStateReport& state) override {
+      control->OnServerStateReport(state);
+    }
+    void OnPeerServerLimits(const std::vector<ServerLimitReport>&) override {}
+    void OnPeerSlowdowns(const std::vector<SlowdownReport>&) override {}
+    void Place(const ServerEntry&,
+               LayerRange,
+               std::uint64_t fencing_number,
+               std::function<void(Result<void>)> callback) override {
+      fleet.orders.emplace_back(fencing_number, self.name);
+      callback({});
+    }
+    void Record(DecisionRecord) override {}
+
+    ControlFleet& fleet;
+    Instance self;
+    OlderCopyStoreClient client;
+    RecordingLogger logger;
+    PlainRecordReader reader;
+    std::shared_ptr<const ForwardingView> view;
+    std::unique_ptr<ForwardingControl> control;
+  };
+
+  static constexpr Duration kDeliveryTime = std::chrono::milliseconds(1);
+
+  void Start(Member& member) {
+    std::vector<NetworkAddress> seeds;
+    for (std::size_t seed = 0; seed < 3 && seed < m_members.size(); ++seed) {
+      seeds.push_back(m_members[seed]->self.peer_address);
+    }
+    member.control = std::make_unique<ForwardingControl>(
+        ForwardingControlParts{time, time, member.client, member.reader, member, member, member,
+                               member.logger, member, member.self, seeds},
+        [&member](std::shared_ptr<const ForwardingView> view) { member.view = std::move(view); });
+    member.control->Start();
+  }
+
+  void Deliver(const NetworkAddress& to,
+               const InstanceReport& report,
+               std::function<void(Result<MirrorDelta>)> callback) {
+    After([this, to, report, callback = std::move(callback)] {
+      Member& peer = *m_members[to.port - 1U];
+      if (peer.control == nullptr) {
+        callback(MakeError(ErrorKind::kPeerUnavailable, "not running"));
+        return;
+      }
+      const MirrorDelta answer = peer.control->Reports().OnReport(report);
+      After([callback, answer] { callback(answer); });
+    });
+  }
+
+  void After(std::function<void()> call) {
+    const std::uint64_t number = ++m_last_call;
+    m_calls[number] = time.ScheduleAfter(kDeliveryTime, [this, number, call = std::move(call)] {
+      const auto running = m_calls.extract(number);  // Owns `call` until it returns.
+      call();
+    });
+  }
+
+  const int m_domains;
+  std::vector<std::unique_ptr<Member>> m_members;
+  std::uint64_t m_last_call = 0;
+  std::map<std::uint64_t, std::unique_ptr<ScheduledCall>> m_calls;
+};
+
+}  // namespace zinnia
