What the store says is ordered by era, then by revision

What callers saw: requests at a server that had been leaving for more than two seconds, and requests handled by a configuration, and a key, that had been replaced more than two seconds before. Both have this one fault, so it cannot be mended for one of them alone.

Cause: a store that comes back from an older copy gives revisions out again, and the mirror ordered all it was told by the bare revision. Reports between instances compared bare revisions too.

Change: StoreRevision {era, number} in the mirror, its deltas, the reports between instances and the views. A store without eras behaves as before.

--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp
@@ -80,6 +80,8 @@
   # by an older version, which says it of itself alone with storeIsSteady and isReader.
 
   serverLimits @13 :List(NewsServerLimit);
+  era @14 :UInt64;
+  # The era of the store that the revision belongs to; 0 also from an older version.
 }
 
 struct NewsRecord {
@@ -87,12 +89,14 @@
   revision @1 :UInt64;
   removed @2 :Bool;
   value @3 :Data;
+  era @4 :UInt64;
 }
 
 struct NewsDelta {
   complete @0 :Bool;
   revision @1 :UInt64;
   records @2 :List(NewsRecord);
+  era @3 :UInt64;
 }
 
 interface FleetNews {
--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
@@ -154,7 +154,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cdb7872f24f6fa70, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(cdb7872f24f6fa70, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -169,7 +169,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecd3b5dc71c16b23, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ecd3b5dc71c16b23, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -184,7 +184,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(af439a4c78361b66, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(af439a4c78361b66, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -976,6 +976,8 @@
   inline bool hasServerLimits() const;
   inline  ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>::Reader getServerLimits() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1074,6 +1076,9 @@
   inline void adoptServerLimits(::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsServerLimit,  ::capnp::Kind::STRUCT>> disownServerLimits();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1128,6 +1133,8 @@
   inline bool hasValue() const;
   inline  ::capnp::Data::Reader getValue() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1176,6 +1183,9 @@
   inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownValue();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1226,6 +1236,8 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::zinnia::wire::NewsRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1267,6 +1279,9 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2431,6 +2446,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t NewsReport::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsReport::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NewsReport::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2527,6 +2556,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t NewsRecord::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsRecord::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NewsRecord::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsDelta::Reader::getComplete() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2589,6 +2632,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t NewsDelta::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NewsDelta::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NewsDelta::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline FleetNews::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/packages/zinnia_adapters/fleet_news/report_codec.cc
+++ b/packages/zinnia_adapters/fleet_news/report_codec.cc
@@ -66,7 +66,8 @@
   instance.setStart(report.instance.start);
   instance.setCores(report.instance.cores);
   instance.setLinkMbps(report.instance.link_mbps);
-  to.setRevision(report.revision);
+  to.setRevision(report.revision.number);
+  to.setEra(report.revision.era);
   to.setLeaving(report.leaving);
   to.setIsReader(report.store_watcher_age == std::chrono::milliseconds(0));
   to.setStoreIsSteady(report.stable_store_age == std::chrono::milliseconds(0));
@@ -117,7 +118,7 @@
   report.instance.peer_address = {ToText(instance.getIp()), instance.getPort()};
   report.instance.failure_domain = ToText(instance.getFailureDomain());
   report.instance.start = instance.getStart();
-  report.revision = from.getRevision();
+  report.revision = {from.getEra(), from.getRevision()};
   report.leaving = from.getLeaving();
   report.instance.cores = from.getInstance().getCores();
   report.instance.link_mbps = from.getInstance().getLinkMbps();
@@ -152,12 +153,14 @@
 
 void Write(wire::NewsDelta::Builder to, const MirrorDelta& delta) {
   to.setComplete(delta.complete);
-  to.setRevision(delta.revision);
+  to.setRevision(delta.revision.number);
+  to.setEra(delta.revision.era);
   auto records = to.initRecords(static_cast<unsigned>(delta.records.size()));
   for (unsigned index = 0; index < delta.records.size(); ++index) {
     const MirroredRecord& record = delta.records[index];
     records[index].setKey(record.key);
-    records[index].setRevision(record.revision);
+    records[index].setRevision(record.revision.number);
+    records[index].setEra(record.revision.era);
     records[index].setRemoved(!record.value);
     if (record.value) {
       records[index].setValue(ToData(*record.value));
@@ -168,11 +171,11 @@
 MirrorDelta Read(wire::NewsDelta::Reader from) {
   MirrorDelta delta;
   delta.complete = from.getComplete();
-  delta.revision = from.getRevision();
+  delta.revision = {from.getEra(), from.getRevision()};
   for (const auto record : from.getRecords()) {
     MirroredRecord read;
     read.key = ToText(record.getKey());
-    read.revision = record.getRevision();
+    read.revision = {record.getEra(), record.getRevision()};
     if (!record.getRemoved()) {
       read.value = FromData(record.getValue());
     }
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -148,7 +148,7 @@
                       {"path", DescribePath(m_path)},
                       {"send", std::to_string(m_history.servers_reached)},
                       {"deadline_left_ms", Milliseconds(TimeLeft())},
-                      {"revision", std::to_string(m_parts.view()->revision)},
+                      {"revision", std::to_string(m_parts.view()->revision.number)},
                       {"kept_connection", m_connection->IsReusable() ? "yes" : "no"}});
   m_connection->Send(std::move(request), weak_from_this(), kConnectLimit);
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -106,7 +106,7 @@
                       {"was_run", std::string(NameOf(error.was_run))},
                       {"status", std::to_string(response.result_int())},
                       {"at_limit", limits.all_at_limit ? "yes" : "no"},
-                      {"revision", std::to_string(m_parts.view()->revision)}});
+                      {"revision", std::to_string(m_parts.view()->revision.number)}});
   m_responder->SendWhole(std::move(response));
   End("refused");
 }
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -1,5 +1,6 @@
 #include "zinnia_decisions/forwarding/forwarding_control.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -102,7 +103,9 @@
          m_reports.AnyPeerSeesStableStore();
 }
 
-void ForwardingControl::OnStoreEraChanged(StoreEra /*era*/) {}
+void ForwardingControl::OnStoreEraChanged(StoreEra era) {
+  m_mirror.OnStoreEraChanged(era);
+}
 
 void ForwardingControl::OnServerStateReport(const ServerStateReport& report) {
   // While the store is available, its records on layers are newer than reports from peers. A report
@@ -130,9 +133,10 @@
   }
   auto rules = m_parts.reader.ReadRules(*record.value);
   if (!rules) {
-    m_parts.logger.Log(
-        LogLevel::kError, "configuration_unreadable",
-        {{"revision", std::to_string(record.revision)}, {"reason", Describe(rules.error())}});
+    m_parts.logger.Log(LogLevel::kError, "configuration_unreadable",
+                       {{"revision", std::to_string(record.revision.number)},
+                        {"era", std::to_string(record.revision.era)},
+                        {"reason", Describe(rules.error())}});
     return;
   }
   if (m_rules && rules->version <= m_rules->version) {
@@ -142,7 +146,8 @@
   m_routes = std::make_shared<const RouteTable>(*m_rules);
   m_parts.logger.Log(LogLevel::kInfo, "configuration_in_force",
                      {{"version", std::to_string(m_rules->version)},
-                      {"revision", std::to_string(record.revision)},
+                      {"revision", std::to_string(record.revision.number)},
+                      {"era", std::to_string(record.revision.era)},
                       {"routes", std::to_string(m_rules->routes.size())}});
 }
 
@@ -156,7 +161,8 @@
   if (!server) {
     m_parts.logger.Log(LogLevel::kError, "server_entry_unreadable",
                        {{"key", record.key},
-                        {"revision", std::to_string(record.revision)},
+                        {"revision", std::to_string(record.revision.number)},
+                        {"era", std::to_string(record.revision.era)},
                         {"reason", Describe(server.error())}});
     m_servers.Invalidate(registration);
     return;
@@ -178,7 +184,7 @@
 
 void ForwardingControl::OnInstance(const MirroredRecord& record) {
   if (record.key.substr(InstanceRegistration::kKeyPrefix.size()) == m_parts.self.name) {
-    m_registration.SetKnownVersion(record.value ? record.revision : 0);
+    m_registration.SetKnownVersion(record.value ? record.revision.number : 0);
   }
   if (!record.value) {
     m_instances.OnRecordRemoved(record.key.substr(InstanceRegistration::kKeyPrefix.size()));
@@ -188,6 +194,8 @@
 }
 
 void ForwardingControl::OnMirrorAdvanced() {
+  // Peers may have heard of a change of era first.
+  m_store_era.OnStoreEra(std::max(m_mirror.Revision().era, m_store_era.Era().value_or(0)));
   PublishView();
   m_reports.SendRevision();
 }
--- a/packages/zinnia_decisions/forwarding/observed_state/forwarding_view.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/forwarding_view.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/ports/store_revision.h"
 #include "zinnia_world/fleet/instance.h"
 #include "zinnia_world/forwarding/forwarding_rules.h"
 #include "zinnia_world/forwarding/server_entry.h"
@@ -44,7 +45,7 @@
   }
 
   /** Store revision of this view, and the time at which it was read. */
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   TimePoint as_of{};
 };
 
--- a/packages/zinnia_decisions/forwarding/observed_state/instance_report.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_report.h
@@ -11,6 +11,7 @@
 #include "zinnia_decisions/forwarding/observed_state/load_tracker.h"
 #include "zinnia_decisions/forwarding/observed_state/server_state_report.h"
 #include "zinnia_decisions/forwarding/observed_state/slowdown_report.h"
+#include "zinnia_decisions/ports/store_revision.h"
 #include "zinnia_world/fleet/instance.h"
 
 namespace zinnia {
@@ -25,8 +26,8 @@
 struct InstanceReport {
   Instance instance;
 
-  /** The revision of the sender's store mirror. 0: not filled yet. */
-  std::uint64_t revision = 0;
+  /** The revision of the sender's store mirror. The default: not filled yet. */
+  StoreRevision revision;
 
   /** The sender's requests in flight, for the relays of its failure domain. */
   LoadTracker::Uses uses;
--- a/packages/zinnia_decisions/forwarding/observed_state/mirrored_record.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/mirrored_record.h
@@ -1,16 +1,17 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "zinnia_decisions/ports/store_revision.h"
+
 namespace zinnia {
 
 /** A store record as held by a mirror. Without a value: removed at that revision. */
 struct MirroredRecord {
   std::string key;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::optional<std::string> value;
 
   bool operator==(const MirroredRecord&) const = default;
@@ -20,7 +21,7 @@
 struct MirrorDelta {
   /** Whether `records` is a full snapshot: keys absent from it were removed. */
   bool complete = false;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::vector<MirroredRecord> records;
 };
 
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
@@ -207,7 +207,7 @@
                 [now](const auto& stall) { return now - stall.second > kStallReportLifetime; });
   InstanceReport report;
   report.instance = m_instances.Self();
-  report.revision = m_mirror.IsFilled() ? m_mirror.Revision() : 0;
+  report.revision = m_mirror.IsFilled() ? m_mirror.Revision() : StoreRevision();
   AddLoads(recipient, report);
   std::erase_if(m_server_states, [now](const auto& entry) {
     return now - entry.second.first > kServerStateLifetime;
@@ -244,17 +244,19 @@
       }));
 }
 
-void ReportExchange::FetchIfNewer(const NetworkAddress& peer, std::uint64_t revision) {
+void ReportExchange::FetchIfNewer(const NetworkAddress& peer, StoreRevision revision) {
   const TimePoint now = m_clock.Now();
-  const bool is_behind = revision > m_mirror.Revision() || (revision > 0 && !m_mirror.IsFilled());
-  if (!is_behind || (m_fetch_began_at && now - *m_fetch_began_at < kFetchTimeout)) {
+  const bool is_behind =
+      revision > m_mirror.Revision() || (revision != StoreRevision() && !m_mirror.IsFilled());
+  if (!is_behind || !m_mirror.IsPlausibleEra(revision.era) ||
+      (m_fetch_began_at && now - *m_fetch_began_at < kFetchTimeout)) {
     return;
   }
   m_fetch_began_at = now;
   const std::uint64_t number = ++m_fetch_number;
   InstanceReport report;
   report.instance = m_instances.Self();
-  report.revision = m_mirror.IsFilled() ? m_mirror.Revision() : 0;
+  report.revision = m_mirror.IsFilled() ? m_mirror.Revision() : StoreRevision();
   report.wants_records = true;
   m_transport.Exchange(peer, report,
                        WhileAlive(m_alive, [this, number](const Result<MirrorDelta>& delta) {
@@ -382,7 +384,7 @@
     FetchIfNewer(report.instance.peer_address, report.revision);
   }
   MirrorDelta revision_only;
-  revision_only.revision = m_mirror.IsFilled() ? m_mirror.Revision() : 0;
+  revision_only.revision = m_mirror.IsFilled() ? m_mirror.Revision() : StoreRevision();
   return revision_only;
 }
 
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
@@ -141,7 +141,7 @@
   void ApplyStalls(const InstanceReport& report);
 
   /** Fetches records from `peer` if it is at a newer revision and no other fetch is under way. */
-  void FetchIfNewer(const NetworkAddress& peer, std::uint64_t revision);
+  void FetchIfNewer(const NetworkAddress& peer, StoreRevision revision);
 
   ReportTransport& m_transport;
   Scheduler& m_scheduler;
@@ -170,7 +170,7 @@
   std::optional<TimePoint> m_stable_store_seen_at;
   std::optional<TimePoint> m_fetch_began_at;
   std::uint64_t m_fetch_number = 0;
-  std::uint64_t m_sent_revision = 0;
+  StoreRevision m_sent_revision;
   std::uint64_t m_ticks = 0;
   std::size_t m_next_member = 0;
   std::unique_ptr<ScheduledCall> m_timer;
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "zinnia_base/logging/logger.h"
+#include "zinnia_decisions/forwarding/observed_state/store_era_tracker.h"
 #include "zinnia_decisions/once/alive_guard.h"
 
 namespace zinnia {
@@ -24,10 +25,6 @@
 
 constexpr std::array<std::string_view, 3> kRoleNames = {"none", "substitute", "reader"};
 
-MirroredRecord FromStore(const StoreRecord& record) {
-  return {record.key, record.version, record.value};
-}
-
 }  // namespace
 
 std::string_view NameOf(StoreWatchRole role) {
@@ -56,8 +53,37 @@
   m_timer = m_scheduler.ScheduleAfter(pause, [this, step] { (this->*step)(); });
 }
 
+bool StoreMirror::IsOfKnownEra(const StoreBatch& batch) const {
+  return !batch.era || *batch.era == m_era;
+}
+
+StoreRevision StoreMirror::RevisionOf(const StoreBatch& batch) const {
+  return {batch.era.value_or(m_era), batch.version};
+}
+
+MirroredRecord StoreMirror::FromStore(const StoreBatch& batch, const StoreRecord& record) const {
+  return {record.key, {RevisionOf(batch).era, record.version}, record.value};
+}
+
+void StoreMirror::OnStoreEraChanged(StoreEra era) {
+  m_era = std::max(m_era, era);
+  if (m_filled && m_revision.era < m_era && m_role != StoreWatchRole::kNone) {
+    List();
+  }
+}
+
+bool StoreMirror::IsPlausibleEra(StoreEra era) const {
+  return m_era == 0 || era <= m_era || era - m_era <= StoreEraTracker::kMaxRise;
+}
+
 void StoreMirror::List() {
-  auto listed = WhileAlive(m_alive, [this](const Result<StoreBatch>& result) { OnListed(result); });
+  m_timer.reset();
+  auto listed =
+      WhileAlive(m_alive, [this, number = ++m_call_number](const Result<StoreBatch>& result) {
+        if (number == m_call_number) {
+          OnListed(result);
+        }
+      });
   if (m_filled) {
     m_store.List(kAllKeys, std::move(listed));
   } else {
@@ -72,17 +98,22 @@
     return;
   }
   RecordContact();
-  const bool is_first = !m_filled;
-  if (m_filled && result->version < m_revision) {
-    m_logger.Log(LogLevel::kWarning, "store_list_behind",
-                 {{"listed", std::to_string(result->version)},
-                  {"revision", std::to_string(m_revision)}});
+  if (!IsOfKnownEra(*result)) {
+    ScheduleStep(RetryPause(), &StoreMirror::List);
+    return;
   }
+  const bool is_first = !m_filled;
   MirrorDelta delta;
   delta.complete = true;
-  delta.revision = result->version;
+  delta.revision = RevisionOf(*result);
+  if (m_filled && delta.revision < m_revision) {
+    m_logger.Log(LogLevel::kWarning, "store_list_behind",
+                 {{"listed", std::to_string(delta.revision.number)},
+                  {"revision", std::to_string(m_revision.number)},
+                  {"era", std::to_string(m_revision.era)}});
+  }
   for (const StoreRecord& record : result->records) {
-    delta.records.push_back(FromStore(record));
+    delta.records.push_back(FromStore(*result, record));
   }
   Merge(delta);
   WatchAfter(is_first ? m_settings.pause_after_first_list : std::chrono::milliseconds(0));
@@ -100,10 +131,14 @@
 
 void StoreMirror::Watch() {
   m_timer.reset();  // Or a pause that was under way would start a second chain of watches.
-  const std::uint64_t number = ++m_watch_number;
-  m_store.Watch(kAllKeys, m_revision, m_settings.longest_wait,
+  if (m_revision.era < m_era) {
+    List();
+    return;
+  }
+  const std::uint64_t number = ++m_call_number;
+  m_store.Watch(kAllKeys, m_revision.number, m_settings.longest_wait,
                 WhileAlive(m_alive, [this, number](const Result<StoreBatch>& result) {
-                  if (number == m_watch_number) {
+                  if (number == m_call_number) {
                     OnWatched(result);
                   }
                 }));
@@ -126,7 +161,9 @@
 
 void StoreMirror::OnWatched(const Result<StoreBatch>& result) {
   if (!result && result.error().kind == ErrorKind::kStoreHistoryLost) {
-    m_logger.Log(LogLevel::kInfo, "store_history_lost", {{"after", std::to_string(m_revision)}});
+    m_logger.Log(
+        LogLevel::kInfo, "store_history_lost",
+        {{"after", std::to_string(m_revision.number)}, {"era", std::to_string(m_revision.era)}});
     List();
     return;
   }
@@ -136,10 +173,14 @@
     return;
   }
   RecordContact();
+  if (!IsOfKnownEra(*result)) {
+    WatchAfter(RetryPause());
+    return;
+  }
   MirrorDelta delta;
-  delta.revision = result->version;
+  delta.revision = RevisionOf(*result);
   for (const StoreRecord& record : result->records) {
-    delta.records.push_back(FromStore(record));
+    delta.records.push_back(FromStore(*result, record));
   }
   Merge(delta);
   WatchAfter(m_is_placer ? m_settings.pause_of_placer : m_settings.pause);
@@ -157,6 +198,13 @@
   if (delta.revision < m_revision && (delta.complete || m_filled)) {
     return;
   }
+  if (!IsPlausibleEra(delta.revision.era) || BeginsEraWithoutSnapshot(delta)) {
+    m_logger.Log(
+        LogLevel::kWarning, "records_of_another_era_ignored",
+        {{"era", std::to_string(delta.revision.era)}, {"known_era", std::to_string(m_era)}});
+    return;
+  }
+  m_era = std::max(m_era, delta.revision.era);
   std::vector<MirroredRecord> records = delta.records;
   std::sort(records.begin(), records.end(),
             [](const auto& left, const auto& right) { return left.revision < right.revision; });
@@ -176,6 +224,10 @@
   }
 }
 
+bool StoreMirror::BeginsEraWithoutSnapshot(const MirrorDelta& delta) const {
+  return m_filled && !delta.complete && delta.revision.era > m_revision.era;
+}
+
 void StoreMirror::Apply(const MirroredRecord& record) {
   MirroredRecord& known = m_records[record.key];
   if (record.revision <= known.revision) {
@@ -199,7 +251,9 @@
     }
   }
   for (const std::string& key : missing) {
-    Apply({key, std::max(delta.revision, m_records[key].revision + 1), std::nullopt});
+    const StoreRevision known = m_records[key].revision;
+    const StoreRevision next = {known.era, known.number + 1};
+    Apply({key, std::max(delta.revision, next), std::nullopt});
   }
 }
 
@@ -208,10 +262,10 @@
   return record != m_records.end() && record->second.value.has_value();
 }
 
-MirrorDelta StoreMirror::ChangesAfter(std::uint64_t revision) const {
+MirrorDelta StoreMirror::ChangesAfter(StoreRevision revision) const {
   MirrorDelta delta;
   delta.revision = m_revision;
-  delta.complete = revision < m_removals_known_after || revision == 0;
+  delta.complete = revision < m_removals_known_after || revision == StoreRevision();
   for (const auto& [key, record] : m_records) {
     if (delta.complete ? record.value.has_value() : record.revision > revision) {
       delta.records.push_back(record);
@@ -230,7 +284,7 @@
 void StoreMirror::RecordFailure(const Error& error) {
   if (m_in_contact || !m_last_failure) {
     m_logger.Log(LogLevel::kWarning, "store_lost",
-                 {{"reason", Describe(error)}, {"revision", std::to_string(m_revision)}});
+                 {{"reason", Describe(error)}, {"revision", std::to_string(m_revision.number)}});
   }
   m_in_contact = false;
   m_last_failure = m_clock.Now();
@@ -240,14 +294,14 @@
 void StoreMirror::RecordContact() {
   if (!m_in_contact) {
     m_logger.Log(LogLevel::kInfo, m_ever_in_contact ? "store_regained" : "store_reached",
-                 {{"revision", std::to_string(m_revision)}});
+                 {{"revision", std::to_string(m_revision.number)}, {"era", std::to_string(m_era)}});
   }
   m_in_contact = true;
   m_last_contact = m_clock.Now();
   m_ever_in_contact = true;
   m_retry_pause = m_settings.retry_pause;
   std::size_t removals = 0;
-  std::uint64_t newest_removal = 0;
+  StoreRevision newest_removal;
   for (const auto& [key, record] : m_records) {
     if (!record.value) {
       ++removals;
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
@@ -79,7 +79,8 @@
 
     If the store has dropped its history (a watch fails with kStoreHistoryLost), the mirror lists
     again and reports missing records as removed. If the store cannot be reached, records of peers
-    are taken over by Merge. Revisions never decrease.
+    are taken over by Merge. Revisions never decrease; a store that comes back from an older copy is
+    in a newer era.
 
     Used on the control thread only. */
 class StoreMirror {
@@ -103,16 +104,24 @@
   /** Whether this instance is the placer, which shortens the pause between watches. */
   void SetIsPlacer(bool is_placer) { m_is_placer = is_placer; }
 
-  /** Takes over records from the store or a peer. Records older than the known ones are ignored. */
+  /** Called when the store was heard to be in another era. A mirror that watches lists at once: the
+      store has lost some of the records known here, and gives their revisions out again. */
+  void OnStoreEraChanged(StoreEra era);
+
+  /** Whether the store may be in this era, as far as is known. */
+  bool IsPlausibleEra(StoreEra era) const;
+
+  /** Takes over records from the store or a peer. Records older than the known ones are ignored. A
+      newer era begins only with a full snapshot. */
   void Merge(const MirrorDelta& delta);
 
   /** The changes that a peer at `revision` lacks. A full snapshot if the removals since then are no
       longer known. */
-  MirrorDelta ChangesAfter(std::uint64_t revision) const;
+  MirrorDelta ChangesAfter(StoreRevision revision) const;
 
   bool Has(const std::string& key) const;
 
-  std::uint64_t Revision() const { return m_revision; }
+  StoreRevision Revision() const { return m_revision; }
 
   /** Whether a full copy was received at least once, from the store or a peer. */
   bool IsFilled() const { return m_filled; }
@@ -126,11 +135,15 @@
 
  private:
   void List();
+  bool IsOfKnownEra(const StoreBatch& batch) const;
+  StoreRevision RevisionOf(const StoreBatch& batch) const;
+  MirroredRecord FromStore(const StoreBatch& batch, const StoreRecord& record) const;
   void OnListed(const Result<StoreBatch>& result);
   void Watch();
   void WatchAfter(std::chrono::milliseconds pause);
   std::chrono::milliseconds RetryPause() const;
   void OnWatched(const Result<StoreBatch>& result);
+  bool BeginsEraWithoutSnapshot(const MirrorDelta& delta) const;
   void Apply(const MirroredRecord& record);
   void RemoveMissing(const MirrorDelta& delta);
   void RecordFailure(const Error& error);
@@ -146,8 +159,11 @@
   std::map<std::string, MirroredRecord> m_records;
 
   /** Removals up to this revision are no longer known. */
-  std::uint64_t m_removals_known_after = 0;
-  std::uint64_t m_revision = 0;
+  StoreRevision m_removals_known_after;
+  StoreRevision m_revision;
+
+  /** The newest era heard of, from the store or a peer. */
+  StoreEra m_era = 0;
   std::chrono::milliseconds m_retry_pause;
   std::optional<TimePoint> m_last_failure;
   std::optional<TimePoint> m_last_contact;
@@ -155,8 +171,8 @@
   std::size_t m_live_instances = 1;
   bool m_is_placer = false;
 
-  /** Responses to earlier watches are ignored. */
-  std::uint64_t m_watch_number = 0;
+  /** Responses to earlier lists and watches are ignored. */
+  std::uint64_t m_call_number = 0;
   bool m_filled = false;
   bool m_in_contact = false;
   bool m_ever_in_contact = false;
--- a/packages/zinnia_decisions/ports/platform_store.h
+++ b/packages/zinnia_decisions/ports/platform_store.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "zinnia_base/errors/result.h"
+#include "zinnia_decisions/ports/store_revision.h"
 
 namespace zinnia {
 
@@ -22,10 +23,6 @@
   bool operator==(const StoreRecord&) const = default;
 };
 
-/** Counts how often the store came back from an older copy of its data. Versions are only
-   comparable within one era, since such a store gives the versions after that copy out again. */
-using StoreEra = std::uint64_t;
-
 /** The records under a prefix that changed after some version, and the store's current version. */
 struct StoreBatch {
   std::vector<StoreRecord> records;
--- a/packages/zinnia_decisions/zinnia_decisions.h
+++ b/packages/zinnia_decisions/zinnia_decisions.h
@@ -12,5 +12,6 @@
 #include "zinnia_decisions/ports/platform_store.h"
 #include "zinnia_decisions/ports/stage_links.h"
 #include "zinnia_decisions/ports/step.h"
+#include "zinnia_decisions/ports/store_revision.h"
 #include "zinnia_decisions/routing/pipeline_chooser.h"
 #include "zinnia_decisions/sessions/answer_listener.h"
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -53,11 +53,11 @@
 }
 
 TEST(Mirror, ResumesWatchFromLastRevisionAfterFailure) {
-  const std::uint64_t before = mirror.Revision();
+  const StoreRevision before = mirror.Revision();
   store.FailWatch(ErrorKind::kStoreUnavailable);
   CHECK_FALSE(mirror.IsStableFor(seconds(2)));
   time.AdvanceBy(seconds(1));
-  CHECK_EQUAL(before, store.last_watch_after);
+  CHECK_EQUAL(before.number, store.last_watch_after);
   store.Put("a", "2");
   CompleteWatch();
   STRCMP_EQUAL("2", recorded.values["a"]->c_str());
@@ -125,13 +125,13 @@
 TEST(Mirror, IgnoresOlderRecordsFromPeers) {
   store.Put("a", "2");
   CompleteWatch();
-  mirror.Merge({true, 2, {{"a", 2, "1"}}});
+  mirror.Merge({true, {0, 2}, {{"a", {0, 2}, "1"}}});
   STRCMP_EQUAL("2", recorded.values["a"]->c_str());
   CHECK_TRUE(mirror.Has("b"));
 }
 
 TEST(Mirror, SendsOnlyMissingChangesToLaggingPeer) {
-  const std::uint64_t before = mirror.Revision();
+  const StoreRevision before = mirror.Revision();
   store.Put("c", "1");
   store.Erase("b");
   CompleteWatch();
@@ -142,7 +142,7 @@
   RecordingMirrorListener other_recorded;
   StoreMirror other{store, time, time, logger, {}};
   other.SetListener(&other_recorded);
-  other.Merge(mirror.ChangesAfter(0));
+  other.Merge(mirror.ChangesAfter({}));
   CHECK_TRUE(other.IsFilled());
   CHECK_TRUE(other.Has("c"));
   CHECK_FALSE(other.Has("b"));
--- a/tests/forwarding/relays_test.cc
+++ b/tests/forwarding/relays_test.cc
@@ -115,7 +115,7 @@
       for (const auto& [other_address, other] : fleet) {
         instance->instances.OnRecord(other->instances.Self());
       }
-      instance->mirror.Merge({true, 5, {{"k", 5, "v"}}});
+      instance->mirror.Merge({true, {0, 5}, {{"k", {0, 5}, "v"}}});
       instance->exchange.Start();
     }
     time.AdvanceBy(milliseconds(10));
@@ -218,7 +218,7 @@
 TEST(Relays, AChangeSeenByAStoreWatcherReachesEveryInstanceAtOnce) {
   for (auto& [address, instance] : fleet) {
     if (instance->exchange.ShouldWatchStore()) {
-      instance->mirror.Merge({false, 9, {{"k", 9, "new"}}});
+      instance->mirror.Merge({false, {0, 9}, {{"k", {0, 9}, "new"}}});
       instance->exchange.SendRevision();
       break;
     }
@@ -229,7 +229,7 @@
       instance->exchange.SendRevision();
     }
   }
-  CHECK_EQUAL(200, CountIf([](TestInstance& one) { return one.mirror.Revision() == 9; }));
+  CHECK_EQUAL(200, CountIf([](TestInstance& one) { return one.mirror.Revision().number == 9; }));
 }
 
 // Guards against a domain without reports until the records of its failed relays lapse.
--- a/tests/forwarding/report_exchange_test.cc
+++ b/tests/forwarding/report_exchange_test.cc
@@ -93,7 +93,7 @@
 // Guards against an instance that never serves because the store refuses it at the start and peers
 // are looked up only in the store.
 TEST(InstanceReports, AnInstanceWithoutPeersFetchesRecordsFromSeeds) {
-  transport.answer = MirrorDelta{true, 9, {{"k", 5, "v"}}};
+  transport.answer = MirrorDelta{true, {0, 9}, {{"k", {0, 5}, "v"}}};
   exchange.Start();
   time.AdvanceBy(milliseconds(250));
   CHECK_FALSE(transport.sent.empty());
@@ -107,7 +107,7 @@
 TEST(InstanceReports, AnInstanceThatIsBehindFetchesFromOnePeerAtATime) {
   for (const char* name : {"a", "b", "c"}) {
     InstanceReport report = ReportOf(name);
-    report.revision = 9;
+    report.revision = {0, 9};
     exchange.OnReport(report);
   }
   CHECK_EQUAL(1U, transport.sent.size());
@@ -115,8 +115,8 @@
 
   time.AdvanceBy(seconds(1));
   InstanceReport report = ReportOf("b");
-  report.revision = 9;
-  transport.answer = MirrorDelta{true, 9, {{"k", 5, "v"}}};
+  report.revision = {0, 9};
+  transport.answer = MirrorDelta{true, {0, 9}, {{"k", {0, 5}, "v"}}};
   exchange.OnReport(report);
   CHECK_EQUAL(2U, transport.sent.size());
   CHECK_TRUE(mirror.Has("k"));
@@ -125,10 +125,10 @@
 }
 
 TEST(InstanceReports, AReportIsAnsweredWithRecordsOnlyIfItWantsThem) {
-  mirror.Merge({true, 9, {{"k", 5, "v"}}});
+  mirror.Merge({true, {0, 9}, {{"k", {0, 5}, "v"}}});
   InstanceReport report = ReportOf("peer");
   CHECK_EQUAL(0U, exchange.OnReport(report).records.size());
-  CHECK_EQUAL(9U, exchange.OnReport(report).revision);
+  CHECK_EQUAL(9U, exchange.OnReport(report).revision.number);
   report.wants_records = true;
   CHECK_EQUAL(1U, exchange.OnReport(report).records.size());
 }
@@ -136,13 +136,13 @@
 // Guards against a response without records being taken for "nothing changed", which would keep an
 // old configuration for good.
 TEST(InstanceReports, AResponseWithoutRecordsDoesNotAdvanceTheMirror) {
-  mirror.Merge({true, 4, {{"k", 4, "old"}}});
+  mirror.Merge({true, {0, 4}, {{"k", {0, 4}, "old"}}});
   ReceiveReportsAndStart({"peer"});
-  transport.answer = MirrorDelta{false, 9, {}};
-  transport.answers_to_fetches = MirrorDelta{false, 9, {{"k", 8, "new"}}};
+  transport.answer = MirrorDelta{false, {0, 9}, {}};
+  transport.answers_to_fetches = MirrorDelta{false, {0, 9}, {{"k", {0, 8}, "new"}}};
   exchange.SendLeaving();
   CHECK_EQUAL(2U, transport.sent.size());
-  CHECK_EQUAL(8U, mirror.ChangesAfter(4).records.at(0).revision);
+  CHECK_EQUAL(8U, mirror.ChangesAfter({0, 4}).records.at(0).revision.number);
 }
 
 TEST(InstanceReports, PeersCountAsLiveForAWhileAfterAReport) {
@@ -246,11 +246,11 @@
 // Guards against a change waiting for the next regular report to each member.
 TEST(InstanceReports, AStoreWatcherSendsANewRevisionAtOnceAndOnlyOnce) {
   ReceiveReportsAndStart({"peer"});
-  mirror.Merge({true, 9, {{"k", 5, "v"}}});
+  mirror.Merge({true, {0, 9}, {{"k", {0, 5}, "v"}}});
   exchange.SendRevision();
   exchange.SendRevision();
   CHECK_EQUAL(1U, transport.sent.size());
-  CHECK_EQUAL(9U, transport.sent[0].second.revision);
+  CHECK_EQUAL(9U, transport.sent[0].second.revision.number);
 }
 
 TEST(InstanceReports, ALeavingInstanceIsRemovedAtOnce) {
