--- a/tests/adapters/control_platform_test.cc
+++ b/tests/adapters/control_platform_test.cc
@@ -2,7 +2,7 @@
 #include <string>
 
 #include "adapters/control_fakes.h"
-#include "adapters/control_scripted_server.h"
+#include "adapters/control_raw_http_server.h"
 #include "zinnia_adapters/http/http_client.h"
 #include "zinnia_adapters/platform/http_engine_orders.h"
 #include "zinnia_adapters/platform/http_instance_list.h"
@@ -69,10 +69,10 @@
 };
 
 TEST(Platform, StoreCallsSpeakTheProtocol) {
-  ScriptedServer server({ScriptedServer::Json(R"({"version":7})"),
-                         ScriptedServer::Json(R"({"record":{"key":"a","version":7,"value":"v"}})"),
-                         ScriptedServer::Json(R"({"record":null,"version":9})"),
-                         ScriptedServer::Json(R"({"error":"conflict","version":9})", "409 C")});
+  RawHttpServer server({RawHttpServer::Json(R"({"version":7})"),
+                        RawHttpServer::Json(R"({"record":{"key":"a","version":7,"value":"v"}})"),
+                        RawHttpServer::Json(R"({"record":null,"version":9})"),
+                        RawHttpServer::Json(R"({"error":"conflict","version":9})", "409 C")});
   LONGS_EQUAL(7, Write(Store({server.address()})).value());
   CHECK((Read(Store({server.address()})).value() == StoreRecord{"a", 7, "v"}));
   CHECK_FALSE(Read(Store({server.address()})).value().has_value());
@@ -84,8 +84,8 @@
 }
 
 TEST(Platform, WatchGivesTombstones) {
-  ScriptedServer server({ScriptedServer::Json(
-      R"({"records":[{"key":"p/x","version":5,"value":null}],"version":6})")});
+  RawHttpServer server(
+      {RawHttpServer::Json(R"({"records":[{"key":"p/x","version":5,"value":null}],"version":6})")});
   std::promise<Result<StoreBatch>> done;
   auto store = Store({server.address()});
   store.Watch("p/", 4, std::chrono::milliseconds(10),
@@ -98,14 +98,14 @@
 TEST(Platform, ARefusedConnectionAndA503HadNoEffect) {
   const RefusingAddress nobody;
   CHECK(Write(Store({nobody.address()})).error().kind == ErrorKind::kStoreUnavailable);
-  ScriptedServer server({ScriptedServer::Json("{}", "503 Outage")});
+  RawHttpServer server({RawHttpServer::Json("{}", "503 Outage")});
   CHECK(Write(Store({server.address()})).error().kind == ErrorKind::kStoreUnavailable);
 }
 
 // Symptom: a change that an operator made is undone. Events: a write takes effect, its answer is
 // lost, it is sent again to the next address. Cause: a lost answer is taken for a refusal.
 TEST(Platform, AWriteWithoutAnswerIsUnknownAndNotSentAgain) {
-  ScriptedServer first({""});
+  RawHttpServer first({""});
   const RefusingAddress second;
   const auto result = Write(Store({first.address(), second.address()}));
   CHECK(result.error().kind == ErrorKind::kStoreOutcomeUnknown);
@@ -115,8 +115,8 @@
 // Symptom: as above, seen only after quiet minutes. Events: the store closes a kept connection just
 // as a write goes out on it. Cause: HTTP clients usually repeat a request on a new connection.
 TEST(Platform, AWriteOnAConnectionThatClosesIsNotSentAgain) {
-  ScriptedServer server(
-      {ScriptedServer::Json(R"({"version":7})"), "", ScriptedServer::Json(R"({"version":8})")});
+  RawHttpServer server(
+      {RawHttpServer::Json(R"({"version":7})"), "", RawHttpServer::Json(R"({"version":8})")});
   CHECK(Write(Store({server.address()})).has_value());
   CHECK(Write(Store({server.address()})).error().kind == ErrorKind::kStoreOutcomeUnknown);
   LONGS_EQUAL(2, server.Requests().size());
@@ -125,8 +125,8 @@
 
 TEST(Platform, AReadOnAConnectionThatClosesIsSentAgain) {
   const std::string found =
-      ScriptedServer::Json(R"({"record":{"key":"a","version":7,"value":"v"}})");
-  ScriptedServer server({found, "", found});
+      RawHttpServer::Json(R"({"record":{"key":"a","version":7,"value":"v"}})");
+  RawHttpServer server({found, "", found});
   CHECK(Read(Store({server.address()})).has_value());
   CHECK(Read(Store({server.address()})).has_value());
   LONGS_EQUAL(3, server.Requests().size());
@@ -134,7 +134,7 @@
 
 TEST(Platform, TheNextAddressIsTriedWhenTheFirstDidNothing) {
   const RefusingAddress first;
-  ScriptedServer second({ScriptedServer::Json(R"({"version":7})")});
+  RawHttpServer second({RawHttpServer::Json(R"({"version":7})")});
   const auto result = Write(Store({first.address(), second.address()}));
   CHECK(result.has_value());
   LONGS_EQUAL(7, *result);
@@ -145,13 +145,13 @@
 TEST(Platform, AWriteWithAnUnreadableAnswerIsUnknown) {
   const std::vector<std::string> answers = {
       "\x01\x02garbage\r\n\r\n",
-      ScriptedServer::Json("not json"),
-      ScriptedServer::Json("[]"),
-      ScriptedServer::Json(R"({"version":"x"})"),
-      ScriptedServer::Json(R"({"version":7,"x":")" + std::string(kLargestBody, 'x') + R"("})"),
-      ScriptedServer::Json(std::string(kLargestBody, '['))};
+      RawHttpServer::Json("not json"),
+      RawHttpServer::Json("[]"),
+      RawHttpServer::Json(R"({"version":"x"})"),
+      RawHttpServer::Json(R"({"version":7,"x":")" + std::string(kLargestBody, 'x') + R"("})"),
+      RawHttpServer::Json(std::string(kLargestBody, '['))};
   for (const std::string& answer : answers) {
-    ScriptedServer server({answer});
+    RawHttpServer server({answer});
     const auto result = Write(Store({server.address()}));
     CHECK(result.has_error());
     CHECK(result.error().kind == ErrorKind::kStoreOutcomeUnknown);
@@ -162,9 +162,9 @@
   const RefusingAddress nobody;
   CHECK(Order(Orders(nobody.address())).error().kind == ErrorKind::kBackendUnavailable);
   CHECK(Order(Orders(nobody.address()), "stranger").error().kind == ErrorKind::kNotFound);
-  ScriptedServer engine({ScriptedServer::Json("{}", "202 Accepted"),
-                         ScriptedServer::Json(R"({"error":"stale_epoch"})", "409 Conflict"),
-                         ScriptedServer::Json("{}", "400 Bad"), ""});
+  RawHttpServer engine({RawHttpServer::Json("{}", "202 Accepted"),
+                        RawHttpServer::Json(R"({"error":"stale_epoch"})", "409 Conflict"),
+                        RawHttpServer::Json("{}", "400 Bad"), ""});
   CHECK(Order(Orders(engine.address())).has_value());
   CHECK(Order(Orders(engine.address())).error().kind == ErrorKind::kStaleEpoch);
   CHECK(Order(Orders(engine.address())).error().kind == ErrorKind::kBackendRejected);
@@ -173,7 +173,7 @@
 }
 
 TEST(Platform, ReadsTheStateOfAnEngine) {
-  ScriptedServer engine({ScriptedServer::Json(
+  RawHttpServer engine({RawHttpServer::Json(
       R"({"model":"m","version":"v1","first_layer":0,"end_layer":8,"loading":null,"leaving":true,)"
       R"("checks_fencing":true,"highest_epoch":4,"incarnation":2,"load":{"running":3,"queued":5}})")});
   std::promise<Result<EngineState>> done;
@@ -193,7 +193,7 @@
       R"("pool":"p","incarnation":2,"checks_fencing":false,"leaving":true}],"instances":[]})";
   std::string bad = good;
   bad.replace(bad.find("127.0.0.1:1"), 11, "some-host:1");
-  ScriptedServer platform({ScriptedServer::Json(good), ScriptedServer::Json(bad)});
+  RawHttpServer platform({RawHttpServer::Json(good), RawHttpServer::Json(bad)});
   HttpInstanceList list(m_client, platform.address(), kTimeLimit);
   const auto read = [&list] {
     std::promise<Result<InstanceListing>> done;
--- a/tests/adapters/control_scripted_server.h
+++ b/tests/adapters/control_raw_http_server.h
@@ -17,15 +17,15 @@
 /** An HTTP server on loopback that reads each request whole and answers it with the next line of
    its script, whatever bytes that is. An empty line closes the connection without an answer; after
    the last line it stops listening. Serves one connection at a time. */
-class ScriptedServer {
+class RawHttpServer {
  public:
-  explicit ScriptedServer(std::vector<std::string> script)
+  explicit RawHttpServer(std::vector<std::string> script)
       : m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
         m_address{"127.0.0.1", m_acceptor.local_endpoint().port()},
         m_thread([this, script = std::move(script)] { Run(script); }) {}
 
   /** Ends the script where it is, so that a failed test does not wait for the rest of it. */
-  ~ScriptedServer() {
+  ~RawHttpServer() {
     ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
     ::shutdown(m_connection, SHUT_RDWR);
     m_thread.join();
