An older copy of the store is no newer word on a server

What callers would see: requests at servers that said they leave or that have gone, and refusals while servers that had just registered write their entries again. Cause: the records of a store that came back from an older copy were handled as changes, though they are older than what was known.

Change: a mirror tells its listener why a record changes (RecordOrigin). Of an older copy, an incarnation that was leaving stays so until it ends; one that had gone, or is known with other layers, is taken from the copy only if the store keeps its entry for 5 s (longer than the three write intervals after which it removes silent servers); a forgotten entry is kept for the 2.3 s in which live servers register again, as after an outage. The configuration in force stays, as before; an older one is logged.

--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -117,11 +117,11 @@
   }
 }
 
-void ForwardingControl::OnMirroredRecord(const MirroredRecord& record) {
+void ForwardingControl::OnMirroredRecord(const MirroredRecord& record, RecordOrigin origin) {
   if (m_parts.reader.IsConfiguration(record.key)) {
     OnRules(record);
   } else if (const auto registration = m_parts.reader.RegistrationOf(record.key)) {
-    OnServer(*registration, record);
+    OnServer(*registration, record, origin);
   } else if (record.key.starts_with(InstanceRegistration::kKeyPrefix)) {
     OnInstance(record);
   }
@@ -140,6 +140,13 @@
     return;
   }
   if (m_rules && rules->version <= m_rules->version) {
+    if (rules->version < m_rules->version) {
+      m_parts.logger.Log(LogLevel::kWarning, "configuration_older_ignored",
+                         {{"version", std::to_string(rules->version)},
+                          {"in_force", std::to_string(m_rules->version)},
+                          {"revision", std::to_string(record.revision.number)},
+                          {"era", std::to_string(record.revision.era)}});
+    }
     return;
   }
   m_rules = std::make_shared<const ForwardingRules>(std::move(*rules));
@@ -151,10 +158,13 @@
                       {"routes", std::to_string(m_rules->routes.size())}});
 }
 
-void ForwardingControl::OnServer(const std::string& registration, const MirroredRecord& record) {
+void ForwardingControl::OnServer(const std::string& registration,
+                                 const MirroredRecord& record,
+                                 RecordOrigin origin) {
+  const bool is_older_copy = origin == RecordOrigin::kOlderCopy;
   if (!record.value) {
     // Without a store outage, an entry is removed only if the server is gone.
-    m_servers.Remove(registration, !IsStoreSteady(), [this] { PublishView(); });
+    m_servers.Remove(registration, is_older_copy || !IsStoreSteady(), [this] { PublishView(); });
     return;
   }
   auto server = m_parts.reader.ReadServer(registration, *record.value);
@@ -167,7 +177,11 @@
     m_servers.Invalidate(registration);
     return;
   }
-  m_servers.Put(std::move(*server), [this] { PublishView(); });
+  if (is_older_copy) {
+    m_servers.PutOlderCopy(std::move(*server), [this] { PublishView(); });
+  } else {
+    m_servers.Put(std::move(*server), [this] { PublishView(); });
+  }
 }
 
 /** Whether the server's layers exist in the service's model. If not, the server was registered for
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -70,10 +70,10 @@
   void OnServerStateReport(const ServerStateReport& report);
 
  private:
-  void OnMirroredRecord(const MirroredRecord& record) override;
+  void OnMirroredRecord(const MirroredRecord& record, RecordOrigin origin) override;
   void OnMirrorAdvanced() override;
   void OnRules(const MirroredRecord& record);
-  void OnServer(const std::string& registration, const MirroredRecord& record);
+  void OnServer(const std::string& registration, const MirroredRecord& record, RecordOrigin origin);
   bool LayersFitModel(const ServerEntry& server) const;
   void OnInstance(const MirroredRecord& record);
   bool IsStoreSteady() const;
--- a/packages/zinnia_decisions/forwarding/observed_state/observed_state.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/observed_state.h
@@ -12,6 +12,7 @@
 #include "zinnia_decisions/forwarding/observed_state/mirrored_record.h"
 #include "zinnia_decisions/forwarding/observed_state/prefill_backlog.h"
 #include "zinnia_decisions/forwarding/observed_state/probe_round.h"
+#include "zinnia_decisions/forwarding/observed_state/record_origin.h"
 #include "zinnia_decisions/forwarding/observed_state/relay_directory.h"
 #include "zinnia_decisions/forwarding/observed_state/report_exchange.h"
 #include "zinnia_decisions/forwarding/observed_state/server_directory.h"
--- a/packages/zinnia_decisions/forwarding/observed_state/server_directory.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/server_directory.cc
@@ -31,6 +31,37 @@
            });
 }
 
+void ServerDirectory::PutOlderCopy(ServerEntry entry, std::function<void()> on_changed) {
+  const std::string registration = entry.registration;
+  const ServerEntry* known = FindEntry(registration);
+  const bool is_known = known != nullptr && known->name == entry.name;
+  if (is_known) {
+    KeepLeaving(known->name);
+  }
+  const bool had_gone =
+      std::find(m_removed.begin(), m_removed.end(), entry.name) != m_removed.end();
+  const bool agrees = is_known ? known->layers == entry.layers : !had_gone;
+  if (agrees) {
+    Put(std::move(entry), std::move(on_changed));
+    return;
+  }
+  m_logger.Log(LogLevel::kInfo, "server_entry_of_older_copy",
+               {{"server", entry.name}, {"known", is_known ? "with other layers" : "gone"}});
+  Postpone(registration, kOlderCopyDelay,
+           [this, entry = std::move(entry), on_changed = std::move(on_changed)] {
+             ApplyEntry(entry);
+             on_changed();
+           });
+}
+
+/** Holds what the server's entry said, so that no older entry takes it back. */
+void ServerDirectory::KeepLeaving(const BackendServerName& name) {
+  const ServerEntry& server = m_servers.at(name);
+  if (server.draining && !m_reported_leaving.contains(name)) {
+    OnLeavingAnnounced(name);
+  }
+}
+
 void ServerDirectory::ApplyEntry(ServerEntry entry) {
   entry.draining = entry.draining || HasAnnouncedLeaving(entry.name);
   const ServerEntry* known = FindEntry(entry.registration);
@@ -49,6 +80,7 @@
                   {"layers", fmt::format("{}-{}", entry.layers.first, entry.layers.end)}});
   }
   m_current[entry.registration] = entry.name;
+  std::erase(m_removed, entry.name);
   m_ended_incarnations.erase(entry.name);
   m_reported_leaving.erase(entry.name);
   const BackendServerName name = entry.name;
@@ -142,6 +174,7 @@
     RemoveEntry(registration, "removed");
     return;
   }
+  KeepLeaving(m_current.at(registration));
   Postpone(registration, kRemovalGracePeriod,
            [this, registration, on_changed = std::move(on_changed)] {
              RemoveEntry(registration, "expired during a store outage and did not return");
@@ -173,6 +206,10 @@
   m_reported_leaving.erase(name);
   m_servers.erase(name);
   m_current.erase(registration);
+  if (m_removed.size() >= kMaxRemoved) {
+    m_removed.pop_front();
+  }
+  m_removed.push_back(name);
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/observed_state/server_directory.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/server_directory.h
@@ -30,6 +30,8 @@
       its entry never does. That holds until the incarnation ends: neither an answer without the
       announcement nor an entry that does not show it, which may have been written before, means
       that the server has returned.
+    - A store that comes back from an older copy forgets entries and brings back removed ones; see
+      PutOlderCopy.
     - An entry with an earlier start time may be a late write of the previous incarnation, or come
       from a restarted server whose clock is behind. It is applied after `kEarlierIncarnationDelay`
       unless another write for the registration arrives first.
@@ -45,6 +47,15 @@
   /** Covers most store outages, during which servers cannot announce that they are leaving. */
   static constexpr Duration kLeavingReportLifetime = std::chrono::milliseconds(6'000);
 
+  /** The store removes the entry of a server that is silent for three of its usual write intervals
+     of 1.2 s, so an entry that is older than this belongs to a live server. */
+  static constexpr Duration kOlderCopyDelay = std::chrono::milliseconds(5'000);
+
+  /** The incarnations removed last are remembered, in case that a copy of the store brings them
+   * back.
+   */
+  static constexpr std::size_t kMaxRemoved = 1'024;
+
   /** Ended incarnations are kept for instances that still have requests there. */
   static constexpr std::size_t kMaxEndedIncarnations = 256;
 
@@ -59,6 +70,12 @@
   /** Calls `on_changed` if the entry is applied after a delay. */
   void Put(ServerEntry entry, std::function<void()> on_changed);
 
+  /** Puts an entry of a store that came back from an older copy. It is older than what is known
+     here: an incarnation that was leaving stays so until it ends, and one that had gone, or that is
+     known with other layers, is taken from the copy only if the store keeps the entry for
+      `kOlderCopyDelay`. Calls `on_changed` then. */
+  void PutOlderCopy(ServerEntry entry, std::function<void()> on_changed);
+
   /** Applies a server's report of its own state and returns whether the directory changed. The next
       entry passed to Put overrides it, unless the server announced that it is leaving. An inferred
       report that the server is leaving expires `kLeavingReportLifetime` after the last one;
@@ -84,6 +101,7 @@
   void EndIncarnation(const BackendServerName& incarnation);
   void RemoveEntry(const std::string& registration, const char* reason);
   bool OnLeavingAnnounced(const BackendServerName& name);
+  void KeepLeaving(const BackendServerName& name);
   bool HasAnnouncedLeaving(const BackendServerName& name) const;
   bool OnLeavingReport(ServerEntry& server, std::function<void()> on_changed);
   void Postpone(const std::string& registration, Duration delay, std::function<void()> action);
@@ -99,6 +117,9 @@
   /** Incarnations that announced that they are leaving, in the order of their announcements. */
   std::deque<BackendServerName> m_announced_leaving;
 
+  /** Incarnations whose entries were removed, in the order of their removals. */
+  std::deque<BackendServerName> m_removed;
+
   /** Servers that are leaving according to inferred reports only, with the timers that expire the
       reports. */
   std::map<BackendServerName, std::unique_ptr<ScheduledCall>> m_reported_leaving;
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
@@ -208,11 +208,13 @@
   std::vector<MirroredRecord> records = delta.records;
   std::sort(records.begin(), records.end(),
             [](const auto& left, const auto& right) { return left.revision < right.revision; });
+  const bool begins_era = m_filled && delta.revision.era > m_revision.era;
+  const RecordOrigin origin = begins_era ? RecordOrigin::kOlderCopy : RecordOrigin::kChange;
   for (const MirroredRecord& record : records) {
-    Apply(record);
+    Apply(record, origin);
   }
   if (delta.complete) {
-    RemoveMissing(delta);
+    RemoveMissing(delta, origin);
     // A snapshot does not name keys that were removed before it and that this mirror never knew.
     m_removals_known_after = std::max(m_removals_known_after, delta.revision);
     m_filled = true;
@@ -228,18 +230,18 @@
   return m_filled && !delta.complete && delta.revision.era > m_revision.era;
 }
 
-void StoreMirror::Apply(const MirroredRecord& record) {
+void StoreMirror::Apply(const MirroredRecord& record, RecordOrigin origin) {
   MirroredRecord& known = m_records[record.key];
   if (record.revision <= known.revision) {
     return;
   }
   known = record;
   if (m_listener != nullptr) {
-    m_listener->OnMirroredRecord(known);
+    m_listener->OnMirroredRecord(known, origin);
   }
 }
 
-void StoreMirror::RemoveMissing(const MirrorDelta& delta) {
+void StoreMirror::RemoveMissing(const MirrorDelta& delta, RecordOrigin origin) {
   std::set<std::string> present;
   for (const MirroredRecord& record : delta.records) {
     present.insert(record.key);
@@ -253,7 +255,7 @@
   for (const std::string& key : missing) {
     const StoreRevision known = m_records[key].revision;
     const StoreRevision next = {known.era, known.number + 1};
-    Apply({key, std::max(delta.revision, next), std::nullopt});
+    Apply({key, std::max(delta.revision, next), std::nullopt}, origin);
   }
 }
 
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
@@ -11,6 +11,7 @@
 #include "zinnia_base/time/clock.h"
 #include "zinnia_base/time/scheduler.h"
 #include "zinnia_decisions/forwarding/observed_state/mirrored_record.h"
+#include "zinnia_decisions/forwarding/observed_state/record_origin.h"
 #include "zinnia_decisions/ports/platform_store.h"
 
 namespace zinnia {
@@ -24,7 +25,7 @@
 
   /** Called after one or more OnMirroredRecord calls, or when only the revision advanced. */
   virtual void OnMirrorAdvanced() = 0;
-  virtual void OnMirroredRecord(const MirroredRecord& record) = 0;
+  virtual void OnMirroredRecord(const MirroredRecord& record, RecordOrigin origin) = 0;
 };
 
 /** For whom a StoreMirror watches the store. */
@@ -144,8 +145,8 @@
   std::chrono::milliseconds RetryPause() const;
   void OnWatched(const Result<StoreBatch>& result);
   bool BeginsEraWithoutSnapshot(const MirrorDelta& delta) const;
-  void Apply(const MirroredRecord& record);
-  void RemoveMissing(const MirrorDelta& delta);
+  void Apply(const MirroredRecord& record, RecordOrigin origin);
+  void RemoveMissing(const MirrorDelta& delta, RecordOrigin origin);
   void RecordFailure(const Error& error);
   void RecordContact();
   void ScheduleStep(std::chrono::milliseconds pause, void (StoreMirror::*step)());
--- a/tests/forwarding/forwarding_fakes.h
+++ b/tests/forwarding/forwarding_fakes.h
@@ -197,7 +197,7 @@
 /** Records the latest value of each key. */
 struct RecordingMirrorListener final : MirrorListener {
   void OnMirrorAdvanced() override { ++advances; }
-  void OnMirroredRecord(const MirroredRecord& record) override {
+  void OnMirroredRecord(const MirroredRecord& record, RecordOrigin) override {
     values[record.key] = record.value;
   }
   int advances = 0;
