Instances register again, spread, when the store comes back older

What operators would see: after a drill the store knows no instance for up to five seconds, and then the fleet writes at once. Cause: the lease and the record of an instance may be among what the copy lacks, and only its next renewal, up to 5 s later and in step with all that started together, finds out. Change: a new era makes each check its lease and record after 10 ms x its place among the live instances; instances whose record was forgotten count as live for 5 s more, so that relays and shares do not change meanwhile.

--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -21,6 +21,10 @@
 // Store watchers have this long to acquire a free lease before other instances try.
 constexpr Duration kStoreWatcherPriorityTime = std::chrono::seconds(2);
 
+// Instances of a fleet register again over this time multiplied by their number: two hundred writes
+// a second for any fleet size.
+constexpr std::chrono::milliseconds kRegistrationPerInstance{10};
+
 // Longer than usual outages of the store.
 constexpr std::chrono::milliseconds kStoreOutageGrace{16'000};
 
@@ -48,15 +52,12 @@
 
 ForwardingControl::ForwardingControl(ForwardingControlParts parts, Publish publish)
     : m_parts(std::move(parts)),
+      m_mirror_settings(MirrorSettings(m_parts.self.name)),
       m_publish(std::move(publish)),
       m_instances(m_parts.clock, m_parts.self),
       m_recent_instances(m_parts.clock),
       m_store_era(m_parts.logger, [this](StoreEra era) { OnStoreEraChanged(era); }),
-      m_mirror(m_parts.store,
-               m_parts.scheduler,
-               m_parts.clock,
-               m_parts.logger,
-               MirrorSettings(m_parts.self.name)),
+      m_mirror(m_parts.store, m_parts.scheduler, m_parts.clock, m_parts.logger, m_mirror_settings),
       m_servers(m_parts.scheduler, m_parts.logger),
       m_registration(m_parts.store, m_parts.scheduler, m_parts.logger, m_parts.self),
       m_reports(m_parts.report_transport,
@@ -105,6 +106,10 @@
 
 void ForwardingControl::OnStoreEraChanged(StoreEra era) {
   m_mirror.OnStoreEraChanged(era);
+  const double spread =
+      m_mirror_settings.spread_position * static_cast<double>(m_instances.Live().size());
+  m_registration.OnStoreEraChanged(
+      std::chrono::duration_cast<std::chrono::milliseconds>(kRegistrationPerInstance * spread));
 }
 
 void ForwardingControl::OnServerStateReport(const ServerStateReport& report) {
@@ -123,7 +128,7 @@
   } else if (const auto registration = m_parts.reader.RegistrationOf(record.key)) {
     OnServer(*registration, record, origin);
   } else if (record.key.starts_with(InstanceRegistration::kKeyPrefix)) {
-    OnInstance(record);
+    OnInstance(record, origin);
   }
 }
 
@@ -196,12 +201,15 @@
   return !layered || server.layers.end <= service->second.engine->layers;
 }
 
-void ForwardingControl::OnInstance(const MirroredRecord& record) {
-  if (record.key.substr(InstanceRegistration::kKeyPrefix.size()) == m_parts.self.name) {
+void ForwardingControl::OnInstance(const MirroredRecord& record, RecordOrigin origin) {
+  const InstanceName name = record.key.substr(InstanceRegistration::kKeyPrefix.size());
+  if (name == m_parts.self.name) {
     m_registration.SetKnownVersion(record.value ? record.revision.number : 0);
   }
-  if (!record.value) {
-    m_instances.OnRecordRemoved(record.key.substr(InstanceRegistration::kKeyPrefix.size()));
+  if (!record.value && origin == RecordOrigin::kOlderCopy) {
+    m_instances.OnRecordForgotten(name);
+  } else if (!record.value) {
+    m_instances.OnRecordRemoved(name);
   } else if (const auto instance = InstanceRegistration::Decode(record.key, *record.value)) {
     m_instances.OnRecord(*instance);
   }
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -75,7 +75,7 @@
   void OnRules(const MirroredRecord& record);
   void OnServer(const std::string& registration, const MirroredRecord& record, RecordOrigin origin);
   bool LayersFitModel(const ServerEntry& server) const;
-  void OnInstance(const MirroredRecord& record);
+  void OnInstance(const MirroredRecord& record, RecordOrigin origin);
   bool IsStoreSteady() const;
   void OnStoreEraChanged(StoreEra era);
   void PublishView();
@@ -86,6 +86,7 @@
   void UpdatePlacers();
 
   const ForwardingControlParts m_parts;
+  const StoreMirrorSettings m_mirror_settings;
   const Publish m_publish;
   InstanceDirectory m_instances;
   RecentInstances m_recent_instances;
--- a/packages/zinnia_decisions/forwarding/observed_state/instance_directory.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_directory.cc
@@ -9,6 +9,7 @@
 
 void InstanceDirectory::OnRecord(const Instance& instance) {
   m_recorded[instance.name] = instance;
+  m_forgotten.erase(instance.name);
   m_live.clear();
 }
 
@@ -17,6 +18,15 @@
   m_live.clear();
 }
 
+void InstanceDirectory::OnRecordForgotten(const InstanceName& name) {
+  const auto recorded = m_recorded.find(name);
+  if (recorded == m_recorded.end()) {
+    return;
+  }
+  m_forgotten[name] = {recorded->second, m_clock.Now()};
+  OnRecordRemoved(name);
+}
+
 void InstanceDirectory::OnPeerSeen(const Instance& instance) {
   if (instance.name == m_self.name) {
     return;
@@ -31,6 +41,7 @@
 
 void InstanceDirectory::OnPeerLeft(const InstanceName& name) {
   m_seen_peers.erase(name);
+  m_forgotten.erase(name);
   m_recorded.erase(name);
   m_live.clear();
 }
@@ -47,9 +58,11 @@
   for (const auto& [name, instance] : m_recorded) {
     live[name] = &instance;
   }
-  for (const auto& [name, peer] : m_seen_peers) {
-    if (m_clock.Now() - peer.at < kPeerLifetime) {
-      live[name] = &peer.instance;
+  for (const std::map<InstanceName, SeenPeer>* peers : {&m_forgotten, &m_seen_peers}) {
+    for (const auto& [name, peer] : *peers) {
+      if (m_clock.Now() - peer.at < kPeerLifetime) {
+        live[name] = &peer.instance;
+      }
     }
   }
   live[m_self.name] = &m_self;
--- a/packages/zinnia_decisions/forwarding/observed_state/instance_directory.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_directory.h
@@ -22,6 +22,10 @@
 
   void OnRecord(const Instance& instance);
   void OnRecordRemoved(const InstanceName& name);
+
+  /** The store came back from an older copy that lacks the record. The instance counts as live for
+      `kPeerLifetime` longer, in which it registers again. */
+  void OnRecordForgotten(const InstanceName& name);
   void OnPeerSeen(const Instance& instance);
 
   void OnPeerLeft(const InstanceName& name);
@@ -54,6 +58,9 @@
   const Instance m_self;
   std::map<InstanceName, Instance> m_recorded;
   std::map<InstanceName, SeenPeer> m_seen_peers;
+
+  /** Instances whose records the store forgot, and when. */
+  std::map<InstanceName, SeenPeer> m_forgotten;
   mutable std::vector<Instance> m_live;
   mutable TimePoint m_live_built_at{};
 };
--- a/packages/zinnia_decisions/forwarding/observed_state/instance_registration.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_registration.cc
@@ -69,6 +69,7 @@
   m_store.CompareAndSwap(std::string(kKeyPrefix) + m_self.name, expected_version, Encode(m_self),
                          m_lease, WhileAlive(m_alive, [this](const Result<std::uint64_t>& result) {
                            if (result) {
+                             m_is_record_in_doubt = false;
                              m_logger.Log(LogLevel::kInfo, "instance_registered",
                                           {{"revision", std::to_string(*result)}});
                              ScheduleStep(kRenewInterval, &InstanceRegistration::Renew);
@@ -80,14 +81,30 @@
                          }));
 }
 
+void InstanceRegistration::OnStoreEraChanged(milliseconds pause) {
+  if (m_lease == 0) {
+    return;  // Registration is under way.
+  }
+  m_is_record_in_doubt = true;
+  m_check_pause = pause;
+  ScheduleStep(pause, &InstanceRegistration::Renew);
+}
+
 void InstanceRegistration::Renew() {
   m_store.KeepLeaseAlive(m_lease, WhileAlive(m_alive, [this](const Result<void>& result) {
                            if (!result && result.error().kind == ErrorKind::kNotFound) {
                              m_logger.Log(LogLevel::kWarning, "instance_record_lapsed", {});
-                             ScheduleStep(kRetryPause, &InstanceRegistration::Grant);
+                             m_known_version = 0;
+                             ScheduleStep(m_is_record_in_doubt ? m_check_pause : kRetryPause,
+                                          &InstanceRegistration::Grant);
+                             return;
+                           }
+                           if (result && std::exchange(m_is_record_in_doubt, false)) {
+                             ReadBack();
                              return;
                            }
-                           ScheduleStep(kRenewInterval, &InstanceRegistration::Renew);
+                           ScheduleStep(m_is_record_in_doubt ? kRetryPause : kRenewInterval,
+                                        &InstanceRegistration::Renew);
                          }));
 }
 
--- a/packages/zinnia_decisions/forwarding/observed_state/instance_registration.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_registration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,10 @@
       first list saves reading the record before it is written. */
   void SetKnownVersion(std::uint64_t version) { m_known_version = version; }
 
+  /** Called when the store came back from an older copy, which may lack the lease and the record.
+     Both are checked after `pause`, so that a fleet does not call the store at once. */
+  void OnStoreEraChanged(std::chrono::milliseconds pause);
+
   /** Revokes the lease, which removes the record. */
   void Stop();
 
@@ -50,6 +55,10 @@
   StoreLeaseId m_lease = 0;
   std::uint64_t m_known_version = 0;
   bool m_stopped = false;
+
+  /** The record is to be read back, since the lease is known and the record may be lost. */
+  bool m_is_record_in_doubt = false;
+  std::chrono::milliseconds m_check_pause{0};
   std::unique_ptr<ScheduledCall> m_timer;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/tests/forwarding/control_fleet.h
+++ b/tests/forwarding/control_fleet.h
@@ -15,7 +15,7 @@
 
 namespace zinnia {
 
-/** Reads server entries of the form "START STATE", STATE being "ready" or "draining", and
+/** Reads server entries of the form "START STATE", STATE being "ready", "draining" or "empty", and
     configurations that consist of their version. */
 struct PlainRecordReader final : RecordReader {
   bool IsConfiguration(const std::string& key) const override { return key == "configuration"; }
@@ -29,7 +29,8 @@
   }
   Result<ServerEntry> ReadServer(const std::string& registration,
                                  const std::string& value) const override {
-    ServerEntry entry = EngineServer(registration, "fast", "d0", {0, 80});
+    const bool is_empty = value.ends_with("empty");
+    ServerEntry entry = EngineServer(registration, "fast", "d0", {0, is_empty ? 0U : 80U});
     entry.started_at_ms = std::stoull(value);
     entry.name = registration + "@" + std::to_string(entry.started_at_ms);
     entry.draining = value.ends_with("draining");
@@ -85,9 +86,6 @@
     });
   }
 
-  /** The fencing number of each order so far, with the instance that gave it. */
-  std::vector<std::pair<std::uint64_t, InstanceName>> orders;
-
  private:
   struct Member final : ReportTransport, ReportSink, LayerOrders, DecisionRecorder {
     Member(ControlFleet& owner, int number) : fleet(owner), client(owner.store, owner.time) {
@@ -111,9 +109,8 @@
     void OnPeerSlowdowns(const std::vector<SlowdownReport>&) override {}
     void Place(const ServerEntry&,
                LayerRange,
-               std::uint64_t fencing_number,
+               std::uint64_t,
                std::function<void(Result<void>)> callback) override {
-      fleet.orders.emplace_back(fencing_number, self.name);
       callback({});
     }
     void Record(DecisionRecord) override {}
