Fencing numbers rise over the eras of the store, and a holder of an earlier era stops

What users would see: two placers order layers under one number, or engines refuse the new one for good. Cause: the epoch of the order role is read from a record that an older copy of the store lacks or holds with an earlier number. Change: each epoch is above the store's era times 2^32, so above all of earlier eras whatever the copy says; a holder releases the role when it hears of a new era, and one that is acquiring it gives up. Weighed against a floor from the engines' reports (they name no fencing number) and a jump of a fixed size (repeats if the same copy comes back twice).

Proved by: test_forwarding -sg OlderCopyFencing, 300 random schedules of kills and copies up to 10 s old.

--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -110,6 +110,9 @@
       m_mirror_settings.spread_position * static_cast<double>(m_instances.Live().size());
   m_registration.OnStoreEraChanged(
       std::chrono::duration_cast<std::chrono::milliseconds>(kRegistrationPerInstance * spread));
+  for (auto& [service, placer] : m_placers) {
+    placer->OnStoreEraChanged(era);
+  }
 }
 
 void ForwardingControl::OnServerStateReport(const ServerStateReport& report) {
@@ -252,6 +255,7 @@
       m_placers[name] =
           std::make_unique<LayerPlacer>(parts, PlacementSettings(m_parts.engines_check_fencing),
                                         m_parts.layer_orders, m_parts.logger, name);
+      m_placers[name]->OnStoreEraChanged(m_store_era.Era().value_or(0));
     }
   }
 }
--- a/packages/zinnia_decisions/forwarding/placement/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/placement/layer_placer.h
@@ -51,6 +51,9 @@
   /** Tells whether a peer says the store serves it; see OrderRole::SetStoreServesOthers. */
   void SetStoreServesOthers(bool serves) { m_role.SetStoreServesOthers(serves); }
 
+  /** See OrderRole::OnStoreEraChanged. */
+  void OnStoreEraChanged(StoreEra era) { m_role.OnStoreEraChanged(era); }
+
   bool HoldsRole() const { return m_role.IsHeld(); }
 
   const ServiceName& Service() const { return m_service; }
--- a/packages/zinnia_decisions/orders/order_role.cc
+++ b/packages/zinnia_decisions/orders/order_role.cc
@@ -88,8 +88,16 @@
                       [&](const Instance& instance) { return Hash64(instance.name, seed) > own; });
 }
 
+void OrderRole::OnStoreEraChanged(StoreEra era) {
+  m_store_era = era;
+  if (m_acquired_in != era) {
+    StepDown("the store came back from an older copy");
+  }
+}
+
 void OrderRole::Acquire() {
   m_state = State::kAcquiring;
+  m_acquired_in = m_store_era;
   m_parts.store.Get(LeaseKey(),
                     WhileAlive(m_alive, [this](const Result<std::optional<StoreRecord>>& result) {
                       const bool is_free = result && !(result->has_value() && (*result)->value);
@@ -131,7 +139,8 @@
 
 void OrderRole::WriteEpoch(const std::optional<StoreRecord>& record) {
   const std::uint64_t last = EpochOf(record);
-  const std::uint64_t epoch = std::max(last, m_least_epoch) + 1;
+  const std::uint64_t epochs_of_earlier_eras = m_acquired_in * kEpochsPerEra;
+  const std::uint64_t epoch = std::max({last, m_least_epoch, epochs_of_earlier_eras}) + 1;
   const Instance& self = m_parts.membership.Self();
   const std::string value = boost::json::serialize(boost::json::object{
       {"epoch", epoch}, {"holder", self.name}, {"start", self.start}, {"lease", m_lease}});
@@ -143,6 +152,10 @@
 }
 
 void OrderRole::OnAcquired(std::uint64_t epoch, bool had_holder) {
+  if (m_acquired_in != m_store_era) {
+    Abandon();  // The store may have forgotten what was written on the way.
+    return;
+  }
   m_state = State::kHeld;
   m_epoch = epoch;
   m_valid_until = m_lease_asked_at + m_settings.lease;
--- a/packages/zinnia_decisions/orders/order_role.h
+++ b/packages/zinnia_decisions/orders/order_role.h
@@ -61,12 +61,19 @@
     of the lease, counted from before the last renewal request, less a margin; UnfencedOrdersFrom is
     when orders of an earlier holder can no longer arrive.
 
+    A store that comes back from an older copy may give an earlier epoch out again. Each epoch is
+    therefore above the store's era times `kEpochsPerEra`, and so above all epochs of earlier eras.
+
     Limitation: a holder that is paused between MaySend and the actual send for longer than margin +
     valid_for + transport_timeout can still reach an engine that does not check. Only the engine
     could prevent this; reconciling its state corrects the effect.
 */
 class OrderRole {
  public:
+  /** More than the changes of holder in one era. JSON numbers hold the epochs of two million eras
+      exactly. */
+  static constexpr std::uint64_t kEpochsPerEra = std::uint64_t{1} << 32U;
+
   OrderRole(const OrderRoleParts& parts, const OrderSettings& settings, std::string pool);
   ~OrderRole();
 
@@ -76,6 +83,10 @@
   /** Whether orders may be sent now. Call immediately before each order. */
   bool MaySend() const;
 
+  /** Called when the store was heard to be in another era. The lease and the epoch of an earlier
+     one may be forgotten and given to another instance, so the role is released. */
+  void OnStoreEraChanged(StoreEra era);
+
   /** Sets whether some other instance reports that the store serves it. Where engines do not check
       fencing numbers, a holder continues past its lease only while none does, since an instance
      that cannot reach the store cannot take over. One that can waits for the lease to end and for
@@ -124,6 +135,10 @@
   State m_state = State::kIdle;
   StoreLeaseId m_lease = 0;
   std::uint64_t m_epoch = 0;
+
+  /** The store's era, and that in which the role is being acquired. */
+  StoreEra m_store_era = 0;
+  StoreEra m_acquired_in = 0;
   std::uint64_t m_least_epoch = 0;
   std::uint64_t m_idle_ticks = 0;
   TimePoint m_lease_asked_at{};
