Store watchers' watches are spread, overdue ones are asked after, and lists after lost history pause

What callers would see: a change in force up to 2.3 s after the store accepted it, at the worst phase, when the connections of all pending watches go silent. Cause: a chain of waits that nobody adds up (a watch of 1.5 s, its answer given up 0.7 s later, pauses, a list, relays), and all three store watchers waited in step, so all three lost the same seconds.

Change: each store watcher's watch ends at its own share of an interval counted from the last change; a watch overdue by 250 ms is followed by one that does not wait; the second list in a row that the store refuses to be watched from, and those after it, wait 0.2 to 0.5 s. ChangeDelay names the parts of the sum; it is checked against the new setting change_bound_ms and departure_notice_ms when an instance starts, with a fifth left over, and logged as an error.

The test NewStoreWatcherStartsOneWatchDuringDelay waited 2 s with a watch that is never answered, and now meets the question after an overdue one; it checks one watch after 1 s and exactly one more later.

--- a/packages/zinnia_adapters/settings/forwarding_settings.cc
+++ b/packages/zinnia_adapters/settings/forwarding_settings.cc
@@ -116,7 +116,7 @@
   return milliseconds(static_cast<std::int64_t>(seconds * kMillisecondsPerSecond));
 }
 
-constexpr std::array<std::string_view, 18> kFieldNames = {
+constexpr std::array<std::string_view, 19> kFieldNames = {
     "instance",
     "failure_domain",
     "region",
@@ -130,6 +130,7 @@
     "link_mbps",
     "stop_grace_seconds",
     "departure_notice_ms",
+    "change_bound_ms",
     "retry_budget_ratio",
     "retry_budget_slack",
     "retry_budget_window_seconds",
@@ -165,6 +166,8 @@
   settings.stop_grace = FromSeconds(fields.NumberOr("stop_grace_seconds", 8.0, 1.0));
   settings.departure_notice =
       milliseconds(static_cast<std::int64_t>(fields.NumberOr("departure_notice_ms", 2'000.0, 0.0)));
+  settings.change_bound =
+      milliseconds(static_cast<std::int64_t>(fields.NumberOr("change_bound_ms", 2'000.0, 1.0)));
   settings.retry_budget_ratio = fields.NumberOr("retry_budget_ratio", 0.2, 0.0);
   settings.retry_budget_slack = fields.NumberOr("retry_budget_slack", 0.0, 0.0);
   settings.retry_budget_window =
--- a/packages/zinnia_adapters/settings/forwarding_settings.h
+++ b/packages/zinnia_adapters/settings/forwarding_settings.h
@@ -37,6 +37,9 @@
   /** How long backend servers work on after they announced their departure. */
   std::chrono::milliseconds departure_notice{2'000};
 
+  /** From the acknowledgement of a configuration until it is in force everywhere. */
+  std::chrono::milliseconds change_bound{2'000};
+
   /** The bound on retries that all instances keep together. */
   double retry_budget_ratio = 0.2;
   double retry_budget_slack = 0.0;
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -1,5 +1,6 @@
 #include "forwarding_daemon.h"
 
+#include <algorithm>
 #include <future>
 #include <optional>
 #include <utility>
@@ -19,6 +20,8 @@
 #include "zinnia_base/hashing/fingerprint.h"
 #include "zinnia_base/logging/standard_output_logger.h"
 #include "zinnia_decisions/forwarding/forwarding_control.h"
+#include "zinnia_decisions/forwarding/observed_state/change_delay.h"
+#include "zinnia_decisions/forwarding/observed_state/relay_directory.h"
 
 namespace zinnia {
 namespace {
@@ -43,6 +46,16 @@
   return {settings.retry_budget_ratio, settings.retry_budget_slack, settings.retry_budget_window};
 }
 
+void CheckChangeBound(const ForwardingSettings& settings, Logger& logger) {
+  const ChangeDelay delay =
+      ChangeDelay::Of(StoreMirrorSettings(), RelayDirectory::kStoreWatchersPerFleet);
+  const auto checked = delay.Check(std::min(settings.change_bound, settings.departure_notice));
+  if (!checked) {
+    // Callers are better served by instances that are late than by none.
+    logger.Log(LogLevel::kError, "change_bound_short", {{"reason", Describe(checked.error())}});
+  }
+}
+
 Instance DescribeSelf(const ForwardingSettings& settings, std::uint64_t start) {
   Instance self;
   self.name = settings.instance;
@@ -110,6 +123,7 @@
 }
 
 Result<void> ForwardingDaemon::StartControl() {
+  CheckChangeBound(m_settings, m_logger);
   m_traffic_thread = std::make_unique<TrafficThread>();
   m_traffic_thread->Start();
   auto thread = ControlThread::Start(m_clock, m_metrics, [](ControlThread&) {});
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -275,6 +275,7 @@
                         {"live_instances", std::to_string(m_instances.Live().size())},
                         {"reader_heard_ms", m_reports.DescribeStoreWatcherAge()}});
   }
+  m_mirror.SetWatchSlot(m_reports.StoreWatchRank(), m_reports.StoreWatchers());
   m_mirror.SetWatchRole(reading, m_instances.Live().size());
 }
 
--- a/packages/zinnia_decisions/forwarding/observed_state/relay_directory.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/relay_directory.cc
@@ -79,7 +79,9 @@
       }
     }
   }
-  m_is_store_watcher = std::find(watchers.begin(), watchers.end(), self.name) != watchers.end();
+  const auto own_watch = std::find(watchers.begin(), watchers.end(), self.name);
+  m_store_watch_rank = static_cast<std::size_t>(own_watch - watchers.begin());
+  m_store_watchers = watchers.size();
   std::erase_if(m_excluded_at, [&](const auto& entry) {
     return m_clock.Now() - entry.second > kExclusionDuration;
   });
--- a/packages/zinnia_decisions/forwarding/observed_state/relay_directory.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/relay_directory.h
@@ -42,7 +42,12 @@
       may be silent. */
   void Refresh(Duration silence_limit);
 
-  bool IsStoreWatcher() const { return m_is_store_watcher; }
+  bool IsStoreWatcher() const { return m_store_watch_rank < m_store_watchers; }
+
+  /** This instance's place among the store watchers, which is not below their number if it is none.
+   */
+  std::size_t StoreWatchRank() const { return m_store_watch_rank; }
+  std::size_t StoreWatchers() const { return m_store_watchers; }
   bool IsRelay() const { return m_is_relay; }
 
   /** Whether this relay reports to other failure domains. Only one per domain does, since traffic
@@ -74,7 +79,8 @@
 
   /** When each silent instance was excluded. */
   Times m_excluded_at;
-  bool m_is_store_watcher = true;
+  std::size_t m_store_watch_rank = 0;
+  std::size_t m_store_watchers = 1;
   bool m_is_relay = true;
   bool m_is_first_relay = true;
 };
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
@@ -110,6 +110,8 @@
   std::string DescribeStoreWatcherAge() const;
 
   bool IsAssignedStoreWatcher() const { return m_relays.IsStoreWatcher(); }
+  std::size_t StoreWatchRank() const { return m_relays.StoreWatchRank(); }
+  std::size_t StoreWatchers() const { return m_relays.StoreWatchers(); }
 
   /** Whether a peer reported recently that its store calls succeed. */
   bool AnyPeerSeesStableStore() const;
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
@@ -23,6 +23,9 @@
 /** One watch for all keys costs one call; one per prefix would cost several. */
 constexpr const char* kAllKeys = "";
 
+/** The shortest wait that a watch can name. */
+constexpr std::chrono::milliseconds kNoWait{1};
+
 constexpr std::array<std::string_view, 3> kRoleNames = {"none", "substitute", "reader"};
 
 }  // namespace
@@ -78,6 +81,7 @@
 
 void StoreMirror::List() {
   m_timer.reset();
+  m_overdue_timer.reset();
   auto listed =
       WhileAlive(m_alive, [this, number = ++m_call_number](const Result<StoreBatch>& result) {
         if (number == m_call_number) {
@@ -121,6 +125,7 @@
 
 void StoreMirror::WatchAfter(std::chrono::milliseconds pause) {
   if (m_role == StoreWatchRole::kNone) {
+    m_overdue_timer.reset();
     m_timer.reset();
   } else if (pause.count() == 0) {
     Watch();
@@ -135,10 +140,18 @@
     List();
     return;
   }
+  const std::chrono::milliseconds wait = NextWait();
+  SendWatch(wait);
+  m_overdue_timer =
+      m_scheduler.ScheduleAfter(wait + m_settings.overdue_after, [this] { SendWatch(kNoWait); });
+}
+
+void StoreMirror::SendWatch(std::chrono::milliseconds wait) {
   const std::uint64_t number = ++m_call_number;
-  m_store.Watch(kAllKeys, m_revision.number, m_settings.longest_wait,
+  m_store.Watch(kAllKeys, m_revision.number, wait,
                 WhileAlive(m_alive, [this, number](const Result<StoreBatch>& result) {
                   if (number == m_call_number) {
+                    m_overdue_timer.reset();
                     OnWatched(result);
                   }
                 }));
@@ -164,7 +177,7 @@
     m_logger.Log(
         LogLevel::kInfo, "store_history_lost",
         {{"after", std::to_string(m_revision.number)}, {"era", std::to_string(m_revision.era)}});
-    List();
+    ListAfterLostHistory();
     return;
   }
   if (!result) {
@@ -182,8 +195,46 @@
   for (const StoreRecord& record : result->records) {
     delta.records.push_back(FromStore(*result, record));
   }
+  m_lost_histories = 0;
   Merge(delta);
-  WatchAfter(m_is_placer ? m_settings.pause_of_placer : m_settings.pause);
+  WatchAfter(PauseBetweenWatches());
+}
+
+/** The second list in a row, and those after it, are delayed: a store that refuses the revision of
+   its own list would otherwise be listed without a pause. */
+void StoreMirror::ListAfterLostHistory() {
+  const int repetition = m_lost_histories++;
+  if (repetition == 0) {
+    List();
+    return;
+  }
+  const std::chrono::milliseconds pause = m_settings.retry_pause * (1 << std::min(repetition, 5));
+  ScheduleStep(std::min(pause, m_settings.longest_retry_pause), &StoreMirror::List);
+}
+
+void StoreMirror::SetWatchSlot(std::size_t rank, std::size_t watchers) {
+  m_watch_rank = rank;
+  m_watchers = std::max<std::size_t>(watchers, 1);
+}
+
+std::chrono::milliseconds StoreMirror::PauseBetweenWatches() const {
+  return m_is_placer ? m_settings.pause_of_placer : m_settings.pause;
+}
+
+/** A store watcher's watches end at its share of an interval, counted from the last change. All
+   store watchers hear of that within milliseconds, from the store or from each other. */
+std::chrono::milliseconds StoreMirror::NextWait() const {
+  const std::chrono::milliseconds interval = m_settings.longest_wait + m_settings.pause;
+  if (m_role != StoreWatchRole::kStoreWatcher || m_watch_rank >= m_watchers) {
+    return interval - PauseBetweenWatches();
+  }
+  const auto share = interval * (m_watch_rank + 1) / m_watchers;
+  const auto since_change =
+      std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.Now() - m_changed_at);
+  const auto earliest = since_change + m_settings.shortest_wait;
+  const auto intervals = earliest <= share ? 0 : (earliest - share + interval) / interval;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(share + interval * intervals) -
+         since_change;
 }
 
 std::chrono::milliseconds StoreMirror::RetryPause() const {
@@ -220,6 +271,9 @@
     m_filled = true;
   }
   const bool advanced = delta.revision > m_revision || !records.empty() || delta.complete;
+  if (delta.revision > m_revision) {
+    m_changed_at = m_clock.Now();
+  }
   m_revision = std::max(m_revision, delta.revision);
   if (advanced && m_listener != nullptr) {
     m_listener->OnMirrorAdvanced();
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
@@ -47,6 +47,14 @@
       drops its history receives nothing until it ends, so it must be short. */
   std::chrono::milliseconds longest_wait{1'500};
 
+  /** A watch whose end is overdue by this is followed by one that does not wait, since its
+     connection may have gone silent. Above the response time of a slow store, which would cost a
+     call for each watch. */
+  std::chrono::milliseconds overdue_after{250};
+
+  /** A watch is no shorter than this, however soon its share of the interval ends. */
+  std::chrono::milliseconds shortest_wait{100};
+
   /** Pause between two watches, so that one response carries a burst of changes. A fifth of the two
       seconds within which changes must be in force. */
   std::chrono::milliseconds pause{400};
@@ -99,6 +107,10 @@
   /** Sets the watch role and the number of live instances. */
   void SetWatchRole(StoreWatchRole role, std::size_t live_instances);
 
+  /** Sets this mirror's place among the store watchers of the fleet. Their watches are spread, so
+     that one of them ends soon at any time: one that hears nothing is noticed only at its end. */
+  void SetWatchSlot(std::size_t rank, std::size_t watchers);
+
   /** Whether this mirror watches the store itself. */
   bool IsWatching() const { return m_role != StoreWatchRole::kNone; }
 
@@ -142,6 +154,10 @@
   void OnListed(const Result<StoreBatch>& result);
   void Watch();
   void WatchAfter(std::chrono::milliseconds pause);
+  std::chrono::milliseconds PauseBetweenWatches() const;
+  std::chrono::milliseconds NextWait() const;
+  void SendWatch(std::chrono::milliseconds wait);
+  void ListAfterLostHistory();
   std::chrono::milliseconds RetryPause() const;
   void OnWatched(const Result<StoreBatch>& result);
   bool BeginsEraWithoutSnapshot(const MirrorDelta& delta) const;
@@ -171,6 +187,14 @@
   StoreWatchRole m_role = StoreWatchRole::kStoreWatcher;
   std::size_t m_live_instances = 1;
   bool m_is_placer = false;
+  std::size_t m_watch_rank = 0;
+  std::size_t m_watchers = 1;
+
+  /** When the revision advanced last. */
+  TimePoint m_changed_at{};
+
+  /** Watches in a row that the store refused since it has dropped their history. */
+  int m_lost_histories = 0;
 
   /** Responses to earlier lists and watches are ignored. */
   std::uint64_t m_call_number = 0;
@@ -178,6 +202,7 @@
   bool m_in_contact = false;
   bool m_ever_in_contact = false;
   std::unique_ptr<ScheduledCall> m_timer;
+  std::unique_ptr<ScheduledCall> m_overdue_timer;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -166,8 +166,28 @@
   CompleteWatch();
   CHECK_EQUAL(0U, store.watches.size());
   mirror.SetWatchRole(StoreWatchRole::kStoreWatcher, 1);
-  time.AdvanceBy(seconds(2));
+  time.AdvanceBy(seconds(1));
   CHECK_EQUAL(1U, store.watches.size());
+  // The unanswered watch is followed by one question when it is overdue.
+  time.AdvanceBy(seconds(5));
+  CHECK_EQUAL(2U, store.watches.size());
+}
+
+// Guards against a store that is listed without a pause, as it refuses the revision of its own
+// list.
+TEST(Mirror, ListsLessAndLessOftenWhileEachWatchIsRefused) {
+  const int before = store.lists;
+  for (int step = 0; step < 500; ++step) {
+    time.AdvanceBy(milliseconds(10));
+    while (!store.watches.empty()) {
+      store.FailWatch(ErrorKind::kStoreHistoryLost);
+    }
+  }
+  CHECK_TRUE(store.lists - before <= 14);
+  store.Put("a", "2");
+  time.AdvanceBy(seconds(1));
+  CompleteWatch();
+  STRCMP_EQUAL("2", recorded.values["a"]->c_str());
 }
 
 TEST_GROUP(Servers) {
--- a/tests/forwarding/older_copy_store.h
+++ b/tests/forwarding/older_copy_store.h
@@ -65,6 +65,9 @@
   /** Watches are accepted and hear nothing, whatever changes. */
   void SetWatchesSilent(bool silent) { m_watches_silent = silent; }
 
+  /** The connections of all pending watches go silent; new ones work. */
+  void SilencePendingWatches() { m_watches.clear(); }
+
   /** Pending watches never hear anything, and later ones are told that the history is lost. */
   void DropHistory() {
     m_watches.clear();
--- a/tests/forwarding_path/forwarding_settings_test.cc
+++ b/tests/forwarding_path/forwarding_settings_test.cc
@@ -14,7 +14,7 @@
     "instance": "i", "failure_domain": "x", "region": "r", "callers_address": "127.0.0.1:1",
     "readiness_address": "127.0.0.1:2", "peer_address": "127.0.0.1:3",
     "metrics_address": "127.0.0.1:4", "store_address": "127.0.0.1:5",
-    "seeds": ["127.0.0.1:6"], "stop_grace_seconds": 8, "departure_notice_ms": 3000, "retry_budget_ratio": 0.3,
+    "seeds": ["127.0.0.1:6"], "stop_grace_seconds": 8, "departure_notice_ms": 3000, "change_bound_ms": 4000, "retry_budget_ratio": 0.3,
     "engines_check_fencing": false})";
 
   std::string FaultOf(const std::string& from, const std::string& to) {
@@ -31,6 +31,7 @@
   STRCMP_EQUAL("127.0.0.1:6", settings->seeds[0].ToString().c_str());
   CHECK_EQUAL(8'000, settings->stop_grace.count());
   CHECK_EQUAL(3'000, settings->departure_notice.count());
+  CHECK_EQUAL(4'000, settings->change_bound.count());
   DOUBLES_EQUAL(0.3, settings->retry_budget_ratio, 1e-9);
   CHECK_FALSE(settings->engines_check_fencing);
 }
