Comments that gave reasons and figures are back

Compared by a script over all constants of packages/zinnia_decisions before and after, and by reading the deleted comment lines of its forwarding folder; other folders were not gone through. No code is changed.

--- a/packages/zinnia_decisions/forwarding/admission/capacity_queue.cc
+++ b/packages/zinnia_decisions/forwarding/admission/capacity_queue.cc
@@ -9,7 +9,8 @@
 // A shortage is over after this time without a refusal.
 constexpr Duration kShortageEndsAfter = std::chrono::milliseconds(1'000);
 
-// The maximum covers the time in which lost layers are loaded elsewhere, up to three seconds.
+// A client that returns sooner than the minimum meets the same shortage. The maximum covers the
+// time in which lost layers are loaded elsewhere, up to three seconds.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(3'000);
 
--- a/packages/zinnia_decisions/forwarding/admission/capacity_queue.h
+++ b/packages/zinnia_decisions/forwarding/admission/capacity_queue.h
@@ -32,6 +32,7 @@
   /** A request that waits longer usually starts too late for its latency objective. */
   static constexpr Duration kMaxWait = std::chrono::milliseconds(300);
 
+  /** As many requests as some instances of a small fleet receive together in a second. */
   static constexpr std::size_t kMaxWaiting = 96;
 
   explicit CapacityQueue(const Clock& clock) : m_clock(clock) {}
--- a/packages/zinnia_decisions/forwarding/observed_state/instance_registration.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_registration.cc
@@ -13,7 +13,8 @@
 using std::chrono::milliseconds;
 
 /** Outlasts pauses and two failed renewals, but is short enough that budgets are redistributed soon
-    after an instance is lost. Store calls are billed, so renewals are infrequent. */
+    after an instance is lost. Store calls are billed, so renewals are infrequent: eighty instances
+   that renew every 2.5 s make 2,000 calls a minute. */
 constexpr milliseconds kLeaseDuration{15'000};
 constexpr milliseconds kRenewInterval{5'000};
 
--- a/packages/zinnia_decisions/forwarding/observed_state/load_tracker.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/load_tracker.cc
@@ -14,7 +14,7 @@
 constexpr Duration kStartupPeriod = std::chrono::milliseconds(1'500);
 
 /** How strongly choices of different instances correlate, from 0 to 1. High, since they see nearly
-    the same loads. */
+    the same loads; 1 would mean that no request ever takes another path. */
 constexpr double kChoiceCorrelation = 0.6;
 
 /** Upper limit of peers assumed to choose like this instance: larger fleets spread requests at
--- a/packages/zinnia_decisions/forwarding/observed_state/relay_directory.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/relay_directory.h
@@ -15,10 +15,12 @@
 /** Decides which instances watch the platform's store for the fleet, and which ones relay reports
     in each failure domain.
 
-    Reports sent by everybody to everybody do not scale. Members send to the two relays of their
+    Reports sent by everybody to everybody do not scale: 195 instances sent and received up to 180
+    reports a second each. Members send to the two relays of their
     domain, relays to their members and to each other, and three relays of different domains watch
     the store. The relays are the instances with the fastest links, then with the most cores, then
-    first by name, since copies of a large configuration for a whole domain saturate a slow link.
+    first by name, since forty copies of a large configuration, a quarter of a megabyte each, fill a
+    link of 20 Mbit/s for four seconds.
 
     Each instance decides on its own, from the instances that it knows to be live. An instance that
     should send to this one and is silent for `silence_limit` is excluded for a while or until its
--- a/packages/zinnia_decisions/forwarding/paths/path_finder.cc
+++ b/packages/zinnia_decisions/forwarding/paths/path_finder.cc
@@ -62,11 +62,12 @@
 /** Upper bound on the assumed prefill utilisation, which keeps the estimated wait finite. */
 constexpr double kMaxPrefillUse = 0.95;
 
-/** Number of other instances at which jitter reaches its full size. */
+/** Number of other instances at which jitter reaches its full size. A small fleet needs little:
+   nine instances learn of each other's choices before they are ten. */
 constexpr double kFullJitterInstances = 50.0;
 
 /** Largest relative cost increase by jitter. About as large as the load difference of equal servers
-    between two reports. */
+    between two reports, so that it decides among these and seldom picks a slow server. */
 constexpr double kMaxJitter = 0.5;
 
 /** Relative cost increase of a server at which every request fails. */
@@ -400,7 +401,8 @@
 }
 
 /** Returns a random factor between 1 and 1 + kMaxJitter that spreads the choices of instances with
-    the same load reports. Always 1 for a single instance. */
+    the same load reports: without it all take the same best path until the next report. Always 1
+    for a single instance. */
 double PathFinder::JitterFactor() const {
   const double jitter_share = std::min(1.0, m_loads.OthersTrafficRatio() / kFullJitterInstances);
   return 1.0 + kMaxJitter * jitter_share * RandomUnit(m_random);
--- a/packages/zinnia_decisions/forwarding/placement/domain_capacity.cc
+++ b/packages/zinnia_decisions/forwarding/placement/domain_capacity.cc
@@ -11,7 +11,8 @@
 namespace {
 
 /** A layer below this share of the median capacity limits the requests of the whole domain, for
-    example where two slow engines replace a fast one. */
+    example where two slow engines replace a fast one: they have room for a third of the tokens that
+    the other stages hold. */
 constexpr double kMinShareOfMedianCapacity = 0.5;
 
 /** Capacity below one token counts as zero, since sums of doubles are inexact. */
--- a/packages/zinnia_decisions/once/holder_failure_detector.cc
+++ b/packages/zinnia_decisions/once/holder_failure_detector.cc
@@ -12,7 +12,8 @@
 namespace zinnia {
 namespace {
 
-/** Bounds of the reply deadline, which is learned from earlier replies. */
+/** Bounds of the reply deadline, which is learned from earlier replies. A reply within the minimum
+   is a sign of life, however fast earlier replies were. */
 constexpr std::chrono::milliseconds kMinReplyDeadline{20};
 constexpr std::chrono::milliseconds kMaxReplyDeadline{350};
 
@@ -22,7 +23,8 @@
 /** A check that is later than this means that this instance was suspended. */
 constexpr std::chrono::milliseconds kSuspendedAfter{100};
 
-/** The silence timeout as a multiple of the usual deadline for probe replies. */
+/** The silence timeout as a multiple of the usual deadline for probe replies: replies that are
+   slower than usual by less than this are still waited for. */
 constexpr int kSilenceTimeoutFactor = 4;
 
 /** Stops probing an instance this long after it was lost. */
--- a/packages/zinnia_decisions/once/partition_holder.cc
+++ b/packages/zinnia_decisions/once/partition_holder.cc
@@ -12,7 +12,8 @@
 namespace zinnia {
 namespace {
 
-/** Time to resolve a write with an unknown outcome before Begin starts refusing requests. */
+/** Time to resolve a write with an unknown outcome before Begin starts refusing requests. Some
+   store calls resolve it, so that one lost response does not turn callers away. */
 constexpr std::chrono::milliseconds kSettlingGrace{250};
 constexpr std::chrono::milliseconds kSweepInterval{100};
 
