A copy's entry does not bring back an incarnation that was replaced or had left

What callers would see: requests at a server that had left, from an instance that is cut off while the store comes back older a second time. Change: replaced incarnations are held back like removed ones, and one that was leaving when it went is remembered as leaving.

--- a/packages/zinnia_decisions/forwarding/observed_state/server_directory.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/server_directory.cc
@@ -38,8 +38,7 @@
   if (is_known) {
     KeepLeaving(known->name);
   }
-  const bool had_gone =
-      std::find(m_removed.begin(), m_removed.end(), entry.name) != m_removed.end();
+  const bool had_gone = HasGone(entry.name);
   const bool agrees = is_known ? known->layers == entry.layers : !had_gone;
   if (agrees) {
     Put(std::move(entry), std::move(on_changed));
@@ -54,12 +53,27 @@
            });
 }
 
+bool ServerDirectory::HasGone(const BackendServerName& name) const {
+  return m_ended_incarnations.contains(name) ||
+         std::find(m_removed.begin(), m_removed.end(), name) != m_removed.end();
+}
+
 /** Holds what the server's entry said, so that no older entry takes it back. */
 void ServerDirectory::KeepLeaving(const BackendServerName& name) {
   const ServerEntry& server = m_servers.at(name);
   if (server.draining && !m_reported_leaving.contains(name)) {
-    OnLeavingAnnounced(name);
+    RememberLeaving(name);
+  }
+}
+
+void ServerDirectory::RememberLeaving(const BackendServerName& name) {
+  if (HasAnnouncedLeaving(name)) {
+    return;
+  }
+  if (m_announced_leaving.size() >= kMaxAnnouncements) {
+    m_announced_leaving.pop_front();
   }
+  m_announced_leaving.push_back(name);
 }
 
 void ServerDirectory::ApplyEntry(ServerEntry entry) {
@@ -127,10 +141,7 @@
   if (HasAnnouncedLeaving(name) || m_ended_incarnations.contains(name)) {
     return false;
   }
-  if (m_announced_leaving.size() >= kMaxAnnouncements) {
-    m_announced_leaving.pop_front();
-  }
-  m_announced_leaving.push_back(name);
+  RememberLeaving(name);
   m_reported_leaving.erase(name);
   m_logger.Log(LogLevel::kInfo, "server_leaving_announced", {{"server", name}});
   const auto server = m_servers.find(name);
@@ -203,6 +214,7 @@
 void ServerDirectory::RemoveEntry(const std::string& registration, const char* reason) {
   const BackendServerName name = m_current.at(registration);
   m_logger.Log(LogLevel::kInfo, "server_gone", {{"server", name}, {"reason", reason}});
+  KeepLeaving(name);
   m_reported_leaving.erase(name);
   m_servers.erase(name);
   m_current.erase(registration);
--- a/packages/zinnia_decisions/forwarding/observed_state/server_directory.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/server_directory.h
@@ -101,7 +101,9 @@
   void EndIncarnation(const BackendServerName& incarnation);
   void RemoveEntry(const std::string& registration, const char* reason);
   bool OnLeavingAnnounced(const BackendServerName& name);
+  bool HasGone(const BackendServerName& name) const;
   void KeepLeaving(const BackendServerName& name);
+  void RememberLeaving(const BackendServerName& name);
   bool HasAnnouncedLeaving(const BackendServerName& name) const;
   bool OnLeavingReport(ServerEntry& server, std::function<void()> on_changed);
   void Postpone(const std::string& registration, Duration delay, std::function<void()> action);
@@ -114,7 +116,8 @@
   std::map<std::string, BackendServerName> m_current;
   std::set<BackendServerName> m_ended_incarnations;
 
-  /** Incarnations that announced that they are leaving, in the order of their announcements. */
+  /** Incarnations that are known to leave whatever an entry says, from their announcements or from
+      entries that are gone, the earliest first. */
   std::deque<BackendServerName> m_announced_leaving;
 
   /** Incarnations whose entries were removed, in the order of their removals. */
--- a/tests/forwarding/control_fleet.h
+++ b/tests/forwarding/control_fleet.h
@@ -63,6 +63,14 @@
     Start(*m_members[number]);
   }
 
+  OlderCopyStoreClient& Client(std::size_t number) { return m_members[number]->client; }
+
+  /** Reports to and from this instance get no answer. */
+  void SetCutOff(std::size_t number, bool cut_off) { m_members[number]->is_cut_off = cut_off; }
+
+  /** Whether the instance has published a view since its last start. */
+  bool HasView(std::size_t number) const { return m_members[number]->view != nullptr; }
+
   std::size_t Size() const { return m_members.size(); }
 
   const ForwardingView& ViewOfMember(std::size_t number) const { return *m_members[number]->view; }
@@ -98,7 +106,9 @@
     void Exchange(const NetworkAddress& peer,
                   const InstanceReport& report,
                   std::function<void(Result<MirrorDelta>)> callback) override {
-      fleet.Deliver(peer, report, std::move(callback));
+      if (!is_cut_off) {
+        fleet.Deliver(peer, report, std::move(callback));
+      }
     }
     void OnDomainUses(const FailureDomainName&, LoadTracker::Uses) override {}
     void OnPeerStalls(const std::vector<StallReport>&) override {}
@@ -118,6 +128,7 @@
     ControlFleet& fleet;
     Instance self;
     OlderCopyStoreClient client;
+    bool is_cut_off = false;
     RecordingLogger logger;
     PlainRecordReader reader;
     std::shared_ptr<const ForwardingView> view;
@@ -143,6 +154,9 @@
                std::function<void(Result<MirrorDelta>)> callback) {
     After([this, to, report, callback = std::move(callback)] {
       Member& peer = *m_members[to.port - 1U];
+      if (peer.is_cut_off) {
+        return;
+      }
       if (peer.control == nullptr) {
         callback(MakeError(ErrorKind::kPeerUnavailable, "not running"));
         return;
--- a/tests/forwarding/older_copy_leases_test.cc
+++ b/tests/forwarding/older_copy_leases_test.cc
@@ -45,18 +45,23 @@
 // Guards against a large fleet that exceeds the store's limits when all register again at once.
 TEST(OlderCopyLeases, AFleetOfThreeHundredRegistersAgainWithoutABurst) {
   constexpr int kWritesPerSecond = 400;
+  constexpr int kCallsPerSecond = 2'000;
   Start(300, 9);
   fleet->Advance(seconds(3));
   CHECK_EQUAL(300, CountRegistered());
   Drill(milliseconds(500), milliseconds(3'990));
   int most_writes = 0;
+  int most_calls = 0;
   for (int second = 0; second < 10; ++second) {
     const int before = fleet->store.writes;
+    const int calls_before = fleet->store.calls;
     fleet->Advance(seconds(1));
     most_writes = std::max(most_writes, fleet->store.writes - before);
+    most_calls = std::max(most_calls, fleet->store.calls - calls_before);
   }
   CHECK_EQUAL(300, CountRegistered());
   CHECK_TRUE(most_writes <= kWritesPerSecond);
+  CHECK_TRUE(most_calls <= kCallsPerSecond);
 }
 
 }  // namespace zinnia
--- a/tests/forwarding/older_copy_store.h
+++ b/tests/forwarding/older_copy_store.h
@@ -158,6 +158,12 @@
  public:
   OlderCopyStoreClient(OlderCopyStore& store, VirtualTime& time) : m_store(store), m_time(time) {}
 
+  /** The store turns this client away and serves the others. */
+  void SetRefused(bool refused) { m_is_refused = refused; }
+
+  /** Calls are carried out and not answered. */
+  void SetAnswersLost(bool lost) { m_are_answers_lost = lost; }
+
   void SetEraListener(StoreEraListener* listener) override { m_era_listener = listener; }
 
   void Get(std::string key, ReadCallback callback) override {
@@ -241,6 +247,12 @@
              std::chrono::milliseconds longest_wait,
              BatchCallback callback) override {
     ++m_store.calls;
+    if (m_is_refused) {
+      After(kDelay, [callback = std::move(callback)] {
+        callback(MakeError(ErrorKind::kStoreUnavailable, "refused"));
+      });
+      return;
+    }
     auto pending = std::make_shared<BatchCallback>(std::move(callback));
     const auto answer = [this, pending](const Result<StoreBatch>& batch) {
       if (BatchCallback once = std::exchange(*pending, {})) {
@@ -284,12 +296,21 @@
   template <typename Value, typename Make>
   void Call(std::function<void(Result<Value>)> callback, Make make) {
     ++m_store.calls;
+    if (m_is_refused) {
+      After(kDelay, [callback] { callback(MakeError(ErrorKind::kStoreUnavailable, "refused")); });
+      return;
+    }
     After(m_store.m_is_away ? kCallLimit : kDelay, [this, callback, make] {
       if (m_store.m_is_away) {
         callback(MakeError(ErrorKind::kStoreOutcomeUnknown, "no answer"));
         return;
       }
       const Result<Value> answer = make();
+      if (m_are_answers_lost) {
+        After(kCallLimit,
+              [callback] { callback(MakeError(ErrorKind::kStoreOutcomeUnknown, "no answer")); });
+        return;
+      }
       Hear();
       callback(answer);
     });
@@ -312,6 +333,8 @@
   OlderCopyStore& m_store;
   VirtualTime& m_time;
   StoreEraListener* m_era_listener = nullptr;
+  bool m_is_refused = false;
+  bool m_are_answers_lost = false;
   std::uint64_t m_last_call = 0;
   std::map<std::uint64_t, std::unique_ptr<ScheduledCall>> m_calls;
 };
