Revisions are compared by plain operators

clang-tidy 14 reads a comparison that is rewritten from operator<=> as a null pointer (modernize-use- nullptr, three places).

--- a/packages/zinnia_decisions/ports/store_revision.h
+++ b/packages/zinnia_decisions/ports/store_revision.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
-#include <string>
+#include <tuple>
 
 namespace zinnia {
 
@@ -17,7 +16,12 @@
   StoreEra era = 0;
   std::uint64_t number = 0;
 
-  auto operator<=>(const StoreRevision&) const = default;
+  bool operator==(const StoreRevision&) const = default;
+  bool operator<(const StoreRevision& other) const {
+    return std::tie(era, number) < std::tie(other.era, other.number);
+  }
+  bool operator>(const StoreRevision& other) const { return other < *this; }
+  bool operator<=(const StoreRevision& other) const { return !(other < *this); }
 };
 
 }  // namespace zinnia
