The age of the store's last word is told, not that a watcher believes itself in contact

Cause: a watcher counted as in contact, with age 0, until one of its calls had failed; since the watches are spread and overdue ones asked after, the last of the three knew only after 2.9 s, and the others began to watch 1.2 s after that (before the spread 2.2 s and 1.2 s). Change: reports carry the time since the store's last response to any watcher, however long ago; who has heard of none for 1.35 s watches for itself.

--- a/packages/zinnia_decisions/forwarding/observed_state/instance_report.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_report.h
@@ -42,8 +42,9 @@
   /** Recent statements of servers that did not come from the store. */
   std::vector<ServerStateReport> server_states;
 
-  /** Upper bound on the time since some instance was in contact with the store as a watcher,
-      however many relays forwarded it. 0 from a watcher in contact; empty if none is known. */
+  /** Upper bound on the time since the store responded to some watcher, however many relays
+     forwarded it. Empty if none is known. A watcher that would claim contact until its watch has
+     failed would hide a silent store for as long. */
   std::optional<std::chrono::milliseconds> store_watcher_age;
 
   /** The same for an instance whose store calls have all succeeded for long enough that lapsed
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
@@ -26,6 +26,10 @@
     start watching the store itself. */
 constexpr Duration kSilenceAllowance = milliseconds(800);
 
+/** Added to that for the store's last word to a store watcher: what it is old by the time when the
+   next of them hears again, beyond what kSilenceAllowance covers. */
+constexpr Duration kStoreWordAge = milliseconds(150);
+
 /** After this time another peer may be asked; long enough for 250 kB on a shared 20 Mbit/s link. */
 constexpr Duration kFetchTimeout = milliseconds(700);
 
@@ -160,10 +164,12 @@
 }
 
 std::optional<milliseconds> ReportExchange::StoreWatcherAge() const {
-  if (m_mirror.IsWatching() && m_mirror.IsInContact()) {
-    return milliseconds(0);
+  const TimePoint now = m_clock.Now();
+  std::optional<TimePoint> seen_at = m_store_watcher_seen_at;
+  if (m_mirror.IsWatching()) {
+    UpdateSeenAt(AgeOf(m_mirror.LastContact(), now), now, seen_at);
   }
-  return AgeOf(m_store_watcher_seen_at, m_clock.Now());
+  return AgeOf(seen_at, now);
 }
 
 std::string ReportExchange::DescribeStoreWatcherAge() const {
@@ -314,7 +320,7 @@
 
 bool ReportExchange::ShouldWatchStore() const {
   const TimePoint last_seen = m_store_watcher_seen_at.value_or(m_started_at);
-  return m_relays.IsStoreWatcher() || m_clock.Now() - last_seen >= SilenceLimit();
+  return m_relays.IsStoreWatcher() || m_clock.Now() - last_seen >= SilenceLimit() + kStoreWordAge;
 }
 
 bool ReportExchange::AnyPeerSeesStableStore() const {
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
@@ -141,6 +141,9 @@
 
   bool IsInContact() const { return m_in_contact; }
 
+  /** When the store responded last; empty if it never did. */
+  const std::optional<TimePoint>& LastContact() const { return m_last_contact; }
+
   /** Whether the store responded recently and no call of this mirror has failed for `duration`.
       False without recent calls: otherwise records that lapsed in an outage would count as servers
       that left. */
--- a/tests/forwarding/change_bound_test.cc
+++ b/tests/forwarding/change_bound_test.cc
@@ -94,7 +94,36 @@
   });
 }
 
-// The same for a fleet in which most instances hear of changes from relays.
+// Guards against store watchers that count as in contact for as long as their watches may last,
+// although the store is silent towards all of them and serves the others.
+TEST(ChangeBound, AChangeIsInForceInTimeThoughTheStoreIsSilentTowardsAllItsWatchers) {
+  constexpr Duration kBoundOfUsers = seconds(2);
+  for (Duration phase{}; phase < kPhases; phase += milliseconds(100)) {
+    Start(9, 3);
+    fleet->Advance(phase);
+    for (std::size_t number = 0; number < fleet->Size(); ++number) {
+      OlderCopyStoreClient& client = fleet->Client(number);
+      client.SetSilenced(client.HasWatchedWithin(seconds(3)));
+    }
+    MeasureChange();
+  }
+  CHECK_TRUE(worst <= kBoundOfUsers * 4 / 5);
+}
+
+// Guards against instances that watch for themselves although store watchers are in contact, which
+// costs a call for each.
+TEST(ChangeBound, NobodyElseWatchesWhileAStoreWatcherIsInContact) {
+  constexpr int kInstances = 65;
+  Start(kInstances, 3);
+  const int before = fleet->store.calls;
+  fleet->Advance(seconds(kSeconds));
+  // Renewals of every instance in 5 s and of the order role twice a second; three watches in 1.9 s.
+  const double expected = kInstances * kSeconds / 5.0 + 2.0 * kSeconds + 3 * kSeconds / 1.9;
+  CHECK_TRUE(fleet->store.calls - before <= 1.1 * expected);
+}
+
+// Guards against a bound that only small fleets keep, in which most instances hear from store
+// watchers directly.
 TEST(ChangeBound, LargeFleetsKeepTheBound) {
   for (const int instances : {65, 300}) {
     Start(instances, 9);
