Logs say from whom an instance heard that a server leaves, and what delayed its acting on it

Observability for the request that reached a server after its leaving was acknowledged. server_departure_heard names the notice (draining or removed), revision, era, source (store or peer) and whether the store counted as steady, which decides on a delay; view_late tells of a view that took more than 100 ms to the traffic thread (counter late_views), server_connected_late of a choice that was older by the time of its bytes.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -35,6 +35,9 @@
 /** Connect timeout; healthy servers accept within a few milliseconds. */
 constexpr Duration kConnectLimit = milliseconds(250);
 
+/** Connecting for longer is logged: the choice of the server is as old by then. */
+constexpr Duration kSlowConnect = milliseconds(50);
+
 /** Excludes a server that answered 421 until the view has its updated entry. */
 constexpr Duration kMisdirectedExclusion = milliseconds(1'000);
 
@@ -161,6 +164,17 @@
   m_connection->Send(std::move(request), weak_from_this(), kConnectLimit);
 }
 
+void ForwardExchange::OnServerConnected() {
+  const Duration connecting = m_parts.clock.Now() - m_sent_at;
+  if (connecting > kSlowConnect) {
+    m_parts.logger.Log(LogLevel::kInfo, "server_connected_late",
+                       {{"request", m_facts.id},
+                        {"server", m_server},
+                        {"connect_ms", Milliseconds(connecting)},
+                        {"revision", std::to_string(m_parts.view()->revision.number)}});
+  }
+}
+
 void ForwardExchange::OnServerAnswerHead(unsigned status, const http::fields& fields) {
   m_status = status;
   m_fields = fields;
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -74,6 +74,7 @@
   /** Moves the request off restarted servers now, and off draining servers later if possible. */
   void OnViewChanged();
 
+  void OnServerConnected() override;
   void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) override;
   void OnServerAnswerBody(std::string_view bytes) override;
   void OnServerAnswerEnd() override;
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -20,6 +20,10 @@
 using std::chrono::milliseconds;
 
 /** Sources of a server's limit, as logged. */
+/** Views that take longer to the traffic thread are logged: the instance is too busy to keep the
+    bounds on changes. */
+constexpr Duration kLateView = std::chrono::milliseconds(100);
+
 constexpr std::string_view kServerItself = "server";
 constexpr std::string_view kPeer = "peer";
 
@@ -93,6 +97,14 @@
 
 void ForwardingTraffic::SetView(std::shared_ptr<const ForwardingView> view) {
   m_view = std::move(view);
+  const Duration age = m_parts.clock.Now() - m_view->as_of;
+  if (age > kLateView) {
+    m_parts.metrics.Count("late_views");
+    m_parts.logger.Log(LogLevel::kWarning, "view_late",
+                       {{"revision", std::to_string(m_view->revision.number)},
+                        {"era", std::to_string(m_view->revision.era)},
+                        {"age_ms", Milliseconds(age)}});
+  }
   m_loads.SetPeerCount(m_view->live_instances - 1);
   m_limits.SetView(m_view);
   m_quarantine.SetServerCount(m_view->servers.size());
--- a/packages/zinnia_adapters/forwarding/server_answer_listener.h
+++ b/packages/zinnia_adapters/forwarding/server_answer_listener.h
@@ -15,6 +15,9 @@
 class ServerAnswerListener {
  public:
   virtual ~ServerAnswerListener() = default;
+
+  /** A new connection is open, and the request is about to be written. */
+  virtual void OnServerConnected() = 0;
   virtual void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) = 0;
   virtual void OnServerAnswerBody(std::string_view bytes) = 0;
   virtual void OnServerAnswerEnd() = 0;
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -207,6 +207,7 @@
                                  RecordOrigin origin) {
   const bool is_older_copy = origin == RecordOrigin::kOlderCopy;
   if (!record.value) {
+    LogDeparture(registration, record, "removed");
     // Without a store outage, an entry is removed only if the server is gone.
     m_servers.Remove(registration, is_older_copy || !IsStoreSteady(), [this] { PublishView(); });
     return;
@@ -221,6 +222,9 @@
     m_servers.Invalidate(registration);
     return;
   }
+  if (server->draining) {
+    LogDeparture(registration, record, "draining");
+  }
   if (is_older_copy) {
     m_servers.PutOlderCopy(std::move(*server), [this] { PublishView(); });
   } else {
@@ -228,6 +232,20 @@
   }
 }
 
+/** With the events of ServerDirectory, shows when and from whom this instance heard that a server
+    leaves, and why it goes on using the server. */
+void ForwardingControl::LogDeparture(const std::string& registration,
+                                     const MirroredRecord& record,
+                                     std::string_view notice) const {
+  m_parts.logger.Log(LogLevel::kInfo, "server_departure_heard",
+                     {{"registration", registration},
+                      {"notice", std::string(notice)},
+                      {"revision", std::to_string(record.revision.number)},
+                      {"era", std::to_string(record.revision.era)},
+                      {"from", std::string(m_mirror.Source())},
+                      {"store_steady", IsStoreSteady() ? "yes" : "no"}});
+}
+
 /** Whether the server's layers exist in the service's model. If not, the server was registered for
     another model and cannot run requests. */
 bool ForwardingControl::LayersFitModel(const ServerEntry& server) const {
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "zinnia_base/time/clock.h"
 #include "zinnia_base/time/scheduler.h"
@@ -82,6 +83,9 @@
   void OnMirrorAdvanced() override;
   void OnRules(const MirroredRecord& record);
   void OnServer(const std::string& registration, const MirroredRecord& record, RecordOrigin origin);
+  void LogDeparture(const std::string& registration,
+                    const MirroredRecord& record,
+                    std::string_view notice) const;
   bool LayersFitModel(const ServerEntry& server) const;
   void OnInstance(const MirroredRecord& record, RecordOrigin origin);
   void OnQuarantineRecord(const MirroredRecord& record);
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
@@ -26,6 +26,9 @@
 /** The shortest wait that a watch can name. */
 constexpr std::chrono::milliseconds kNoWait{1};
 
+constexpr std::string_view kStoreSource = "store";
+constexpr std::string_view kPeerSource = "peer";
+
 constexpr std::array<std::string_view, 3> kRoleNames = {"none", "substitute", "reader"};
 
 }  // namespace
@@ -119,7 +122,7 @@
   for (const StoreRecord& record : result->records) {
     delta.records.push_back(FromStore(*result, record));
   }
-  Merge(delta);
+  MergeFrom(kStoreSource, delta);
   WatchAfter(is_first ? m_settings.pause_after_first_list : std::chrono::milliseconds(0));
 }
 
@@ -196,7 +199,7 @@
     delta.records.push_back(FromStore(*result, record));
   }
   m_lost_histories = 0;
-  Merge(delta);
+  MergeFrom(kStoreSource, delta);
   WatchAfter(PauseBetweenWatches());
 }
 
@@ -246,6 +249,10 @@
 }
 
 void StoreMirror::Merge(const MirrorDelta& delta) {
+  MergeFrom(kPeerSource, delta);
+}
+
+void StoreMirror::MergeFrom(std::string_view source, const MirrorDelta& delta) {
   if (delta.revision < m_revision && (delta.complete || m_filled)) {
     return;
   }
@@ -256,6 +263,7 @@
     return;
   }
   m_era = std::max(m_era, delta.revision.era);
+  m_source = source;
   std::vector<MirroredRecord> records = delta.records;
   std::sort(records.begin(), records.end(),
             [](const auto& left, const auto& right) { return left.revision < right.revision; });
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
@@ -124,10 +124,13 @@
   /** Whether the store may be in this era, as far as is known. */
   bool IsPlausibleEra(StoreEra era) const;
 
-  /** Takes over records from the store or a peer. Records older than the known ones are ignored. A
-      newer era begins only with a full snapshot. */
+  /** Takes over records of a peer. Records older than the known ones are ignored. A newer era
+     begins only with a full snapshot. */
   void Merge(const MirrorDelta& delta);
 
+  /** Who sent the records that are being taken over, for the log: "store" or "peer". */
+  std::string_view Source() const { return m_source; }
+
   /** The changes that a peer at `revision` lacks. A full snapshot if the removals since then are no
       longer known. */
   MirrorDelta ChangesAfter(StoreRevision revision) const;
@@ -164,6 +167,7 @@
   std::chrono::milliseconds RetryPause() const;
   void OnWatched(const Result<StoreBatch>& result);
   bool BeginsEraWithoutSnapshot(const MirrorDelta& delta) const;
+  void MergeFrom(std::string_view source, const MirrorDelta& delta);
   void Apply(const MirroredRecord& record, RecordOrigin origin);
   void RemoveMissing(const MirrorDelta& delta, RecordOrigin origin);
   void RecordFailure(const Error& error);
@@ -190,6 +194,7 @@
   StoreWatchRole m_role = StoreWatchRole::kStoreWatcher;
   std::size_t m_live_instances = 1;
   bool m_is_placer = false;
+  std::string_view m_source;
   std::size_t m_watch_rank = 0;
   std::size_t m_watchers = 1;
 
