--- a/tests/fleet/server_limit_test.cc
+++ b/tests/fleet/server_limit_test.cc
@@ -58,7 +58,7 @@
     std::filesystem::create_directories(folder);
     fleet = std::make_unique<Fleet>(
         FleetPlaces{ZINNIA_BINARIES "/packages/zinnia_apps/zinniad", folder}, kInstances,
-        store.Port(), ledger);
+        /*failure_domains=*/1, store.Port(), ledger);
     configuration = std::make_unique<OperatorStandin>(store, *fleet, ledger);
     for (const auto& member : fleet->Members()) {
       fleet->Start(*member);
