A removal is delayed only after an outage of the store, and no longer than until the store has settled

Callers saw: requests reached a server more than two seconds after the store had acknowledged that it leaves.

Cause: servers that never say that they leave lose their entries. A mirror could not tell that from an entry that lapsed in an outage, so it went on using the server for 2.3 s whenever the store did not count as stable: one failed call of each store watcher (a cut connection, a rate limit, a call given up by a busy process) was an outage, counted from its failure, and the delay began when the removal was heard. 2.3 s are more than the 2.0 s of the bound, whatever else happens. Beside it, a process that had just started told its peers that the store was stable, over a time that it had not seen, so that they dropped servers whose entries had merely lapsed.

Change: StoreContact judges an outage by its length, from the time at which the first answer was due until the next answer (400 ms at least; entries lapse after several renewals, a second apart), and knows only the time that the process has seen. A delayed removal is carried out as soon as any instance has been served for 2.3 s without an outage, which instances report to each other. The word that all calls succeed, which the holder of an order role goes by, stays as it was.

Ruled out as an alternative: a shorter delay (lapsed entries take up to two seconds to return), none at all (all servers would be gone after an outage), telling lapses by their number (a single server may lapse, many may leave).

--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp
@@ -112,6 +112,10 @@
   crashes @15 :List(NewsCrash);
   quarantines @16 :List(NewsQuarantine);
   clearedRequests @17 :List(NewsClearedRequest);
+
+  settledAgeMs @18 :UInt32 = 0xffffffff;
+  # How long ago an instance was known to have been served by the store for long without an outage.
+  # Left out by an older version.
 }
 
 struct NewsRecord {
--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
@@ -1323,6 +1323,8 @@
   inline bool hasClearedRequests() const;
   inline  ::capnp::List< ::zinnia::wire::NewsClearedRequest,  ::capnp::Kind::STRUCT>::Reader getClearedRequests() const;
 
+  inline  ::uint32_t getSettledAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1445,6 +1447,9 @@
   inline void adoptClearedRequests(::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsClearedRequest,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinnia::wire::NewsClearedRequest,  ::capnp::Kind::STRUCT>> disownClearedRequests();
 
+  inline  ::uint32_t getSettledAgeMs();
+  inline void setSettledAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3144,6 +3149,20 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t NewsReport::Reader::getSettledAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t NewsReport::Builder::getSettledAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void NewsReport::Builder::setSettledAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline bool NewsRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/zinnia_adapters/fleet_news/report_codec.cc
+++ b/packages/zinnia_adapters/fleet_news/report_codec.cc
@@ -134,6 +134,7 @@
   to.setStoreIsSteady(report.stable_store_age == std::chrono::milliseconds(0));
   to.setReaderAgeMs(WriteAge(report.store_watcher_age));
   to.setSteadyAgeMs(WriteAge(report.stable_store_age));
+  to.setSettledAgeMs(WriteAge(report.settled_store_age));
   to.setWithoutRecords(!report.wants_records);
   WriteUses(to.initUses(static_cast<unsigned>(report.uses.size())), report.uses);
   auto domains = to.initDomainUses(static_cast<unsigned>(report.domain_uses.size()));
@@ -193,6 +194,7 @@
   report.instance.link_mbps = from.getInstance().getLinkMbps();
   report.store_watcher_age = ReadAge(from.getReaderAgeMs(), from.getIsReader());
   report.stable_store_age = ReadAge(from.getSteadyAgeMs(), from.getStoreIsSteady());
+  report.settled_store_age = ReadAge(from.getSettledAgeMs(), false);
   report.wants_records = !from.getWithoutRecords();
   report.uses = ReadUses(from.getUses());
   for (const auto domain : from.getDomainUses()) {
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -102,7 +102,7 @@
 }
 
 bool ForwardingControl::IsStoreSteady() const {
-  return m_mirror.IsStableFor(ServerDirectory::kRemovalGracePeriod) ||
+  return m_mirror.Contact().IsStableFor(ServerDirectory::kRemovalGracePeriod) ||
          m_reports.AnyPeerSeesStableStore();
 }
 
@@ -208,8 +208,7 @@
   const bool is_older_copy = origin == RecordOrigin::kOlderCopy;
   if (!record.value) {
     LogDeparture(registration, record, "removed");
-    // Without a store outage, an entry is removed only if the server is gone.
-    m_servers.Remove(registration, is_older_copy || !IsStoreSteady(), [this] { PublishView(); });
+    RemoveServer(registration, is_older_copy);
     return;
   }
   auto server = m_parts.reader.ReadServer(registration, *record.value);
@@ -243,7 +242,19 @@
                       {"revision", std::to_string(record.revision.number)},
                       {"era", std::to_string(record.revision.era)},
                       {"from", std::string(m_mirror.Source())},
-                      {"store_steady", IsStoreSteady() ? "yes" : "no"}});
+                      {"store_settled", m_reports.IsStoreSettled() ? "yes" : "no"}});
+}
+
+/** Without a store outage, an entry is removed only if the server is gone. */
+void ForwardingControl::RemoveServer(const std::string& registration, bool is_older_copy) {
+  const auto publish = [this] { PublishView(); };
+  if (is_older_copy) {
+    m_servers.RemoveForgotten(registration, publish);
+  } else if (m_reports.IsStoreSettled()) {
+    m_servers.Remove(registration);
+  } else {
+    m_servers.RemoveUnlessBack(registration, publish);
+  }
 }
 
 /** Whether the server's layers exist in the service's model. If not, the server was registered for
@@ -357,6 +368,9 @@
     placer->Tick(*m_view);
     is_placer = is_placer || placer->HoldsRole();
   }
+  if (m_reports.IsStoreSettled() && m_servers.OnStoreSettled()) {
+    PublishView();
+  }
   if (m_recent_instances.Update(m_instances.Live()) != m_view->instances) {
     PublishView();
   }
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -83,6 +83,7 @@
   void OnMirrorAdvanced() override;
   void OnRules(const MirroredRecord& record);
   void OnServer(const std::string& registration, const MirroredRecord& record, RecordOrigin origin);
+  void RemoveServer(const std::string& registration, bool is_older_copy);
   void LogDeparture(const std::string& registration,
                     const MirroredRecord& record,
                     std::string_view notice) const;
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
@@ -168,7 +168,7 @@
   const TimePoint now = m_clock.Now();
   std::optional<TimePoint> seen_at = m_store_watcher_seen_at;
   if (m_mirror.IsWatching()) {
-    UpdateSeenAt(AgeOf(m_mirror.LastContact(), now), now, seen_at);
+    UpdateSeenAt(AgeOf(m_mirror.Contact().LastAnswer(), now), now, seen_at);
   }
   return AgeOf(seen_at, now);
 }
@@ -179,12 +179,24 @@
 }
 
 std::optional<milliseconds> ReportExchange::StableStoreAge() const {
-  if (m_mirror.IsStableFor(ServerDirectory::kRemovalGracePeriod)) {
+  if (m_mirror.Contact().IsStableFor(ServerDirectory::kRemovalGracePeriod)) {
     return milliseconds(0);
   }
   return AgeOf(m_stable_store_seen_at, m_clock.Now());
 }
 
+std::optional<milliseconds> ReportExchange::SettledStoreAge() const {
+  if (m_mirror.Contact().HasServedFor(ServerDirectory::kRemovalGracePeriod)) {
+    return milliseconds(0);
+  }
+  return AgeOf(m_settled_store_seen_at, m_clock.Now());
+}
+
+bool ReportExchange::IsStoreSettled() const {
+  const auto age = SettledStoreAge();
+  return age && *age < kStableStoreLifetime;
+}
+
 void ReportExchange::AddLoads(Recipient recipient, InstanceReport& report) {
   const FailureDomainName& own = m_instances.Self().failure_domain;
   if (!m_relays.IsRelay()) {
@@ -230,6 +242,7 @@
   report.leaving = m_leaving;
   report.store_watcher_age = StoreWatcherAge();
   report.stable_store_age = StableStoreAge();
+  report.settled_store_age = SettledStoreAge();
   for (const auto& [server, seen_at] : m_stalls) {
     report.stalls.push_back({server, duration_cast<milliseconds>(now - seen_at)});
   }
@@ -412,6 +425,7 @@
   }
   UpdateSeenAt(report.store_watcher_age, now, m_store_watcher_seen_at);
   UpdateSeenAt(report.stable_store_age, now, m_stable_store_seen_at);
+  UpdateSeenAt(report.settled_store_age, now, m_settled_store_seen_at);
   if (report.wants_records) {
     return m_mirror.IsFilled() && report.revision < m_mirror.Revision()
                ? m_mirror.ChangesAfter(report.revision)
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
@@ -135,6 +135,10 @@
   /** Whether a peer reported recently that its store calls succeed. */
   bool AnyPeerSeesStableStore() const;
 
+  /** Whether the store has served this instance or, as reported recently, a peer for so long that
+      entries that lapsed in an outage would be back. */
+  bool IsStoreSettled() const;
+
   MirrorDelta OnReport(const InstanceReport& report) override;
 
  private:
@@ -158,6 +162,7 @@
   std::uint64_t IntervalsBetweenMemberReports() const;
   std::optional<std::chrono::milliseconds> StoreWatcherAge() const;
   std::optional<std::chrono::milliseconds> StableStoreAge() const;
+  std::optional<std::chrono::milliseconds> SettledStoreAge() const;
   void ApplyLoads(const InstanceReport& report, bool is_same_domain);
   void ApplyStalls(const InstanceReport& report);
   void ApplyCrashes(const InstanceReport& report);
@@ -192,6 +197,7 @@
   TimePoint m_started_at{};
   std::optional<TimePoint> m_store_watcher_seen_at;
   std::optional<TimePoint> m_stable_store_seen_at;
+  std::optional<TimePoint> m_settled_store_seen_at;
   std::optional<TimePoint> m_fetch_began_at;
   std::uint64_t m_fetch_number = 0;
   StoreRevision m_sent_revision;
--- a/packages/zinnia_decisions/forwarding/observed_state/server_directory.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/server_directory.cc
@@ -16,7 +16,7 @@
 
 void ServerDirectory::Put(ServerEntry entry, std::function<void()> on_changed) {
   const std::string registration = entry.registration;
-  m_postponed.erase(registration);
+  CancelPostponed(registration);
   const ServerEntry* known = FindEntry(registration);
   if (known == nullptr || entry.started_at_ms >= known->started_at_ms) {
     ApplyEntry(std::move(entry));
@@ -174,17 +174,32 @@
   return is_change;
 }
 
-void ServerDirectory::Remove(const std::string& registration,
-                             bool store_failed_recently,
-                             std::function<void()> on_changed) {
-  m_postponed.erase(registration);
-  if (FindEntry(registration) == nullptr) {
-    return;
-  }
-  if (!store_failed_recently) {
+void ServerDirectory::Remove(const std::string& registration) {
+  CancelPostponed(registration);
+  if (FindEntry(registration) != nullptr) {
     RemoveEntry(registration, "removed");
-    return;
   }
+}
+
+void ServerDirectory::RemoveUnlessBack(const std::string& registration,
+                                       std::function<void()> on_changed) {
+  CancelPostponed(registration);
+  if (FindEntry(registration) != nullptr) {
+    PostponeRemoval(registration, std::move(on_changed));
+    m_removed_unless_back.insert(registration);
+  }
+}
+
+void ServerDirectory::RemoveForgotten(const std::string& registration,
+                                      std::function<void()> on_changed) {
+  CancelPostponed(registration);
+  if (FindEntry(registration) != nullptr) {
+    PostponeRemoval(registration, std::move(on_changed));
+  }
+}
+
+void ServerDirectory::PostponeRemoval(const std::string& registration,
+                                      std::function<void()> on_changed) {
   KeepLeaving(m_current.at(registration));
   Postpone(registration, kRemovalGracePeriod,
            [this, registration, on_changed = std::move(on_changed)] {
@@ -193,8 +208,22 @@
            });
 }
 
-void ServerDirectory::Invalidate(const std::string& registration) {
+bool ServerDirectory::OnStoreSettled() {
+  const std::set<std::string> registrations = std::exchange(m_removed_unless_back, {});
+  for (const std::string& registration : registrations) {
+    CancelPostponed(registration);
+    RemoveEntry(registration, "did not return after a store outage");
+  }
+  return !registrations.empty();
+}
+
+void ServerDirectory::CancelPostponed(const std::string& registration) {
   m_postponed.erase(registration);
+  m_removed_unless_back.erase(registration);
+}
+
+void ServerDirectory::Invalidate(const std::string& registration) {
+  CancelPostponed(registration);
   if (FindEntry(registration) != nullptr) {
     RemoveEntry(registration, "entry cannot be parsed");
   }
@@ -207,6 +236,7 @@
       m_scheduler.ScheduleAfter(delay, [this, registration, action = std::move(action)] {
         // Keeps the timer alive until this callback returns, as it owns the captures.
         const auto timer = m_postponed.extract(registration);
+        m_removed_unless_back.erase(registration);
         action();
       });
 }
--- a/packages/zinnia_decisions/forwarding/observed_state/server_directory.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/server_directory.h
@@ -19,9 +19,10 @@
 
 /** Directory of the registered backend servers, with one incarnation of each.
 
-    - Leases may expire during a store outage although their servers are running. If the store
-      failed recently, a removal is delayed by `kRemovalGracePeriod` so that the entry can return.
-      Otherwise the directory would be empty after the outage and requests would be refused.
+    - Leases may expire during a store outage although their servers are running. A removal that is
+      heard soon after one is delayed so that the entry can return: until the store has been back
+   for `kRemovalGracePeriod`, see OnStoreSettled. Otherwise the directory would be empty after the
+      outage and requests would be refused.
     - If a server restarts under its registration, the earlier incarnation ends immediately. Its
       streams needn't wait until it is found to be silent.
     - A server that shuts down during a store outage cannot update its entry. It refuses new work,
@@ -82,10 +83,20 @@
       `on_changed` is called then. */
   bool OnServerStateReport(const ServerStateReport& report, std::function<void()> on_changed);
 
-  /** If `store_failed_recently`, the removal is delayed and `on_changed` is called after it. */
-  void Remove(const std::string& registration,
-              bool store_failed_recently,
-              std::function<void()> on_changed);
+  /** Removes the server of a registration that the store has removed while it was well. */
+  void Remove(const std::string& registration);
+
+  /** The same soon after an outage of the store: the removal is delayed until OnStoreSettled, and
+      for `kRemovalGracePeriod` at most, after which `on_changed` is called. */
+  void RemoveUnlessBack(const std::string& registration, std::function<void()> on_changed);
+
+  /** The same for an entry that a store that came back from an older copy does not have. The
+     removal is delayed for `kRemovalGracePeriod`, after which `on_changed` is called. */
+  void RemoveForgotten(const std::string& registration, std::function<void()> on_changed);
+
+  /** The store has been back for so long that all lapsed entries of running servers have returned.
+      Carries out the removals that wait for this, and returns whether there were any. */
+  bool OnStoreSettled();
 
   /** Removes the server of a registration whose record cannot be parsed. */
   void Invalidate(const std::string& registration);
@@ -106,7 +117,9 @@
   void RememberLeaving(const BackendServerName& name);
   bool HasAnnouncedLeaving(const BackendServerName& name) const;
   bool OnLeavingReport(ServerEntry& server, std::function<void()> on_changed);
+  void CancelPostponed(const std::string& registration);
   void Postpone(const std::string& registration, Duration delay, std::function<void()> action);
+  void PostponeRemoval(const std::string& registration, std::function<void()> on_changed);
 
   Scheduler& m_scheduler;
   Logger& m_logger;
@@ -129,6 +142,9 @@
 
   /** Delayed changes by registration, cancelled if another entry arrives first. */
   std::map<std::string, std::unique_ptr<ScheduledCall>> m_postponed;
+
+  /** The registrations of which a removal is delayed until OnStoreSettled. */
+  std::set<std::string> m_removed_unless_back;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
@@ -16,10 +16,6 @@
  */
 constexpr std::size_t kMaxRemovals = 2'048;
 
-/** Exceeds the time between two responses to a store watcher: its longest wait, its pause and a
-    slow response. */
-constexpr Duration kContactLifetime = std::chrono::milliseconds(2'500);
-
 /** One watch for all keys costs one call; one per prefix would cost several. */
 constexpr const char* kAllKeys = "";
 
@@ -47,7 +43,8 @@
       m_clock(clock),
       m_logger(logger),
       m_settings(settings),
-      m_retry_pause(settings.retry_pause) {}
+      m_retry_pause(settings.retry_pause),
+      m_contact(clock) {}
 
 StoreMirror::~StoreMirror() = default;
 
@@ -85,6 +82,7 @@
 void StoreMirror::List() {
   m_timer.reset();
   m_overdue_timer.reset();
+  m_answer_due = m_clock.Now();
   auto listed =
       WhileAlive(m_alive, [this, number = ++m_call_number](const Result<StoreBatch>& result) {
         if (number == m_call_number) {
@@ -144,6 +142,7 @@
     return;
   }
   const std::chrono::milliseconds wait = NextWait();
+  m_answer_due = m_clock.Now() + wait;
   SendWatch(wait);
   m_overdue_timer =
       m_scheduler.ScheduleAfter(wait + m_settings.overdue_after, [this] { SendWatch(kNoWait); });
@@ -338,31 +337,21 @@
   return delta;
 }
 
-bool StoreMirror::IsStableFor(Duration duration) const {
-  const TimePoint now = m_clock.Now();
-  const bool is_contact_recent = m_last_contact && now - *m_last_contact <= kContactLifetime;
-  return m_in_contact && is_contact_recent &&
-         (!m_last_failure || now - *m_last_failure >= duration);
-}
-
 void StoreMirror::RecordFailure(const Error& error) {
-  if (m_in_contact || !m_last_failure) {
+  if (m_contact.IsInContact() || !m_contact.HasEverFailed()) {
     m_logger.Log(LogLevel::kWarning, "store_lost",
                  {{"reason", Describe(error)}, {"revision", std::to_string(m_revision.number)}});
   }
-  m_in_contact = false;
-  m_last_failure = m_clock.Now();
+  m_contact.OnFailure(m_answer_due);
   m_retry_pause = std::min(m_retry_pause * 2, m_settings.longest_retry_pause_of_substitute);
 }
 
 void StoreMirror::RecordContact() {
-  if (!m_in_contact) {
-    m_logger.Log(LogLevel::kInfo, m_ever_in_contact ? "store_regained" : "store_reached",
+  if (!m_contact.IsInContact()) {
+    m_logger.Log(LogLevel::kInfo, m_contact.WasEverInContact() ? "store_regained" : "store_reached",
                  {{"revision", std::to_string(m_revision.number)}, {"era", std::to_string(m_era)}});
   }
-  m_in_contact = true;
-  m_last_contact = m_clock.Now();
-  m_ever_in_contact = true;
+  m_contact.OnAnswer();
   m_retry_pause = m_settings.retry_pause;
   std::size_t removals = 0;
   StoreRevision newest_removal;
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
@@ -12,6 +12,7 @@
 #include "zinnia_base/time/scheduler.h"
 #include "zinnia_decisions/forwarding/observed_state/mirrored_record.h"
 #include "zinnia_decisions/forwarding/observed_state/record_origin.h"
+#include "zinnia_decisions/forwarding/observed_state/store_contact.h"
 #include "zinnia_decisions/ports/platform_store.h"
 
 namespace zinnia {
@@ -142,15 +143,9 @@
   /** Whether a full copy was received at least once, from the store or a peer. */
   bool IsFilled() const { return m_filled; }
 
-  bool IsInContact() const { return m_in_contact; }
-
-  /** When the store responded last; empty if it never did. */
-  const std::optional<TimePoint>& LastContact() const { return m_last_contact; }
-
-  /** Whether the store responded recently and no call of this mirror has failed for `duration`.
-      False without recent calls: otherwise records that lapsed in an outage would count as servers
-      that left. */
-  bool IsStableFor(Duration duration) const;
+  /** What this mirror's calls show of the store. Says nothing good of it without recent calls:
+      otherwise records that lapsed in an outage would count as servers that left. */
+  const StoreContact& Contact() const { return m_contact; }
 
  private:
   void List();
@@ -189,8 +184,10 @@
   /** The newest era heard of, from the store or a peer. */
   StoreEra m_era = 0;
   std::chrono::milliseconds m_retry_pause;
-  std::optional<TimePoint> m_last_failure;
-  std::optional<TimePoint> m_last_contact;
+  StoreContact m_contact;
+
+  /** By when the earliest of the calls without an answer should have had it. */
+  TimePoint m_answer_due{};
   StoreWatchRole m_role = StoreWatchRole::kStoreWatcher;
   std::size_t m_live_instances = 1;
   bool m_is_placer = false;
@@ -207,8 +204,6 @@
   /** Responses to earlier lists and watches are ignored. */
   std::uint64_t m_call_number = 0;
   bool m_filled = false;
-  bool m_in_contact = false;
-  bool m_ever_in_contact = false;
   std::unique_ptr<ScheduledCall> m_timer;
   std::unique_ptr<ScheduledCall> m_overdue_timer;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/tests/adapters/report_codec_test.cc
+++ b/tests/adapters/report_codec_test.cc
@@ -32,9 +32,13 @@
 TEST(ReportCodec, AgesOfWordsArriveAndMayBeUnknown) {
   InstanceReport report;
   report.store_watcher_age = milliseconds(730);
-  const InstanceReport read = SendOver(report);
+  InstanceReport read = SendOver(report);
   CHECK_EQUAL(730, read.store_watcher_age->count());
   CHECK_FALSE(read.stable_store_age.has_value());
+  CHECK_FALSE(read.settled_store_age.has_value());
+  report.settled_store_age = milliseconds(40);
+  read = SendOver(report);
+  CHECK_EQUAL(40, read.settled_store_age->count());
 }
 
 TEST(ReportCodec, LimitsOfServersAndTheirEndArrive) {
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -55,15 +55,15 @@
 TEST(Mirror, ResumesWatchFromLastRevisionAfterFailure) {
   const StoreRevision before = mirror.Revision();
   store.FailWatch(ErrorKind::kStoreUnavailable);
-  CHECK_FALSE(mirror.IsStableFor(seconds(2)));
+  CHECK_FALSE(mirror.Contact().IsStableFor(seconds(2)));
   time.AdvanceBy(seconds(1));
   CHECK_EQUAL(before.number, store.last_watch_after);
   store.Put("a", "2");
   CompleteWatch();
   STRCMP_EQUAL("2", recorded.values["a"]->c_str());
-  CHECK_FALSE(mirror.IsStableFor(seconds(2)));
+  CHECK_FALSE(mirror.Contact().IsStableFor(seconds(2)));
   time.AdvanceBy(seconds(2));
-  CHECK_TRUE(mirror.IsStableFor(seconds(2)));
+  CHECK_TRUE(mirror.Contact().IsStableFor(seconds(2)));
 }
 
 // Guards against all instances calling an unavailable store at the rate of a store watcher.
@@ -116,9 +116,9 @@
 // its peers would remove servers whose entries expired in the outage.
 TEST(Mirror, IsNotSteadyWithoutRecentCalls) {
   CompleteWatch();
-  CHECK_TRUE(mirror.IsStableFor(seconds(2)));
+  CHECK_TRUE(mirror.Contact().IsStableFor(seconds(2)));
   time.AdvanceBy(seconds(3));
-  CHECK_FALSE(mirror.IsStableFor(seconds(2)));
+  CHECK_FALSE(mirror.Contact().IsStableFor(seconds(2)));
 }
 
 // Guards against a lagging peer restoring an outdated configuration.
@@ -212,7 +212,11 @@
     return directory.OnServerStateReport(report, [this] { ++changes; });
   }
   void Remove(bool store_failed_recently) {
-    directory.Remove("s", store_failed_recently, [this] { ++changes; });
+    if (store_failed_recently) {
+      directory.RemoveUnlessBack("s", [this] { ++changes; });
+    } else {
+      directory.Remove("s");
+    }
   }
 };
 
@@ -233,6 +237,35 @@
   CHECK_EQUAL(0, changes);
 }
 
+// Guards against requests to servers that left just after an outage and never said so.
+TEST(Servers, ARemovalAfterAnOutageWaitsNoLongerThanUntilTheStoreHasSettled) {
+  Remove(true);
+  time.AdvanceBy(milliseconds(500));
+  CHECK_TRUE(directory.OnStoreSettled());
+  CHECK_TRUE(directory.All().empty());
+  CHECK_FALSE(directory.OnStoreSettled());
+  time.AdvanceBy(seconds(5));
+  CHECK_EQUAL(0, changes);
+}
+
+TEST(Servers, AnEntryThatIsBackIsNotRemovedWhenTheStoreHasSettled) {
+  Remove(true);
+  Put(EngineServer("s", "fast", "x"));
+  CHECK_FALSE(directory.OnStoreSettled());
+  CHECK_EQUAL(1U, directory.All().size());
+}
+
+// Guards against dropping a server that must first write its entry into the older copy.
+TEST(Servers, AForgottenEntryIsKeptForAWhileThoughTheStoreIsWell) {
+  directory.RemoveForgotten("s", [this] { ++changes; });
+  CHECK_FALSE(directory.OnStoreSettled());
+  time.AdvanceBy(milliseconds(2'299));
+  CHECK_EQUAL(1U, directory.All().size());
+  time.AdvanceBy(milliseconds(1));
+  CHECK_TRUE(directory.All().empty());
+  CHECK_EQUAL(1, changes);
+}
+
 // Guards against refused requests if the layers of an engine change during a store outage.
 TEST(Servers, ReportedLayersApplyUntilNextEntry) {
   CHECK_TRUE(Report({"s", {20, 40}}));
--- a/tests/forwarding/removal_bound_test.cc
+++ b/tests/forwarding/removal_bound_test.cc
@@ -112,20 +112,22 @@
 
 // Guards against dropping live servers whose entries lapsed while the store was away.
 TEST(RemovalBound, AServerWhoseEntryLapsedInAnOutageAndReturnsStaysInUse) {
-  for (Duration phase{}; phase < kPhases; phase += milliseconds(50)) {
-    Start(9, 3);
-    fleet->Advance(phase);
-    fleet->store.GoAway();
-    fleet->Advance(seconds(5));
-    fleet->store.ComeBack();
-    fleet->store.Erase("s/leaving");
-    for (Duration passed{}; passed < seconds(2); passed += kStep) {
-      fleet->Advance(kStep);
+  for (const int away_ms : {4'000, 5'000, 9'000}) {
+    for (Duration phase{}; phase < kPhases; phase += milliseconds(50)) {
+      Start(9, 3);
+      fleet->Advance(phase);
+      fleet->store.GoAway();
+      fleet->Advance(milliseconds(away_ms));
+      fleet->store.ComeBack();
+      fleet->store.Erase("s/leaving");
+      for (Duration passed{}; passed < seconds(2); passed += kStep) {
+        fleet->Advance(kStep);
+        CHECK_EQUAL(9, fleet->CountThatMaySendTo("leaving@100"));
+      }
+      fleet->store.Put("s/leaving", "100 ready");
+      fleet->Advance(seconds(5));
       CHECK_EQUAL(9, fleet->CountThatMaySendTo("leaving@100"));
     }
-    fleet->store.Put("s/leaving", "100 ready");
-    fleet->Advance(seconds(5));
-    CHECK_EQUAL(9, fleet->CountThatMaySendTo("leaving@100"));
   }
 }
 
@@ -140,7 +142,10 @@
     fleet->Restart(started);
     fleet->Advance(milliseconds(300));
     fleet->store.Erase("s/leaving");
-    fleet->Advance(milliseconds(500));
+    for (Duration passed{}; passed < milliseconds(500); passed += kStep) {
+      fleet->Advance(kStep);
+      CHECK_TRUE(fleet->CountThatMaySendTo("leaving@100") >= 8);
+    }
     fleet->store.Put("s/leaving", "100 ready");
     fleet->Advance(milliseconds(20));
     CHECK_TRUE(fleet->CountThatMaySendTo("leaving@100") >= 8);
--- a/tests/forwarding/report_exchange_test.cc
+++ b/tests/forwarding/report_exchange_test.cc
@@ -208,6 +208,18 @@
   CHECK_FALSE(exchange.AnyPeerSeesStableStore());
 }
 
+TEST(InstanceReports, APeerThatTheStoreHasServedForLongProvesThatItHasSettled) {
+  InstanceReport report = ReportOf("peer");
+  report.stable_store_age = milliseconds(0);
+  exchange.OnReport(report);
+  CHECK_FALSE(exchange.IsStoreSettled());
+  report.settled_store_age = milliseconds(0);
+  exchange.OnReport(report);
+  CHECK_TRUE(exchange.IsStoreSettled());
+  time.AdvanceBy(milliseconds(1'300));
+  CHECK_FALSE(exchange.IsStoreSettled());
+}
+
 // Guards against every instance watching the store, which exceeds the store's rate limits.
 TEST(InstanceReports, OthersWatchTheStoreOnlyIfItsWatchersAreSilent) {
   const auto report_watcher = [this](const char* name) {
--- /dev/null
+++ b/tests/forwarding/store_contact_test.cc
@@ -0,0 +1,76 @@
+#include "zinnia_decisions/forwarding/observed_state/store_contact.h"
+#include "zinnia_base/time/virtual_time.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(StoreContact) {
+  VirtualTime time;
+  StoreContact contact{time};
+
+  void setup() override {
+    contact.OnAnswer();
+    time.AdvanceBy(seconds(2));
+    contact.OnAnswer();
+  }
+
+  /** A call is refused and the next one is answered `later`. */
+  void FailAndAnswer(Duration later) {
+    contact.OnFailure(time.Now());
+    time.AdvanceBy(later);
+    contact.OnAnswer();
+  }
+};
+
+TEST(StoreContact, AProcessThatHasJustStartedKnowsOfNoTimeBefore) {
+  CHECK_TRUE(contact.HasServedFor(seconds(2)));
+  CHECK_FALSE(contact.HasServedFor(milliseconds(2'001)));
+  CHECK_FALSE(StoreContact(time).HasServedFor(Duration::zero()));
+}
+
+// Guards against removals that are delayed for a call that merely failed by itself.
+TEST(StoreContact, ASingleFailedCallIsNoOutage) {
+  FailAndAnswer(milliseconds(399));
+  CHECK_TRUE(contact.HasServedFor(seconds(2)));
+  CHECK_FALSE(contact.IsStableFor(seconds(2)));
+}
+
+TEST(StoreContact, AnOutageEndsWithItsFirstAnswer) {
+  FailAndAnswer(milliseconds(400));
+  CHECK_FALSE(contact.HasServedFor(milliseconds(1)));
+  time.AdvanceBy(seconds(2));
+  CHECK_TRUE(contact.HasServedFor(seconds(2)));
+}
+
+// Guards against an outage that is counted from the end of a call that waited for it in vain.
+TEST(StoreContact, AnOutageBeginsWhenTheFirstAnswerWasDue) {
+  const TimePoint due = time.Now() + milliseconds(100);
+  time.AdvanceBy(milliseconds(500));
+  contact.OnFailure(due);
+  CHECK_FALSE(contact.HasServedFor(seconds(2)));
+  contact.OnFailure(time.Now());
+  contact.OnAnswer();
+  CHECK_FALSE(contact.HasServedFor(milliseconds(1)));
+}
+
+TEST(StoreContact, FailuresInARowAreOneOutage) {
+  for (int call = 0; call < 4; ++call) {
+    contact.OnFailure(time.Now());
+    time.AdvanceBy(milliseconds(100));
+  }
+  contact.OnAnswer();
+  CHECK_FALSE(contact.HasServedFor(milliseconds(1)));
+}
+
+// Guards against an instance without calls of its own that takes the store for well.
+TEST(StoreContact, WithoutRecentAnswersNothingIsKnown) {
+  time.AdvanceBy(StoreContact::kLifetime + milliseconds(1));
+  CHECK_FALSE(contact.HasServedFor(seconds(2)));
+  CHECK_FALSE(contact.IsStableFor(seconds(2)));
+}
+
+}  // namespace zinnia
