A request is not written to a server that began to leave while a connection to it was opened

Callers saw: a request can reach a server later after its leaving than its instance knew of it: the server was chosen, connecting took up to 250 ms (twice, at a second server), and nobody asked again before the bytes were written.

Change: a new connection asks before it writes; a request whose server has begun to leave or is gone goes elsewhere as not sent, without a word against the server's health, and is refused as not run if there is no other. Requests on kept connections are written where they are chosen.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -164,7 +164,7 @@
   m_connection->Send(std::move(request), weak_from_this(), kConnectLimit);
 }
 
-void ForwardExchange::OnServerConnected() {
+bool ForwardExchange::OnServerConnected() {
   const Duration connecting = m_parts.clock.Now() - m_sent_at;
   if (connecting > kSlowConnect) {
     m_parts.logger.Log(LogLevel::kInfo, "server_connected_late",
@@ -173,6 +173,7 @@
                         {"connect_ms", Milliseconds(connecting)},
                         {"revision", std::to_string(m_parts.view()->revision.number)}});
   }
+  return ChosenServersTakeRequests();
 }
 
 void ForwardExchange::OnServerAnswerHead(unsigned status, const http::fields& fields) {
@@ -310,7 +311,9 @@
     if (failure == AnswerFailure::kRefused) {
       m_parts.crashes.OnConnectionRefused(m_server);
     }
-    m_parts.health.MarkSuspect(m_server, kUnreachableExclusion);
+    if (failure != AnswerFailure::kWithdrawn) {
+      m_parts.health.MarkSuspect(m_server, kUnreachableExclusion);
+    }
     ++m_history.not_sent;
     --m_history.servers_reached;
     m_avoided.insert(m_server);
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -74,7 +74,7 @@
   /** Moves the request off restarted servers now, and off draining servers later if possible. */
   void OnViewChanged();
 
-  void OnServerConnected() override;
+  bool OnServerConnected() override;
   void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) override;
   void OnServerAnswerBody(std::string_view bytes) override;
   void OnServerAnswerEnd() override;
@@ -99,6 +99,9 @@
   bool ChooseServer();
   bool ChoosePath();
   void TakePath(const FoundPath& found);
+
+  /** Whether all servers that were chosen for the request still take new ones. */
+  bool ChosenServersTakeRequests() const;
   void Send();
   Duration TimeLeft() const;
   GenerationSize ExpectedSize() const;
--- a/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
@@ -101,6 +101,17 @@
   Reserve(m_path);
 }
 
+bool ForwardExchange::ChosenServersTakeRequests() const {
+  const auto view = m_parts.view();
+  const auto takes_requests = [&view](const BackendServerName& name) {
+    const auto server = view->servers.find(name);
+    return server != view->servers.end() && !server->second.draining;
+  };
+  return takes_requests(m_server) &&
+         std::all_of(m_path.begin(), m_path.end(),
+                     [&](const PathPart& part) { return takes_requests(part.server); });
+}
+
 /** Includes tokens already generated, since they stay in the servers' memory. */
 GenerationSize ForwardExchange::ExpectedSize() const {
   GenerationSize size;
--- a/packages/zinnia_adapters/forwarding/server_answer_listener.h
+++ b/packages/zinnia_adapters/forwarding/server_answer_listener.h
@@ -6,9 +6,10 @@
 namespace zinnia {
 
 /** How a server's answer failed. kNotSent: no byte of the request was sent. kRefused: the same, as
-    nobody accepts connections at the server's address. kBroken: the answer ended early or is not
-    valid HTTP, and the request may have run. */
-enum class AnswerFailure { kNotSent, kRefused, kBroken };
+    nobody accepts connections at the server's address. kWithdrawn: the same, as the listener did
+   not want it sent any more. kBroken: the answer ended early or is not valid HTTP, and the request
+   may have run. */
+enum class AnswerFailure { kNotSent, kRefused, kWithdrawn, kBroken };
 
 /** Receives a server's answer as it arrives. OnServerAnswerEnd or OnServerFailed is the last call.
  */
@@ -16,8 +17,9 @@
  public:
   virtual ~ServerAnswerListener() = default;
 
-  /** A new connection is open, and the request is about to be written. */
-  virtual void OnServerConnected() = 0;
+  /** A new connection is open, and the request is about to be written. Returns whether it shall be,
+      since connecting takes time; otherwise OnServerFailed follows with kWithdrawn. */
+  virtual bool OnServerConnected() = 0;
   virtual void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) = 0;
   virtual void OnServerAnswerBody(std::string_view bytes) = 0;
   virtual void OnServerAnswerEnd() = 0;
--- a/packages/zinnia_adapters/forwarding/server_connection.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection.cc
@@ -104,8 +104,10 @@
   m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   const int limit = kTcpUserTimeoutMilliseconds;
   setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
-  if (const auto listener = m_listener.lock()) {
-    listener->OnServerConnected();
+  const auto listener = m_listener.lock();
+  if (listener && !listener->OnServerConnected()) {
+    Fail(AnswerFailure::kWithdrawn, "the server began to leave before the request was sent");
+    return;
   }
   Write();
   Read();
