A list that may lag reaches only as far as its oldest page

An instance that starts reads its first list with permission to lag, and took the newest record of all pages for the revision that it knows. Pages may lag differently, so a server that was removed after its page was copied and before the newest record of another page was written stayed known, and neither the watch nor a peer would tell of the removal.

--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -301,9 +301,17 @@
   unsigned status = 200;
   std::string body = "{}";
   std::vector<std::string> sent;
+
+  /** Bodies of the next answers, before `body`. */
+  std::deque<std::string> next_bodies;
   ScriptedServer server{loop, [this](ScriptedServer::Received received) {
                           sent.push_back(received.request.body());
-                          received.answer(status, body);
+                          if (next_bodies.empty()) {
+                            received.answer(status, body);
+                            return;
+                          }
+                          received.answer(status, next_bodies.front());
+                          next_bodies.pop_front();
                         }};
   std::shared_ptr<HttpClient> client = std::make_shared<HttpClient>(
       clock, [this](std::function<void()> call) { boost::asio::post(loop, std::move(call)); },
@@ -347,6 +355,20 @@
   STRCMP_CONTAINS("after=4&wait_ms=100", server.targets[0].c_str());
 }
 
+// Guards against a removed server that stays known, as its page was read from an older copy than
+// the page with the newest record.
+TEST(PlatformCalls, AListThatMayLagReachesAsFarAsItsOldestPage) {
+  next_bodies = {R"({"entries":[{"key":"a","value":"","revision":95}],"at":99,"has_more":true})",
+                 R"({"entries":[{"key":"b","value":"","revision":80}],"at":99,"has_more":true})"};
+  body = R"({"entries":[{"key":"c","value":"","revision":90}],"at":99})";
+  std::optional<StoreBatch> batch;
+  const auto keep = [&](const Result<StoreBatch>& result) { batch = result.value(); };
+  store.ListMayLag("", keep);
+  CHECK_TRUE(RunUntil(loop, [&] { return batch.has_value(); }));
+  CHECK_EQUAL(3U, batch->records.size());
+  CHECK_EQUAL(80U, batch->version);
+}
+
 TEST(PlatformCalls, ALostHistoryHasItsOwnKind) {
   status = 410;
   std::string kind;
