Copies of a harmful request beside each other do not hide that it ends servers, nor put the blame on others

Its crashes were at 6.257, 6.456, 6.547 (a copy that had been sent beside the second), 6.605, 7.015 and 8.358 s. A crash counted only if its attempt was sent after the crash immediately before it, so each copy's crash broke the row, and the third that counted was the sixth. Meanwhile a sound request that had met three of these crashes, one after the other, was proven: nothing explained them, since other streams had moved from server to server with both.

Change: the crashes that count are the longest row of attempts of which each was sent after the one before had ended its server, whatever copies ran beside. A request is not proven, and is released, while another suspect was at all its crashes and at further ones.

Both tests failed before.

--- a/packages/zinnia_decisions/forwarding/crashes/request_quarantine.cc
+++ b/packages/zinnia_decisions/forwarding/crashes/request_quarantine.cc
@@ -68,9 +68,11 @@
     const bool may_have_begun =
         crash.onset == CrashOnset::kUnknown && (!previous || !is_one_moment);
     const bool counts = crash.onset == CrashOnset::kBegun || may_have_begun;
-    evidence.independent += is_independent ? 1 : 0;
-    evidence.counted += is_independent && counts ? 1 : 0;
-    previous = crash.at;
+    if (is_independent) {
+      ++evidence.independent;
+      evidence.counted += counts ? 1 : 0;
+      previous = crash.at;
+    }
   }
   return evidence;
 }
@@ -164,6 +166,17 @@
   });
 }
 
+/** Of two suspects, the one that was at all crashes of the other and at further ones explains more.
+ */
+bool RequestQuarantine::IsOutmatched(const Request& request, const Suspects& suspects) {
+  return std::any_of(suspects.begin(), suspects.end(), [&request](const Request* suspect) {
+    return suspect->crashes.size() > request.crashes.size() &&
+           std::all_of(
+               request.crashes.begin(), request.crashes.end(),
+               [suspect](const auto& crash) { return suspect->crashes.contains(crash.first); });
+  });
+}
+
 bool RequestQuarantine::IsProven(const Request& request, std::size_t unconfirmed) const {
   const Evidence evidence = EvidenceAgainst(request);
   const std::size_t counted =
@@ -172,7 +185,8 @@
     return false;
   }
   const Suspects suspects = StrongSuspects();
-  return counted >= CrashesThatProve(suspects) && !IsExplained(request, suspects);
+  return counted >= CrashesThatProve(suspects) && !IsExplained(request, suspects) &&
+         !IsOutmatched(request, suspects);
 }
 
 void RequestQuarantine::QuarantineIfProven(Request& request) {
@@ -196,7 +210,8 @@
   }
   const Suspects suspects = StrongSuspects();
   for (auto& [fingerprint, request] : m_requests) {
-    if (IsInForce(request) && !request.crashes.empty() && IsExplained(request, suspects)) {
+    const bool is_explained = IsExplained(request, suspects) || IsOutmatched(request, suspects);
+    if (IsInForce(request) && !request.crashes.empty() && is_explained) {
       request.released_at = m_clock.Now();
       request.was_explained = true;
     }
--- a/packages/zinnia_decisions/forwarding/crashes/request_quarantine.h
+++ b/packages/zinnia_decisions/forwarding/crashes/request_quarantine.h
@@ -143,6 +143,7 @@
 
   /** Whether suspects that explain other crashes were at each crash of the request. */
   static bool IsExplained(const Request& request, const Suspects& suspects);
+  static bool IsOutmatched(const Request& request, const Suspects& suspects);
   bool IsProven(const Request& request, std::size_t unconfirmed) const;
   void QuarantineIfProven(Request& request);
   void AddCleared(const Fingerprint& request);
--- a/tests/forwarding/request_quarantine_test.cc
+++ b/tests/forwarding/request_quarantine_test.cc
@@ -15,6 +15,7 @@
   VirtualTime time;
   RequestQuarantine quarantine{time, {}};
   int servers = 0;
+  const Duration m_begin = time.Now().time_since_epoch();
 
   CrashReport Crash(CrashOnset onset) {
     return {
@@ -54,6 +55,48 @@
   CHECK_TRUE(IsRefused());
 }
 
+// Guards against copies beside a request that hide the row of crashes which proves it: three of its
+// attempts were each sent after the one before had ended its server.
+TEST(RequestQuarantine, CopiesBesideItsAttemptsDoNotHideThatTheyWereSentOneAfterTheOther) {
+  const auto crash_at = [this](int at_ms, int in_flight_ms, const char* server) {
+    time.AdvanceBy(milliseconds(at_ms) - time.Now().time_since_epoch() + m_begin);
+    quarantine.OnCrash({kRequest, server, CrashOnset::kBegun, milliseconds(in_flight_ms),
+                        milliseconds(80), milliseconds(0)});
+  };
+  crash_at(257, 156, "a");
+  crash_at(456, 198, "b");
+  crash_at(547, 288, "copy");
+  CHECK_FALSE(IsRefused());
+  crash_at(605, 147, "c");
+  CHECK_TRUE(IsRefused());
+}
+
+// Guards against refusing a request that was at three servers which another one ended, together
+// with two more.
+TEST(RequestQuarantine, ARequestIsNotBlamedBesideOneThatWasAtAllItsCrashesAndAtMore) {
+  constexpr Fingerprint kOther{3, 4};
+  constexpr Fingerprint kThird{5, 6};
+  const auto crash = [this](const Fingerprint& request, const char* server) {
+    quarantine.OnCrash({request, server, CrashOnset::kBegun, milliseconds(100), milliseconds(50),
+                        milliseconds(0)});
+  };
+  for (const char* server : {"a", "b", "c", "d"}) {
+    time.AdvanceBy(milliseconds(400));
+    crash(kOther, server);
+    if (server[0] == 'a' || server[0] == 'd') {
+      crash(kThird, server);
+    }
+    if (server[0] != 'b') {
+      crash(kRequest, server);
+    }
+    if (server[0] == 'b') {
+      crash(kThird, server);
+    }
+  }
+  CHECK_FALSE(IsRefused());
+  CHECK_TRUE(quarantine.TimeUntilRelease(kOther).has_value());
+}
+
 // Guards against blaming a request for servers that die together.
 TEST(RequestQuarantine, CopiesInFlightAtServersThatEndInOneMomentAreNoProof) {
   for (const CrashOnset onset : {CrashOnset::kBegun, CrashOnset::kUnknown}) {
