--- a/packages/zinnia_decisions/forwarding/observed_state/server_directory.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/server_directory.cc
@@ -232,6 +232,7 @@
 void ServerDirectory::Postpone(const std::string& registration,
                                Duration delay,
                                std::function<void()> action) {
+  CancelPostponed(registration);
   m_postponed[registration] =
       m_scheduler.ScheduleAfter(delay, [this, registration, action = std::move(action)] {
         // Keeps the timer alive until this callback returns, as it owns the captures.
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -255,6 +255,15 @@
   CHECK_EQUAL(1U, directory.All().size());
 }
 
+// Guards against a removal that outlasts an entry of an older copy of the store.
+TEST(Servers, AnEntryOfAnOlderCopyEndsTheWaitForARemoval) {
+  Put(Incarnation(1, {0, 40}));
+  Remove(true);
+  directory.PutOlderCopy(Incarnation(1, {0, 20}), [this] { ++changes; });
+  CHECK_FALSE(directory.OnStoreSettled());
+  CHECK_EQUAL(1U, directory.All().size());
+}
+
 // Guards against dropping a server that must first write its entry into the older copy.
 TEST(Servers, AForgottenEntryIsKeptForAWhileThoughTheStoreIsWell) {
   directory.RemoveForgotten("s", [this] { ++changes; });
