--- a/tests/forwarding/crash_schedule.h
+++ b/tests/forwarding/crash_schedule.h
@@ -26,6 +26,9 @@
   /** Requests that end each server that begins to run them. */
   std::size_t harmful_requests = 0;
 
+  /** Callers that send each harmful request at once. */
+  std::size_t harmful_callers = 1;
+
   /** Sound requests a second, of which each runs for up to four seconds. */
   double sound_per_second = 60.0;
   std::chrono::seconds duration{15};
@@ -63,7 +66,7 @@
     for (std::size_t request = 0; request < m_settings.harmful_requests; ++request) {
       const Fingerprint fingerprint{1, request};
       m_harmful.try_emplace(fingerprint);
-      At(Milliseconds(500, 3'000), [this, fingerprint] { Call(fingerprint, kHarmfulCalls); });
+      At(Milliseconds(500, 3'000), [this, fingerprint] { CallAtOnce(fingerprint); });
     }
     At(milliseconds(0), [this, end] { SendSound(end); });
     PlayDisturbances();
@@ -76,7 +79,7 @@
     }
   }
 
-  /** The most sends of one harmful request after the news of its third server's end. */
+  /** The most sends of one harmful request after the news of the third end of a server in a row. */
   int MostSentAfterNews() const { return Most(&Harm::sent_after_news); }
 
   /** The most servers that one harmful request ended by sends from before that news. */
@@ -130,6 +133,10 @@
   };
   struct Harm {
     int ended = 0;
+
+    /** Those by attempts of which each was sent after the one before had ended its server. */
+    int ended_in_row = 0;
+    TimePoint last_in_row_at{};
     int sent_after_news = 0;
     TimePoint third_at = TimePoint::max();
   };
@@ -150,6 +157,13 @@
   }
   bool IsHarmful(const Fingerprint& request) const { return m_harmful.contains(request); }
 
+  void CallAtOnce(const Fingerprint& harmful) {
+    Call(harmful, kHarmfulCalls);
+    for (std::size_t caller = 1; caller < m_settings.harmful_callers; ++caller) {
+      At(Milliseconds(0, 400), [this, harmful] { Call(harmful, kHarmfulCalls); });
+    }
+  }
+
   void SendSound(TimePoint end) {
     if (m_clock.now >= end) {
       return;
@@ -241,8 +255,10 @@
       return;
     }
     Harm& harm = m_harmful.at(attempt->request);
-    if (++harm.ended == 3) {
-      harm.third_at = m_clock.now;
+    ++harm.ended;
+    if (attempt->sent_at >= harm.last_in_row_at) {
+      harm.last_in_row_at = m_clock.now;
+      harm.third_at = ++harm.ended_in_row == 3 ? m_clock.now : harm.third_at;
     }
     Crash(attempt->server);
   }
--- a/tests/forwarding/crash_schedules_test.cc
+++ b/tests/forwarding/crash_schedules_test.cc
@@ -49,10 +49,12 @@
       sums.crashes += schedule.Crashes();
       sums.most_ended = std::max(sums.most_ended, schedule.MostEnded());
       sums.most_after_news = std::max(sums.most_after_news, schedule.MostSentAfterNews());
-      if (schedule.SoundRefused() > 0 || schedule.MostEnded() > kMaxEnded) {
+      if (schedule.SoundRefused() > 0 || schedule.MostEnded() > kMaxEnded ||
+          schedule.MostSentAfterNews() > 0) {
         UT_PRINT(("seed " + std::to_string(seed) + ": refused " +
                   std::to_string(schedule.SoundRefused()) + ", most ended " +
-                  std::to_string(schedule.MostEnded()))
+                  std::to_string(schedule.MostEnded()) + ", after the news " +
+                  std::to_string(schedule.MostSentAfterNews()))
                      .c_str());
       }
     }
@@ -90,6 +92,16 @@
   CHECK_EQUAL(0, sums.most_after_news);
 }
 
+// Guards against copies beside each other that hide from all instances what ends the servers.
+TEST(CrashSchedules, AHarmfulRequestThatSeveralCallersSendAtOnceIsRecognised) {
+  CrashScheduleSettings settings;
+  settings.harmful_requests = 1;
+  settings.harmful_callers = 4;
+  const Sums sums = Play(settings, kSeeds);
+  CHECK_EQUAL(0, sums.refused);
+  CHECK_EQUAL(0, sums.most_after_news);
+}
+
 // Guards against refusing a request that many callers send for one that ends servers beside it.
 TEST(CrashSchedules, ARequestThatManyCallersSendIsNotRefusedBesideAHarmfulOne) {
   for (const double same_requests : {0.02, 0.2, 0.9}) {
