An instance that calls the store again after a while does not vouch for the time between

An instance that had not called the store for minutes counted as served without an outage since its first answer, so that after an outage its first call ended the patience of all others. It counts from its new answer now (StoreContact.NothingIsKnownOfATimeWithoutCalls failed before).

That claim had hidden a second fault: the watch after a failed one waits for changes, up to 1.9 s, so a single failed call looked like an outage of as long (RemovalBound failed again without the claim). The call after a failed one does not wait now; in a silent store that is one call in 1.2 s where it was two in 3 s.

--- a/packages/zinnia_adapters/forwarding/server_answer_listener.h
+++ b/packages/zinnia_adapters/forwarding/server_answer_listener.h
@@ -6,9 +6,9 @@
 namespace zinnia {
 
 /** How a server's answer failed. kNotSent: no byte of the request was sent. kRefused: the same, as
-    nobody accepts connections at the server's address. kWithdrawn: the same, as the listener did
-   not want it sent any more. kBroken: the answer ended early or is not valid HTTP, and the request
-   may have run. */
+    nobody accepts connections at the server's address. kWithdrawn: the same, as the listener no
+    longer wanted it sent. kBroken: the answer ended early or is not valid HTTP, and the request may
+    have run. */
 enum class AnswerFailure { kNotSent, kRefused, kWithdrawn, kBroken };
 
 /** Receives a server's answer as it arrives. OnServerAnswerEnd or OnServerFailed is the last call.
--- a/packages/zinnia_decisions/forwarding/crashes/request_quarantine.cc
+++ b/packages/zinnia_decisions/forwarding/crashes/request_quarantine.cc
@@ -166,8 +166,7 @@
   });
 }
 
-/** Of two suspects, the one that was at all crashes of the other and at further ones explains more.
- */
+/** Whether another suspect was at all crashes of the request and at further ones. */
 bool RequestQuarantine::IsOutmatched(const Request& request, const Suspects& suspects) {
   return std::any_of(suspects.begin(), suspects.end(), [&request](const Request* suspect) {
     return suspect->crashes.size() > request.crashes.size() &&
@@ -335,7 +334,6 @@
 
 std::vector<QuarantineReport> RequestQuarantine::InForce(std::size_t most) const {
   std::vector<std::pair<TimePoint, QuarantineReport>> rows;
-  const TimePoint now = m_clock.Now();
   for (const auto& [fingerprint, request] : m_requests) {
     if (IsInForce(request)) {
       rows.push_back({request.released_at - request.quarantine, ReportOf(fingerprint)});
--- a/packages/zinnia_decisions/forwarding/observed_state/instance_report.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_report.h
@@ -61,8 +61,8 @@
       records would have been written again. */
   std::optional<std::chrono::milliseconds> stable_store_age;
 
-  /** The same for an instance that the store has served without an outage for so long. Single
-     failed calls are none, and an instance that has just started has not seen the time before. */
+  /** The same for an instance that the store has served without an outage for so long. Single calls
+      that fail are none, and an instance that has just started has not seen the time before. */
   std::optional<std::chrono::milliseconds> settled_store_age;
 
   /** Whether the response should contain the store records that the sender lacks. */
--- a/packages/zinnia_decisions/forwarding/observed_state/server_directory.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/server_directory.h
@@ -20,9 +20,9 @@
 /** Directory of the registered backend servers, with one incarnation of each.
 
     - Leases may expire during a store outage although their servers are running. A removal that is
-      heard soon after one is delayed so that the entry can return: until the store has been back
-   for `kRemovalGracePeriod`, see OnStoreSettled. Otherwise the directory would be empty after the
-      outage and requests would be refused.
+      heard soon after one is delayed so that the entry can return, until the store has been back
+      for `kRemovalGracePeriod`; see OnStoreSettled. Otherwise the directory would be empty after
+      the outage and requests would be refused.
     - If a server restarts under its registration, the earlier incarnation ends immediately. Its
       streams needn't wait until it is found to be silent.
     - A server that shuts down during a store outage cannot update its entry. It refuses new work,
@@ -39,7 +39,7 @@
 */
 class ServerDirectory {
  public:
-  /** Slightly longer than the two seconds within which expired entries return. */
+  /** Slightly longer than the two seconds within which expired entries return after an outage. */
   static constexpr Duration kRemovalGracePeriod = std::chrono::milliseconds(2'300);
 
   /** Two of the servers' usual write intervals of 1.2 s. */
@@ -90,8 +90,8 @@
       for `kRemovalGracePeriod` at most, after which `on_changed` is called. */
   void RemoveUnlessBack(const std::string& registration, std::function<void()> on_changed);
 
-  /** The same for an entry that a store that came back from an older copy does not have. The
-     removal is delayed for `kRemovalGracePeriod`, after which `on_changed` is called. */
+  /** The same for an entry that an older copy of the store lacks: the server must write it again.
+      The removal is delayed for `kRemovalGracePeriod`, after which `on_changed` is called. */
   void RemoveForgotten(const std::string& registration, std::function<void()> on_changed);
 
   /** The store has been back for so long that all lapsed entries of running servers have returned.
--- a/packages/zinnia_decisions/forwarding/observed_state/store_contact.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_contact.cc
@@ -6,7 +6,7 @@
 
 void StoreContact::OnAnswer() {
   const TimePoint now = m_clock.Now();
-  if (!m_last_answer || IsAway()) {
+  if (!HasAnsweredWithin(kLongestGap) || IsAway()) {
     m_served_since = now;
   }
   m_last_answer = now;
@@ -25,17 +25,17 @@
   return m_failing_since && m_clock.Now() - *m_failing_since >= kShortestOutage;
 }
 
-bool StoreContact::IsRecent() const {
-  return m_last_answer && m_clock.Now() - *m_last_answer <= kLifetime;
+bool StoreContact::HasAnsweredWithin(Duration duration) const {
+  return m_last_answer && m_clock.Now() - *m_last_answer <= duration;
 }
 
 bool StoreContact::IsStableFor(Duration duration) const {
-  return IsInContact() && IsRecent() &&
+  return IsInContact() && HasAnsweredWithin(kLifetime) &&
          (!m_last_failure || m_clock.Now() - *m_last_failure >= duration);
 }
 
 bool StoreContact::HasServedFor(Duration duration) const {
-  return IsRecent() && !IsAway() && m_clock.Now() - m_served_since >= duration;
+  return HasAnsweredWithin(kLifetime) && !IsAway() && m_clock.Now() - m_served_since >= duration;
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/observed_state/store_contact.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_contact.h
@@ -10,7 +10,7 @@
 /** Judges from the outcomes of one instance's calls whether the platform's store has been away.
 
     An outage is a time of failed calls in which servers may have failed to renew their entries. A
-    process that has just started does not know of any before it.
+    process knows only of the time in which it makes calls.
 
     Used on the control thread only. */
 class StoreContact {
@@ -21,9 +21,13 @@
   static constexpr Duration kShortestOutage = std::chrono::milliseconds(400);
 
   /** Exceeds the time between two answers to a store watcher: its longest wait, its pause and a
-     slow answer. */
+      slow answer. */
   static constexpr Duration kLifetime = std::chrono::milliseconds(2'500);
 
+  /** Without an answer for longer, an outage may have been missed. Exceeds kLifetime by the retries
+      of a watch that is cut at its end. */
+  static constexpr Duration kLongestGap = std::chrono::milliseconds(3'000);
+
   /** `clock` must outlive this object. */
   explicit StoreContact(const Clock& clock) : m_clock(clock) {}
 
@@ -47,7 +51,7 @@
   bool HasServedFor(Duration duration) const;
 
  private:
-  bool IsRecent() const;
+  bool HasAnsweredWithin(Duration duration) const;
   bool IsAway() const;
 
   const Clock& m_clock;
@@ -57,7 +61,7 @@
   /** Since when no call has been answered. */
   std::optional<TimePoint> m_failing_since;
 
-  /** The first answer of this process, or after the last outage. */
+  /** The first answer after the last outage, or after a time without calls that may hide one. */
   TimePoint m_served_since{};
 };
 
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
@@ -141,6 +141,13 @@
     List();
     return;
   }
+  if (!m_contact.IsInContact()) {
+    // An answer at once shows whether the store has been away.
+    m_overdue_timer.reset();
+    m_answer_due = m_clock.Now();
+    SendWatch(kNoWait);
+    return;
+  }
   const std::chrono::milliseconds wait = NextWait();
   m_answer_due = m_clock.Now() + wait;
   SendWatch(wait);
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
@@ -126,7 +126,7 @@
   bool IsPlausibleEra(StoreEra era) const;
 
   /** Takes over records of a peer. Records older than the known ones are ignored. A newer era
-     begins only with a full snapshot. */
+      begins only with a full snapshot. */
   void Merge(const MirrorDelta& delta);
 
   /** Who sent the records that are being taken over, for the log: "store" or "peer". */
--- a/tests/forwarding/store_contact_test.cc
+++ b/tests/forwarding/store_contact_test.cc
@@ -66,6 +66,13 @@
   CHECK_FALSE(contact.HasServedFor(milliseconds(1)));
 }
 
+// Guards against an instance that calls again after a while and vouches for the time between.
+TEST(StoreContact, NothingIsKnownOfATimeWithoutCalls) {
+  time.AdvanceBy(seconds(60));
+  contact.OnAnswer();
+  CHECK_FALSE(contact.HasServedFor(milliseconds(1)));
+}
+
 // Guards against an instance without calls of its own that takes the store for well.
 TEST(StoreContact, WithoutRecentAnswersNothingIsKnown) {
   time.AdvanceBy(StoreContact::kLifetime + milliseconds(1));
