A single failed call without another one after it is no outage

The fleet was 1.3 s old, all instances but one were killed in that moment, and the one that was left had had one call turned away; with the others back it had no reason to call again, so its failure grew into an outage by itself, and nobody else knew of the time before. Its own earlier answers suffice now. An outage is measured between calls that failed.

Not mended: a fleet in its first 2.3 s has nobody who knows of the time before.

--- a/packages/zinnia_decisions/forwarding/observed_state/store_contact.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_contact.cc
@@ -22,7 +22,7 @@
 }
 
 bool StoreContact::IsAway() const {
-  return m_failing_since && m_clock.Now() - *m_failing_since >= kShortestOutage;
+  return m_failing_since && *m_last_failure - *m_failing_since >= kShortestOutage;
 }
 
 bool StoreContact::HasAnsweredWithin(Duration duration) const {
--- a/packages/zinnia_decisions/forwarding/observed_state/store_contact.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_contact.h
@@ -15,9 +15,9 @@
     Used on the control thread only. */
 class StoreContact {
  public:
-  /** Failed calls that are followed by an answer within this time are no outage: a connection was
-      cut, a rate limit was reached or this process was busy. A server's entry lapses after several
-      failed renewals only, which are a second apart. */
+  /** Calls in a row that fail for less than this time are no outage: a connection was cut, a rate
+      limit was reached or this process was busy. A server's entry lapses after several failed
+      renewals only, which are a second apart. */
   static constexpr Duration kShortestOutage = std::chrono::milliseconds(400);
 
   /** Exceeds the time between two answers to a store watcher: its longest wait, its pause and a
@@ -52,6 +52,8 @@
 
  private:
   bool HasAnsweredWithin(Duration duration) const;
+
+  /** Whether calls have failed for so long that this is an outage. */
   bool IsAway() const;
 
   const Clock& m_clock;
