--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -180,6 +180,9 @@
 void ForwardingTraffic::OnCrashes(const std::vector<CrashReport>& crashes,
                                   std::string_view heard_from) {
   for (const CrashReport& crash : crashes) {
+    if (m_quarantine.EndedWellLately(crash.request)) {
+      LogNotCounted(crash, heard_from);
+    }
     const bool was_refused = m_quarantine.TimeUntilRelease(crash.request).has_value();
     if (m_quarantine.OnCrash(crash) && !was_refused &&
         m_quarantine.TimeUntilRelease(crash.request)) {
@@ -211,7 +214,18 @@
   return requests;
 }
 
+void ForwardingTraffic::LogNotCounted(const CrashReport& crash, std::string_view heard_from) {
+  m_parts.metrics.Count("crashes_not_counted");
+  m_parts.logger.Log(LogLevel::kInfo, "crash_not_counted",
+                     {{"fingerprint", crash.request.ToHex()},
+                      {"server", crash.server},
+                      {"heard_from", std::string(heard_from)},
+                      {"age_ms", Milliseconds(crash.age)},
+                      {"reason", "ended_well_lately"}});
+}
+
 void ForwardingTraffic::LogCleared(const Fingerprint& request, std::string_view heard_from) {
+  m_parts.metrics.Count("requests_cleared");
   m_parts.logger.Log(LogLevel::kInfo, "request_cleared",
                      {{"fingerprint", request.ToHex()}, {"heard_from", std::string(heard_from)}});
 }
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -99,6 +99,7 @@
   void OnServerCrash(const std::vector<BrokenAttempt>& attempts);
   void OnCrashes(const std::vector<CrashReport>& crashes, std::string_view heard_from);
   void OnQuarantined(const Fingerprint& request, std::string_view heard_from);
+  void LogNotCounted(const CrashReport& crash, std::string_view heard_from);
   void LogCleared(const Fingerprint& request, std::string_view heard_from);
   void OnLimitReceived(const BackendServerName& server, std::string_view heard_from);
   void OnStalledHere(const std::vector<BackendServerName>& servers);
--- a/packages/zinnia_decisions/forwarding/crashes/request_quarantine.h
+++ b/packages/zinnia_decisions/forwarding/crashes/request_quarantine.h
@@ -76,6 +76,9 @@
       the request, which peers may report for a little longer. Returns whether it is new. */
   bool OnQuarantine(const QuarantineReport& report);
 
+  /** Whether the request ended well so lately that no crash is counted against it. */
+  bool EndedWellLately(const Fingerprint& request) const { return m_ended_well.Contains(request); }
+
   /** Whether there is evidence against the request. */
   bool IsSuspect(const Fingerprint& request) const { return m_requests.contains(request); }
 
