--- a/tests/forwarding/control_fleet.h
+++ b/tests/forwarding/control_fleet.h
@@ -10,6 +10,7 @@
 #include "tests/forwarding/forwarding_fakes.h"
 #include "tests/forwarding/older_copy_store.h"
 #include "zinnia_base/decisions/decision_record.h"
+#include "zinnia_decisions/forwarding/crashes/request_quarantine.h"
 #include "zinnia_decisions/forwarding/forwarding_control.h"
 #include "zinnia_decisions/ports/record_reader.h"
 
@@ -96,6 +97,48 @@
     }
   }
 
+  /** A server crashes while this instance has a request there, as its traffic thread reports it. */
+  void ReportCrash(std::size_t number, const CrashReport& crash) {
+    m_members[number]->crashes.OnCrash(crash);
+    m_members[number]->control->Reports().SendCrashes({crash});
+  }
+
+  /** A request ends well at this instance. */
+  void EndWell(std::size_t number, const Fingerprint& request) {
+    m_members[number]->crashes.OnEndedWell(request);
+  }
+
+  /** Advances, with the upkeep of what each instance knows of crashes. */
+  void AdvanceWithUpkeep(Duration duration) {
+    for (Duration passed{}; passed < duration; passed += kUpkeepInterval) {
+      time.AdvanceBy(std::min(kUpkeepInterval, duration - passed));
+      for (auto& member : m_members) {
+        member->crashes.RemoveExpired();
+        member->control->Reports().SendCleared(member->crashes.TakeCleared());
+        member->control->Reports().SetQuarantines(member->crashes.InForce(kReportedQuarantines));
+      }
+    }
+  }
+
+  int CountThatRefuse(const Fingerprint& request) const {
+    return static_cast<int>(
+        std::count_if(m_members.begin(), m_members.end(), [&](const auto& member) {
+          return member->crashes.TimeUntilRelease(request).has_value();
+        }));
+  }
+
+  /** How often an instance heard from a peer that a request was cleared, of all instances. */
+  int MostClearedHeard() const {
+    int most = 0;
+    for (const auto& member : m_members) {
+      most = std::max(most, member->cleared_heard);
+    }
+    return most;
+  }
+
+  /** Sets how long a report or its answer takes, at most; evenly spread between the members. */
+  void SetDeliveryTime(Duration longest) { m_delivery_time = longest; }
+
   int CountThatKnowQuarantines() const {
     return static_cast<int>(
         std::count_if(m_members.begin(), m_members.end(),
@@ -138,10 +181,22 @@
     }
     void OnPeerServerLimits(const std::vector<ServerLimitReport>&) override {}
     void OnPeerSlowdowns(const std::vector<SlowdownReport>&) override {}
-    void OnPeerCleared(const std::vector<Fingerprint>&) override {}
-    void OnPeerCrashes(const std::vector<CrashReport>&) override {}
+    void OnPeerCleared(const std::vector<Fingerprint>& requests) override {
+      for (const Fingerprint& request : requests) {
+        ++cleared_heard;
+        crashes.OnCleared(request);
+      }
+    }
+    void OnPeerCrashes(const std::vector<CrashReport>& from_peer) override {
+      for (const CrashReport& crash : from_peer) {
+        crashes.OnCrash(crash);
+      }
+    }
     void OnPeerQuarantines(const std::vector<QuarantineReport>& from_peer) override {
       quarantines = from_peer;
+      for (const QuarantineReport& quarantine : from_peer) {
+        crashes.OnQuarantine(quarantine);
+      }
     }
     void Place(const ServerEntry&,
                LayerRange,
@@ -161,10 +216,13 @@
 
     /** The last ones heard of from peers or the store. */
     std::vector<QuarantineReport> quarantines;
+    RequestQuarantine crashes{fleet.time, {}};
+    int cleared_heard = 0;
     std::unique_ptr<ForwardingControl> control;
   };
 
-  static constexpr Duration kDeliveryTime = std::chrono::milliseconds(1);
+  static constexpr Duration kUpkeepInterval = std::chrono::milliseconds(100);
+  static constexpr std::size_t kReportedQuarantines = 16;
 
   void Start(Member& member) {
     std::vector<NetworkAddress> seeds;
@@ -181,7 +239,9 @@
   void Deliver(const NetworkAddress& to,
                const InstanceReport& report,
                std::function<void(Result<MirrorDelta>)> callback) {
-    After([this, to, report, callback = std::move(callback)] {
+    const Duration delivery_time =
+        m_delivery_time * (1 + to.port % kDeliveryTimes) / kDeliveryTimes;
+    After(delivery_time, [this, delivery_time, to, report, callback = std::move(callback)] {
       Member& peer = *m_members[to.port - 1U];
       if (peer.is_cut_off) {
         return;
@@ -191,19 +251,23 @@
         return;
       }
       const MirrorDelta answer = peer.control->Reports().OnReport(report);
-      After([callback, answer] { callback(answer); });
+      After(delivery_time, [callback, answer] { callback(answer); });
     });
   }
 
-  void After(std::function<void()> call) {
+  void After(Duration delay, std::function<void()> call) {
     const std::uint64_t number = ++m_last_call;
-    m_calls[number] = time.ScheduleAfter(kDeliveryTime, [this, number, call = std::move(call)] {
+    m_calls[number] = time.ScheduleAfter(delay, [this, number, call = std::move(call)] {
       const auto running = m_calls.extract(number);  // Owns `call` until it returns.
       call();
     });
   }
 
+  /** So many different times, the longest of them m_delivery_time. */
+  static constexpr std::uint16_t kDeliveryTimes = 4;
+
   const int m_domains;
+  Duration m_delivery_time = std::chrono::milliseconds(1);
   std::vector<std::unique_ptr<Member>> m_members;
   std::uint64_t m_last_call = 0;
   std::map<std::uint64_t, std::unique_ptr<ScheduledCall>> m_calls;
--- /dev/null
+++ b/tests/forwarding/crash_news_test.cc
@@ -0,0 +1,76 @@
+#include "zinnia_decisions/forwarding/observed_state/crash_news.h"
+#include "tests/forwarding/control_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(CrashNewsOfFleet) {
+  static constexpr std::size_t kInstances = 9;
+  static constexpr Fingerprint kRequest{0x1234, 0xabcd};
+
+  /** How long a server of the small service takes to start again. */
+  static constexpr Duration kRestart = milliseconds(3'400);
+
+  ControlFleet fleet{kInstances, 3};
+  int servers = 0;
+
+  void setup() override {
+    fleet.store.Put("configuration", "1");
+    fleet.Advance(seconds(3));
+  }
+
+  /** A server crashes under an attempt of the request that an instance sent 50 ms before. */
+  void Crash(std::size_t instance) {
+    fleet.ReportCrash(instance, {kRequest, "s" + std::to_string(++servers), CrashOnset::kUnknown,
+                                 milliseconds(50), milliseconds(0), milliseconds(0)});
+  }
+
+  /** The servers of a small service crash one after the other, unless all refuse the request. */
+  void CrashWholeService() {
+    for (std::size_t server = 0; server < 3 && fleet.CountThatRefuse(kRequest) == 0; ++server) {
+      Crash(servers % kInstances);
+      fleet.AdvanceWithUpkeep(milliseconds(90));
+    }
+  }
+
+  /** The request loses a server, ends well elsewhere, and this is told. */
+  void EndWellAfterCrash() {
+    Crash(1);
+    fleet.AdvanceWithUpkeep(milliseconds(300));
+    fleet.EndWell(4, kRequest);
+    fleet.AdvanceWithUpkeep(milliseconds(100));
+  }
+};
+
+// Guards against instances that tell each other of a cleared request for ever, in a storm of news.
+TEST(CrashNewsOfFleet, EachInstanceHearsOnceOfAClearedRequest) {
+  EndWellAfterCrash();
+  fleet.AdvanceWithUpkeep(seconds(10));
+  CHECK_EQUAL(1, fleet.MostClearedHeard());
+}
+
+// The same with reports that take up to 120 ms, as between busy instances.
+TEST(CrashNewsOfFleet, EachInstanceHearsOnceOfAClearedRequestBetweenBusyInstances) {
+  fleet.SetDeliveryTime(milliseconds(120));
+  EndWellAfterCrash();
+  fleet.AdvanceWithUpkeep(seconds(10));
+  CHECK_EQUAL(1, fleet.MostClearedHeard());
+}
+
+// Guards against a request that is vouched for without end, as each crash makes all say anew that
+// it ended well once.
+TEST(CrashNewsOfFleet, ARequestIsRefusedOnceItsLastGoodEndIsLongPast) {
+  constexpr Duration kVouchedFor = seconds(20);
+  EndWellAfterCrash();
+  for (Duration passed{}; passed < kVouchedFor + 2 * kRestart; passed += kRestart) {
+    CrashWholeService();
+    fleet.AdvanceWithUpkeep(kRestart);
+  }
+  CHECK_EQUAL(kInstances, static_cast<std::size_t>(fleet.CountThatRefuse(kRequest)));
+}
+
+}  // namespace zinnia
