News of crashes and of cleared requests is known again when it comes back

Cause: news was passed on for 1.5 s by an age that leaves out the time on the way, and forgotten in the same moment. An instance that forgot heard it from one to which it had come later, took it for news and passed it on at once, and so did all others in turn; the busier they were, the longer the way and the surer the next round. Each round also let them vouch for the request anew, so that one which ended well once was never refused afterwards. Ruled out: a request that is cleared again and again (all lines request_cleared were heard from peers; none at its own instance). Class: a repetition that is taken for news as soon as it is forgotten, where forgetting and passing on have one time. Change: what was heard is remembered for 30 s, and another event of the same key is news only if it lies 2 s later.

--- a/packages/zinnia_decisions/forwarding/observed_state/crash_news.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/crash_news.cc
@@ -20,10 +20,10 @@
   std::vector<CrashReport> taken;
   for (const CrashReport& crash : crashes) {
     const bool is_recent = crash.age >= milliseconds(0) && crash.age < kLifetime;
-    if (is_recent && m_entries.size() < kMaxEntries &&
-        m_entries
-            .try_emplace({crash.request, crash.server}, Entry{crash, m_clock.Now() - crash.age})
-            .second) {
+    const Key key{crash.request, crash.server};
+    const TimePoint crashed_at = m_clock.Now() - crash.age;
+    if (is_recent && m_entries.size() < kMaxEntries && m_known_crashes.Learn(key, crashed_at)) {
+      m_entries.insert_or_assign(key, Entry{crash, crashed_at});
       taken.push_back(crash);
     }
   }
@@ -35,8 +35,10 @@
   std::vector<Fingerprint> taken;
   for (const auto& [request, age] : requests) {
     const bool is_recent = age >= milliseconds(0) && age < kLifetime;
+    const TimePoint cleared_at = m_clock.Now() - age;
     if (is_recent && m_cleared_at.size() < kMaxReports &&
-        m_cleared_at.try_emplace(request, m_clock.Now() - age).second) {
+        m_known_cleared.Learn(request, cleared_at)) {
+      m_cleared_at.insert_or_assign(request, cleared_at);
       taken.push_back(request);
     }
   }
--- a/packages/zinnia_decisions/forwarding/observed_state/crash_news.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/crash_news.h
@@ -6,6 +6,7 @@
 
 #include "zinnia_base/time/clock.h"
 #include "zinnia_decisions/forwarding/crashes/crash_report.h"
+#include "zinnia_decisions/forwarding/observed_state/news_memory.h"
 
 namespace zinnia {
 
@@ -17,7 +18,8 @@
   /** Maximum rows in one report to a peer. */
   static constexpr std::size_t kMaxReports = 64;
 
-  explicit CrashNews(const Clock& clock) : m_clock(clock) {}
+  explicit CrashNews(const Clock& clock)
+      : m_clock(clock), m_known_crashes(clock), m_known_cleared(clock) {}
 
   /** Records the reports that were unknown and are recent, and returns them. */
   std::vector<CrashReport> TakeNew(const std::vector<CrashReport>& crashes);
@@ -40,6 +42,10 @@
   void RemoveOld();
 
   const Clock& m_clock;
+  NewsMemory<Key> m_known_crashes;
+  NewsMemory<Fingerprint> m_known_cleared;
+
+  /** What is passed on. */
   std::map<Key, Entry> m_entries;
   std::map<Fingerprint, TimePoint> m_cleared_at;
 };
--- a/packages/zinnia_decisions/forwarding/observed_state/observed_state.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/observed_state.h
@@ -12,6 +12,7 @@
 #include "zinnia_decisions/forwarding/observed_state/load_tracker.h"
 #include "zinnia_decisions/forwarding/observed_state/member_loads.h"
 #include "zinnia_decisions/forwarding/observed_state/mirrored_record.h"
+#include "zinnia_decisions/forwarding/observed_state/news_memory.h"
 #include "zinnia_decisions/forwarding/observed_state/prefill_backlog.h"
 #include "zinnia_decisions/forwarding/observed_state/probe_round.h"
 #include "zinnia_decisions/forwarding/observed_state/quarantine_records.h"
--- a/tests/forwarding/control_fleet.h
+++ b/tests/forwarding/control_fleet.h
@@ -121,10 +121,9 @@
   }
 
   int CountThatRefuse(const Fingerprint& request) const {
-    return static_cast<int>(
-        std::count_if(m_members.begin(), m_members.end(), [&](const auto& member) {
-          return member->crashes.TimeUntilRelease(request).has_value();
-        }));
+    return static_cast<int>(std::count_if(
+        m_members.begin(), m_members.end(),
+        [&](const auto& member) { return member->crashes.TimeUntilRelease(request).has_value(); }));
   }
 
   /** How often an instance heard from a peer that a request was cleared, of all instances. */
