News of a stalled server is known again when it comes back

What callers would see: a server that stalled once stays out of use, as each round excludes it anew for up to three seconds. Ruled out by reading: slowdown reports (a state with its age, replaced by the newer one, nothing is sent at once), server states and limits (passed on only if they change something). Test first, nine instances in virtual time, reports that take up to 200 ms: one stall heard 43 times in ten seconds by each instance, once now; two stalls four seconds apart 28 times, twice now.

--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
@@ -71,6 +71,7 @@
       m_settings(settings),
       m_relays(clock, instances),
       m_member_loads(clock),
+      m_known_stalls(clock),
       m_crash_news(clock) {}
 
 void ReportExchange::Start() {
@@ -295,6 +296,7 @@
 void ReportExchange::SendStall(const BackendServerName& server) {
   const bool is_new = !m_stalls.contains(server);
   m_stalls[server] = m_clock.Now();
+  m_known_stalls.Learn(server, m_clock.Now());
   if (!is_new) {
     return;
   }
@@ -385,8 +387,9 @@
 void ReportExchange::ApplyStalls(const InstanceReport& report) {
   std::vector<StallReport> new_stalls;
   for (const StallReport& stall : report.stalls) {
-    if (!m_stalls.contains(stall.server)) {
-      m_stalls[stall.server] = m_clock.Now() - stall.age;
+    const TimePoint seen_at = m_clock.Now() - stall.age;
+    if (!m_stalls.contains(stall.server) && m_known_stalls.Learn(stall.server, seen_at)) {
+      m_stalls[stall.server] = seen_at;
       new_stalls.push_back(stall);
     }
   }
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
@@ -12,6 +12,7 @@
 #include "zinnia_decisions/forwarding/observed_state/crash_news.h"
 #include "zinnia_decisions/forwarding/observed_state/instance_report.h"
 #include "zinnia_decisions/forwarding/observed_state/member_loads.h"
+#include "zinnia_decisions/forwarding/observed_state/news_memory.h"
 #include "zinnia_decisions/forwarding/observed_state/relay_directory.h"
 #include "zinnia_decisions/ports/report_transport.h"
 
@@ -190,6 +191,9 @@
 
   /** Used by a relay: the last sums received from other domains, and when. */
   std::map<FailureDomainName, std::pair<TimePoint, LoadTracker::Uses>> m_other_domains;
+  NewsMemory<BackendServerName> m_known_stalls;
+
+  /** What is passed on, and when it was seen. */
   std::map<BackendServerName, TimePoint> m_stalls;
   CrashNews m_crash_news;
   std::vector<QuarantineReport> m_quarantines;
--- a/tests/forwarding/control_fleet.h
+++ b/tests/forwarding/control_fleet.h
@@ -126,15 +126,17 @@
         [&](const auto& member) { return member->crashes.TimeUntilRelease(request).has_value(); }));
   }
 
-  /** How often an instance heard from a peer that a request was cleared, of all instances. */
-  int MostClearedHeard() const {
-    int most = 0;
-    for (const auto& member : m_members) {
-      most = std::max(most, member->cleared_heard);
-    }
-    return most;
+  /** An instance finds that a server makes no progress. */
+  void ReportStall(std::size_t number, const BackendServerName& server) {
+    m_members[number]->control->Reports().SendStall(server);
   }
 
+  /** How often one instance heard from peers that a request was cleared, at most. */
+  int MostClearedHeard() const { return MostOf(&Member::cleared_heard); }
+
+  /** How often one instance heard from peers of a stalled server, at most. */
+  int MostStallsHeard() const { return MostOf(&Member::stalls_heard); }
+
   /** Sets how long a report or its answer takes, at most; evenly spread between the members. */
   void SetDeliveryTime(Duration longest) { m_delivery_time = longest; }
 
@@ -174,7 +176,9 @@
       }
     }
     void OnDomainUses(const FailureDomainName&, LoadTracker::Uses) override {}
-    void OnPeerStalls(const std::vector<StallReport>&) override {}
+    void OnPeerStalls(const std::vector<StallReport>& stalls) override {
+      stalls_heard += static_cast<int>(stalls.size());
+    }
     void OnPeerServerState(const ServerStateReport& state) override {
       control->OnServerStateReport(state);
     }
@@ -217,12 +221,21 @@
     std::vector<QuarantineReport> quarantines;
     RequestQuarantine crashes{fleet.time, {}};
     int cleared_heard = 0;
+    int stalls_heard = 0;
     std::unique_ptr<ForwardingControl> control;
   };
 
   static constexpr Duration kUpkeepInterval = std::chrono::milliseconds(100);
   static constexpr std::size_t kReportedQuarantines = 16;
 
+  int MostOf(int Member::*count) const {
+    int most = 0;
+    for (const auto& member : m_members) {
+      most = std::max(most, (*member).*count);
+    }
+    return most;
+  }
+
   void Start(Member& member) {
     std::vector<NetworkAddress> seeds;
     for (std::size_t seed = 0; seed < 3 && seed < m_members.size(); ++seed) {
--- a/tests/forwarding/crash_news_test.cc
+++ b/tests/forwarding/crash_news_test.cc
@@ -61,6 +61,24 @@
   CHECK_EQUAL(1, fleet.MostClearedHeard());
 }
 
+// Guards against news of a stall that goes in circles and keeps a server out of use for good.
+TEST(CrashNewsOfFleet, EachInstanceHearsOnceOfAStall) {
+  fleet.SetDeliveryTime(milliseconds(200));
+  fleet.ReportStall(1, "s1");
+  fleet.Advance(seconds(10));
+  CHECK_EQUAL(1, fleet.MostStallsHeard());
+}
+
+// Guards against a second stall of a server that is taken for the first one.
+TEST(CrashNewsOfFleet, EachInstanceHearsOfALaterStallOfTheSameServer) {
+  fleet.SetDeliveryTime(milliseconds(200));
+  fleet.ReportStall(1, "s1");
+  fleet.Advance(seconds(4));
+  fleet.ReportStall(1, "s1");
+  fleet.Advance(seconds(4));
+  CHECK_EQUAL(2, fleet.MostStallsHeard());
+}
+
 // Guards against a request that is vouched for without end, as each crash makes all say anew that
 // it ended well once.
 TEST(CrashNewsOfFleet, ARequestIsRefusedOnceItsLastGoodEndIsLongPast) {
