A good end is told with its time, so that repeating it does not prolong it

What callers would see: a request that ended well once and crashes servers afterwards is never refused, so it takes server after server. Cause: that a request ended well counted for 10 to 20 s from when an instance heard of it, not from when it happened, and each crash made every instance that still vouched for it say so anew, as of now. Class: evidence whose age is counted from its last repetition. Change: RecentRequests keeps when a request ended well, ClearedRequest carries the time since then on every way, and it counts for 10 s from then. `request_cleared` names it (ended_well_ms). Test first (PeersThatRepeatAnOldGoodEndDoNotProlongIt): two instances vouch for each other through 12 crashes 3 s apart; refused now.

--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -199,17 +199,17 @@
   }
 }
 
-void ForwardingTraffic::OnPeerCleared(const std::vector<Fingerprint>& requests) {
-  for (const Fingerprint& request : requests) {
-    m_quarantine.OnCleared(request);
-    LogCleared(request, kPeer);
+void ForwardingTraffic::OnPeerCleared(const std::vector<ClearedRequest>& requests) {
+  for (const ClearedRequest& cleared : requests) {
+    m_quarantine.OnCleared(cleared);
+    LogCleared(cleared, kPeer);
   }
 }
 
-std::vector<Fingerprint> ForwardingTraffic::TakeCleared() {
-  std::vector<Fingerprint> requests = m_quarantine.TakeCleared();
-  for (const Fingerprint& request : requests) {
-    LogCleared(request, kSelf);
+std::vector<ClearedRequest> ForwardingTraffic::TakeCleared() {
+  std::vector<ClearedRequest> requests = m_quarantine.TakeCleared();
+  for (const ClearedRequest& cleared : requests) {
+    LogCleared(cleared, kSelf);
   }
   return requests;
 }
@@ -224,10 +224,12 @@
                       {"reason", "ended_well_lately"}});
 }
 
-void ForwardingTraffic::LogCleared(const Fingerprint& request, std::string_view heard_from) {
+void ForwardingTraffic::LogCleared(const ClearedRequest& cleared, std::string_view heard_from) {
   m_parts.metrics.Count("requests_cleared");
   m_parts.logger.Log(LogLevel::kInfo, "request_cleared",
-                     {{"fingerprint", request.ToHex()}, {"heard_from", std::string(heard_from)}});
+                     {{"fingerprint", cleared.request.ToHex()},
+                      {"heard_from", std::string(heard_from)},
+                      {"ended_well_ms", Milliseconds(cleared.age)}});
 }
 
 void ForwardingTraffic::OnQuarantined(const Fingerprint& request, std::string_view heard_from) {
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -78,7 +78,7 @@
   void OnPeerSlowdowns(const std::vector<SlowdownReport>& slow_servers);
   void OnPeerCrashes(const std::vector<CrashReport>& crashes);
   void OnPeerQuarantines(const std::vector<QuarantineReport>& quarantines);
-  void OnPeerCleared(const std::vector<Fingerprint>& requests);
+  void OnPeerCleared(const std::vector<ClearedRequest>& requests);
   void SetRetryBudget(SharedRetryBudgetSettings settings) { m_retries.SetSettings(settings); }
   void SetDepartureNotice(Duration notice) { m_departures.SetNotice(notice); }
 
@@ -92,7 +92,7 @@
   std::vector<QuarantineReport> TakeQuarantines();
 
   /** Returns the requests that turned out not to crash servers, to be reported to peers at once. */
-  std::vector<Fingerprint> TakeCleared();
+  std::vector<ClearedRequest> TakeCleared();
 
  private:
   ForwardingParts MakeParts();
@@ -100,7 +100,7 @@
   void OnCrashes(const std::vector<CrashReport>& crashes, std::string_view heard_from);
   void OnQuarantined(const Fingerprint& request, std::string_view heard_from);
   void LogNotCounted(const CrashReport& crash, std::string_view heard_from);
-  void LogCleared(const Fingerprint& request, std::string_view heard_from);
+  void LogCleared(const ClearedRequest& cleared, std::string_view heard_from);
   void OnLimitReceived(const BackendServerName& server, std::string_view heard_from);
   void OnStalledHere(const std::vector<BackendServerName>& servers);
 
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -271,7 +271,7 @@
   m_traffic_thread->Post([this, quarantines] { m_traffic->OnPeerQuarantines(quarantines); });
 }
 
-void ForwardingDaemon::OnPeerCleared(const std::vector<Fingerprint>& requests) {
+void ForwardingDaemon::OnPeerCleared(const std::vector<ClearedRequest>& requests) {
   m_control->OnCleared(requests);
   m_traffic_thread->Post([this, requests] { m_traffic->OnPeerCleared(requests); });
 }
--- a/packages/zinnia_apps/daemon/forwarding_daemon.h
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.h
@@ -67,7 +67,7 @@
   void OnPeerSlowdowns(const std::vector<SlowdownReport>& slow_servers) override;
   void OnPeerCrashes(const std::vector<CrashReport>& crashes) override;
   void OnPeerQuarantines(const std::vector<QuarantineReport>& quarantines) override;
-  void OnPeerCleared(const std::vector<Fingerprint>& requests) override;
+  void OnPeerCleared(const std::vector<ClearedRequest>& requests) override;
 
   struct PlatformParts;
 
--- a/packages/zinnia_decisions/forwarding/crashes/crash_report.h
+++ b/packages/zinnia_decisions/forwarding/crashes/crash_report.h
@@ -30,7 +30,7 @@
 struct ClearedRequest {
   Fingerprint request;
 
-  /** Time since it ended well. Without it, peers would tell each other for ever. */
+  /** Time since it ended well, however often that has been told. */
   std::chrono::milliseconds age{0};
 };
 
--- a/packages/zinnia_decisions/forwarding/crashes/recent_requests.cc
+++ b/packages/zinnia_decisions/forwarding/crashes/recent_requests.cc
@@ -1,35 +1,39 @@
 #include "zinnia_decisions/forwarding/crashes/recent_requests.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace zinnia {
 namespace {
 
-/** Time after which a set is set aside, and dropped when the next one is. */
-constexpr Duration kSpan = std::chrono::seconds(10);
-
-/** Maximum size of a set. */
+/** Maximum size of each of the two maps. */
 constexpr std::size_t kMaxRequests = 4'096;
 
 }  // namespace
 
-void RecentRequests::Add(const Fingerprint& request) {
+void RecentRequests::Add(const Fingerprint& request, TimePoint ended_at) {
   const TimePoint now = m_clock.Now();
-  if (now - m_began_at >= kSpan) {
-    const bool is_previous_recent = now - m_began_at < 2 * kSpan;
-    m_previous = is_previous_recent ? std::exchange(m_current, {}) : Set();
-    m_current.clear();
+  if (now - m_began_at >= kLifetime) {
+    m_previous = std::exchange(m_current, {});
     m_began_at = now;
   }
-  if (m_current.size() < kMaxRequests) {
-    m_current.insert(request);
+  const auto known = m_current.find(request);
+  if (known != m_current.end()) {
+    known->second = std::max(known->second, ended_at);
+  } else if (m_current.size() < kMaxRequests) {
+    m_current.emplace(request, ended_at);
   }
 }
 
-bool RecentRequests::Contains(const Fingerprint& request) const {
-  const Duration age = m_clock.Now() - m_began_at;
-  return (age < 2 * kSpan && m_current.contains(request)) ||
-         (age < kSpan && m_previous.contains(request));
+std::optional<TimePoint> RecentRequests::LastEndOf(const Fingerprint& request) const {
+  std::optional<TimePoint> last;
+  for (const Ends* ends : {&m_current, &m_previous}) {
+    const auto found = ends->find(request);
+    if (found != ends->end() && m_clock.Now() - found->second < kLifetime) {
+      last = std::max(last.value_or(found->second), found->second);
+    }
+  }
+  return last;
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/crashes/request_quarantine.cc
+++ b/packages/zinnia_decisions/forwarding/crashes/request_quarantine.cc
@@ -83,8 +83,7 @@
   if (report.age < milliseconds(0) || now - at >= m_settings.evidence_lifetime) {
     return false;
   }
-  if (m_ended_well.Contains(report.request)) {
-    AddCleared(report.request);
+  if (AddIfCleared(report.request)) {
     return false;
   }
   Request& request = m_requests[report.request];
@@ -218,27 +217,37 @@
 }
 
 void RequestQuarantine::OnEndedWell(const Fingerprint& request) {
-  m_ended_well.Add(request);
+  m_ended_well.Add(request, m_clock.Now());
   if (m_requests.erase(request) > 0) {
-    AddCleared(request);
+    AddIfCleared(request);
   }
 }
 
-void RequestQuarantine::OnCleared(const Fingerprint& request) {
-  m_ended_well.Add(request);
-  m_requests.erase(request);
-  std::erase(m_cleared, request);
+void RequestQuarantine::OnCleared(const ClearedRequest& cleared) {
+  m_ended_well.Add(cleared.request, m_clock.Now() - cleared.age);
+  if (EndedWellLately(cleared.request)) {
+    m_requests.erase(cleared.request);
+    m_cleared.erase(cleared.request);
+  }
 }
 
-void RequestQuarantine::AddCleared(const Fingerprint& request) {
-  const bool is_known = std::find(m_cleared.begin(), m_cleared.end(), request) != m_cleared.end();
-  if (!is_known && m_cleared.size() < kMaxCleared) {
-    m_cleared.push_back(request);
+bool RequestQuarantine::AddIfCleared(const Fingerprint& request) {
+  const std::optional<TimePoint> ended_at = m_ended_well.LastEndOf(request);
+  if (!ended_at) {
+    return false;
+  }
+  if (m_cleared.size() < kMaxCleared || m_cleared.contains(request)) {
+    m_cleared[request] = *ended_at;
   }
+  return true;
 }
 
-std::vector<Fingerprint> RequestQuarantine::TakeCleared() {
-  return std::exchange(m_cleared, {});
+std::vector<ClearedRequest> RequestQuarantine::TakeCleared() {
+  std::vector<ClearedRequest> cleared;
+  for (const auto& [request, ended_at] : std::exchange(m_cleared, {})) {
+    cleared.push_back({request, duration_cast<milliseconds>(m_clock.Now() - ended_at)});
+  }
+  return cleared;
 }
 
 void RequestQuarantine::OnRunning(const Fingerprint& request, Duration ran) {
@@ -260,8 +269,7 @@
   if (!is_plausible) {
     return false;
   }
-  if (m_ended_well.Contains(report.request)) {
-    AddCleared(report.request);
+  if (AddIfCleared(report.request)) {
     return false;
   }
   Request& request = m_requests[report.request];
@@ -288,7 +296,7 @@
 
 bool RequestQuarantine::WouldBeQuarantined(const Fingerprint& request,
                                            std::size_t unconfirmed) const {
-  if (m_ended_well.Contains(request)) {
+  if (EndedWellLately(request)) {
     return false;
   }
   const auto found = m_requests.find(request);
@@ -302,7 +310,7 @@
 }
 
 bool RequestQuarantine::MustWait(const Fingerprint& request, std::size_t unconfirmed) const {
-  if (m_ended_well.Contains(request)) {
+  if (EndedWellLately(request)) {
     return false;
   }
   const auto found = m_requests.find(request);
--- a/packages/zinnia_decisions/forwarding/crashes/request_quarantine.h
+++ b/packages/zinnia_decisions/forwarding/crashes/request_quarantine.h
@@ -63,11 +63,11 @@
   void OnEndedWell(const Fingerprint& request);
 
   /** The same, as a peer saw it. */
-  void OnCleared(const Fingerprint& request);
+  void OnCleared(const ClearedRequest& cleared);
 
-  /** Returns the requests that ended well here although something spoke against them, to be
-     reported to peers at once. */
-  std::vector<Fingerprint> TakeCleared();
+  /** Returns the requests that ended well although something speaks against them, to be reported to
+     peers at once. */
+  std::vector<ClearedRequest> TakeCleared();
 
   /** The request has run for `ran` at a server that lives. */
   void OnRunning(const Fingerprint& request, Duration ran);
@@ -77,7 +77,9 @@
   bool OnQuarantine(const QuarantineReport& report);
 
   /** Whether the request ended well so lately that no crash is counted against it. */
-  bool EndedWellLately(const Fingerprint& request) const { return m_ended_well.Contains(request); }
+  bool EndedWellLately(const Fingerprint& request) const {
+    return m_ended_well.LastEndOf(request).has_value();
+  }
 
   /** Whether there is evidence against the request. */
   bool IsSuspect(const Fingerprint& request) const { return m_requests.contains(request); }
@@ -149,7 +151,10 @@
   static bool IsOutmatched(const Request& request, const Suspects& suspects);
   bool IsProven(const Request& request, std::size_t unconfirmed) const;
   void QuarantineIfProven(Request& request);
-  void AddCleared(const Fingerprint& request);
+
+  /** Adds the request to those of which peers are told, if it ended well lately. Returns whether it
+      did. */
+  bool AddIfCleared(const Fingerprint& request);
   void ReleaseExplained();
   bool IsInForce(const Request& request) const;
   bool IsExpired(const Request& request) const;
@@ -160,7 +165,9 @@
   std::size_t m_servers = 1;
   std::unordered_map<Fingerprint, Request> m_requests;
   RecentRequests m_ended_well;
-  std::vector<Fingerprint> m_cleared;
+
+  /** Of which peers are told next, and when they ended well. */
+  std::map<Fingerprint, TimePoint> m_cleared;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -154,9 +154,9 @@
   }
 }
 
-void ForwardingControl::OnCleared(const std::vector<Fingerprint>& requests) {
-  for (const Fingerprint& request : requests) {
-    m_quarantine_records.Remove(request);
+void ForwardingControl::OnCleared(const std::vector<ClearedRequest>& requests) {
+  for (const ClearedRequest& cleared : requests) {
+    m_quarantine_records.Remove(cleared.request);
   }
 }
 
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -76,7 +76,7 @@
   void OnQuarantined(const QuarantineReport& quarantine);
 
   /** Requests turned out not to crash servers. Their records are removed. */
-  void OnCleared(const std::vector<Fingerprint>& requests);
+  void OnCleared(const std::vector<ClearedRequest>& requests);
 
  private:
   void OnMirroredRecord(const MirroredRecord& record, RecordOrigin origin) override;
--- a/packages/zinnia_decisions/forwarding/observed_state/crash_news.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/crash_news.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "zinnia_decisions/forwarding/crashes/recent_requests.h"
+
 namespace zinnia {
 namespace {
 
@@ -30,16 +32,19 @@
   return taken;
 }
 
-std::vector<Fingerprint> CrashNews::TakeNewlyCleared(const std::vector<ClearedRequest>& requests) {
+std::vector<ClearedRequest> CrashNews::TakeNewlyCleared(
+    const std::vector<ClearedRequest>& requests) {
   RemoveOld();
-  std::vector<Fingerprint> taken;
-  for (const auto& [request, age] : requests) {
-    const bool is_recent = age >= milliseconds(0) && age < kLifetime;
-    const TimePoint cleared_at = m_clock.Now() - age;
-    if (is_recent && m_cleared_at.size() < kMaxReports &&
-        m_known_cleared.Learn(request, cleared_at)) {
-      m_cleared_at.insert_or_assign(request, cleared_at);
-      taken.push_back(request);
+  const TimePoint now = m_clock.Now();
+  std::vector<ClearedRequest> taken;
+  for (const ClearedRequest& cleared : requests) {
+    const bool is_recent =
+        cleared.age >= milliseconds(0) && cleared.age < RecentRequests::kLifetime;
+    const TimePoint ended_at = now - cleared.age;
+    if (is_recent && m_cleared.size() < kMaxReports &&
+        m_known_cleared.Learn(cleared.request, ended_at)) {
+      m_cleared.insert_or_assign(cleared.request, Cleared{ended_at, now});
+      taken.push_back(cleared);
     }
   }
   return taken;
@@ -48,8 +53,8 @@
 std::vector<ClearedRequest> CrashNews::RecentlyCleared() {
   RemoveOld();
   std::vector<ClearedRequest> requests;
-  for (const auto& [request, cleared_at] : m_cleared_at) {
-    requests.push_back({request, duration_cast<milliseconds>(m_clock.Now() - cleared_at)});
+  for (const auto& [request, cleared] : m_cleared) {
+    requests.push_back({request, duration_cast<milliseconds>(m_clock.Now() - cleared.ended_at)});
   }
   return requests;
 }
@@ -81,7 +86,8 @@
   const TimePoint now = m_clock.Now();
   std::erase_if(m_entries,
                 [now](const auto& entry) { return now - entry.second.crashed_at >= kLifetime; });
-  std::erase_if(m_cleared_at, [now](const auto& entry) { return now - entry.second >= kLifetime; });
+  std::erase_if(m_cleared,
+                [now](const auto& entry) { return now - entry.second.heard_at >= kLifetime; });
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/observed_state/crash_news.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/crash_news.h
@@ -25,7 +25,7 @@
   std::vector<CrashReport> TakeNew(const std::vector<CrashReport>& crashes);
 
   /** Records the cleared requests that were unknown, and returns them. */
-  std::vector<Fingerprint> TakeNewlyCleared(const std::vector<ClearedRequest>& requests);
+  std::vector<ClearedRequest> TakeNewlyCleared(const std::vector<ClearedRequest>& requests);
   std::vector<ClearedRequest> RecentlyCleared();
 
   /** Returns the reports for the next message: requests that had just begun first, then the latest
@@ -39,6 +39,11 @@
     TimePoint crashed_at{};
   };
 
+  struct Cleared {
+    TimePoint ended_at{};
+    TimePoint heard_at{};
+  };
+
   void RemoveOld();
 
   const Clock& m_clock;
@@ -47,7 +52,7 @@
 
   /** What is passed on. */
   std::map<Key, Entry> m_entries;
-  std::map<Fingerprint, TimePoint> m_cleared_at;
+  std::map<Fingerprint, Cleared> m_cleared;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
@@ -312,13 +312,8 @@
   SendToRelays(Recipient::kRemoteRelay, m_relays.RemoteRelays());
 }
 
-void ReportExchange::SendCleared(const std::vector<Fingerprint>& requests) {
-  std::vector<ClearedRequest> cleared;
-  cleared.reserve(requests.size());
-  for (const Fingerprint& request : requests) {
-    cleared.push_back({request, milliseconds(0)});
-  }
-  if (m_crash_news.TakeNewlyCleared(cleared).empty()) {
+void ReportExchange::SendCleared(const std::vector<ClearedRequest>& requests) {
+  if (m_crash_news.TakeNewlyCleared(requests).empty()) {
     return;
   }
   SendToOwnDomain();
@@ -404,7 +399,8 @@
 
 void ReportExchange::ApplyCrashes(const InstanceReport& report) {
   const std::vector<CrashReport> new_crashes = m_crash_news.TakeNew(report.crashes);
-  const std::vector<Fingerprint> cleared = m_crash_news.TakeNewlyCleared(report.cleared_requests);
+  const std::vector<ClearedRequest> cleared =
+      m_crash_news.TakeNewlyCleared(report.cleared_requests);
   if (!new_crashes.empty()) {
     m_sink.OnPeerCrashes(new_crashes);
   }
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
@@ -39,7 +39,7 @@
   virtual void OnPeerQuarantines(const std::vector<QuarantineReport>& quarantines) = 0;
 
   /** Requests that were not received before. */
-  virtual void OnPeerCleared(const std::vector<Fingerprint>& requests) = 0;
+  virtual void OnPeerCleared(const std::vector<ClearedRequest>& requests) = 0;
 };
 
 struct ReportExchangeSettings {
@@ -110,7 +110,7 @@
   void SendCrashes(const std::vector<CrashReport>& crashes);
 
   /** Reports at once that requests don't crash servers. */
-  void SendCleared(const std::vector<Fingerprint>& requests);
+  void SendCleared(const std::vector<ClearedRequest>& requests);
 
   /** Sets the requests that this instance refuses, for the next reports. */
   void SetQuarantines(std::vector<QuarantineReport> quarantines) {
--- a/tests/forwarding/control_fleet.h
+++ b/tests/forwarding/control_fleet.h
@@ -93,7 +93,7 @@
   /** All instances hear that a request does not crash servers. */
   void Clear(const Fingerprint& request) {
     for (auto& member : m_members) {
-      member->control->OnCleared({request});
+      member->control->OnCleared({{request, {}}});
     }
   }
 
@@ -184,10 +184,10 @@
     }
     void OnPeerServerLimits(const std::vector<ServerLimitReport>&) override {}
     void OnPeerSlowdowns(const std::vector<SlowdownReport>&) override {}
-    void OnPeerCleared(const std::vector<Fingerprint>& requests) override {
-      for (const Fingerprint& request : requests) {
+    void OnPeerCleared(const std::vector<ClearedRequest>& requests) override {
+      for (const ClearedRequest& cleared : requests) {
         ++cleared_heard;
-        crashes.OnCleared(request);
+        crashes.OnCleared(cleared);
       }
     }
     void OnPeerCrashes(const std::vector<CrashReport>& from_peer) override {
--- a/tests/forwarding/control_test.cc
+++ b/tests/forwarding/control_test.cc
@@ -48,7 +48,7 @@
       limits = heard;
     }
     void OnPeerSlowdowns(const std::vector<SlowdownReport>&) override {}
-    void OnPeerCleared(const std::vector<Fingerprint>&) override {}
+    void OnPeerCleared(const std::vector<ClearedRequest>&) override {}
     void OnPeerCrashes(const std::vector<CrashReport>&) override {}
     void OnPeerQuarantines(const std::vector<QuarantineReport>&) override {}
     std::vector<ServerLimitReport> limits;
--- a/tests/forwarding/crash_schedule.h
+++ b/tests/forwarding/crash_schedule.h
@@ -241,10 +241,14 @@
   }
 
   void TellCleared(std::size_t instance) {
-    for (const Fingerprint& request : m_quarantines[instance]->TakeCleared()) {
+    for (const ClearedRequest& cleared : m_quarantines[instance]->TakeCleared()) {
+      const TimePoint ended_at = m_clock.now - cleared.age;
       for (const auto& peer : m_quarantines) {
         if (peer != m_quarantines[instance]) {
-          At(Milliseconds(100, 350), [&peer = *peer, request] { peer.OnCleared(request); });
+          At(Milliseconds(100, 350), [this, &peer = *peer, request = cleared.request, ended_at] {
+            peer.OnCleared(
+                {request, std::chrono::duration_cast<milliseconds>(m_clock.now - ended_at)});
+          });
         }
       }
     }
--- a/tests/forwarding/relays_test.cc
+++ b/tests/forwarding/relays_test.cc
@@ -57,7 +57,7 @@
     }
   }
   void OnPeerSlowdowns(const std::vector<SlowdownReport>&) override {}
-  void OnPeerCleared(const std::vector<Fingerprint>& from_peer) override {
+  void OnPeerCleared(const std::vector<ClearedRequest>& from_peer) override {
     times_cleared += static_cast<int>(from_peer.size());
   }
   int times_cleared = 0;
@@ -233,7 +233,7 @@
 
 // Guards against instances that tell each other of a cleared request for ever.
 TEST(Relays, AClearedRequestReachesEveryInstanceOnceThoughSomeHearLate) {
-  At(1, 3).exchange.SendCleared({{1, 2}});
+  At(1, 3).exchange.SendCleared({{{1, 2}, milliseconds(0)}});
   At(2, 7).is_alive = false;  // It hears late, and tells the others when they have forgotten.
   Advance(milliseconds(500));
   CHECK_EQUAL(198, CountIf([](TestInstance& one) { return one.times_cleared == 1; }));
--- a/tests/forwarding/report_exchange_test.cc
+++ b/tests/forwarding/report_exchange_test.cc
@@ -42,7 +42,7 @@
     void OnPeerSlowdowns(const std::vector<SlowdownReport>& slow_servers) override {
       slow = slow_servers;
     }
-    void OnPeerCleared(const std::vector<Fingerprint>&) override {}
+    void OnPeerCleared(const std::vector<ClearedRequest>&) override {}
     void OnPeerCrashes(const std::vector<CrashReport>&) override {}
     void OnPeerQuarantines(const std::vector<QuarantineReport>&) override {}
     std::vector<ServerLimitReport> limits;
--- a/tests/forwarding/request_quarantine_test.cc
+++ b/tests/forwarding/request_quarantine_test.cc
@@ -210,16 +210,16 @@
   CHECK_FALSE(quarantine.WouldBeQuarantined(kRequest, 5));
   CHECK_FALSE(quarantine.MustWait(kRequest, 5));
   CHECK_FALSE(quarantine.OnQuarantine({kRequest, minutes(1), minutes(1)}));
-  const std::vector<Fingerprint> cleared = quarantine.TakeCleared();
+  const std::vector<ClearedRequest> cleared = quarantine.TakeCleared();
   CHECK_EQUAL(1U, cleared.size());
-  CHECK_TRUE(cleared.front() == kRequest);
+  CHECK_TRUE(cleared.front().request == kRequest);
 }
 
 // The same at an instance that has not seen it end well.
 TEST(RequestQuarantine, APeersWordThatItEndsWellClearsIt) {
   CrashInSeries(CrashOnset::kBegun, 3);
   CHECK_TRUE(IsRefused());
-  quarantine.OnCleared(kRequest);
+  quarantine.OnCleared({kRequest, milliseconds(0)});
   CHECK_FALSE(IsRefused());
   CHECK_TRUE(quarantine.TakeCleared().empty());  // The peer has told everybody.
   CHECK_FALSE(quarantine.OnQuarantine({kRequest, seconds(50), minutes(1)}));
@@ -260,4 +260,22 @@
   CHECK_TRUE(IsRefused());
 }
 
+// Guards against instances that vouch for a request without end, since each says anew at every
+// crash that it ended well once.
+TEST(RequestQuarantine, PeersThatRepeatAnOldGoodEndDoNotProlongIt) {
+  RequestQuarantine peer(time, {});
+  quarantine.OnCrash(Crash(CrashOnset::kUnknown));
+  quarantine.OnEndedWell(kRequest);
+  for (int crash = 0; crash < 12; ++crash) {
+    RequestQuarantine& teller = crash % 2 == 0 ? quarantine : peer;
+    RequestQuarantine& hearer = crash % 2 == 0 ? peer : quarantine;
+    for (const ClearedRequest& cleared : teller.TakeCleared()) {
+      hearer.OnCleared(cleared);
+    }
+    time.AdvanceBy(seconds(3));
+    hearer.OnCrash(Crash(CrashOnset::kUnknown));
+  }
+  CHECK_TRUE(peer.TimeUntilRelease(kRequest).has_value());
+}
+
 }  // namespace zinnia
