--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -10,6 +10,7 @@
 #include "zinnia_adapters/forwarding/exclusion_times.h"
 #include "zinnia_adapters/forwarding/forward_outcomes.h"
 #include "zinnia_adapters/forwarding/log_text.h"
+#include "zinnia_adapters/forwarding/reachability_watch.h"
 #include "zinnia_adapters/forwarding/server_connection.h"
 #include "zinnia_adapters/forwarding/server_connection_pool.h"
 #include "zinnia_adapters/services/header_filter.h"
@@ -165,6 +166,7 @@
 }
 
 bool ForwardExchange::OnServerConnected() {
+  m_parts.reachability.OnConnected();
   const Duration connecting = m_parts.clock.Now() - m_sent_at;
   if (connecting > kSlowConnect) {
     m_parts.logger.Log(LogLevel::kInfo, "server_connected_late",
@@ -312,6 +314,7 @@
       m_parts.crashes.OnConnectionRefused(m_server);
     }
     if (failure != AnswerFailure::kWithdrawn) {
+      m_parts.reachability.OnConnectFailed(m_server);
       m_parts.health.MarkSuspect(m_server, kUnreachableExclusion);
     }
     ++m_history.not_sent;
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "zinnia_adapters/forwarding/reachability_watch.h"
 #include "zinnia_adapters/forwarding/server_connection_pool.h"
 #include "zinnia_adapters/forwarding/stall_inquiry.h"
 #include "zinnia_adapters/http/listening_socket.h"
@@ -112,16 +113,19 @@
   if (m_ticks % kTicksBetweenQueueScans == 0) {
     StartQueuedRequests(exchanges);
   }
+  m_parts.reachability.Tick();
   const TimePoint now = m_parts.clock.Now();
   const auto suspects = SilenceDetector::FindSuspects(streams, now);
   if (!suspects.empty()) {
-    m_parts.stalls.Check(suspects, SilenceDetector::OtherStreamsActive(streams, suspects, now),
-                         [this](const std::vector<BackendServerName>& dead) {
-                           for (const BackendServerName& server : dead) {
-                             m_parts.health.MarkSuspect(server, kDeadExclusion);
-                           }
-                           m_parts.report_stalled(dead);
-                         });
+    m_parts.stalls.Check(
+        suspects, SilenceDetector::OtherStreamsActive(streams, suspects, now),
+        [this](const BackendServerName& server) { m_parts.reachability.OnConnectFailed(server); },
+        [this](const std::vector<BackendServerName>& dead) {
+          for (const BackendServerName& server : dead) {
+            m_parts.health.MarkSuspect(server, kDeadExclusion);
+          }
+          m_parts.report_stalled(dead);
+        });
   }
   if (m_ticks % kTicksBetweenProbes == 0) {
     ProbeSuspects();
--- a/packages/zinnia_adapters/forwarding/forwarding_parts.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_parts.h
@@ -21,6 +21,7 @@
 class PathFinder;
 class InterDomainLinkMeter;
 class PlainServerChooser;
+class ReachabilityWatch;
 class RecoveryChooser;
 class RequestQuarantine;
 class CapacityQueue;
@@ -51,6 +52,7 @@
   ServerConnectionPool& connections;
   StallInquiry& stalls;
   CrashWatch& crashes;
+  ReachabilityWatch& reachability;
   RequestQuarantine& quarantine;
   RandomSource& random;
   FailureDomainName own_failure_domain;
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -19,11 +19,11 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/** Sources of a server's limit, as logged. */
 /** Views that take longer to the traffic thread are logged: the instance is too busy to keep the
     bounds on changes. */
 constexpr Duration kLateView = std::chrono::milliseconds(100);
 
+/** Sources of a server's limit, as logged. */
 constexpr std::string_view kServerItself = "server";
 constexpr std::string_view kPeer = "peer";
 
@@ -60,6 +60,12 @@
                 m_parts.logger,
                 m_parts.metrics,
                 [this](const std::vector<BrokenAttempt>& attempts) { OnServerCrash(attempts); }),
+      m_reachability(thread.Loop(),
+                     m_parts.clock,
+                     m_random,
+                     m_parts.logger,
+                     m_parts.metrics,
+                     [this] { return m_view; }),
       m_quarantine(m_parts.clock, {}),
       m_server(ForwardServer::Create(thread.Loop(),
                                      thread.GetScheduler(),
@@ -86,6 +92,7 @@
           m_connections,
           m_stalls,
           m_crashes,
+          m_reachability,
           m_quarantine,
           m_random,
           m_parts.own_failure_domain,
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -8,6 +8,7 @@
 #include "zinnia_adapters/forwarding/engine_calls.h"
 #include "zinnia_adapters/forwarding/forward_server.h"
 #include "zinnia_adapters/forwarding/message_codec.h"
+#include "zinnia_adapters/forwarding/reachability_watch.h"
 #include "zinnia_adapters/forwarding/server_connection_pool.h"
 #include "zinnia_adapters/forwarding/stall_inquiry.h"
 #include "zinnia_base/errors/result.h"
@@ -122,6 +123,7 @@
   CountedEngineCalls m_counted_calls;
   StallInquiry m_stalls;
   CrashWatch m_crashes;
+  ReachabilityWatch m_reachability;
   RequestQuarantine m_quarantine;
   std::unique_ptr<ForwardServer> m_server;
 };
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/reachability_watch.cc
@@ -0,0 +1,83 @@
+#include "zinnia_adapters/forwarding/reachability_watch.h"
+
+#include <utility>
+
+#include "zinnia_adapters/forwarding/connection_probe.h"
+#include "zinnia_base/logging/logger.h"
+#include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/observed_state/forwarding_view.h"
+#include "zinnia_decisions/once/alive_guard.h"
+#include "zinnia_decisions/ports/metrics.h"
+
+namespace zinnia {
+namespace {
+
+/** A few round trips between failure domains, and the time of a busy server. */
+constexpr Duration kTryLimit = std::chrono::milliseconds(200);
+
+}  // namespace
+
+ReachabilityWatch::ReachabilityWatch(boost::asio::io_context& loop,
+                                     const Clock& clock,
+                                     RandomSource& random,
+                                     Logger& logger,
+                                     Metrics& metrics,
+                                     ViewSource view)
+    : m_loop(loop),
+      m_logger(logger),
+      m_metrics(metrics),
+      m_view(std::move(view)),
+      m_reachability(clock, random) {}
+
+void ReachabilityWatch::OnConnected() {
+  const Reachability before = m_reachability.State();
+  m_reachability.OnConnected();
+  LogChange(before);
+}
+
+void ReachabilityWatch::OnConnectFailed(const BackendServerName& server) {
+  const Reachability before = m_reachability.State();
+  m_reachability.OnConnectFailed(server);
+  LogChange(before);
+}
+
+void ReachabilityWatch::Tick() {
+  const auto view = m_view();
+  if (!m_reachability.IsTryDue(view->servers.size())) {
+    return;
+  }
+  std::vector<BackendServerName> names;
+  for (const auto& [name, server] : view->servers) {
+    names.push_back(name);
+  }
+  const Reachability before = m_reachability.State();
+  const std::vector<BackendServerName> chosen = m_reachability.TakeServersToTry(names);
+  LogChange(before);
+  for (const BackendServerName& server : chosen) {
+    Try(server);
+  }
+}
+
+void ReachabilityWatch::Try(const BackendServerName& server) {
+  ProbeConnection(m_loop, m_view()->servers.at(server).address, Duration::zero(), kTryLimit,
+                  WhileAlive(m_alive, [this, server](ConnectionProbeResult result) {
+                    if (result == ConnectionProbeResult::kAccepted) {
+                      OnConnected();
+                    } else {
+                      OnConnectFailed(server);
+                    }
+                  }));
+}
+
+void ReachabilityWatch::LogChange(Reachability before) {
+  const Reachability now = m_reachability.State();
+  if (now == before) {
+    return;
+  }
+  m_metrics.SetGauge("servers_reached", now == Reachability::kNone ? 0.0 : 1.0);
+  const bool is_cut_off = now == Reachability::kNone;
+  m_logger.Log(is_cut_off ? LogLevel::kWarning : LogLevel::kInfo, "server_reachability",
+               {{"state", std::string(NameOf(now))}, {"before", std::string(NameOf(before))}});
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/reachability_watch.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "zinnia_base/random/random_source.h"
+#include "zinnia_decisions/forwarding/reachability/server_reachability.h"
+#include "zinnia_world/names/names.h"
+
+namespace zinnia {
+
+class Clock;
+class Logger;
+class Metrics;
+struct ForwardingView;
+
+/** Connects to servers when that is needed to tell whether this instance reaches any, and logs when
+    it reaches none. Belongs to a traffic thread.
+
+    @see ServerReachability */
+class ReachabilityWatch {
+ public:
+  using ViewSource = std::function<std::shared_ptr<const ForwardingView>()>;
+
+  /** All references must outlive this object. */
+  ReachabilityWatch(boost::asio::io_context& loop,
+                    const Clock& clock,
+                    RandomSource& random,
+                    Logger& logger,
+                    Metrics& metrics,
+                    ViewSource view);
+
+  /** A server accepted a new connection. */
+  void OnConnected();
+
+  /** A server refused a new connection, did not accept it in time, or answered no probe. */
+  void OnConnectFailed(const BackendServerName& server);
+
+  /** Call every few tens of milliseconds. */
+  void Tick();
+
+  bool IsCutOff() const { return m_reachability.IsCutOff(); }
+
+ private:
+  void Try(const BackendServerName& server);
+  void LogChange(Reachability before);
+
+  boost::asio::io_context& m_loop;
+  Logger& m_logger;
+  Metrics& m_metrics;
+  const ViewSource m_view;
+  ServerReachability m_reachability;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/stall_inquiry.cc
+++ b/packages/zinnia_adapters/forwarding/stall_inquiry.cc
@@ -67,6 +67,7 @@
 
 void StallInquiry::Check(const std::vector<PathPart>& suspects,
                          bool other_streams_active,
+                         const OnSilent& on_silent,
                          const OnDead& on_dead) {
   std::vector<PathPart> due;
   for (const PathPart& suspect : suspects) {
@@ -76,7 +77,10 @@
   }
   const auto round = std::make_shared<ProbeRound>(due.size(), other_streams_active);
   for (const PathPart& suspect : due) {
-    m_calls.Probe(suspect, [round, server = suspect.server, on_dead](bool answers) {
+    m_calls.Probe(suspect, [round, server = suspect.server, on_silent, on_dead](bool answers) {
+      if (!answers) {
+        on_silent(server);
+      }
       round->OnProbeResult(server, answers);
       if (!round->IsComplete()) {
         return;
--- a/packages/zinnia_adapters/forwarding/stall_inquiry.h
+++ b/packages/zinnia_adapters/forwarding/stall_inquiry.h
@@ -20,12 +20,14 @@
 
   void Ask(const PathPart& first, Callback callback);
 
+  using OnSilent = std::function<void(const BackendServerName&)>;
   using OnDead = std::function<void(const std::vector<BackendServerName>&)>;
 
-  /** Probes suspect servers and reports all dead ones of a round in one call.
-      `other_streams_active`: see ProbeRound. */
+  /** Probes suspect servers. Reports each one that does not answer, and in one call those of a
+      round that are dead. `other_streams_active`: see ProbeRound. */
   void Check(const std::vector<PathPart>& suspects,
              bool other_streams_active,
+             const OnSilent& on_silent,
              const OnDead& on_dead);
 
   /** Checks the health of a server named in a refusal and reports whether it is dead or draining.
