Instances take requests of other instances at an address of their own, and tell each other where

Ground for a way round a partition: peer_requests_address in the settings, requests_port in the records and reports of instances, and a second listener whose requests are marked as coming from a peer. Nothing sends there yet.

--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp
@@ -81,6 +81,8 @@
   start @4 :UInt64;
   cores @5 :Float64;
   linkMbps @6 :Float64;
+  requestsPort @7 :UInt16;
+  # Where it takes requests from other instances, at ip; 0: nowhere.
 }
 
 struct NewsReport {
--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
@@ -1173,6 +1173,8 @@
 
   inline double getLinkMbps() const;
 
+  inline  ::uint16_t getRequestsPort() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1234,6 +1236,9 @@
   inline double getLinkMbps();
   inline void setLinkMbps(double value);
 
+  inline  ::uint16_t getRequestsPort();
+  inline void setRequestsPort( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2692,6 +2697,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t NewsInstance::Reader::getRequestsPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t NewsInstance::Builder::getRequestsPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NewsInstance::Builder::setRequestsPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsReport::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/zinnia_adapters/fleet_news/report_codec.cc
+++ b/packages/zinnia_adapters/fleet_news/report_codec.cc
@@ -127,6 +127,7 @@
   instance.setStart(report.instance.start);
   instance.setCores(report.instance.cores);
   instance.setLinkMbps(report.instance.link_mbps);
+  instance.setRequestsPort(report.instance.requests_port);
   to.setRevision(report.revision.number);
   to.setEra(report.revision.era);
   to.setLeaving(report.leaving);
@@ -192,6 +193,7 @@
   report.leaving = from.getLeaving();
   report.instance.cores = from.getInstance().getCores();
   report.instance.link_mbps = from.getInstance().getLinkMbps();
+  report.instance.requests_port = from.getInstance().getRequestsPort();
   report.store_watcher_age = ReadAge(from.getReaderAgeMs(), from.getIsReader());
   report.stable_store_age = ReadAge(from.getSteadyAgeMs(), from.getStoreIsSteady());
   report.settled_store_age = ReadAge(from.getSettledAgeMs(), false);
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -58,10 +58,12 @@
 ForwardExchange::ForwardExchange(const ForwardingParts& parts,
                                  CallerRequest request,
                                  std::shared_ptr<Responder> responder,
+                                 RequestOrigin origin,
                                  std::function<void(ForwardExchange&)> on_end)
     : m_parts(parts),
       m_request(std::move(request)),
       m_responder(std::move(responder)),
+      m_origin(origin),
       m_on_end(std::move(on_end)),
       m_started_at(parts.clock.Now()) {}
 
@@ -111,7 +113,9 @@
   }
   m_deadline = m_started_at + limit;
   m_service = ChooseService();
-  m_parts.retries.OnRequest(m_service);
+  if (m_origin == RequestOrigin::kCaller) {
+    m_parts.retries.OnRequest(m_service);  // A peer has counted its own.
+  }
   if (!ChooseServer()) {
     WaitForRoom();
     return;
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -26,6 +26,11 @@
 namespace zinnia {
 
 class ServerConnection;
+
+/** Who sent a request to this instance. kPeer: another instance, which reaches no server and got it
+    from the caller. */
+enum class RequestOrigin { kCaller, kPeer };
+
 struct LimitAvailability;
 
 /** Forwards one request to a backend server and relays its answer to the caller.
@@ -44,6 +49,7 @@
   ForwardExchange(const ForwardingParts& parts,
                   CallerRequest request,
                   std::shared_ptr<Responder> responder,
+                  RequestOrigin origin,
                   std::function<void(ForwardExchange&)> on_end);
   ~ForwardExchange() override;
 
@@ -163,6 +169,7 @@
   const ForwardingParts& m_parts;
   const CallerRequest m_request;
   const std::shared_ptr<Responder> m_responder;
+  const RequestOrigin m_origin;
   std::function<void(ForwardExchange&)> m_on_end;
   const TimePoint m_started_at;
   RequestFacts m_facts;
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -44,27 +44,51 @@
 
 }  // namespace
 
-Result<std::unique_ptr<ForwardServer>> ForwardServer::Create(asio::io_context& loop,
-                                                             Scheduler& scheduler,
-                                                             ForwardingParts parts,
-                                                             const NetworkAddress& address) {
+Result<std::unique_ptr<ForwardServer>> ForwardServer::Create(
+    asio::io_context& loop,
+    Scheduler& scheduler,
+    ForwardingParts parts,
+    const NetworkAddress& address,
+    const std::optional<NetworkAddress>& peer_requests_address) {
   Result<tcp::acceptor> acceptor = Listen(loop, address);
   if (!acceptor) {
     return acceptor.error();
   }
-  std::unique_ptr<ForwardServer> server(
-      new ForwardServer(scheduler, std::move(parts), std::move(*acceptor)));
+  std::optional<tcp::acceptor> peer_acceptor;
+  if (peer_requests_address) {
+    Result<tcp::acceptor> listening = Listen(loop, *peer_requests_address);
+    if (!listening) {
+      return listening.error();
+    }
+    peer_acceptor = std::move(*listening);
+  }
+  std::unique_ptr<ForwardServer> server(new ForwardServer(
+      scheduler, std::move(parts), std::move(*acceptor), std::move(peer_acceptor)));
   server->m_acceptor.Start();
+  if (server->m_peer_acceptor) {
+    server->m_peer_acceptor->Start();
+  }
   server->ScheduleTick();
   return server;
 }
 
-ForwardServer::ForwardServer(Scheduler& scheduler, ForwardingParts parts, tcp::acceptor acceptor)
+ForwardServer::ForwardServer(Scheduler& scheduler,
+                             ForwardingParts parts,
+                             tcp::acceptor acceptor,
+                             std::optional<tcp::acceptor> peer_acceptor)
     : m_scheduler(scheduler),
       m_parts(std::move(parts)),
-      m_acceptor(std::move(acceptor), m_scheduler, m_parts.metrics, [this](tcp::socket socket) {
-        TakeConnection(std::move(socket));
-      }) {}
+      m_acceptor(std::move(acceptor),
+                 m_scheduler,
+                 m_parts.metrics,
+                 [this](tcp::socket socket) { TakeConnection(std::move(socket), *this); }),
+      m_peer_connection_owner(*this) {
+  if (peer_acceptor) {
+    m_peer_acceptor.emplace(
+        std::move(*peer_acceptor), m_scheduler, m_parts.metrics,
+        [this](tcp::socket socket) { TakeConnection(std::move(socket), m_peer_connection_owner); });
+  }
+}
 
 ForwardServer::~ForwardServer() {
   CutOff();
@@ -74,13 +98,17 @@
   return m_acceptor.Port();
 }
 
-void ForwardServer::TakeConnection(tcp::socket socket) {
+std::uint16_t ForwardServer::PeerRequestsPort() const {
+  return m_peer_acceptor ? m_peer_acceptor->Port() : std::uint16_t{0};
+}
+
+void ForwardServer::TakeConnection(tcp::socket socket, ConnectionOwner& owner) {
   if (m_connections.Count() >= m_limits.most_connections) {
     m_parts.metrics.Count("caller_connections_refused");
     socket.close();
     return;
   }
-  auto connection = std::make_shared<CallerConnection>(std::move(socket), m_limits, *this);
+  auto connection = std::make_shared<CallerConnection>(std::move(socket), m_limits, owner);
   m_connections.Add(connection);
   connection->Start();
 }
@@ -161,8 +189,32 @@
 std::shared_ptr<CallerExchange> ForwardServer::CreateExchange(
     CallerRequest request,
     std::shared_ptr<Responder> responder) {
+  return AddExchange(std::move(request), std::move(responder), RequestOrigin::kCaller);
+}
+
+std::shared_ptr<CallerExchange> ForwardServer::PeerConnectionOwner::CreateExchange(
+    CallerRequest request,
+    std::shared_ptr<Responder> responder) {
+  return m_server.AddExchange(std::move(request), std::move(responder), RequestOrigin::kPeer);
+}
+
+void ForwardServer::PeerConnectionOwner::OnConnectionClosed(CallerConnection& connection) {
+  m_server.OnConnectionClosed(connection);
+}
+
+bool ForwardServer::PeerConnectionOwner::IsDraining() const {
+  return m_server.IsDraining();
+}
+
+void ForwardServer::PeerConnectionOwner::CountConnectionEvent(std::string_view event) {
+  m_server.CountConnectionEvent(event);
+}
+
+std::shared_ptr<CallerExchange> ForwardServer::AddExchange(CallerRequest request,
+                                                           std::shared_ptr<Responder> responder,
+                                                           RequestOrigin origin) {
   auto exchange = std::make_shared<ForwardExchange>(
-      m_parts, std::move(request), std::move(responder),
+      m_parts, std::move(request), std::move(responder), origin,
       [this](ForwardExchange& ended) { m_exchanges.erase(&ended); });
   m_exchanges.emplace(exchange.get(), exchange);
   return exchange;
@@ -243,9 +295,16 @@
   m_draining = true;
 }
 
+void ForwardServer::CloseAcceptors() {
+  m_acceptor.Close();
+  if (m_peer_acceptor) {
+    m_peer_acceptor->Close();
+  }
+}
+
 void ForwardServer::StopAccepting() {
   m_draining = true;
-  m_acceptor.Close();
+  CloseAcceptors();
   m_connections.CloseIdle();
 }
 
@@ -269,7 +328,7 @@
 
 void ForwardServer::CutOff() {
   m_draining = true;
-  m_acceptor.Close();
+  CloseAcceptors();
   m_connections.CloseAll();
 }
 
--- a/packages/zinnia_adapters/forwarding/forward_server.h
+++ b/packages/zinnia_adapters/forwarding/forward_server.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,16 +29,22 @@
 */
 class ForwardServer final : public ConnectionOwner {
  public:
-  /** Fails with kInvalidSettings if it cannot listen on the address. */
-  static Result<std::unique_ptr<ForwardServer>> Create(boost::asio::io_context& loop,
-                                                       Scheduler& scheduler,
-                                                       ForwardingParts parts,
-                                                       const NetworkAddress& address);
+  /** `peer_requests_address`: where requests of other instances are taken, if anywhere. Fails with
+      kInvalidSettings if it cannot listen on an address. */
+  static Result<std::unique_ptr<ForwardServer>> Create(
+      boost::asio::io_context& loop,
+      Scheduler& scheduler,
+      ForwardingParts parts,
+      const NetworkAddress& address,
+      const std::optional<NetworkAddress>& peer_requests_address);
   ~ForwardServer() override;
 
   /** Returns the bound port, including one chosen by the system. */
   std::uint16_t Port() const;
 
+  /** The same for requests of other instances; 0 if none are taken. */
+  std::uint16_t PeerRequestsPort() const;
+
   /** Closes each connection after its next answer. */
   void BeginDrain();
 
@@ -63,11 +70,30 @@
  private:
   ForwardServer(Scheduler& scheduler,
                 ForwardingParts parts,
-                boost::asio::ip::tcp::acceptor acceptor);
+                boost::asio::ip::tcp::acceptor acceptor,
+                std::optional<boost::asio::ip::tcp::acceptor> peer_acceptor);
+
+  /** Owner of the connections on which other instances send requests. */
+  class PeerConnectionOwner final : public ConnectionOwner {
+   public:
+    explicit PeerConnectionOwner(ForwardServer& server) : m_server(server) {}
+    std::shared_ptr<CallerExchange> CreateExchange(CallerRequest request,
+                                                   std::shared_ptr<Responder> responder) override;
+    void OnConnectionClosed(CallerConnection& connection) override;
+    bool IsDraining() const override;
+    void CountConnectionEvent(std::string_view event) override;
+
+   private:
+    ForwardServer& m_server;
+  };
 
   using Exchanges = std::unordered_map<ForwardExchange*, std::shared_ptr<ForwardExchange>>;
 
-  void TakeConnection(boost::asio::ip::tcp::socket socket);
+  void TakeConnection(boost::asio::ip::tcp::socket socket, ConnectionOwner& owner);
+  std::shared_ptr<CallerExchange> AddExchange(CallerRequest request,
+                                              std::shared_ptr<Responder> responder,
+                                              RequestOrigin origin);
+  void CloseAcceptors();
   void ScheduleTick();
   void ProbeSuspects();
   void QuerySlowServers();
@@ -84,6 +110,8 @@
   Scheduler& m_scheduler;
   const ForwardingParts m_parts;
   CallerAcceptor m_acceptor;
+  PeerConnectionOwner m_peer_connection_owner;
+  std::optional<CallerAcceptor> m_peer_acceptor;
   CallerLimits m_limits;
   CallerConnections m_connections;
   Exchanges m_exchanges;
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -70,7 +70,8 @@
       m_server(ForwardServer::Create(thread.Loop(),
                                      thread.GetScheduler(),
                                      MakeParts(),
-                                     m_parts.callers_address)
+                                     m_parts.callers_address,
+                                     m_parts.peer_requests_address)
                    .value()) {}
 
 ForwardingParts ForwardingTraffic::MakeParts() {
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "zinnia_adapters/forwarding/counted_engine_calls.h"
 #include "zinnia_adapters/forwarding/crash_watch.h"
@@ -62,6 +63,9 @@
 
   /** Called on the traffic thread when a request is found to crash servers. */
   std::function<void(const QuarantineReport&)> on_quarantined;
+
+  /** Where requests of instances that reach no server are taken; none if empty. */
+  std::optional<NetworkAddress> peer_requests_address = std::nullopt;
 };
 
 /** Owns the forwarding state of the traffic thread. Create, use and destroy it on that thread. */
--- a/packages/zinnia_adapters/settings/forwarding_settings.cc
+++ b/packages/zinnia_adapters/settings/forwarding_settings.cc
@@ -47,6 +47,14 @@
 
   NetworkAddress Address(std::string_view name) const { return ToAddress(name, Text(name)); }
 
+  std::optional<NetworkAddress> OptionalAddress(std::string_view name) const {
+    const json::value* value = m_object.if_contains(name);
+    if (value == nullptr || value->is_null()) {
+      return std::nullopt;
+    }
+    return Address(name);
+  }
+
   double NumberOr(std::string_view name, double otherwise, double least) const {
     const json::value* value = m_object.if_contains(name);
     if (value == nullptr || value->is_null()) {
@@ -116,13 +124,14 @@
   return milliseconds(static_cast<std::int64_t>(seconds * kMillisecondsPerSecond));
 }
 
-constexpr std::array<std::string_view, 19> kFieldNames = {
+constexpr std::array<std::string_view, 20> kFieldNames = {
     "instance",
     "failure_domain",
     "region",
     "callers_address",
     "readiness_address",
     "peer_address",
+    "peer_requests_address",
     "metrics_address",
     "store_address",
     "seeds",
@@ -158,6 +167,11 @@
   settings.callers_address = fields.Address("callers_address");
   settings.readiness_address = fields.Address("readiness_address");
   settings.peer_address = fields.Address("peer_address");
+  settings.peer_requests_address = fields.OptionalAddress("peer_requests_address");
+  if (settings.peer_requests_address &&
+      settings.peer_requests_address->ip != settings.peer_address.ip) {
+    Reject("peer_requests_address", "at the IP number of peer_address");
+  }
   settings.metrics_address = fields.Address("metrics_address");
   settings.store_address = fields.Address("store_address");
   settings.seeds = fields.AddressesOr("seeds");
--- a/packages/zinnia_adapters/settings/forwarding_settings.h
+++ b/packages/zinnia_adapters/settings/forwarding_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,6 +23,9 @@
   NetworkAddress callers_address;
   NetworkAddress readiness_address;
   NetworkAddress peer_address;
+
+  /** Where requests come in that other instances cannot take to a backend server themselves. */
+  std::optional<NetworkAddress> peer_requests_address;
   NetworkAddress metrics_address;
   NetworkAddress store_address;
   std::vector<NetworkAddress> seeds;
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -63,6 +63,8 @@
   self.failure_domain = settings.failure_domain;
   self.region = settings.region;
   self.start = start;
+  self.requests_port =
+      settings.peer_requests_address ? settings.peer_requests_address->port : std::uint16_t{0};
   self.cores = settings.cores;
   self.link_mbps = settings.link_mbps;
   return self;
@@ -199,7 +201,8 @@
           },
           [this](const QuarantineReport& quarantine) {
             m_control_thread->Post([this, quarantine] { m_control->OnQuarantined(quarantine); });
-          }});
+          },
+          m_settings.peer_requests_address});
   ListenForTexts();
   ScheduleUpkeep();
 }
--- a/packages/zinnia_decisions/forwarding/observed_state/instance_registration.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_registration.cc
@@ -122,6 +122,7 @@
                                       {"failure_domain", instance.failure_domain},
                                       {"region", instance.region},
                                       {"start", instance.start},
+                                      {"requests_port", instance.requests_port},
                                       {"cores", instance.cores},
                                       {"link_mbps", instance.link_mbps}});
 }
@@ -154,6 +155,10 @@
   if (start != nullptr && start->is_number()) {
     instance.start = start->to_number<std::uint64_t>(error);
   }
+  const json::value* requests_port = object->if_contains("requests_port");
+  if (requests_port != nullptr && requests_port->is_number()) {
+    instance.requests_port = requests_port->to_number<std::uint16_t>(error);
+  }
   const auto number = [&](const char* name) {
     const json::value* field = object->if_contains(name);
     return field != nullptr && field->is_number() ? field->to_number<double>() : 0.0;
--- a/packages/zinnia_world/fleet/instance.h
+++ b/packages/zinnia_world/fleet/instance.h
@@ -15,6 +15,9 @@
   RegionName region;
   std::uint64_t start = 0;
 
+  /** Where it takes requests from other instances, at the IP number of peer_address; 0: nowhere. */
+  std::uint16_t requests_port = 0;
+
   /** CPU cores and network bandwidth of the instance's machine; 0 if unknown. */
   double cores = 0.0;
   double link_mbps = 0.0;
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -208,7 +208,15 @@
       entry.most_requests = 6;
       view->servers[name] = entry;
     }
-    traffic = std::make_unique<ForwardingTraffic>(
+    traffic = MakeTraffic("self");
+    traffic->SetView(view);
+    clock.MoveBy(kRunningFor);
+  }
+
+  /** Another instance on the same thread and with the same listeners. It takes requests of peers.
+   */
+  std::unique_ptr<ForwardingTraffic> MakeTraffic(const InstanceName& name) {
+    return std::make_unique<ForwardingTraffic>(
         thread,
         ForwardingTrafficParts{
             clock,
@@ -224,13 +232,12 @@
             [](const BackendServerName&) {},
             [this](const ServerStateReport& news) { server_reports.push_back(news); },
             [this](const std::vector<ServerLimitReport>& limits, bool) { limit_reports = limits; },
-            "self",
+            name,
             [this](const std::vector<CrashReport>& reports) {
               crash_reports.insert(crash_reports.end(), reports.begin(), reports.end());
             },
-            [this](const QuarantineReport& quarantine) { quarantines.push_back(quarantine); }});
-    traffic->SetView(view);
-    clock.MoveBy(kRunningFor);
+            [this](const QuarantineReport& quarantine) { quarantines.push_back(quarantine); },
+            NetworkAddress{"127.0.0.1", 0}});
   }
 
   /** The instance has saved retries for so long; a new one begins without. */
@@ -289,7 +296,14 @@
   TestCaller& Call(const std::string& path,
                    const std::string& key = "key-1",
                    const std::string& body = "body") {
-    callers.push_back(std::make_unique<TestCaller>(thread.Loop(), traffic->Server().Port()));
+    return CallAt(*traffic, path, key, body);
+  }
+
+  TestCaller& CallAt(ForwardingTraffic& instance,
+                     const std::string& path,
+                     const std::string& key = "key-1",
+                     const std::string& body = "body") {
+    callers.push_back(std::make_unique<TestCaller>(thread.Loop(), instance.Server().Port()));
     SendOn(*callers.back(), path, key, body);
     return *callers.back();
   }
