An instance that reaches no server has its requests forwarded by a peer

Cause: an instance sent to servers itself or refused; no request had a second way, and nothing told that it was its own links that had failed. Class: a single path that is taken for the state of what lies behind it. Evidence: refusals at the cut instances only, each within milliseconds ("Connection refused", then want of room as every server is excluded); the others were served as ever. Ruled out: want of processor time (the refusals are quick). Change: once it reaches no server (ServerReachability), it passes a caller's request on to a peer, chosen at random (PeerChooser), which handles it like a caller's own: routes, servers, retries, limits and streams are decided there. Requests that wait in vain for a server move too. Idle connections to servers are closed, as they may be dead without a sign.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -107,6 +107,10 @@
     RefuseHarmful();
     return;
   }
+  if (IsRefusedAsCutOff()) {
+    Answer(NotRun(ErrorKind::kOverloaded, "this instance reaches no server"));
+    return;
+  }
   milliseconds limit = m_route->timeout;
   if (m_facts.deadline) {
     limit = std::min(limit, *m_facts.deadline);
@@ -136,7 +140,11 @@
   marks.organisation = m_organisation;
   marks.path = m_path;
   marks.last_event_id = m_events.LastEventId() ? m_events.LastEventId() : m_facts.last_event_id;
-  m_parts.codec.MarkRequest(request, marks);
+  if (m_is_at_peer) {
+    m_parts.codec.MarkRequestForPeer(request, marks);
+  } else {
+    m_parts.codec.MarkRequest(request, marks);
+  }
   request.keep_alive(true);
   request.prepare_payload();
 
@@ -151,8 +159,10 @@
   m_last_progress = m_parts.clock.Now();
   m_sent_at = m_last_progress;
   ++m_history.servers_reached;
-  LogServersAtLimit();
-  m_parts.limits.OnSent(m_server);
+  if (!m_is_at_peer) {
+    LogServersAtLimit();
+    m_parts.limits.OnSent(m_server);
+  }
   m_connection = m_parts.connections.Take(
       m_server, m_server_address,
       m_route->MayRepeat() ? kMaxIdleForRepeatable : kMaxIdleForNonRepeatable);
@@ -170,6 +180,9 @@
 }
 
 bool ForwardExchange::OnServerConnected() {
+  if (m_is_at_peer) {
+    return true;
+  }
   m_parts.reachability.OnConnected();
   const Duration connecting = m_parts.clock.Now() - m_sent_at;
   if (connecting > kSlowConnect) {
@@ -193,7 +206,9 @@
     AbandonServer("an answer to another request arrived");
     return;
   }
-  HandleNotices();
+  if (!m_is_at_peer) {
+    HandleNotices();
+  }
   if (!IsSuccess(status)) {
     return;
   }
@@ -271,6 +286,10 @@
 }
 
 void ForwardExchange::OnWholeAnswer() {
+  if (m_is_at_peer) {
+    OnPeerAnswer();
+    return;
+  }
   if (m_answer_facts.not_run || m_status == kStatusMisdirected) {
     OnNotRun();
     return;
@@ -313,6 +332,10 @@
 
 void ForwardExchange::OnServerFailed(AnswerFailure failure, std::string_view reason) {
   m_connection.reset();
+  if (m_is_at_peer && failure != AnswerFailure::kBroken) {
+    OnPeerFailed(reason);
+    return;
+  }
   if (failure != AnswerFailure::kBroken) {
     if (failure == AnswerFailure::kRefused) {
       m_parts.crashes.OnConnectionRefused(m_server);
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -74,6 +74,9 @@
   /** Ends the request if it has this fingerprint and no server has begun to answer it. */
   void OnRequestQuarantined(const Fingerprint& request);
 
+  /** This instance has lost all servers. */
+  void OnCutOff();
+
   /** Sends the caller a final answer because the instance is stopping. */
   void OnInstanceStops();
 
@@ -103,6 +106,17 @@
   std::optional<Error> FindRoute();
   ServiceName ChooseService();
   bool ChooseServer();
+
+  /** Whether a peer must forward the request, as this instance reaches no server. */
+  bool NeedsPeer() const;
+  bool ChoosePeer();
+
+  /** Whether the request came from a peer, and this instance reaches no server either. */
+  bool IsRefusedAsCutOff() const;
+  void MarkAsCutOff(CallerResponse& response) const;
+  void OnPeerAnswer();
+  void OnPeerFailed(std::string_view reason);
+  void CheckPeerSilence();
   bool ChoosePath();
   void TakePath(const FoundPath& found);
 
@@ -179,7 +193,10 @@
   ServiceName m_service;
   TimePoint m_deadline{};
 
+  /** The server or the peer to which the request was sent last. */
   BackendServerName m_server;
+  bool m_is_at_peer = false;
+  int m_peers_asked = 0;
   NetworkAddress m_server_address;
   LayerPath m_path;
   std::vector<Reservation> m_reservations;
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -114,6 +114,7 @@
                       {"status", std::to_string(response.result_int())},
                       {"at_limit", limits.all_at_limit ? "yes" : "no"},
                       {"revision", std::to_string(m_parts.view()->revision.number)}});
+  MarkAsCutOff(response);
   m_responder->SendWhole(std::move(response));
   End("refused");
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
@@ -56,6 +56,10 @@
 }
 
 bool ForwardExchange::ChooseServer() {
+  if (NeedsPeer()) {
+    return ChoosePeer();
+  }
+  m_is_at_peer = false;
   const auto view = m_parts.view();
   const auto service = view->rules->services.find(m_service);
   const bool layered = service != view->rules->services.end() && service->second.engine &&
--- /dev/null
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
@@ -0,0 +1,113 @@
+#include <boost/beast/http/field.hpp>
+#include <utility>
+
+#include "zinnia_adapters/forwarding/forward_exchange.h"
+#include "zinnia_adapters/forwarding/forward_outcomes.h"
+#include "zinnia_adapters/forwarding/reachability_watch.h"
+#include "zinnia_adapters/forwarding/server_connection.h"
+#include "zinnia_base/logging/logger.h"
+#include "zinnia_decisions/forwarding/crashes/request_quarantine.h"
+#include "zinnia_decisions/forwarding/observed_state/forwarding_view.h"
+#include "zinnia_decisions/forwarding/reachability/peer_chooser.h"
+#include "zinnia_decisions/forwarding/streams/silence_policy.h"
+#include "zinnia_decisions/ports/metrics.h"
+
+// Requests that a peer forwards in ForwardExchange, since this instance reaches no server.
+
+namespace zinnia {
+namespace {
+
+/** Header field of a refusal by a peer that reaches no server either. */
+constexpr std::string_view kCutOffField = "Zinnia-Cut-Off";
+
+/** Peers that are asked to forward one request. Each refusal takes some milliseconds. */
+constexpr int kMaxPeersAsked = 8;
+
+/** Streams with events more recent than this are not moved when servers are no longer reached. */
+constexpr Duration kMinSilenceToMove = std::chrono::milliseconds(100);
+
+/** Minimum time before the deadline to ask another peer. */
+constexpr Duration kMinTimeLeft = std::chrono::milliseconds(30);
+
+}  // namespace
+
+bool ForwardExchange::NeedsPeer() const {
+  const auto view = m_parts.view();
+  return m_origin == RequestOrigin::kCaller && m_parts.reachability.IsCutOff() &&
+         view->instances != nullptr && m_parts.peers.HasPeers(*view->instances);
+}
+
+bool ForwardExchange::ChoosePeer() {
+  const auto view = m_parts.view();
+  const auto peer = m_peers_asked < kMaxPeersAsked
+                        ? m_parts.peers.Choose(*view->instances, m_avoided)
+                        : std::nullopt;
+  if (!peer) {
+    return false;
+  }
+  ++m_peers_asked;
+  ReleaseReservations();
+  m_is_at_peer = true;
+  m_server = peer->name;
+  m_server_address = {peer->peer_address.ip, peer->requests_port};
+  m_path.clear();
+  m_parts.metrics.Count("requests_sent_to_peers");
+  return true;
+}
+
+bool ForwardExchange::IsRefusedAsCutOff() const {
+  return m_origin == RequestOrigin::kPeer && m_parts.reachability.IsCutOff();
+}
+
+void ForwardExchange::MarkAsCutOff(CallerResponse& response) const {
+  if (IsRefusedAsCutOff()) {
+    response.set(kCutOffField, "1");
+  }
+}
+
+/** Everything but a refusal by a peer that reaches no server is the answer: the peer has chosen
+    servers and sent again as often as this instance would have. */
+void ForwardExchange::OnPeerAnswer() {
+  if (!m_answer_facts.is_signed && IsPromise(m_status) && m_fields.count(kCutOffField) > 0) {
+    OnPeerFailed("the peer reaches no server either");
+    return;
+  }
+  if (m_answer_facts.is_signed && IsSuccess(m_status)) {
+    m_parts.quarantine.OnEndedWell(m_fingerprint);
+  }
+  PassOnWholeAnswer();
+}
+
+/** No server has received the request from the peer. */
+void ForwardExchange::OnPeerFailed(std::string_view reason) {
+  m_parts.peers.Exclude(m_server);
+  m_avoided.insert(m_server);
+  --m_history.servers_reached;
+  m_parts.logger.Log(
+      LogLevel::kInfo, "peer_not_used",
+      {{"request", m_facts.id}, {"peer", m_server}, {"reason", std::string(reason)}});
+  if (TimeLeft() > kMinTimeLeft && ChooseServer()) {
+    Send();
+  } else {
+    GiveUp(m_history.may_have_run ? NextStep::kFail : NextStep::kRefuse,
+           "this instance and the peers that it asked reach no server");
+  }
+}
+
+void ForwardExchange::CheckPeerSilence() {
+  const bool is_stream = m_route->repeatability == Repeatability::kStream;
+  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  if (is_stream && silent >= SilencePolicy(*m_route).AbandonAfter(m_event_intervals.HasBegun())) {
+    m_parts.peers.Exclude(m_server);
+    AbandonServer("the peer is silent");
+  }
+}
+
+void ForwardExchange::OnCutOff() {
+  const bool is_silent = m_parts.clock.Now() - m_last_progress >= kMinSilenceToMove;
+  if (!m_ended && m_connection && !m_is_at_peer && m_route->MayRepeat() && is_silent) {
+    AbandonServer("this instance reaches no server");
+  }
+}
+
+}  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -82,6 +82,10 @@
     RefuseForWantOfRoom();
     return;
   }
+  if (m_is_at_peer && m_connection) {
+    CheckPeerSilence();
+    return;
+  }
   if (m_path.empty() || !m_connection) {
     return;
   }
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -279,6 +279,12 @@
   }
 }
 
+void ForwardServer::OnCutOff() {
+  for (const auto& exchange : Exchanging()) {
+    exchange->OnCutOff();
+  }
+}
+
 void ForwardServer::OnServersStalled(const std::vector<BackendServerName>& servers) {
   for (const auto& exchange : Exchanging()) {
     exchange->OnServersStalled(servers);
--- a/packages/zinnia_adapters/forwarding/forward_server.h
+++ b/packages/zinnia_adapters/forwarding/forward_server.h
@@ -61,6 +61,9 @@
   /** Call after each change of the view. */
   void OnViewChanged();
 
+  /** Moves requests that wait for servers which are no longer reached. */
+  void OnCutOff();
+
   /** Handles servers found stalled by this instance or a peer. */
   void OnServersStalled(const std::vector<BackendServerName>& servers);
 
--- a/packages/zinnia_adapters/forwarding/forwarding_parts.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_parts.h
@@ -19,6 +19,7 @@
 class MessageCodec;
 class Metrics;
 class PathFinder;
+class PeerChooser;
 class InterDomainLinkMeter;
 class PlainServerChooser;
 class ReachabilityWatch;
@@ -53,6 +54,7 @@
   StallInquiry& stalls;
   CrashWatch& crashes;
   ReachabilityWatch& reachability;
+  PeerChooser& peers;
   RequestQuarantine& quarantine;
   RandomSource& random;
   FailureDomainName own_failure_domain;
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -60,12 +60,15 @@
                 m_parts.logger,
                 m_parts.metrics,
                 [this](const std::vector<BrokenAttempt>& attempts) { OnServerCrash(attempts); }),
-      m_reachability(thread.Loop(),
-                     m_parts.clock,
-                     m_random,
-                     m_parts.logger,
-                     m_parts.metrics,
-                     [this] { return m_view; }),
+      m_reachability(
+          thread.Loop(),
+          m_parts.clock,
+          m_random,
+          m_parts.logger,
+          m_parts.metrics,
+          [this] { return m_view; },
+          [this] { OnCutOff(); }),
+      m_peers(m_parts.clock, m_random, m_parts.own_name),
       m_quarantine(m_parts.clock, {}),
       m_server(ForwardServer::Create(thread.Loop(),
                                      thread.GetScheduler(),
@@ -94,6 +97,7 @@
           m_stalls,
           m_crashes,
           m_reachability,
+          m_peers,
           m_quarantine,
           m_random,
           m_parts.own_failure_domain,
@@ -260,6 +264,12 @@
   return m_quarantine.InForce(kMaxReportedQuarantines);
 }
 
+/** Open connections may live on, or be dead without a sign of it. */
+void ForwardingTraffic::OnCutOff() {
+  m_connections.CloseIdle();
+  m_server->OnCutOff();
+}
+
 void ForwardingTraffic::OnStalledHere(const std::vector<BackendServerName>& servers) {
   for (const BackendServerName& server : servers) {
     m_parts.logger.Log(LogLevel::kInfo, "server_stalled",
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -25,6 +25,7 @@
 #include "zinnia_decisions/forwarding/paths/path_finder.h"
 #include "zinnia_decisions/forwarding/paths/plain_server_chooser.h"
 #include "zinnia_decisions/forwarding/paths/recovery_chooser.h"
+#include "zinnia_decisions/forwarding/reachability/peer_chooser.h"
 #include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 #include "zinnia_decisions/forwarding/streams/departure_schedule.h"
 
@@ -107,6 +108,7 @@
   void LogNotCounted(const CrashReport& crash, std::string_view heard_from);
   void LogCleared(const ClearedRequest& cleared, std::string_view heard_from);
   void OnLimitReceived(const BackendServerName& server, std::string_view heard_from);
+  void OnCutOff();
   void OnStalledHere(const std::vector<BackendServerName>& servers);
 
   const ForwardingTrafficParts m_parts;
@@ -128,6 +130,7 @@
   StallInquiry m_stalls;
   CrashWatch m_crashes;
   ReachabilityWatch m_reachability;
+  PeerChooser m_peers;
   RequestQuarantine m_quarantine;
   std::unique_ptr<ForwardServer> m_server;
 };
--- a/packages/zinnia_adapters/forwarding/message_codec.h
+++ b/packages/zinnia_adapters/forwarding/message_codec.h
@@ -59,6 +59,10 @@
   /** Removes fields that servers must not see, such as the caller's key, and adds the marks. */
   virtual void MarkRequest(Fields& fields, const ForwardingMarks& marks) const = 0;
 
+  /** Sets the deadline and the last event in a request for a peer, which forwards it as if it came
+      from the caller. */
+  virtual void MarkRequestForPeer(Fields& fields, const ForwardingMarks& marks) const = 0;
+
   virtual AnswerFacts ReadAnswer(unsigned status, const Fields& fields) const = 0;
 };
 
--- a/packages/zinnia_adapters/forwarding/reachability_watch.cc
+++ b/packages/zinnia_adapters/forwarding/reachability_watch.cc
@@ -22,11 +22,13 @@
                                      RandomSource& random,
                                      Logger& logger,
                                      Metrics& metrics,
-                                     ViewSource view)
+                                     ViewSource view,
+                                     std::function<void()> on_cut_off)
     : m_loop(loop),
       m_logger(logger),
       m_metrics(metrics),
       m_view(std::move(view)),
+      m_on_cut_off(std::move(on_cut_off)),
       m_reachability(clock, random) {}
 
 void ReachabilityWatch::OnConnected() {
@@ -78,6 +80,9 @@
   const bool is_cut_off = now == Reachability::kNone;
   m_logger.Log(is_cut_off ? LogLevel::kWarning : LogLevel::kInfo, "server_reachability",
                {{"state", std::string(NameOf(now))}, {"before", std::string(NameOf(before))}});
+  if (is_cut_off) {
+    m_on_cut_off();
+  }
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/reachability_watch.h
+++ b/packages/zinnia_adapters/forwarding/reachability_watch.h
@@ -23,13 +23,15 @@
  public:
   using ViewSource = std::function<std::shared_ptr<const ForwardingView>()>;
 
-  /** All references must outlive this object. */
+  /** All references must outlive this object. `on_cut_off` is called when this instance has lost
+      all servers. */
   ReachabilityWatch(boost::asio::io_context& loop,
                     const Clock& clock,
                     RandomSource& random,
                     Logger& logger,
                     Metrics& metrics,
-                    ViewSource view);
+                    ViewSource view,
+                    std::function<void()> on_cut_off);
 
   /** A server accepted a new connection. */
   void OnConnected();
@@ -50,6 +52,7 @@
   Logger& m_logger;
   Metrics& m_metrics;
   const ViewSource m_view;
+  const std::function<void()> m_on_cut_off;
   ServerReachability m_reachability;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/packages/zinnia_adapters/forwarding/server_connection_pool.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection_pool.cc
@@ -18,11 +18,16 @@
 }  // namespace
 
 ServerConnectionPool::~ServerConnectionPool() {
+  CloseIdle();
+}
+
+void ServerConnectionPool::CloseIdle() {
   for (auto& [server, idle] : m_idle) {
     for (const auto& connection : idle) {
       connection->Close();
     }
   }
+  m_idle.clear();
 }
 
 bool ServerConnectionPool::IsTooOld(const ServerConnection& connection,
--- a/packages/zinnia_adapters/forwarding/server_connection_pool.h
+++ b/packages/zinnia_adapters/forwarding/server_connection_pool.h
@@ -32,6 +32,9 @@
 
   bool HasIdle(const BackendServerName& server) const override;
 
+  /** Closes all pooled connections. */
+  void CloseIdle();
+
   /** Closes connections that were idle for too long or whose server is not in `servers`. */
   void DropUnused(const std::map<BackendServerName, ServerEntry>& servers);
 
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -39,6 +39,9 @@
     fields.erase("X-Key");
     fields.set("X-Server", marks.server);
     fields.set("X-Organisation", marks.organisation);
+    MarkRequestForPeer(fields, marks);
+  }
+  void MarkRequestForPeer(Fields& fields, const ForwardingMarks& marks) const override {
     fields.set("X-Deadline", std::to_string(marks.deadline_left.count()));
     if (marks.last_event_id) {
       fields.set("X-Last-Event", std::to_string(*marks.last_event_id));
