What an instance sees of servers counts as news of them only while it reaches others

What callers would see: an instance that loses its links to all servers tells its peers that these crashed under the requests which it had there, so requests gather evidence that is none, and that they stalled, so peers stop using servers that live. Cause: a refused connection counted as the crash of its server, an unanswered probe as a stall, though both look the same when the instance's own links have failed. It costs one connection for each server that crashes or stalls, and some milliseconds. The test that connections hang joins CutOffPath.

--- a/packages/zinnia_adapters/forwarding/crash_watch.cc
+++ b/packages/zinnia_adapters/forwarding/crash_watch.cc
@@ -4,6 +4,7 @@
 
 #include "zinnia_adapters/forwarding/connection_probe.h"
 #include "zinnia_adapters/forwarding/log_text.h"
+#include "zinnia_adapters/forwarding/reachability_watch.h"
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_decisions/once/alive_guard.h"
@@ -24,10 +25,12 @@
                        const Clock& clock,
                        Logger& logger,
                        Metrics& metrics,
+                       ReachabilityWatch& reachability,
                        OnCrash on_crash)
     : m_loop(loop),
       m_logger(logger),
       m_metrics(metrics),
+      m_reachability(reachability),
       m_on_crash(std::move(on_crash)),
       m_attempts(clock) {}
 
@@ -48,7 +51,17 @@
 }
 
 void CrashWatch::OnConnectionRefused(const BackendServerName& server) {
-  Report(m_attempts.OnConnectionRefused(server));
+  if (!m_attempts.HasPending(server)) {
+    return;
+  }
+  m_reachability.OnConnectFailed(server);
+  m_reachability.Confirm(WhileAlive(m_alive, [this, server](bool reaches_servers) {
+    if (reaches_servers) {
+      Report(m_attempts.OnConnectionRefused(server));
+    } else {
+      Log(m_attempts.OnNoCrash(server), "unreachable");
+    }
+  }));
 }
 
 void CrashWatch::Probe(const BackendServerName& server, const NetworkAddress& address) {
@@ -59,6 +72,11 @@
                       return;
                     }
                     const bool accepted = result == ConnectionProbeResult::kAccepted;
+                    if (accepted) {
+                      m_reachability.OnConnected();
+                    } else {
+                      m_reachability.OnConnectFailed(server);
+                    }
                     Log(m_attempts.OnNoCrash(server), accepted ? "alive" : "unreachable");
                   }));
 }
--- a/packages/zinnia_adapters/forwarding/crash_watch.h
+++ b/packages/zinnia_adapters/forwarding/crash_watch.h
@@ -14,9 +14,11 @@
 class Clock;
 class Logger;
 class Metrics;
+class ReachabilityWatch;
 
 /** Finds out whether a server at which an answer broke off has crashed, and logs which requests
-   were in flight at it. Belongs to a traffic thread. */
+    were in flight at it. A server has crashed if it refuses connections while another one accepts
+    them: refused by all, this instance has lost its own links. Belongs to a traffic thread. */
 class CrashWatch {
  public:
   /** Receives the attempts in flight at a server that has crashed. */
@@ -27,6 +29,7 @@
              const Clock& clock,
              Logger& logger,
              Metrics& metrics,
+             ReachabilityWatch& reachability,
              OnCrash on_crash);
   ~CrashWatch();
 
@@ -46,6 +49,7 @@
   boost::asio::io_context& m_loop;
   Logger& m_logger;
   Metrics& m_metrics;
+  ReachabilityWatch& m_reachability;
   const OnCrash m_on_crash;
   BrokenAttempts m_attempts;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -55,11 +55,6 @@
       m_retries(m_parts.clock, m_parts.retry_budget),
       m_counted_calls(m_parts.engine_calls, m_limits),
       m_stalls(m_counted_calls, m_parts.clock),
-      m_crashes(thread.Loop(),
-                m_parts.clock,
-                m_parts.logger,
-                m_parts.metrics,
-                [this](const std::vector<BrokenAttempt>& attempts) { OnServerCrash(attempts); }),
       m_reachability(
           thread.Loop(),
           m_parts.clock,
@@ -69,6 +64,12 @@
           [this] { return m_view; },
           [this] { OnCutOff(); }),
       m_peers(m_parts.clock, m_random, m_parts.own_name),
+      m_crashes(thread.Loop(),
+                m_parts.clock,
+                m_parts.logger,
+                m_parts.metrics,
+                m_reachability,
+                [this](const std::vector<BrokenAttempt>& attempts) { OnServerCrash(attempts); }),
       m_quarantine(m_parts.clock, {}),
       m_server(ForwardServer::Create(thread.Loop(),
                                      thread.GetScheduler(),
@@ -274,7 +275,11 @@
   for (const BackendServerName& server : servers) {
     m_parts.logger.Log(LogLevel::kInfo, "server_stalled",
                        {{"server", server}, {"seen_by", "self"}});
-    m_parts.on_stall_detected(server);
+    m_reachability.Confirm([this, server](bool reaches_servers) {
+      if (reaches_servers) {
+        m_parts.on_stall_detected(server);
+      }
+    });
   }
   m_server->OnServersStalled(servers);
 }
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -128,9 +128,9 @@
   SharedRetryBudget m_retries;
   CountedEngineCalls m_counted_calls;
   StallInquiry m_stalls;
-  CrashWatch m_crashes;
   ReachabilityWatch m_reachability;
   PeerChooser m_peers;
+  CrashWatch m_crashes;
   RequestQuarantine m_quarantine;
   std::unique_ptr<ForwardServer> m_server;
 };
--- a/packages/zinnia_adapters/forwarding/reachability_watch.h
+++ b/packages/zinnia_adapters/forwarding/reachability_watch.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "zinnia_base/random/random_source.h"
 #include "zinnia_decisions/forwarding/reachability/server_reachability.h"
@@ -39,13 +40,20 @@
   /** A server refused a new connection, did not accept it in time, or answered no probe. */
   void OnConnectFailed(const BackendServerName& server);
 
+  /** Finds out whether this instance reaches any server but those that failed, before what it saw
+     of one counts as news of that server. Calls back once; with true in a fleet of so few servers
+     that the crash of all of them is as likely as a partition. */
+  void Confirm(std::function<void(bool reaches_servers)> callback);
+
   /** Call every few tens of milliseconds. */
   void Tick();
 
   bool IsCutOff() const { return m_reachability.IsCutOff(); }
 
  private:
-  void Try(const BackendServerName& server);
+  void Try(const BackendServerName& server, std::function<void(bool accepted)> callback);
+  void ConfirmAt(std::vector<BackendServerName> servers);
+  void EndConfirmation(bool reaches_servers);
   void LogChange(Reachability before);
 
   boost::asio::io_context& m_loop;
@@ -54,6 +62,9 @@
   const ViewSource m_view;
   const std::function<void()> m_on_cut_off;
   ServerReachability m_reachability;
+
+  /** Who waits for the confirmation under way. */
+  std::vector<std::function<void(bool)>> m_confirming;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/packages/zinnia_decisions/forwarding/crashes/broken_attempts.h
+++ b/packages/zinnia_decisions/forwarding/crashes/broken_attempts.h
@@ -45,6 +45,8 @@
   /** The server accepted a connection, or could not be reached. Returns the dropped attempts. */
   std::vector<BrokenAttempt> OnNoCrash(const BackendServerName& server);
 
+  bool HasPending(const BackendServerName& server) const { return m_pending.contains(server); }
+
   /** Attempts of a request whose servers have not been probed yet. */
   std::size_t CountPending(const Fingerprint& request) const;
 
--- a/packages/zinnia_decisions/forwarding/reachability/server_reachability.cc
+++ b/packages/zinnia_decisions/forwarding/reachability/server_reachability.cc
@@ -87,10 +87,9 @@
   return chosen;
 }
 
-/** Prefers servers that have not failed. */
 std::vector<BackendServerName> ServerReachability::ChooseToTry(
     const std::vector<BackendServerName>& servers,
-    std::size_t count) {
+    std::size_t count) const {
   std::vector<BackendServerName> order = servers;
   for (std::size_t index = order.size(); index > 1; --index) {
     std::swap(order[index - 1], order[RandomBelow(m_random, index)]);
--- a/packages/zinnia_decisions/forwarding/reachability/server_reachability.h
+++ b/packages/zinnia_decisions/forwarding/reachability/server_reachability.h
@@ -46,13 +46,15 @@
       IsTryDue, and report each result. */
   std::vector<BackendServerName> TakeServersToTry(const std::vector<BackendServerName>& servers);
 
+  /** Returns up to `count` of the servers at random, those first that have not failed. */
+  std::vector<BackendServerName> ChooseToTry(const std::vector<BackendServerName>& servers,
+                                             std::size_t count) const;
+
   Reachability State() const { return m_state; }
   bool IsCutOff() const { return m_state == Reachability::kNone; }
 
  private:
   void ForgetOldFailures();
-  std::vector<BackendServerName> ChooseToTry(const std::vector<BackendServerName>& servers,
-                                             std::size_t count);
 
   const Clock& m_clock;
   RandomSource& m_random;
--- a/tests/forwarding_path/cut_off_test.cc
+++ b/tests/forwarding_path/cut_off_test.cc
@@ -60,10 +60,34 @@
     return instance;
   }
 
+  /** An address at which connections hang, as its backlog is full and nobody accepts. */
+  class HangingAddress {
+   public:
+    HangingAddress() : m_acceptor(m_loop) {
+      const boost::asio::ip::tcp::endpoint any_port(boost::asio::ip::address_v4::loopback(), 0);
+      m_acceptor.open(any_port.protocol());
+      m_acceptor.bind(any_port);
+      m_acceptor.listen(0);
+      for (int waiting = 0; waiting < kMoreThanBacklog; ++waiting) {
+        m_waiting.emplace_back(m_loop);
+        m_waiting.back().async_connect(m_acceptor.local_endpoint(),
+                                       [](const boost::system::error_code&) {});
+      }
+    }
+    NetworkAddress Get() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+
+   private:
+    static constexpr int kMoreThanBacklog = 3;
+
+    boost::asio::io_context m_loop;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::vector<boost::asio::ip::tcp::socket> m_waiting;
+  };
+
   /** Lets the instance find out by requests that fail. */
-  void Detect() {
+  void Detect(milliseconds duration = kDetection) {
     f.CallAt(*cut_off, "/safe/x");
-    const TimePoint end = f.clock.Now() + kDetection;
+    const TimePoint end = f.clock.Now() + duration;
     f.Until([&] { return f.clock.Now() >= end; });
   }
 
@@ -82,6 +106,21 @@
   }
 }
 
+// The same if connections to the servers hang.
+TEST(CutOffPath, ItsRequestsAreServedByAPeerIfConnectionsHang) {
+  constexpr milliseconds kStabilityWindow{3'000};
+  const HangingAddress hanging;
+  const auto view = ViewWithoutServers({f.traffic.get()});
+  for (auto& [name, server] : view->servers) {
+    server.address = hanging.Get();
+  }
+  cut_off->SetView(view);
+  Detect(kStabilityWindow);
+  for (const char* path : {"/safe/x", "/once/x", "/events/x"}) {
+    CHECK_TRUE(IsAnswered(f.CallAt(*cut_off, path), "200"));
+  }
+}
+
 // Guards against a request that goes round among instances that all reach no server.
 TEST(CutOffPath, IfNoPeerReachesAServerItIsRefusedAtOnce) {
   constexpr milliseconds kAtOnce{300};
--- a/tests/forwarding_path/server_crashes_test.cc
+++ b/tests/forwarding_path/server_crashes_test.cc
@@ -130,4 +130,24 @@
   CHECK_TRUE(f.crash_reports.empty());
 }
 
+// Guards against an instance that loses its links to all servers and tells its peers that these
+// crashed under the requests which it had there.
+TEST(ServerCrashPath, AnInstanceThatReachesNoServerReportsNoCrash) {
+  for (const auto& server : servers) {
+    server->scripts = {[](Connection&) {}};
+  }
+  for (int request = 0; request < 2 * kServers; ++request) {
+    f.Call("/once/x", "key-1", "body " + std::to_string(request));
+  }
+  CHECK_TRUE(f.Until([&] {
+    return std::all_of(servers.begin(), servers.end(),
+                       [](const auto& server) { return !server->received.empty(); });
+  }));
+  for (const auto& server : servers) {
+    server->Crash();
+  }
+  Wait(milliseconds(1'000));
+  CHECK_EQUAL(0U, f.crash_reports.size());
+}
+
 }  // namespace zinnia
