--- a/packages/zinnia_decisions/forwarding/reachability/server_reachability.cc
+++ b/packages/zinnia_decisions/forwarding/reachability/server_reachability.cc
@@ -82,7 +82,7 @@
   }
   m_state = Reachability::kSuspected;
   m_suspected_at = now;
-  const std::vector<BackendServerName> chosen = ChooseToTry(servers, kTriedOnSuspicion);
+  std::vector<BackendServerName> chosen = ChooseToTry(servers, kTriedOnSuspicion);
   m_tried = {chosen.begin(), chosen.end()};
   return chosen;
 }
--- a/tests/forwarding_path/cut_off_test.cc
+++ b/tests/forwarding_path/cut_off_test.cc
@@ -31,7 +31,7 @@
   /** The fixture's view, with addresses of servers at which nobody listens. */
   std::shared_ptr<ForwardingView> ViewWithoutServers(const std::vector<ForwardingTraffic*>& peers)
       const {
-    const auto view = std::make_shared<ForwardingView>(*f.view);
+    auto view = std::make_shared<ForwardingView>(*f.view);
     for (auto& [name, server] : view->servers) {
       server.address = AddressWithoutListener();
     }
