A request that no peer can forward is refused at once; peers have no record among the servers

A stream at an instance that reaches no server, whose peers reach none either, waited for room for half its objective before it was refused, with a reason that named room; it is refused at once now (IfNoPeerReachesAServerItIsRefusedAtOnce has a stream too). Outcomes of peers no longer count in ServerHealth, where nothing would remove them; a peer whose answer breaks off is left out for a while. A suspicion that ends without an answer is logged. RequestOrigin has a header of its own.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -20,6 +20,7 @@
 #include "zinnia_decisions/forwarding/limits/server_limits.h"
 #include "zinnia_decisions/forwarding/observed_state/forwarding_view.h"
 #include "zinnia_decisions/forwarding/observed_state/server_health.h"
+#include "zinnia_decisions/forwarding/reachability/peer_chooser.h"
 #include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 #include "zinnia_decisions/ports/metrics.h"
 
@@ -248,7 +249,9 @@
   m_event_intervals.OnEvent(now);
   if (is_first) {
     m_first_event_after = now - m_started_at;
-    m_parts.health.OnFirstEvent(m_server, now - m_sent_at);
+    if (!m_is_at_peer) {
+      m_parts.health.OnFirstEvent(m_server, now - m_sent_at);
+    }
     m_parts.metrics.Observe(m_organisation, RequestClass::kChat, Measure::kFirstToken,
                             m_first_event_after);
   } else if (m_event_intervals.IsLastIntervalUnusual(std::chrono::duration_cast<Duration>(
@@ -279,7 +282,9 @@
     OnSendEnded(SendOutcome::kUnknown, "the stream ended within an event");
     return;
   }
-  m_parts.health.OnOutcome(m_server, true);
+  if (!m_is_at_peer) {
+    m_parts.health.OnOutcome(m_server, true);
+  }
   m_parts.quarantine.OnEndedWell(m_fingerprint);
   m_responder->EndEvents();
   End("streamed");
@@ -355,7 +360,11 @@
 }
 
 void ForwardExchange::OnSendEnded(SendOutcome outcome, std::string_view reason) {
-  m_parts.health.OnOutcome(m_server, false);
+  if (m_is_at_peer) {
+    m_parts.peers.Exclude(m_server);
+  } else {
+    m_parts.health.OnOutcome(m_server, false);
+  }
   m_avoided.insert(m_server);
   SendAgainOrGiveUp(outcome, reason);
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -12,6 +12,7 @@
 #include "zinnia_adapters/forwarding/engine_calls.h"
 #include "zinnia_adapters/forwarding/forwarding_parts.h"
 #include "zinnia_adapters/forwarding/message_codec.h"
+#include "zinnia_adapters/forwarding/request_origin.h"
 #include "zinnia_adapters/forwarding/server_answer_listener.h"
 #include "zinnia_base/hashing/fingerprint.h"
 #include "zinnia_base/time/clock.h"
@@ -26,11 +27,6 @@
 namespace zinnia {
 
 class ServerConnection;
-
-/** Who sent a request to this instance. kPeer: another instance, which reaches no server and got it
-    from the caller. */
-enum class RequestOrigin { kCaller, kPeer };
-
 struct LimitAvailability;
 
 /** Forwards one request to a backend server and relays its answer to the caller.
@@ -107,6 +103,9 @@
   ServiceName ChooseService();
   bool ChooseServer();
 
+  bool ChoosePath();
+  void TakePath(const FoundPath& found);
+
   /** Whether a peer must forward the request, as this instance reaches no server. */
   bool NeedsPeer() const;
   bool ChoosePeer();
@@ -117,8 +116,6 @@
   void OnPeerAnswer();
   void OnPeerFailed(std::string_view reason);
   void CheckPeerSilence();
-  bool ChoosePath();
-  void TakePath(const FoundPath& found);
 
   /** Whether all servers that were chosen for the request still take new ones. */
   bool ChosenServersTakeRequests() const;
--- a/packages/zinnia_adapters/forwarding/forward_exchange_capacity.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_capacity.cc
@@ -27,6 +27,10 @@
 
 /** Plain servers queue requests themselves, so requests to them wait here only for a rate limit. */
 void ForwardExchange::WaitForRoom() {
+  if (NeedsPeer()) {
+    Answer(NotRun(ErrorKind::kOverloaded, "neither this instance nor its peers reach a server"));
+    return;
+  }
   const bool queues = m_route->repeatability == Repeatability::kStream;
   if (MayWait(AvailabilityUnderLimits(m_avoided), queues, m_route->latency_objective)) {
     const TimePoint start_deadline = m_started_at + m_route->latency_objective / 2;
--- a/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
@@ -23,7 +23,7 @@
 /** Peers that are asked to forward one request. Each refusal takes some milliseconds. */
 constexpr int kMaxPeersAsked = 8;
 
-/** Streams with events more recent than this are not moved when servers are no longer reached. */
+/** Streams with events more recent than this are not moved when no server is reached any more. */
 constexpr Duration kMinSilenceToMove = std::chrono::milliseconds(100);
 
 /** Minimum time before the deadline to ask another peer. */
@@ -90,7 +90,7 @@
     Send();
   } else {
     GiveUp(m_history.may_have_run ? NextStep::kFail : NextStep::kRefuse,
-           "this instance and the peers that it asked reach no server");
+           "neither this instance nor its peers reach a server");
   }
 }
 
@@ -98,7 +98,6 @@
   const bool is_stream = m_route->repeatability == Repeatability::kStream;
   const Duration silent = m_parts.clock.Now() - m_last_progress;
   if (is_stream && silent >= SilencePolicy(*m_route).AbandonAfter(m_event_intervals.HasBegun())) {
-    m_parts.peers.Exclude(m_server);
     AbandonServer("the peer is silent");
   }
 }
--- a/packages/zinnia_adapters/forwarding/reachability_watch.cc
+++ b/packages/zinnia_adapters/forwarding/reachability_watch.cc
@@ -60,12 +60,11 @@
 
 void ReachabilityWatch::Tick() {
   const auto view = m_view();
-  if (!m_reachability.IsTryDue(view->servers.size())) {
-    return;
-  }
   const Reachability before = m_reachability.State();
-  const std::vector<BackendServerName> chosen =
-      m_reachability.TakeServersToTry(NamesOfServers(*view));
+  std::vector<BackendServerName> chosen;
+  if (m_reachability.IsTryDue(view->servers.size())) {
+    chosen = m_reachability.TakeServersToTry(NamesOfServers(*view));
+  }
   LogChange(before);
   for (const BackendServerName& server : chosen) {
     Try(server, [](bool) {});
--- a/tests/forwarding_path/cut_off_test.cc
+++ b/tests/forwarding_path/cut_off_test.cc
@@ -129,10 +129,11 @@
   peer->SetView(ViewWithoutServers({cut_off.get()}));
   f.CallAt(*peer, "/safe/x");
   Detect();
-  const TimePoint sent_at = f.clock.Now();
-  CHECK_TRUE(IsAnswered(f.CallAt(*cut_off, "/safe/x"), "503"));
-  CHECK_TRUE(f.clock.Now() - sent_at < kAtOnce);
-  CHECK_TRUE(IsAnswered(f.CallAt(*cut_off, "/once/x"), "503"));
+  for (const char* path : {"/safe/x", "/once/x", "/events/x"}) {
+    const TimePoint sent_at = f.clock.Now();
+    CHECK_TRUE(IsAnswered(f.CallAt(*cut_off, path), "503"));
+    CHECK_TRUE(f.clock.Now() - sent_at < kAtOnce);
+  }
 }
 
 // Guards against an instance that goes on asking peers once it reaches servers again.
