--- a/standins/step_runner.h
+++ b/standins/step_runner.h
@@ -26,7 +26,7 @@
 /** Settings of an engine that bear on single steps. */
 struct StepSettings {
   std::size_t state_bytes = 0;
-  std::uint32_t answer_tokens = 0;  // 0: chosen by the hash
+  std::uint32_t answer_tokens = 0;  // 0: depends on the hash
   std::size_t prefix_blocks = 256;
   std::chrono::milliseconds event_lag{200};
   std::string crash_on;
