Failing test: a request whose caller leaves before each crash ends one server after the other

Cause: ForwardExchange::End closes the connection of an attempt that is let go of, and only an answer that breaks off is noted as evidence.

--- a/tests/forwarding_path/server_crashes_test.cc
+++ b/tests/forwarding_path/server_crashes_test.cc
@@ -150,4 +150,37 @@
   CHECK_EQUAL(0U, f.crash_reports.size());
 }
 
+// Guards against a request that crashes one server after the other and is never recognised, since
+// its caller leaves before each crash and sends it again at once.
+TEST(ServerCrashPath, ARequestWhoseCallerLeavesBeforeEachCrashIsStopped) {
+  constexpr int kRetriesAllowed = 3;
+  static constexpr milliseconds kCrashAfter{60};
+  std::vector<std::unique_ptr<boost::asio::steady_timer>> timers;
+  for (const auto& server : servers) {
+    server->scripts = {[&timers, &server = *server, &loop = f.thread.Loop()](Connection&) {
+      timers.push_back(std::make_unique<boost::asio::steady_timer>(loop, kCrashAfter));
+      timers.back()->async_wait([&server](const auto& error) {
+        if (!error) {
+          server.Crash();
+        }
+      });
+    }};
+  }
+  const auto received = [this] {
+    std::size_t sum = 0;
+    for (const auto& server : servers) {
+      sum += server->received.size();
+    }
+    return sum;
+  };
+  for (int attempt = 0; attempt < 2 * kServers; ++attempt) {
+    const std::size_t before = received();
+    TestCaller& caller = f.Call("/safe/x", "key-1", "crash");
+    CHECK_TRUE(f.Until([&] { return received() > before || caller.Has("HTTP/1.1 503"); }));
+    caller.Close();
+    Wait(milliseconds(150));
+  }
+  CHECK_TRUE(CountEnded() <= kMaxServersEnded + kRetriesAllowed);
+}
+
 }  // namespace zinnia
