The end of a server counts against a request whose attempt was let go of

What callers would see: a request whose caller leaves before its server ends, and sends again at once, ends one server after the other. Cause: only answers that break off were noted; an attempt whose connection this instance closed left no evidence. Change: ReleasedAttempts remembers attempts that were let go of; the second one of a request within ten seconds has its servers probed 300 ms later, and refused connections count as crashes. A caller that leaves once costs nothing.

--- a/packages/zinnia_adapters/forwarding/crash_watch.cc
+++ b/packages/zinnia_adapters/forwarding/crash_watch.cc
@@ -16,6 +16,9 @@
 /** A process that is being killed still accepts connections for a moment. */
 constexpr Duration kProbeDelay = std::chrono::milliseconds(30);
 
+/** What an attempt does to its server after it was let go of shows within this time. */
+constexpr Duration kReleasedProbeDelay = std::chrono::milliseconds(300);
+
 /** Shorter than any restart of a server. */
 constexpr Duration kProbeLimit = std::chrono::milliseconds(250);
 
@@ -32,7 +35,8 @@
       m_metrics(metrics),
       m_reachability(reachability),
       m_on_crash(std::move(on_crash)),
-      m_attempts(clock) {}
+      m_attempts(clock),
+      m_released(clock) {}
 
 CrashWatch::~CrashWatch() = default;
 
@@ -40,7 +44,7 @@
                                 const NetworkAddress& server_address) {
   switch (m_attempts.Add(attempt)) {
     case ServerCheck::kProbeIt:
-      Probe(attempt.server, server_address);
+      Probe(attempt.server, server_address, kProbeDelay);
       return;
     case ServerCheck::kAwaitsProbe:
       return;
@@ -64,8 +68,18 @@
   }));
 }
 
-void CrashWatch::Probe(const BackendServerName& server, const NetworkAddress& address) {
-  ProbeConnection(m_loop, address, kProbeDelay, kProbeLimit,
+void CrashWatch::OnAttemptReleased(const BrokenAttempt& attempt) {
+  for (const BrokenAttempt& released : m_released.Add(attempt)) {
+    if (m_attempts.Add(released) == ServerCheck::kProbeIt) {
+      Probe(released.server, released.server_address, kReleasedProbeDelay);
+    }
+  }
+}
+
+void CrashWatch::Probe(const BackendServerName& server,
+                       const NetworkAddress& address,
+                       Duration delay) {
+  ProbeConnection(m_loop, address, delay, kProbeLimit,
                   WhileAlive(m_alive, [this, server](ConnectionProbeResult result) {
                     if (result == ConnectionProbeResult::kRefused) {
                       OnConnectionRefused(server);
--- a/packages/zinnia_adapters/forwarding/crash_watch.h
+++ b/packages/zinnia_adapters/forwarding/crash_watch.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "zinnia_decisions/forwarding/crashes/broken_attempts.h"
+#include "zinnia_decisions/forwarding/crashes/released_attempts.h"
 #include "zinnia_world/fleet/network_address.h"
 
 namespace zinnia {
@@ -36,13 +37,17 @@
   /** An answer broke off. Probes the server unless that is under way. */
   void OnAnswerBroken(const BrokenAttempt& attempt, const NetworkAddress& server_address);
 
+  /** This instance closed the connection of an attempt that was not answered yet. Probes its server
+     a little later if the request was let go of before. */
+  void OnAttemptReleased(const BrokenAttempt& attempt);
+
   /** The server refused the connection of a request. */
   void OnConnectionRefused(const BackendServerName& server);
 
   const BrokenAttempts& Attempts() const { return m_attempts; }
 
  private:
-  void Probe(const BackendServerName& server, const NetworkAddress& address);
+  void Probe(const BackendServerName& server, const NetworkAddress& address, Duration delay);
   void Report(const std::vector<BrokenAttempt>& attempts);
   void Log(const std::vector<BrokenAttempt>& attempts, std::string_view server_state);
 
@@ -52,6 +57,7 @@
   ReachabilityWatch& m_reachability;
   const OnCrash m_on_crash;
   BrokenAttempts m_attempts;
+  ReleasedAttempts m_released;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -16,6 +16,7 @@
 #include "zinnia_adapters/forwarding/server_answer_listener.h"
 #include "zinnia_base/hashing/fingerprint.h"
 #include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/crashes/broken_attempts.h"
 #include "zinnia_decisions/forwarding/event_splitter.h"
 #include "zinnia_decisions/forwarding/observed_state/silence_detector.h"
 #include "zinnia_decisions/forwarding/paths/path_finder.h"
@@ -128,6 +129,10 @@
   static Fingerprint FingerprintOf(const CallerRequest& request, const std::string& api_key);
   void NoteBrokenAnswer();
 
+  /** Closes the connection of an attempt that was not answered yet. */
+  void ReleaseAttempt();
+  std::optional<BrokenAttempt> DescribeAttempt() const;
+
   /** Whether the request must not be sent again, because it crashes servers or may do so. */
   bool IsHarmful() const;
   void NoteProgressOfSuspect();
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -123,9 +123,7 @@
   if (std::exchange(m_ended, true)) {
     return;
   }
-  if (m_connection) {
-    std::exchange(m_connection, nullptr)->Close();
-  }
+  ReleaseAttempt();
   if (m_capacity_ticket != CapacityQueue::kNoTicket) {
     m_parts.capacity_queue.Leave(std::exchange(m_capacity_ticket, CapacityQueue::kNoTicket));
   }
--- a/packages/zinnia_adapters/forwarding/forward_exchange_crashes.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_crashes.cc
@@ -27,16 +27,17 @@
 }
 
 /** The end of a leaving server is no crash. */
-void ForwardExchange::NoteBrokenAnswer() {
+std::optional<BrokenAttempt> ForwardExchange::DescribeAttempt() const {
   const auto view = m_parts.view();
   const auto server = view->servers.find(m_server);
   if (server == view->servers.end() || server->second.draining) {
-    return;
+    return std::nullopt;
   }
   BrokenAttempt attempt;
   attempt.request = m_fingerprint;
   attempt.request_id = m_facts.id;
   attempt.server = m_server;
+  attempt.server_address = m_server_address;
   attempt.sent_at = m_sent_at;
   attempt.broken_at = m_parts.clock.Now();
   if (m_is_streaming) {
@@ -46,7 +47,25 @@
   } else if (m_route->repeatability == Repeatability::kStream) {
     attempt.onset = CrashOnset::kQueued;
   }
-  m_parts.crashes.OnAnswerBroken(attempt, m_server_address);
+  return attempt;
+}
+
+void ForwardExchange::NoteBrokenAnswer() {
+  if (const auto attempt = DescribeAttempt()) {
+    m_parts.crashes.OnAnswerBroken(*attempt, m_server_address);
+  }
+}
+
+/** A stream that has run for longer did not crash its server as it began. */
+void ForwardExchange::ReleaseAttempt() {
+  if (!m_connection) {
+    return;
+  }
+  std::exchange(m_connection, nullptr)->Close();
+  const auto attempt = DescribeAttempt();
+  if (attempt && attempt->onset != CrashOnset::kRunning) {
+    m_parts.crashes.OnAttemptReleased(*attempt);
+  }
 }
 
 bool ForwardExchange::IsHarmful() const {
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -331,7 +331,7 @@
 /** Resends the stream over another path, to continue after its last complete event. */
 void ForwardExchange::Resend(const FoundPath& found, std::string_view reason) {
   LogMove("request_started_again", found.path, reason);
-  std::exchange(m_connection, nullptr)->Close();
+  ReleaseAttempt();
   m_history.may_have_run = true;
   TakePath(found);
   Send();
@@ -404,9 +404,7 @@
 
 /** Abandons the current send; its outcome on the server is unknown. */
 void ForwardExchange::AbandonServer(std::string_view reason) {
-  if (m_connection) {
-    std::exchange(m_connection, nullptr)->Close();
-  }
+  ReleaseAttempt();
   OnSendEnded(SendOutcome::kUnknown, reason);
 }
 
--- a/packages/zinnia_decisions/forwarding/crashes/broken_attempts.h
+++ b/packages/zinnia_decisions/forwarding/crashes/broken_attempts.h
@@ -7,6 +7,7 @@
 #include "zinnia_base/hashing/fingerprint.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_decisions/forwarding/crashes/crash_onset.h"
+#include "zinnia_world/fleet/network_address.h"
 #include "zinnia_world/names/names.h"
 
 namespace zinnia {
@@ -22,6 +23,7 @@
   /** Time from the beginning of the answer until it broke off; zero if it had not begun. */
   Duration ran{};
   TimePoint broken_at{};
+  NetworkAddress server_address;
 };
 
 /** What is known of a server at which an answer has broken off. */
