A whole answer is never written into a stream that has begun

Callers saw bytes that are no answer in the protocol: a second status line and a whole body in the middle of a chunked stream. Cause: a stream that had begun at a server is moved over a peer when this instance reaches no server; if the peer answers with a refusal or a failure, OnPeerAnswer passed that on as the whole answer. Looked for the same elsewhere: Answer is called only before anything was sent or behind a check (deadline, stop, giving up); the gossiping daemon's ChatExchange tells a failure within the stream. No other place found.

Change: CallerAnswer alone knows how far the caller's answer has got (nothing sent, stream begun, ended) and lets nothing through that does not fit; a misplaced call cuts a begun stream off, is counted and logged as an error. It does not assert, since asserts stay on in the deployed build and would end the instance with all its streams. A begun stream whose peer gives a whole answer is sent elsewhere within its bounds, as not sent if the peer's own refusal says that no server has it, else as unknown.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -63,7 +63,7 @@
                                  std::function<void(ForwardExchange&)> on_end)
     : m_parts(parts),
       m_request(std::move(request)),
-      m_responder(std::move(responder)),
+      m_answer(std::move(responder), parts.logger, parts.metrics),
       m_origin(origin),
       m_on_end(std::move(on_end)),
       m_started_at(parts.clock.Now()) {}
@@ -76,6 +76,7 @@
 
 void ForwardExchange::Start() {
   m_facts = m_parts.codec.ReadRequest(m_request);
+  m_answer.SetRequestId(m_facts.id);
   m_fingerprint = FingerprintOf(m_request, m_facts.api_key);
   m_awaits_configuration = !m_parts.view()->rules;
   if (!m_awaits_configuration) {
@@ -225,14 +226,14 @@
 void ForwardExchange::OnStreamHead(unsigned status, const http::fields& fields) {
   m_is_streaming = true;
   m_stream_began_at = m_parts.clock.Now();
-  if (std::exchange(m_stream_started, true)) {
+  if (m_answer.HasBegun()) {
     return;
   }
   StreamHead head(static_cast<http::status>(status), 11);
   static_cast<http::fields&>(head) = fields;
   RemoveHopByHopFields(head);
   head.erase(http::field::content_length);
-  m_responder->StartStream(std::move(head));
+  m_answer.StartStream(std::move(head));
 }
 
 void ForwardExchange::OnServerAnswerBody(std::string_view bytes) {
@@ -265,7 +266,7 @@
   }
   m_last_progress = now;
   m_failed_reroutes = 0;
-  m_responder->SendEvents(events);
+  m_answer.SendEvents(events);
   MoveIfDue();
 }
 
@@ -286,7 +287,7 @@
     m_parts.health.OnOutcome(m_server, true);
   }
   m_parts.quarantine.OnEndedWell(m_fingerprint);
-  m_responder->EndEvents();
+  m_answer.EndStream();
   End("streamed");
 }
 
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -9,6 +9,7 @@
 
 #include "zinnia_adapters/callers/caller_exchange.h"
 #include "zinnia_adapters/callers/responder.h"
+#include "zinnia_adapters/forwarding/caller_answer.h"
 #include "zinnia_adapters/forwarding/engine_calls.h"
 #include "zinnia_adapters/forwarding/forwarding_parts.h"
 #include "zinnia_adapters/forwarding/message_codec.h"
@@ -115,6 +116,7 @@
   bool IsRefusedAsCutOff() const;
   void MarkAsCutOff(CallerResponse& response) const;
   void OnPeerAnswer();
+  void OnStreamNotContinued();
   void OnPeerFailed(std::string_view reason);
   void CheckPeerSilence();
 
@@ -157,6 +159,7 @@
   RetryCharge ChargeRetry(SendOutcome outcome);
   void GiveUp(NextStep step, std::string_view reason);
   void PassOnWholeAnswer();
+  void SendWhole(CallerResponse response, std::string_view outcome);
   void Answer(const Error& error);
   void End(std::string_view outcome);
   void OnDeadline();
@@ -184,7 +187,7 @@
 
   const ForwardingParts& m_parts;
   const CallerRequest m_request;
-  const std::shared_ptr<Responder> m_responder;
+  CallerAnswer m_answer;
   const RequestOrigin m_origin;
   std::function<void(ForwardExchange&)> m_on_end;
   const TimePoint m_started_at;
@@ -211,8 +214,7 @@
   AnswerFacts m_answer_facts;
   std::string m_body;
   EventSplitter m_events;
-  bool m_is_streaming = false;    // The current answer is a stream.
-  bool m_stream_started = false;  // The stream head was sent to the caller.
+  bool m_is_streaming = false;  // The current answer is a stream.
   EventIntervalTracker m_event_intervals;
 
   bool m_awaits_configuration = false;
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -41,8 +41,8 @@
 }  // namespace
 
 void ForwardExchange::GiveUp(NextStep step, std::string_view reason) {
-  if (m_stream_started) {
-    m_responder->CutOff();
+  if (m_answer.HasBegun()) {
+    m_answer.CutOff();
     End("cut_off");
     return;
   }
@@ -73,8 +73,12 @@
   response.body() = std::move(m_body);
   m_parts.metrics.Observe(m_organisation, RequestClass::kServiceCall, Measure::kWholeAnswer,
                           m_parts.clock.Now() - m_started_at);
-  m_responder->SendWhole(std::move(response));
-  End(fmt::format("status_{}", m_status));
+  SendWhole(std::move(response), fmt::format("status_{}", m_status));
+}
+
+void ForwardExchange::SendWhole(CallerResponse response, std::string_view outcome) {
+  const bool is_sent = m_answer.SendWhole(std::move(response));
+  End(is_sent ? outcome : "answer_misplaced");
 }
 
 void ForwardExchange::Answer(const Error& error) {
@@ -115,8 +119,7 @@
                       {"at_limit", limits.all_at_limit ? "yes" : "no"},
                       {"revision", std::to_string(m_parts.view()->revision.number)}});
   MarkAsCutOff(response);
-  m_responder->SendWhole(std::move(response));
-  End("refused");
+  SendWhole(std::move(response), "refused");
 }
 
 void ForwardExchange::End(std::string_view outcome) {
@@ -144,8 +147,8 @@
     RefuseForWantOfRoom();
     return;
   }
-  if (m_stream_started) {
-    m_responder->CutOff();
+  if (m_answer.HasBegun()) {
+    m_answer.CutOff();
     End("deadline");
     return;
   }
@@ -156,8 +159,8 @@
   if (m_ended) {
     return;
   }
-  if (m_stream_started) {
-    m_responder->CutOff();
+  if (m_answer.HasBegun()) {
+    m_answer.CutOff();
     End("instance_stops");
   } else if (m_awaits_configuration || m_capacity_ticket != CapacityQueue::kNoTicket) {
     Answer(NotRun(ErrorKind::kStoreUnavailable, "this instance stops"));
--- a/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <boost/beast/http/field.hpp>
 #include <utility>
 
@@ -72,12 +74,30 @@
     OnPeerFailed("the peer reaches no server either");
     return;
   }
+  if (m_answer.HasBegun()) {
+    OnStreamNotContinued();
+    return;
+  }
   if (m_answer_facts.is_signed && IsSuccess(m_status)) {
     m_parts.quarantine.OnEndedWell(m_fingerprint);
   }
   PassOnWholeAnswer();
 }
 
+/** A whole answer cannot follow the beginning of a stream. */
+void ForwardExchange::OnStreamNotContinued() {
+  const std::string reason = fmt::format("status {} of a peer", m_status);
+  m_avoided.insert(m_server);
+  if (!m_answer_facts.is_signed && IsPromise(m_status)) {
+    // No server has received the stream from the peer.
+    ++m_history.not_sent;
+    --m_history.servers_reached;
+    SendAgainOrGiveUp(SendOutcome::kNotSent, reason);
+  } else {
+    SendAgainOrGiveUp(SendOutcome::kUnknown, reason);
+  }
+}
+
 /** No server has received the request from the peer. */
 void ForwardExchange::OnPeerFailed(std::string_view reason) {
   m_parts.peers.Exclude(m_server);
