Each request that was read is counted, with its end and what kept it from another server

Cause: two hypotheses of the silent second leave no trace (connections that end without a request's end), and a request that was given up did not say why no other server took it.

--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -84,6 +84,9 @@
       m_buffer.prepare(kReadBytes),
       [self = shared_from_this()](const boost::system::error_code& error, std::size_t bytes) {
         if (error || self->m_closed) {
+          if (error == beast::error::timeout) {
+            self->m_owner.CountConnectionEvent("caller_connections_idle_too_long");
+          }
           self->Close();
           return;
         }
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -21,6 +21,7 @@
 #include "zinnia_decisions/forwarding/observed_state/forwarding_view.h"
 #include "zinnia_decisions/forwarding/observed_state/server_health.h"
 #include "zinnia_decisions/forwarding/reachability/peer_chooser.h"
+#include "zinnia_decisions/forwarding/retries/resend_obstacle.h"
 #include "zinnia_decisions/forwarding/retries/shared_retry_budget.h"
 #include "zinnia_decisions/ports/metrics.h"
 
@@ -377,12 +378,20 @@
   m_history.time_left = TimeLeft() > kMinTimeLeft;
   const BackendServerName failed = m_server;
   m_history.has_alternative = !IsHarmful();
+  ResendObstacle obstacle = FindObstacle(*m_route, outcome, m_history);
+  if (obstacle == ResendObstacle::kNone && !m_history.has_alternative) {
+    obstacle = ResendObstacle::kHarmful;
+  }
   NextStep step = DecideNextStep(*m_route, outcome, m_history);
   std::optional<RetryCharge> charge;
   if (step == NextStep::kSendAgain) {
     charge = ChargeRetry(outcome);
     m_history.has_alternative = charge != RetryCharge::kRefused && ChooseServer();
     step = DecideNextStep(*m_route, outcome, m_history);
+    if (step != NextStep::kSendAgain) {
+      obstacle =
+          charge == RetryCharge::kRefused ? ResendObstacle::kBudget : ResendObstacle::kNoServer;
+    }
   }
   if (outcome == SendOutcome::kUnknown || outcome == SendOutcome::kServerFailed) {
     m_history.may_have_run = true;
@@ -394,6 +403,7 @@
                       {"reason", std::string(reason)},
                       {"servers_reached", std::to_string(m_history.servers_reached)},
                       {"retry", charge ? std::string(NameOf(*charge)) : "not_wanted"},
+                      {"obstacle", std::string(NameOf(obstacle))},
                       {"may_have_run", m_history.may_have_run ? "yes" : "no"},
                       {"time_left_ms", Milliseconds(TimeLeft())}});
   if (step == NextStep::kSendAgain) {
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -131,6 +131,7 @@
     m_parts.capacity_queue.Leave(std::exchange(m_capacity_ticket, CapacityQueue::kNoTicket));
   }
   ReleaseReservations();
+  m_parts.metrics.Count(fmt::format("requests_ended_{}", outcome));
   m_parts.logger.Log(LogLevel::kInfo, "request_ended",
                      {{"request", m_facts.id},
                       {"outcome", std::string(outcome)},
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -213,6 +213,7 @@
 std::shared_ptr<CallerExchange> ForwardServer::AddExchange(CallerRequest request,
                                                            std::shared_ptr<Responder> responder,
                                                            RequestOrigin origin) {
+  m_parts.metrics.Count("requests_read");
   auto exchange = std::make_shared<ForwardExchange>(
       m_parts, std::move(request), std::move(responder), origin,
       [this](ForwardExchange& ended) { m_exchanges.erase(&ended); });
--- a/packages/zinnia_decisions/forwarding/retries/retry_policy.cc
+++ b/packages/zinnia_decisions/forwarding/retries/retry_policy.cc
@@ -18,15 +18,21 @@
 
 }  // namespace
 
+bool IsSafeToRepeat(const ForwardRoute& route, SendOutcome outcome, const SendHistory& history) {
+  const bool certainly_not_run =
+      outcome == SendOutcome::kNotSent || outcome == SendOutcome::kNotRun;
+  return route.MayRepeat() || (certainly_not_run && !history.may_have_run);
+}
+
+bool IsWithinBounds(const ForwardRoute& route, const SendHistory& history) {
+  return history.servers_reached < route.most_servers && history.not_sent <= kMaxNotSent;
+}
+
 NextStep DecideNextStep(const ForwardRoute& route,
                         SendOutcome outcome,
                         const SendHistory& history) {
-  const bool certainly_not_run =
-      outcome == SendOutcome::kNotSent || outcome == SendOutcome::kNotRun;
-  const bool is_safe = route.MayRepeat() || (certainly_not_run && !history.may_have_run);
-  const bool within_bounds =
-      history.servers_reached < route.most_servers && history.not_sent <= kMaxNotSent;
-  if (is_safe && within_bounds && history.time_left && history.has_alternative) {
+  if (IsSafeToRepeat(route, outcome, history) && IsWithinBounds(route, history) &&
+      history.time_left && history.has_alternative) {
     return NextStep::kSendAgain;
   }
   return GiveUp(outcome, history);
--- a/packages/zinnia_decisions/forwarding/retries/retry_policy.h
+++ b/packages/zinnia_decisions/forwarding/retries/retry_policy.h
@@ -32,6 +32,12 @@
   bool has_alternative = true;
 };
 
+/** Whether the request would not run twice, or may. */
+bool IsSafeToRepeat(const ForwardRoute& route, SendOutcome outcome, const SendHistory& history);
+
+/** Whether the request may reach one more server. */
+bool IsWithinBounds(const ForwardRoute& route, const SendHistory& history);
+
 /** Decides whether to retry a request. Never runs a non-idempotent request twice or exceeds the
     route's number of servers. The caller must check the retry budget. */
 NextStep DecideNextStep(const ForwardRoute& route, SendOutcome outcome, const SendHistory& history);
