--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -72,7 +72,8 @@
 ForwardExchange::~ForwardExchange() = default;
 
 std::string ForwardExchange::Describe() const {
-  return fmt::format("request {} at {}", m_facts.id, m_server.empty() ? "no server" : m_server);
+  return fmt::format("request {} at {}", m_facts.id,
+                     m_attempt.server.empty() ? "no server" : m_attempt.server);
 }
 
 void ForwardExchange::Start() {
@@ -139,11 +140,11 @@
   RemoveHopByHopFields(request);
   ForwardingMarks marks;
   marks.deadline_left = std::chrono::duration_cast<milliseconds>(TimeLeft());
-  marks.server = m_server;
+  marks.server = m_attempt.server;
   marks.organisation = m_organisation;
-  marks.path = m_path;
+  marks.path = m_attempt.path;
   marks.last_event_id = m_events.LastEventId() ? m_events.LastEventId() : m_facts.last_event_id;
-  if (m_is_at_peer) {
+  if (m_attempt.is_at_peer) {
     m_parts.codec.MarkRequestForPeer(request, marks);
   } else {
     m_parts.codec.MarkRequest(request, marks);
@@ -155,43 +156,43 @@
   m_failed_reroutes = 0;
   m_rerouting = false;
   ++m_path_changes;
-  m_is_streaming = false;
-  m_path_confirmed = false;
-  m_body.clear();
+  m_attempt.is_streaming = false;
+  m_attempt.path_confirmed = false;
+  m_attempt.body.clear();
   m_events.DropPartialEvent();
-  m_last_progress = m_parts.clock.Now();
-  m_sent_at = m_last_progress;
+  m_attempt.last_progress = m_parts.clock.Now();
+  m_attempt.sent_at = m_attempt.last_progress;
   ++m_history.servers_reached;
-  if (!m_is_at_peer) {
+  if (!m_attempt.is_at_peer) {
     LogServersAtLimit();
-    m_parts.limits.OnSent(m_server);
+    m_parts.limits.OnSent(m_attempt.server);
   }
-  m_connection = m_parts.connections.Take(
-      m_server, m_server_address,
+  m_attempt.connection = m_parts.connections.Take(
+      m_attempt.server, m_attempt.address,
       m_route->MayRepeat() ? kMaxIdleForRepeatable : kMaxIdleForNonRepeatable);
   m_parts.logger.Log(LogLevel::kInfo, "request_sent",
                      {{"request", m_facts.id},
                       {"fingerprint", m_fingerprint.ToHex()},
                       {"route", m_route->name},
-                      {"server", m_server},
-                      {"path", DescribePath(m_path)},
+                      {"server", m_attempt.server},
+                      {"path", DescribePath(m_attempt.path)},
                       {"send", std::to_string(m_history.servers_reached)},
                       {"deadline_left_ms", Milliseconds(TimeLeft())},
                       {"revision", std::to_string(m_parts.view()->revision.number)},
-                      {"kept_connection", m_connection->IsReusable() ? "yes" : "no"}});
-  m_connection->Send(std::move(request), weak_from_this(), kConnectLimit);
+                      {"kept_connection", m_attempt.connection->IsReusable() ? "yes" : "no"}});
+  m_attempt.connection->Send(std::move(request), weak_from_this(), kConnectLimit);
 }
 
 bool ForwardExchange::OnServerConnected() {
-  if (m_is_at_peer) {
+  if (m_attempt.is_at_peer) {
     return true;
   }
   m_parts.reachability.OnConnected();
-  const Duration connecting = m_parts.clock.Now() - m_sent_at;
+  const Duration connecting = m_parts.clock.Now() - m_attempt.sent_at;
   if (connecting > kSlowConnect) {
     m_parts.logger.Log(LogLevel::kInfo, "server_connected_late",
                        {{"request", m_facts.id},
-                        {"server", m_server},
+                        {"server", m_attempt.server},
                         {"connect_ms", Milliseconds(connecting)},
                         {"revision", std::to_string(m_parts.view()->revision.number)}});
   }
@@ -199,23 +200,23 @@
 }
 
 void ForwardExchange::OnServerAnswerHead(unsigned status, const http::fields& fields) {
-  m_status = status;
-  m_fields = fields;
-  m_answer_facts = m_parts.codec.ReadAnswer(status, fields);
-  m_last_progress = m_parts.clock.Now();
+  m_attempt.status = status;
+  m_attempt.fields = fields;
+  m_attempt.answer_facts = m_parts.codec.ReadAnswer(status, fields);
+  m_attempt.last_progress = m_parts.clock.Now();
   const bool foreign =
-      !m_answer_facts.request_id.empty() && m_answer_facts.request_id != m_facts.id;
+      !m_attempt.answer_facts.request_id.empty() && m_attempt.answer_facts.request_id != m_facts.id;
   if (foreign) {
     AbandonServer("an answer to another request arrived");
     return;
   }
-  if (!m_is_at_peer) {
+  if (!m_attempt.is_at_peer) {
     HandleNotices();
   }
   if (!IsSuccess(status)) {
     return;
   }
-  if (!m_answer_facts.is_signed || fields.count(http::field::content_encoding) > 0) {
+  if (!m_attempt.answer_facts.is_signed || fields.count(http::field::content_encoding) > 0) {
     AbandonServer("the answer is not the server's own");
     return;
   }
@@ -225,8 +226,8 @@
 }
 
 void ForwardExchange::OnStreamHead(unsigned status, const http::fields& fields) {
-  m_is_streaming = true;
-  m_stream_began_at = m_parts.clock.Now();
+  m_attempt.is_streaming = true;
+  m_attempt.stream_began_at = m_parts.clock.Now();
   if (m_answer.HasBegun()) {
     return;
   }
@@ -238,8 +239,8 @@
 }
 
 void ForwardExchange::OnServerAnswerBody(std::string_view bytes) {
-  if (!m_is_streaming) {
-    m_body.append(bytes);
+  if (!m_attempt.is_streaming) {
+    m_attempt.body.append(bytes);
     return;
   }
   const std::string events = m_events.Take(bytes);
@@ -251,8 +252,8 @@
   m_event_intervals.OnEvent(now);
   if (is_first) {
     m_first_event_after = now - m_started_at;
-    if (!m_is_at_peer) {
-      m_parts.health.OnFirstEvent(m_server, now - m_sent_at);
+    if (!m_attempt.is_at_peer) {
+      m_parts.health.OnFirstEvent(m_attempt.server, now - m_attempt.sent_at);
     }
     m_parts.metrics.Observe(m_organisation, RequestClass::kChat, Measure::kFirstToken,
                             m_first_event_after);
@@ -260,22 +261,22 @@
                  m_route->event_gap_objective * kSlowdownQueryGap))) {
     QuerySlowdownFactors();
   }
-  if (!std::exchange(m_path_confirmed, true)) {
-    for (const PathPart& part : m_path) {
+  if (!std::exchange(m_attempt.path_confirmed, true)) {
+    for (const PathPart& part : m_attempt.path) {
       m_parts.health.OnProgress(part.server);
     }
   }
-  m_last_progress = now;
+  m_attempt.last_progress = now;
   m_failed_reroutes = 0;
   m_answer.SendEvents(events);
   MoveIfDue();
 }
 
 void ForwardExchange::OnServerAnswerEnd() {
-  if (m_connection) {
-    m_parts.connections.Keep(m_server, std::exchange(m_connection, nullptr));
+  if (m_attempt.connection) {
+    m_parts.connections.Keep(m_attempt.server, std::exchange(m_attempt.connection, nullptr));
   }
-  if (!m_is_streaming) {
+  if (!m_attempt.is_streaming) {
     OnWholeAnswer();
     return;
   }
@@ -284,8 +285,8 @@
     OnSendEnded(SendOutcome::kUnknown, "the stream ended within an event");
     return;
   }
-  if (!m_is_at_peer) {
-    m_parts.health.OnOutcome(m_server, true);
+  if (!m_attempt.is_at_peer) {
+    m_parts.health.OnOutcome(m_attempt.server, true);
   }
   m_parts.quarantine.OnEndedWell(m_fingerprint);
   m_answer.EndStream();
@@ -293,67 +294,69 @@
 }
 
 void ForwardExchange::OnWholeAnswer() {
-  if (m_is_at_peer) {
+  if (m_attempt.is_at_peer) {
     OnPeerAnswer();
     return;
   }
-  if (m_answer_facts.not_run || m_status == kStatusMisdirected) {
+  if (m_attempt.answer_facts.not_run || m_attempt.status == kStatusMisdirected) {
     OnNotRun();
     return;
   }
   m_parts.quarantine.OnEndedWell(m_fingerprint);
-  if (IsSuccess(m_status)) {
-    m_parts.health.OnProgress(m_server);
-    m_parts.health.OnOutcome(m_server, true);
+  if (IsSuccess(m_attempt.status)) {
+    m_parts.health.OnProgress(m_attempt.server);
+    m_parts.health.OnOutcome(m_attempt.server, true);
     PassOnWholeAnswer();
     return;
   }
-  OnSendEnded(SendOutcome::kServerFailed, fmt::format("status {}", m_status));
+  OnSendEnded(SendOutcome::kServerFailed, fmt::format("status {}", m_attempt.status));
 }
 
 /** Returns the server that the answer names as faulty, or else the first server. */
 PathPart ForwardExchange::FaultyPart() const {
-  for (const PathPart& part : m_path) {
-    if (part.address.ToString() == m_answer_facts.server_at_fault) {
+  for (const PathPart& part : m_attempt.path) {
+    if (part.address.ToString() == m_attempt.answer_facts.server_at_fault) {
       return part;
     }
   }
-  return m_path.empty() ? PathPart{m_server, m_server_address, {}} : m_path.front();
+  return m_attempt.path.empty() ? PathPart{m_attempt.server, m_attempt.address, {}}
+                                : m_attempt.path.front();
 }
 
 void ForwardExchange::OnNotRun() {
-  const bool misdirected = m_status == kStatusMisdirected;
+  const bool misdirected = m_attempt.status == kStatusMisdirected;
   const PathPart at_fault = FaultyPart();
-  const bool asks_for_pause = m_answer_facts.notices.pause && at_fault.server == m_server;
+  const bool asks_for_pause =
+      m_attempt.answer_facts.notices.pause && at_fault.server == m_attempt.server;
   if (misdirected) {
     QueryLayers(at_fault);
     m_parts.health.Exclude(at_fault.server, kMisdirectedExclusion);
-  } else if (!m_path.empty() && !asks_for_pause) {
+  } else if (!m_attempt.path.empty() && !asks_for_pause) {
     ConfirmRefusal(at_fault);
     m_parts.health.ExcludeWithBackoff(at_fault.server, kFullExclusion, kLongestFullExclusion);
   }
   m_avoided.insert(at_fault.server);
   SendAgainOrGiveUp(SendOutcome::kNotRun,
-                    fmt::format("status {} of {}, not run", m_status, at_fault.server));
+                    fmt::format("status {} of {}, not run", m_attempt.status, at_fault.server));
 }
 
 void ForwardExchange::OnServerFailed(AnswerFailure failure, std::string_view reason) {
-  m_connection.reset();
-  if (m_is_at_peer && failure != AnswerFailure::kBroken) {
+  m_attempt.connection.reset();
+  if (m_attempt.is_at_peer && failure != AnswerFailure::kBroken) {
     OnPeerFailed(reason);
     return;
   }
   if (failure != AnswerFailure::kBroken) {
     if (failure == AnswerFailure::kRefused) {
-      m_parts.crashes.OnConnectionRefused(m_server);
+      m_parts.crashes.OnConnectionRefused(m_attempt.server);
     }
     if (failure != AnswerFailure::kWithdrawn) {
-      m_parts.reachability.OnConnectFailed(m_server);
-      m_parts.health.MarkSuspect(m_server, kUnreachableExclusion);
+      m_parts.reachability.OnConnectFailed(m_attempt.server);
+      m_parts.health.MarkSuspect(m_attempt.server, kUnreachableExclusion);
     }
     ++m_history.not_sent;
     --m_history.servers_reached;
-    m_avoided.insert(m_server);
+    m_avoided.insert(m_attempt.server);
     SendAgainOrGiveUp(SendOutcome::kNotSent, reason);
     return;
   }
@@ -362,12 +365,12 @@
 }
 
 void ForwardExchange::OnSendEnded(SendOutcome outcome, std::string_view reason) {
-  if (m_is_at_peer) {
-    m_parts.peers.Exclude(m_server);
+  if (m_attempt.is_at_peer) {
+    m_parts.peers.Exclude(m_attempt.server);
   } else {
-    m_parts.health.OnOutcome(m_server, false);
+    m_parts.health.OnOutcome(m_attempt.server, false);
   }
-  m_avoided.insert(m_server);
+  m_avoided.insert(m_attempt.server);
   SendAgainOrGiveUp(outcome, reason);
 }
 
@@ -376,7 +379,7 @@
     return;
   }
   m_history.time_left = TimeLeft() > kMinTimeLeft;
-  const BackendServerName failed = m_server;
+  const BackendServerName failed = m_attempt.server;
   m_history.has_alternative = !IsHarmful();
   ResendObstacle obstacle = FindObstacle(*m_route, outcome, m_history);
   if (obstacle == ResendObstacle::kNone && !m_history.has_alternative) {
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -15,6 +15,7 @@
 #include "zinnia_adapters/forwarding/message_codec.h"
 #include "zinnia_adapters/forwarding/request_origin.h"
 #include "zinnia_adapters/forwarding/server_answer_listener.h"
+#include "zinnia_adapters/forwarding/server_attempt.h"
 #include "zinnia_base/hashing/fingerprint.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_decisions/forwarding/crashes/broken_attempts.h"
@@ -198,31 +199,20 @@
   ServiceName m_service;
   TimePoint m_deadline{};
 
-  /** The server or the peer to which the request was sent last. */
-  BackendServerName m_server;
-  bool m_is_at_peer = false;
+  /** At the server or the peer to which the request was sent last. */
+  ServerAttempt m_attempt;
   int m_peers_asked = 0;
-  NetworkAddress m_server_address;
-  LayerPath m_path;
   std::vector<Reservation> m_reservations;
-  std::shared_ptr<ServerConnection> m_connection;
   std::set<BackendServerName> m_avoided;
   SendHistory m_history;
 
-  unsigned m_status = 0;
-  boost::beast::http::fields m_fields;
-  AnswerFacts m_answer_facts;
-  std::string m_body;
   EventSplitter m_events;
-  bool m_is_streaming = false;  // The current answer is a stream.
   EventIntervalTracker m_event_intervals;
 
   bool m_awaits_configuration = false;
 
   std::uint64_t m_capacity_ticket = 0;
 
-  /** Whether an event has arrived over the current path. */
-  bool m_path_confirmed = false;
   bool m_rerouting = false;
 
   /** Incremented by each send and reroute, to discard the answer to an outdated reroute. */
@@ -233,9 +223,6 @@
 
   /** Reroutes since the last event that failed or found no path. */
   int m_failed_reroutes = 0;
-  TimePoint m_sent_at{};
-  TimePoint m_stream_began_at{};  // At the current server.
-  TimePoint m_last_progress{};
   TimePoint m_last_stall_query_at{};
 
   /** Reports requested since the last progress because the stream was silent. */
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -52,7 +52,7 @@
       return;
     case NextStep::kForwardFailure:
       // A status that means "not run" must not be sent for a request that has run.
-      if (IsPromise(m_status)) {
+      if (IsPromise(m_attempt.status)) {
         Answer(PerhapsRun(ErrorKind::kBackendUnavailable, std::string(reason)));
       } else {
         PassOnWholeAnswer();
@@ -66,14 +66,14 @@
 }
 
 void ForwardExchange::PassOnWholeAnswer() {
-  CallerResponse response(static_cast<http::status>(m_status), 11);
-  static_cast<http::fields&>(response) = m_fields;
+  CallerResponse response(static_cast<http::status>(m_attempt.status), 11);
+  static_cast<http::fields&>(response) = m_attempt.fields;
   RemoveHopByHopFields(response);
   response.erase(http::field::content_length);
-  response.body() = std::move(m_body);
+  response.body() = std::move(m_attempt.body);
   m_parts.metrics.Observe(m_organisation, RequestClass::kServiceCall, Measure::kWholeAnswer,
                           m_parts.clock.Now() - m_started_at);
-  SendWhole(std::move(response), fmt::format("status_{}", m_status));
+  SendWhole(std::move(response), fmt::format("status_{}", m_attempt.status));
 }
 
 void ForwardExchange::SendWhole(CallerResponse response, std::string_view outcome) {
@@ -135,7 +135,7 @@
   m_parts.logger.Log(LogLevel::kInfo, "request_ended",
                      {{"request", m_facts.id},
                       {"outcome", std::string(outcome)},
-                      {"server", m_server},
+                      {"server", m_attempt.server},
                       {"first_event_ms", Milliseconds(m_first_event_after)},
                       {"longest_gap_ms", Milliseconds(m_event_intervals.LongestInterval())},
                       {"last_event", std::to_string(m_events.LastEventId().value_or(0))},
--- a/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
@@ -59,7 +59,7 @@
   if (NeedsPeer()) {
     return ChoosePeer();
   }
-  m_is_at_peer = false;
+  m_attempt.is_at_peer = false;
   const auto view = m_parts.view();
   const auto service = view->rules->services.find(m_service);
   const bool layered = service != view->rules->services.end() && service->second.engine &&
@@ -71,10 +71,10 @@
   if (!server) {
     return false;
   }
-  m_server = *server;
-  m_server_address = view->servers.at(*server).address;
-  m_path.clear();
-  Reserve({{m_server, m_server_address, {}}});
+  m_attempt.server = *server;
+  m_attempt.address = view->servers.at(*server).address;
+  m_attempt.path.clear();
+  Reserve({{m_attempt.server, m_attempt.address, {}}});
   return true;
 }
 
@@ -99,10 +99,10 @@
 
 void ForwardExchange::TakePath(const FoundPath& found) {
   m_parts.link_meter.Add(found.link_ms);
-  m_path = found.path;
-  m_server = m_path.front().server;
-  m_server_address = m_path.front().address;
-  Reserve(m_path);
+  m_attempt.path = found.path;
+  m_attempt.server = m_attempt.path.front().server;
+  m_attempt.address = m_attempt.path.front().address;
+  Reserve(m_attempt.path);
 }
 
 bool ForwardExchange::ChosenServersTakeRequests() const {
@@ -111,8 +111,8 @@
     const auto server = view->servers.find(name);
     return server != view->servers.end() && !server->second.draining;
   };
-  return takes_requests(m_server) &&
-         std::all_of(m_path.begin(), m_path.end(),
+  return takes_requests(m_attempt.server) &&
+         std::all_of(m_attempt.path.begin(), m_attempt.path.end(),
                      [&](const PathPart& part) { return takes_requests(part.server); });
 }
 
--- a/packages/zinnia_adapters/forwarding/forward_exchange_crashes.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_crashes.cc
@@ -29,19 +29,19 @@
 /** The end of a leaving server is no crash. */
 std::optional<BrokenAttempt> ForwardExchange::DescribeAttempt() const {
   const auto view = m_parts.view();
-  const auto server = view->servers.find(m_server);
+  const auto server = view->servers.find(m_attempt.server);
   if (server == view->servers.end() || server->second.draining) {
     return std::nullopt;
   }
   BrokenAttempt attempt;
   attempt.request = m_fingerprint;
   attempt.request_id = m_facts.id;
-  attempt.server = m_server;
-  attempt.server_address = m_server_address;
-  attempt.sent_at = m_sent_at;
+  attempt.server = m_attempt.server;
+  attempt.server_address = m_attempt.address;
+  attempt.sent_at = m_attempt.sent_at;
   attempt.broken_at = m_parts.clock.Now();
-  if (m_is_streaming) {
-    attempt.ran = attempt.broken_at - m_stream_began_at;
+  if (m_attempt.is_streaming) {
+    attempt.ran = attempt.broken_at - m_attempt.stream_began_at;
     attempt.onset =
         attempt.ran < RequestQuarantine::kOnsetTime ? CrashOnset::kBegun : CrashOnset::kRunning;
   } else if (m_route->repeatability == Repeatability::kStream) {
@@ -52,16 +52,16 @@
 
 void ForwardExchange::NoteBrokenAnswer() {
   if (const auto attempt = DescribeAttempt()) {
-    m_parts.crashes.OnAnswerBroken(*attempt, m_server_address);
+    m_parts.crashes.OnAnswerBroken(*attempt, m_attempt.address);
   }
 }
 
 /** A stream that has run for longer did not crash its server as it began. */
 void ForwardExchange::ReleaseAttempt() {
-  if (!m_connection) {
+  if (!m_attempt.connection) {
     return;
   }
-  std::exchange(m_connection, nullptr)->Close();
+  std::exchange(m_attempt.connection, nullptr)->Close();
   const auto attempt = DescribeAttempt();
   if (attempt && attempt->onset != CrashOnset::kRunning) {
     m_parts.crashes.OnAttemptReleased(*attempt);
@@ -77,8 +77,9 @@
 
 /** A request that runs on for long at a server that lives did not cause its earlier crashes. */
 void ForwardExchange::NoteProgressOfSuspect() {
-  if (m_is_streaming && m_parts.quarantine.IsSuspect(m_fingerprint)) {
-    m_parts.quarantine.OnRunning(m_fingerprint, m_last_progress - m_stream_began_at);
+  if (m_attempt.is_streaming && m_parts.quarantine.IsSuspect(m_fingerprint)) {
+    m_parts.quarantine.OnRunning(m_fingerprint,
+                                 m_attempt.last_progress - m_attempt.stream_began_at);
   }
 }
 
@@ -87,13 +88,13 @@
 }
 
 void ForwardExchange::OnRequestQuarantined(const Fingerprint& request) {
-  if (m_ended || request != m_fingerprint || m_is_streaming) {
+  if (m_ended || request != m_fingerprint || m_attempt.is_streaming) {
     return;
   }
   if (m_capacity_ticket != CapacityQueue::kNoTicket) {
     RefuseHarmful();
-  } else if (m_connection) {
-    std::exchange(m_connection, nullptr)->Close();
+  } else if (m_attempt.connection) {
+    std::exchange(m_attempt.connection, nullptr)->Close();
     GiveUp(NextStep::kFail, "other servers that ran this request have crashed");
   }
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
@@ -49,10 +49,10 @@
   }
   ++m_peers_asked;
   ReleaseReservations();
-  m_is_at_peer = true;
-  m_server = peer->name;
-  m_server_address = {peer->peer_address.ip, peer->requests_port};
-  m_path.clear();
+  m_attempt.is_at_peer = true;
+  m_attempt.server = peer->name;
+  m_attempt.address = {peer->peer_address.ip, peer->requests_port};
+  m_attempt.path.clear();
   m_parts.metrics.Count("requests_sent_to_peers");
   return true;
 }
@@ -70,7 +70,8 @@
 /** Everything but a refusal by a peer that reaches no server is the answer: the peer has chosen
     servers and sent again as often as this instance would have. */
 void ForwardExchange::OnPeerAnswer() {
-  if (!m_answer_facts.is_signed && IsPromise(m_status) && m_fields.count(kCutOffField) > 0) {
+  if (!m_attempt.answer_facts.is_signed && IsPromise(m_attempt.status) &&
+      m_attempt.fields.count(kCutOffField) > 0) {
     OnPeerFailed("the peer reaches no server either");
     return;
   }
@@ -78,7 +79,7 @@
     OnStreamNotContinued();
     return;
   }
-  if (m_answer_facts.is_signed && IsSuccess(m_status)) {
+  if (m_attempt.answer_facts.is_signed && IsSuccess(m_attempt.status)) {
     m_parts.quarantine.OnEndedWell(m_fingerprint);
   }
   PassOnWholeAnswer();
@@ -86,9 +87,9 @@
 
 /** A whole answer cannot follow the beginning of a stream. */
 void ForwardExchange::OnStreamNotContinued() {
-  const std::string reason = fmt::format("status {} of a peer", m_status);
-  m_avoided.insert(m_server);
-  if (!m_answer_facts.is_signed && IsPromise(m_status)) {
+  const std::string reason = fmt::format("status {} of a peer", m_attempt.status);
+  m_avoided.insert(m_attempt.server);
+  if (!m_attempt.answer_facts.is_signed && IsPromise(m_attempt.status)) {
     // No server has received the stream from the peer.
     ++m_history.not_sent;
     --m_history.servers_reached;
@@ -100,12 +101,12 @@
 
 /** No server has received the request from the peer. */
 void ForwardExchange::OnPeerFailed(std::string_view reason) {
-  m_parts.peers.Exclude(m_server);
-  m_avoided.insert(m_server);
+  m_parts.peers.Exclude(m_attempt.server);
+  m_avoided.insert(m_attempt.server);
   --m_history.servers_reached;
   m_parts.logger.Log(
       LogLevel::kInfo, "peer_not_used",
-      {{"request", m_facts.id}, {"peer", m_server}, {"reason", std::string(reason)}});
+      {{"request", m_facts.id}, {"peer", m_attempt.server}, {"reason", std::string(reason)}});
   if (TimeLeft() > kMinTimeLeft && ChooseServer()) {
     Send();
   } else {
@@ -116,15 +117,16 @@
 
 void ForwardExchange::CheckPeerSilence() {
   const bool is_stream = m_route->repeatability == Repeatability::kStream;
-  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  const Duration silent = m_parts.clock.Now() - m_attempt.last_progress;
   if (is_stream && silent >= SilencePolicy(*m_route).AbandonAfter(m_event_intervals.HasBegun())) {
     AbandonServer("the peer is silent");
   }
 }
 
 void ForwardExchange::OnCutOff() {
-  const bool is_silent = m_parts.clock.Now() - m_last_progress >= kMinSilenceToMove;
-  if (!m_ended && m_connection && !m_is_at_peer && m_route->MayRepeat() && is_silent) {
+  const bool is_silent = m_parts.clock.Now() - m_attempt.last_progress >= kMinSilenceToMove;
+  if (!m_ended && m_attempt.connection && !m_attempt.is_at_peer && m_route->MayRepeat() &&
+      is_silent) {
     AbandonServer("this instance reaches no server");
   }
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -82,11 +82,11 @@
     RefuseForWantOfRoom();
     return;
   }
-  if (m_is_at_peer && m_connection) {
+  if (m_attempt.is_at_peer && m_attempt.connection) {
     CheckPeerSilence();
     return;
   }
-  if (m_path.empty() || !m_connection) {
+  if (m_attempt.path.empty() || !m_attempt.connection) {
     return;
   }
   NoteProgressOfSuspect();
@@ -97,9 +97,9 @@
 }
 
 void ForwardExchange::CheckSilence() {
-  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  const Duration silent = m_parts.clock.Now() - m_attempt.last_progress;
   const Duration limit = SilencePolicy(*m_route).ProbeAfter(m_event_intervals.HasBegun());
-  if (m_last_progress > m_last_stall_query_at) {
+  if (m_attempt.last_progress > m_last_stall_query_at) {
     m_stall_queries = 0;
   }
   const int doublings = std::clamp(m_stall_queries - kQueriesWithoutBackoff, 0, kMostDoublings);
@@ -114,30 +114,31 @@
   m_stall_query_in_flight = true;
   m_last_stall_query_at = m_parts.clock.Now();
   ++m_stall_queries;
-  m_parts.stalls.Ask(m_path.front(), [weak = weak_from_this()](const Result<EngineReport>& report) {
-    const auto self = weak.lock();
-    if (self && !self->m_ended) {
-      self->m_stall_query_in_flight = false;
-      self->OnReport(report);
-    }
-  });
+  m_parts.stalls.Ask(m_attempt.path.front(),
+                     [weak = weak_from_this()](const Result<EngineReport>& report) {
+                       const auto self = weak.lock();
+                       if (self && !self->m_ended) {
+                         self->m_stall_query_in_flight = false;
+                         self->OnReport(report);
+                       }
+                     });
 }
 
 void ForwardExchange::OnReport(const Result<EngineReport>& report) {
-  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  const Duration silent = m_parts.clock.Now() - m_attempt.last_progress;
   const SilencePolicy policy(*m_route);
-  if (silent < policy.ProbeAfter(m_event_intervals.HasBegun()) || !m_connection) {
+  if (silent < policy.ProbeAfter(m_event_intervals.HasBegun()) || !m_attempt.connection) {
     return;
   }
   if (!report) {
     m_parts.logger.Log(LogLevel::kWarning, "report_failed",
                        {{"request", m_facts.id},
-                        {"server", m_server},
+                        {"server", m_attempt.server},
                         {"reason", zinnia::Describe(report.error())}});
     // A single call may fail for lack of connections, so the stream must be silent too.
     const bool is_long = silent >= policy.AbandonAfter(m_event_intervals.HasBegun());
     if (++m_failed_reports >= kMaxFailedReports && is_long) {
-      m_parts.health.MarkSuspect(m_server, kUnreachableExclusion);
+      m_parts.health.MarkSuspect(m_attempt.server, kUnreachableExclusion);
       AbandonServer("the first server is silent");
     }
     return;
@@ -163,10 +164,11 @@
 }
 
 std::optional<StreamProgress> ForwardExchange::Progress() const {
-  if (m_ended || !m_connection || !m_event_intervals.HasBegun() || m_rerouting || m_path.empty()) {
+  if (m_ended || !m_attempt.connection || !m_event_intervals.HasBegun() || m_rerouting ||
+      m_attempt.path.empty()) {
     return std::nullopt;
   }
-  return StreamProgress{&m_path, m_last_progress, m_event_intervals.MeanInterval()};
+  return StreamProgress{&m_attempt.path, m_attempt.last_progress, m_event_intervals.MeanInterval()};
 }
 
 void ForwardExchange::OnServersStalled(const std::vector<BackendServerName>& servers) {
@@ -174,11 +176,12 @@
     return std::find(servers.begin(), servers.end(), part.server) != servers.end();
   };
   // A recent event shows that the report is wrong or refers to an earlier path.
-  const bool flows = m_parts.clock.Now() - m_last_progress < kMinConfirmingSilence;
-  if (m_ended || !m_connection || flows || std::none_of(m_path.begin(), m_path.end(), is_stalled)) {
+  const bool flows = m_parts.clock.Now() - m_attempt.last_progress < kMinConfirmingSilence;
+  if (m_ended || !m_attempt.connection || flows ||
+      std::none_of(m_attempt.path.begin(), m_attempt.path.end(), is_stalled)) {
     return;
   }
-  if (is_stalled(m_path.front())) {
+  if (is_stalled(m_attempt.path.front())) {
     // Applies during a reroute too, since a stalled server will not complete it.
     AbandonServer("the first server is silent");
     return;
@@ -190,7 +193,7 @@
 
 /** Queries the slowdown factor of each server on the path after a long event gap. */
 void ForwardExchange::QuerySlowdownFactors() {
-  for (const PathPart& part : m_path) {
+  for (const PathPart& part : m_attempt.path) {
     if (m_parts.health.TryBeginSlowdownQuery(part.server)) {
       QuerySlowdownFactor(m_parts, part);
     }
@@ -225,7 +228,7 @@
   }
   const bool is_full =
       IsNearlyFull(*service->second.engine, entry->second, m_parts.loads.UseOf(accused.server));
-  if (is_full && accused.server == m_server) {
+  if (is_full && accused.server == m_attempt.server) {
     return;
   }
   m_parts.stalls.Confirm(
@@ -248,11 +251,11 @@
     AwaitConfiguration();
     return;
   }
-  if (m_ended || !m_connection) {
+  if (m_ended || !m_attempt.connection) {
     return;
   }
   const auto view = m_parts.view();
-  if (view->ended_incarnations.contains(m_server)) {
+  if (view->ended_incarnations.contains(m_attempt.server)) {
     AbandonServer("the server has started again");
     return;
   }
@@ -266,8 +269,8 @@
 /** Ignores the first server, which a running stream cannot leave without being resent. */
 bool ForwardExchange::HasDrainingServer() const {
   const auto view = m_parts.view();
-  return m_path.size() > 1 &&
-         std::any_of(m_path.begin() + 1, m_path.end(), [&](const PathPart& part) {
+  return m_attempt.path.size() > 1 &&
+         std::any_of(m_attempt.path.begin() + 1, m_attempt.path.end(), [&](const PathPart& part) {
            const auto server = view->servers.find(part.server);
            return server == view->servers.end() || server->second.draining;
          });
@@ -288,7 +291,7 @@
 /** Best called right after an event, to leave the whole allowed event gap for the move. */
 void ForwardExchange::MoveIfDue() {
   const TimePoint now = m_parts.clock.Now();
-  if (m_ended || !m_connection || !m_move_at || m_rerouting || now < *m_move_at) {
+  if (m_ended || !m_attempt.connection || !m_move_at || m_rerouting || now < *m_move_at) {
     return;
   }
   if (!HasDrainingServer()) {
@@ -301,8 +304,8 @@
 
 void ForwardExchange::Reroute(std::string_view reason, bool is_broken) {
   const auto view = m_parts.view();
-  const auto recovery = m_parts.recovery.Choose(*view, m_service, ExpectedSize(), m_path, {},
-                                                is_broken && MayResend());
+  const auto recovery = m_parts.recovery.Choose(*view, m_service, ExpectedSize(), m_attempt.path,
+                                                {}, is_broken && MayResend());
   if (recovery && recovery->keeps_first_server) {
     ChangePath(recovery->found, reason);
     return;
@@ -312,7 +315,7 @@
     return;
   }
   const auto found = m_parts.paths.Find(*view, m_service, ExpectedSize(),
-                                        m_parts.own_failure_domain, {}, {m_path.front()});
+                                        m_parts.own_failure_domain, {}, {m_attempt.path.front()});
   if (!found) {
     OnRerouteFailed(reason);
     return;
@@ -343,9 +346,9 @@
   m_parts.logger.Log(LogLevel::kInfo, event,
                      {{"request", m_facts.id},
                       {"reason", std::string(reason)},
-                      {"from", DescribePath(m_path)},
+                      {"from", DescribePath(m_attempt.path)},
                       {"to", DescribePath(to)},
-                      {"silent_ms", Milliseconds(m_parts.clock.Now() - m_last_progress)}});
+                      {"silent_ms", Milliseconds(m_parts.clock.Now() - m_attempt.last_progress)}});
 }
 
 void ForwardExchange::ChangePath(const FoundPath& found, std::string_view reason) {
@@ -367,12 +370,13 @@
     long. */
 void ForwardExchange::OnRerouteFailed(std::string_view reason) {
   if (m_failed_reroutes++ == 0) {
-    m_parts.logger.Log(
-        LogLevel::kInfo, "request_not_rerouted",
-        {{"request", m_facts.id}, {"reason", std::string(reason)}, {"path", DescribePath(m_path)}});
+    m_parts.logger.Log(LogLevel::kInfo, "request_not_rerouted",
+                       {{"request", m_facts.id},
+                        {"reason", std::string(reason)},
+                        {"path", DescribePath(m_attempt.path)}});
   }
-  const Duration silent = m_parts.clock.Now() - m_last_progress;
-  if (m_connection && m_failed_reroutes >= kMaxFailedReroutes &&
+  const Duration silent = m_parts.clock.Now() - m_attempt.last_progress;
+  if (m_attempt.connection && m_failed_reroutes >= kMaxFailedReroutes &&
       silent >= SilencePolicy(*m_route).AbandonAfter(m_event_intervals.HasBegun())) {
     AbandonServer("the path could not be changed");
   }
@@ -381,10 +385,10 @@
 void ForwardExchange::OnRerouted(const LayerPath& path, const RerouteAnswer& answer) {
   m_rerouting = false;
   if (answer.result) {
-    m_path = path;
-    m_path_confirmed = false;
+    m_attempt.path = path;
+    m_attempt.path_confirmed = false;
     Reserve(path);
-    m_last_progress = m_parts.clock.Now();
+    m_attempt.last_progress = m_parts.clock.Now();
     return;
   }
   ExcludeRefusingServer(path, answer);
