A silent server is let go of only once another one has answered

Callers saw streams cut off, and 502 for requests that had not begun, while their sound server was silent for a second. Cause: AbandonServer closed the connection first and asked afterwards whether the request may be sent again, whether the retry budget pays and whether a server is left. Class: the only way is given up before another one is secured.

Change: for silence, TryBesideSilentServer asks bounds, then finds a server, then the budget; if one refuses, the request keeps waiting and asks again every 200 ms (`request_keeps_waiting`). If all agree, the attempt is held open beside the new one (HeldAttempt): whichever speaks first keeps the request; if the new one refuses, breaks off or is not reached, the request returns (`request_returned`). The server is found before the budget is charged, for other resends too. What must be let go of (an answer to another request, an unsigned success, a server that has started again) is, as before. A held server's end still counts as evidence of a crash.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -9,6 +9,7 @@
 #include "zinnia_adapters/forwarding/crash_watch.h"
 #include "zinnia_adapters/forwarding/exclusion_times.h"
 #include "zinnia_adapters/forwarding/forward_outcomes.h"
+#include "zinnia_adapters/forwarding/held_attempt.h"
 #include "zinnia_adapters/forwarding/log_text.h"
 #include "zinnia_adapters/forwarding/reachability_watch.h"
 #include "zinnia_adapters/forwarding/server_connection.h"
@@ -156,9 +157,8 @@
   m_failed_reroutes = 0;
   m_rerouting = false;
   ++m_path_changes;
-  m_attempt.is_streaming = false;
-  m_attempt.path_confirmed = false;
-  m_attempt.body.clear();
+  m_next_search_at = {};
+  m_keeps_waiting = false;
   m_events.DropPartialEvent();
   m_attempt.last_progress = m_parts.clock.Now();
   m_attempt.sent_at = m_attempt.last_progress;
@@ -268,6 +268,9 @@
   }
   m_attempt.last_progress = now;
   m_failed_reroutes = 0;
+  m_next_search_at = {};
+  m_keeps_waiting = false;
+  ReleaseHeld();
   m_answer.SendEvents(events);
   MoveIfDue();
 }
@@ -281,7 +284,7 @@
     return;
   }
   if (m_events.HasPartialEvent()) {
-    NoteBrokenAnswer();
+    NoteBrokenAnswer(m_attempt);
     OnSendEnded(SendOutcome::kUnknown, "the stream ended within an event");
     return;
   }
@@ -360,7 +363,7 @@
     SendAgainOrGiveUp(SendOutcome::kNotSent, reason);
     return;
   }
-  NoteBrokenAnswer();
+  NoteBrokenAnswer(m_attempt);
   OnSendEnded(SendOutcome::kUnknown, reason);
 }
 
@@ -378,42 +381,63 @@
   if (m_ended) {
     return;
   }
-  m_history.time_left = TimeLeft() > kMinTimeLeft;
-  const BackendServerName failed = m_attempt.server;
-  m_history.has_alternative = !IsHarmful();
-  ResendObstacle obstacle = FindObstacle(*m_route, outcome, m_history);
-  if (obstacle == ResendObstacle::kNone && !m_history.has_alternative) {
-    obstacle = ResendObstacle::kHarmful;
-  }
-  NextStep step = DecideNextStep(*m_route, outcome, m_history);
-  std::optional<RetryCharge> charge;
-  if (step == NextStep::kSendAgain) {
-    charge = ChargeRetry(outcome);
-    m_history.has_alternative = charge != RetryCharge::kRefused && ChooseServer();
-    step = DecideNextStep(*m_route, outcome, m_history);
-    if (step != NextStep::kSendAgain) {
-      obstacle =
-          charge == RetryCharge::kRefused ? ResendObstacle::kBudget : ResendObstacle::kNoServer;
-    }
-  }
+  const Decision decision = Decide(outcome);
   if (outcome == SendOutcome::kUnknown || outcome == SendOutcome::kServerFailed) {
     m_history.may_have_run = true;
   }
-  m_parts.logger.Log(LogLevel::kInfo,
-                     step == NextStep::kSendAgain ? "request_sent_again" : "request_given_up",
-                     {{"request", m_facts.id},
-                      {"server", failed},
-                      {"reason", std::string(reason)},
-                      {"servers_reached", std::to_string(m_history.servers_reached)},
-                      {"retry", charge ? std::string(NameOf(*charge)) : "not_wanted"},
-                      {"obstacle", std::string(NameOf(obstacle))},
-                      {"may_have_run", m_history.may_have_run ? "yes" : "no"},
-                      {"time_left_ms", Milliseconds(TimeLeft())}});
-  if (step == NextStep::kSendAgain) {
+  LogDecision(decision,
+              decision.step == NextStep::kSendAgain ? "request_sent_again" : "request_given_up",
+              reason);
+  if (decision.step == NextStep::kSendAgain) {
+    Take(*decision.next);
     Send();
+  } else if (m_held) {
+    ReturnToHeld(reason);
   } else {
-    GiveUp(step, reason);
+    GiveUp(decision.step, reason);
+  }
+}
+
+/** The server is found before the budget is charged, so that a retry is not paid for in vain. */
+ForwardExchange::Decision ForwardExchange::Decide(SendOutcome outcome) {
+  Decision decision;
+  m_history.time_left = TimeLeft() > kMinTimeLeft;
+  m_history.has_alternative = !IsHarmful();
+  decision.obstacle = FindObstacle(*m_route, outcome, m_history);
+  if (decision.obstacle == ResendObstacle::kNone && !m_history.has_alternative) {
+    decision.obstacle = ResendObstacle::kHarmful;
+  }
+  decision.step = DecideNextStep(*m_route, outcome, m_history);
+  if (decision.step == NextStep::kSendAgain) {
+    decision.next = FindServer();
+    if (decision.next) {
+      decision.charge = ChargeRetry(outcome);
+    }
+    if (!decision.next) {
+      decision.obstacle = ResendObstacle::kNoServer;
+    } else if (decision.charge == RetryCharge::kRefused) {
+      decision.obstacle = ResendObstacle::kBudget;
+    }
+    m_history.has_alternative = decision.obstacle == ResendObstacle::kNone;
+    decision.step = DecideNextStep(*m_route, outcome, m_history);
   }
+  return decision;
+}
+
+void ForwardExchange::LogDecision(const Decision& decision,
+                                  std::string_view event,
+                                  std::string_view reason) const {
+  m_parts.logger.Log(
+      LogLevel::kInfo, event,
+      {{"request", m_facts.id},
+       {"server", m_attempt.server},
+       {"reason", std::string(reason)},
+       {"servers_reached", std::to_string(m_history.servers_reached)},
+       {"retry", decision.charge ? std::string(NameOf(*decision.charge)) : "not_wanted"},
+       {"next", decision.next ? decision.next->server : "none"},
+       {"obstacle", std::string(NameOf(decision.obstacle))},
+       {"may_have_run", m_history.may_have_run ? "yes" : "no"},
+       {"time_left_ms", Milliseconds(TimeLeft())}});
 }
 
 RetryCharge ForwardExchange::ChargeRetry(SendOutcome outcome) {
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -22,6 +22,7 @@
 #include "zinnia_decisions/forwarding/event_splitter.h"
 #include "zinnia_decisions/forwarding/observed_state/silence_detector.h"
 #include "zinnia_decisions/forwarding/paths/path_finder.h"
+#include "zinnia_decisions/forwarding/retries/resend_obstacle.h"
 #include "zinnia_decisions/forwarding/retries/retry_charge.h"
 #include "zinnia_decisions/forwarding/retries/retry_policy.h"
 #include "zinnia_decisions/forwarding/streams/event_interval_tracker.h"
@@ -29,6 +30,7 @@
 
 namespace zinnia {
 
+class HeldAttempt;
 class ServerConnection;
 struct LimitAvailability;
 
@@ -104,14 +106,34 @@
   void LogServersAtLimit();
   std::optional<Error> FindRoute();
   ServiceName ChooseService();
+  /** A server, or a peer, to which the request may be sent next. */
+  struct Candidate {
+    BackendServerName server;
+    NetworkAddress address;
+    LayerPath path;
+    double link_ms = 0.0;
+    bool is_peer = false;
+  };
+
+  /** What follows after an attempt, and at which server if the request is sent again. */
+  struct Decision {
+    NextStep step = NextStep::kFail;
+    std::optional<Candidate> next;
+    std::optional<RetryCharge> charge;
+    ResendObstacle obstacle = ResendObstacle::kNone;
+  };
+
   bool ChooseServer();
+  std::optional<Candidate> FindServer();
+  std::optional<Candidate> FindPath();
+  static Candidate AsCandidate(const FoundPath& found);
 
-  bool ChoosePath();
-  void TakePath(const FoundPath& found);
+  /** Makes it the server of the next attempt. */
+  void Take(const Candidate& candidate);
 
   /** Whether a peer must forward the request, as this instance reaches no server. */
   bool NeedsPeer() const;
-  bool ChoosePeer();
+  std::optional<Candidate> FindPeer() const;
 
   /** Whether the request came from a peer, and this instance reaches no server either. */
   bool IsRefusedAsCutOff() const;
@@ -127,14 +149,22 @@
   Duration TimeLeft() const;
   GenerationSize ExpectedSize() const;
   void Reserve(const LayerPath& path);
+  void ReserveForAttempt();
   void ReleaseReservations();
 
   static Fingerprint FingerprintOf(const CallerRequest& request, const std::string& api_key);
-  void NoteBrokenAnswer();
+  void NoteBrokenAnswer(const ServerAttempt& attempt);
 
   /** Closes the connection of an attempt that was not answered yet. */
-  void ReleaseAttempt();
-  std::optional<BrokenAttempt> DescribeAttempt() const;
+  void Release(ServerAttempt& attempt);
+  std::optional<BrokenAttempt> DescribeAttempt(const ServerAttempt& attempt) const;
+
+  /** Keeps the attempt at a silent server open while another server is tried. */
+  void HoldAttempt();
+  void ReturnToHeld(std::string_view reason);
+  void ReleaseHeld();
+  void ReleaseHeldIfEnded(const ForwardingView& view);
+  void OnHeldLost(AnswerFailure failure);
 
   /** Whether the request must not be sent again, because it crashes servers or may do so. */
   bool IsHarmful() const;
@@ -155,6 +185,8 @@
   void OnNotRun();
   void OnSendEnded(SendOutcome outcome, std::string_view reason);
   void SendAgainOrGiveUp(SendOutcome outcome, std::string_view reason);
+  Decision Decide(SendOutcome outcome);
+  void LogDecision(const Decision& decision, std::string_view event, std::string_view reason) const;
 
   /** Charges a retry to the budget if a server may have received the request. */
   RetryCharge ChargeRetry(SendOutcome outcome);
@@ -180,12 +212,16 @@
   void ChangePath(const FoundPath& found, std::string_view reason);
   void LogMove(std::string_view event, const LayerPath& to, std::string_view reason) const;
   bool MayResend() const;
-  void Resend(const FoundPath& found, std::string_view reason);
+  void ResendBeside(const FoundPath& found, std::string_view reason);
   void OnRerouteFailed(std::string_view reason);
   void OnRerouted(const LayerPath& path, const RerouteAnswer& answer);
   void ExcludeRefusingServer(const LayerPath& path, const RerouteAnswer& answer);
   void AbandonServer(std::string_view reason);
 
+  /** Sends the request to another server if one is secured; otherwise it goes on waiting for its
+      silent server, which may be sound. */
+  void TryBesideSilentServer(std::string_view reason);
+
   const ForwardingParts& m_parts;
   const CallerRequest m_request;
   CallerAnswer m_answer;
@@ -201,6 +237,13 @@
 
   /** At the server or the peer to which the request was sent last. */
   ServerAttempt m_attempt;
+
+  /** Null unless the attempt before it is still open, as its server may go on. */
+  std::shared_ptr<HeldAttempt> m_held;
+
+  /** When another server may be looked for again, after none was secured. */
+  TimePoint m_next_search_at{};
+  bool m_keeps_waiting = false;
   int m_peers_asked = 0;
   std::vector<Reservation> m_reservations;
   std::set<BackendServerName> m_avoided;
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -126,7 +126,8 @@
   if (std::exchange(m_ended, true)) {
     return;
   }
-  ReleaseAttempt();
+  Release(m_attempt);
+  ReleaseHeld();
   if (m_capacity_ticket != CapacityQueue::kNoTicket) {
     m_parts.capacity_queue.Leave(std::exchange(m_capacity_ticket, CapacityQueue::kNoTicket));
   }
--- a/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
@@ -12,6 +12,7 @@
 #include "zinnia_decisions/forwarding/paths/plain_server_chooser.h"
 #include "zinnia_decisions/forwarding/paths/recovery_chooser.h"
 #include "zinnia_decisions/forwarding/paths/route_table.h"
+#include "zinnia_decisions/ports/metrics.h"
 
 // Selection of the route, organisation, service and servers in ForwardExchange.
 
@@ -56,53 +57,65 @@
 }
 
 bool ForwardExchange::ChooseServer() {
+  const std::optional<Candidate> found = FindServer();
+  if (found) {
+    Take(*found);
+  }
+  return found.has_value();
+}
+
+std::optional<ForwardExchange::Candidate> ForwardExchange::FindServer() {
   if (NeedsPeer()) {
-    return ChoosePeer();
+    return FindPeer();
   }
-  m_attempt.is_at_peer = false;
   const auto view = m_parts.view();
   const auto service = view->rules->services.find(m_service);
   const bool layered = service != view->rules->services.end() && service->second.engine &&
                        service->second.engine->IsLayered();
   if (layered) {
-    return ChoosePath();
+    return FindPath();
   }
   const auto server = m_parts.plain_servers.Choose(*view, m_service, m_avoided);
   if (!server) {
-    return false;
+    return std::nullopt;
   }
-  m_attempt.server = *server;
-  m_attempt.address = view->servers.at(*server).address;
-  m_attempt.path.clear();
-  Reserve({{m_attempt.server, m_attempt.address, {}}});
-  return true;
+  return Candidate{*server, view->servers.at(*server).address, {}, 0.0, false};
 }
 
-bool ForwardExchange::ChoosePath() {
+std::optional<ForwardExchange::Candidate> ForwardExchange::FindPath() {
   const auto view = m_parts.view();
   if (m_event_intervals.HasBegun()) {
     const auto recovery =
         m_parts.recovery.Choose(*view, m_service, ExpectedSize(), {}, m_avoided, true);
     if (recovery) {
-      TakePath(recovery->found);
-      return true;
+      return AsCandidate(recovery->found);
     }
   }
   const auto found =
       m_parts.paths.Find(*view, m_service, ExpectedSize(), m_parts.own_failure_domain, m_avoided);
   if (!found) {
-    return false;
+    return std::nullopt;
   }
-  TakePath(*found);
-  return true;
+  return AsCandidate(*found);
 }
 
-void ForwardExchange::TakePath(const FoundPath& found) {
-  m_parts.link_meter.Add(found.link_ms);
-  m_attempt.path = found.path;
-  m_attempt.server = m_attempt.path.front().server;
-  m_attempt.address = m_attempt.path.front().address;
-  Reserve(m_attempt.path);
+ForwardExchange::Candidate ForwardExchange::AsCandidate(const FoundPath& found) {
+  const PathPart& first = found.path.front();
+  return {first.server, first.address, found.path, found.link_ms, false};
+}
+
+void ForwardExchange::Take(const Candidate& candidate) {
+  m_parts.link_meter.Add(candidate.link_ms);
+  m_attempt = {};
+  m_attempt.server = candidate.server;
+  m_attempt.address = candidate.address;
+  m_attempt.path = candidate.path;
+  m_attempt.is_at_peer = candidate.is_peer;
+  if (candidate.is_peer) {
+    ++m_peers_asked;
+    m_parts.metrics.Count("requests_sent_to_peers");
+  }
+  ReserveForAttempt();
 }
 
 bool ForwardExchange::ChosenServersTakeRequests() const {
@@ -146,6 +159,17 @@
   }
 }
 
+/** A peer reserves for itself. */
+void ForwardExchange::ReserveForAttempt() {
+  if (m_attempt.is_at_peer) {
+    ReleaseReservations();
+  } else if (m_attempt.path.empty()) {
+    Reserve({{m_attempt.server, m_attempt.address, {}}});
+  } else {
+    Reserve(m_attempt.path);
+  }
+}
+
 void ForwardExchange::ReleaseReservations() {
   for (const Reservation& reservation : std::exchange(m_reservations, {})) {
     m_parts.loads.Remove(reservation.server, reservation.token_layers, reservation.begins);
--- a/packages/zinnia_adapters/forwarding/forward_exchange_crashes.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_crashes.cc
@@ -27,21 +27,21 @@
 }
 
 /** The end of a leaving server is no crash. */
-std::optional<BrokenAttempt> ForwardExchange::DescribeAttempt() const {
+std::optional<BrokenAttempt> ForwardExchange::DescribeAttempt(const ServerAttempt& from) const {
   const auto view = m_parts.view();
-  const auto server = view->servers.find(m_attempt.server);
+  const auto server = view->servers.find(from.server);
   if (server == view->servers.end() || server->second.draining) {
     return std::nullopt;
   }
   BrokenAttempt attempt;
   attempt.request = m_fingerprint;
   attempt.request_id = m_facts.id;
-  attempt.server = m_attempt.server;
-  attempt.server_address = m_attempt.address;
-  attempt.sent_at = m_attempt.sent_at;
+  attempt.server = from.server;
+  attempt.server_address = from.address;
+  attempt.sent_at = from.sent_at;
   attempt.broken_at = m_parts.clock.Now();
-  if (m_attempt.is_streaming) {
-    attempt.ran = attempt.broken_at - m_attempt.stream_began_at;
+  if (from.is_streaming) {
+    attempt.ran = attempt.broken_at - from.stream_began_at;
     attempt.onset =
         attempt.ran < RequestQuarantine::kOnsetTime ? CrashOnset::kBegun : CrashOnset::kRunning;
   } else if (m_route->repeatability == Repeatability::kStream) {
@@ -50,19 +50,19 @@
   return attempt;
 }
 
-void ForwardExchange::NoteBrokenAnswer() {
-  if (const auto attempt = DescribeAttempt()) {
-    m_parts.crashes.OnAnswerBroken(*attempt, m_attempt.address);
+void ForwardExchange::NoteBrokenAnswer(const ServerAttempt& from) {
+  if (const auto attempt = DescribeAttempt(from)) {
+    m_parts.crashes.OnAnswerBroken(*attempt, from.address);
   }
 }
 
 /** A stream that has run for longer did not crash its server as it began. */
-void ForwardExchange::ReleaseAttempt() {
-  if (!m_attempt.connection) {
+void ForwardExchange::Release(ServerAttempt& released) {
+  if (!released.connection) {
     return;
   }
-  std::exchange(m_attempt.connection, nullptr)->Close();
-  const auto attempt = DescribeAttempt();
+  std::exchange(released.connection, nullptr)->Close();
+  const auto attempt = DescribeAttempt(released);
   if (attempt && attempt->onset != CrashOnset::kRunning) {
     m_parts.crashes.OnAttemptReleased(*attempt);
   }
--- a/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
@@ -39,22 +39,14 @@
          view->instances != nullptr && m_parts.peers.HasPeers(*view->instances);
 }
 
-bool ForwardExchange::ChoosePeer() {
-  const auto view = m_parts.view();
+std::optional<ForwardExchange::Candidate> ForwardExchange::FindPeer() const {
   const auto peer = m_peers_asked < kMaxPeersAsked
-                        ? m_parts.peers.Choose(*view->instances, m_avoided)
+                        ? m_parts.peers.Choose(*m_parts.view()->instances, m_avoided)
                         : std::nullopt;
   if (!peer) {
-    return false;
+    return std::nullopt;
   }
-  ++m_peers_asked;
-  ReleaseReservations();
-  m_attempt.is_at_peer = true;
-  m_attempt.server = peer->name;
-  m_attempt.address = {peer->peer_address.ip, peer->requests_port};
-  m_attempt.path.clear();
-  m_parts.metrics.Count("requests_sent_to_peers");
-  return true;
+  return Candidate{peer->name, {peer->peer_address.ip, peer->requests_port}, {}, 0.0, true};
 }
 
 bool ForwardExchange::IsRefusedAsCutOff() const {
@@ -109,6 +101,8 @@
       {{"request", m_facts.id}, {"peer", m_attempt.server}, {"reason", std::string(reason)}});
   if (TimeLeft() > kMinTimeLeft && ChooseServer()) {
     Send();
+  } else if (m_held) {
+    ReturnToHeld(reason);
   } else {
     GiveUp(m_history.may_have_run ? NextStep::kFail : NextStep::kRefuse,
            "neither this instance nor its peers reach a server");
@@ -119,7 +113,7 @@
   const bool is_stream = m_route->repeatability == Repeatability::kStream;
   const Duration silent = m_parts.clock.Now() - m_attempt.last_progress;
   if (is_stream && silent >= SilencePolicy(*m_route).AbandonAfter(m_event_intervals.HasBegun())) {
-    AbandonServer("the peer is silent");
+    TryBesideSilentServer("the peer is silent");
   }
 }
 
@@ -127,7 +121,7 @@
   const bool is_silent = m_parts.clock.Now() - m_attempt.last_progress >= kMinSilenceToMove;
   if (!m_ended && m_attempt.connection && !m_attempt.is_at_peer && m_route->MayRepeat() &&
       is_silent) {
-    AbandonServer("this instance reaches no server");
+    TryBesideSilentServer("this instance reaches no server");
   }
 }
 
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -139,7 +139,7 @@
     const bool is_long = silent >= policy.AbandonAfter(m_event_intervals.HasBegun());
     if (++m_failed_reports >= kMaxFailedReports && is_long) {
       m_parts.health.MarkSuspect(m_attempt.server, kUnreachableExclusion);
-      AbandonServer("the first server is silent");
+      TryBesideSilentServer("the first server is silent");
     }
     return;
   }
@@ -183,7 +183,7 @@
   }
   if (is_stalled(m_attempt.path.front())) {
     // Applies during a reroute too, since a stalled server will not complete it.
-    AbandonServer("the first server is silent");
+    TryBesideSilentServer("the first server is silent");
     return;
   }
   if (!m_rerouting) {
@@ -255,6 +255,7 @@
     return;
   }
   const auto view = m_parts.view();
+  ReleaseHeldIfEnded(*view);
   if (view->ended_incarnations.contains(m_attempt.server)) {
     AbandonServer("the server has started again");
     return;
@@ -311,7 +312,7 @@
     return;
   }
   if (recovery && ChargeRetry(SendOutcome::kUnknown) == RetryCharge::kCharged) {
-    Resend(recovery->found, reason);
+    ResendBeside(recovery->found, reason);
     return;
   }
   const auto found = m_parts.paths.Find(*view, m_service, ExpectedSize(),
@@ -332,11 +333,11 @@
 }
 
 /** Resends the stream over another path, to continue after its last complete event. */
-void ForwardExchange::Resend(const FoundPath& found, std::string_view reason) {
+void ForwardExchange::ResendBeside(const FoundPath& found, std::string_view reason) {
   LogMove("request_started_again", found.path, reason);
-  ReleaseAttempt();
   m_history.may_have_run = true;
-  TakePath(found);
+  HoldAttempt();
+  Take(AsCandidate(found));
   Send();
 }
 
@@ -378,7 +379,7 @@
   const Duration silent = m_parts.clock.Now() - m_attempt.last_progress;
   if (m_attempt.connection && m_failed_reroutes >= kMaxFailedReroutes &&
       silent >= SilencePolicy(*m_route).AbandonAfter(m_event_intervals.HasBegun())) {
-    AbandonServer("the path could not be changed");
+    TryBesideSilentServer("the path could not be changed");
   }
 }
 
@@ -408,7 +409,7 @@
 
 /** Abandons the current send; its outcome on the server is unknown. */
 void ForwardExchange::AbandonServer(std::string_view reason) {
-  ReleaseAttempt();
+  Release(m_attempt);
   OnSendEnded(SendOutcome::kUnknown, reason);
 }
 
--- a/packages/zinnia_adapters/forwarding/server_connection.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection.cc
@@ -74,6 +74,10 @@
   }
 }
 
+void ServerConnection::SetListener(std::weak_ptr<ServerAnswerListener> listener) {
+  m_listener = std::move(listener);
+}
+
 void ServerConnection::Connect(Duration limit) {
   boost::system::error_code error;
   const auto ip = asio::ip::make_address(m_address.ip, error);
--- a/packages/zinnia_adapters/forwarding/server_connection.h
+++ b/packages/zinnia_adapters/forwarding/server_connection.h
@@ -36,6 +36,9 @@
   /** Sends the request. `listener` receives the answer until it ends or Close is called. */
   void Send(Request request, std::weak_ptr<ServerAnswerListener> listener, Duration connect_limit);
 
+  /** The rest of the answer goes to this listener. */
+  void SetListener(std::weak_ptr<ServerAnswerListener> listener);
+
   /** Returns true if the connection is idle, open and has received no unexpected bytes. */
   bool IsReusable();
 
