--- a/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
@@ -39,22 +39,14 @@
          view->instances != nullptr && m_parts.peers.HasPeers(*view->instances);
 }
 
-bool ForwardExchange::ChoosePeer() {
-  const auto view = m_parts.view();
+std::optional<ForwardExchange::Candidate> ForwardExchange::FindPeer() const {
   const auto peer = m_peers_asked < kMaxPeersAsked
-                        ? m_parts.peers.Choose(*view->instances, m_avoided)
+                        ? m_parts.peers.Choose(*m_parts.view()->instances, m_avoided)
                         : std::nullopt;
   if (!peer) {
-    return false;
+    return std::nullopt;
   }
-  ++m_peers_asked;
-  ReleaseReservations();
-  m_is_at_peer = true;
-  m_server = peer->name;
-  m_server_address = {peer->peer_address.ip, peer->requests_port};
-  m_path.clear();
-  m_parts.metrics.Count("requests_sent_to_peers");
-  return true;
+  return Candidate{peer->name, {peer->peer_address.ip, peer->requests_port}, {}, 0.0, true};
 }
 
 bool ForwardExchange::IsRefusedAsCutOff() const {
@@ -70,7 +62,8 @@
 /** Everything but a refusal by a peer that reaches no server is the answer: the peer has chosen
     servers and sent again as often as this instance would have. */
 void ForwardExchange::OnPeerAnswer() {
-  if (!m_answer_facts.is_signed && IsPromise(m_status) && m_fields.count(kCutOffField) > 0) {
+  if (!m_attempt.answer_facts.is_signed && IsPromise(m_attempt.status) &&
+      m_attempt.fields.count(kCutOffField) > 0) {
     OnPeerFailed("the peer reaches no server either");
     return;
   }
@@ -78,7 +71,7 @@
     OnStreamNotContinued();
     return;
   }
-  if (m_answer_facts.is_signed && IsSuccess(m_status)) {
+  if (m_attempt.answer_facts.is_signed && IsSuccess(m_attempt.status)) {
     m_parts.quarantine.OnEndedWell(m_fingerprint);
   }
   PassOnWholeAnswer();
@@ -86,9 +79,9 @@
 
 /** A whole answer cannot follow the beginning of a stream. */
 void ForwardExchange::OnStreamNotContinued() {
-  const std::string reason = fmt::format("status {} of a peer", m_status);
-  m_avoided.insert(m_server);
-  if (!m_answer_facts.is_signed && IsPromise(m_status)) {
+  const std::string reason = fmt::format("status {} of a peer", m_attempt.status);
+  m_avoided.insert(m_attempt.server);
+  if (!m_attempt.answer_facts.is_signed && IsPromise(m_attempt.status)) {
     // No server has received the stream from the peer.
     ++m_history.not_sent;
     --m_history.servers_reached;
@@ -100,14 +93,16 @@
 
 /** No server has received the request from the peer. */
 void ForwardExchange::OnPeerFailed(std::string_view reason) {
-  m_parts.peers.Exclude(m_server);
-  m_avoided.insert(m_server);
+  m_parts.peers.Exclude(m_attempt.server);
+  m_avoided.insert(m_attempt.server);
   --m_history.servers_reached;
   m_parts.logger.Log(
       LogLevel::kInfo, "peer_not_used",
-      {{"request", m_facts.id}, {"peer", m_server}, {"reason", std::string(reason)}});
+      {{"request", m_facts.id}, {"peer", m_attempt.server}, {"reason", std::string(reason)}});
   if (TimeLeft() > kMinTimeLeft && ChooseServer()) {
     Send();
+  } else if (m_held) {
+    ReturnToHeld(reason);
   } else {
     GiveUp(m_history.may_have_run ? NextStep::kFail : NextStep::kRefuse,
            "neither this instance nor its peers reach a server");
@@ -116,16 +111,17 @@
 
 void ForwardExchange::CheckPeerSilence() {
   const bool is_stream = m_route->repeatability == Repeatability::kStream;
-  const Duration silent = m_parts.clock.Now() - m_last_progress;
+  const Duration silent = m_parts.clock.Now() - m_attempt.last_progress;
   if (is_stream && silent >= SilencePolicy(*m_route).AbandonAfter(m_event_intervals.HasBegun())) {
-    AbandonServer("the peer is silent");
+    TryBesideSilentServer("the peer is silent");
   }
 }
 
 void ForwardExchange::OnCutOff() {
-  const bool is_silent = m_parts.clock.Now() - m_last_progress >= kMinSilenceToMove;
-  if (!m_ended && m_connection && !m_is_at_peer && m_route->MayRepeat() && is_silent) {
-    AbandonServer("this instance reaches no server");
+  const bool is_silent = m_parts.clock.Now() - m_attempt.last_progress >= kMinSilenceToMove;
+  if (!m_ended && m_attempt.connection && !m_attempt.is_at_peer && m_route->MayRepeat() &&
+      is_silent) {
+    TryBesideSilentServer("this instance reaches no server");
   }
 }
 
