What the review of the held attempt found: it returns only to a server that goes on

Red before, green now: a held server that refuses, fails or dies within an event closed the other server, which was sound (three cases, a fault of the mend); a peer's failure was passed on, and a quarantine's news cut a begun stream off, while the held server lived; a server that began to drain, or a change of path that ended, while its attempt was held was forgotten on the return; attempts that were never sent counted as reached; the held server was sent the request again; another way was not looked for again for a request without a path.

Six faults stand in one commit, since they share the held attempt's state; each has its test.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -155,8 +155,7 @@
 
   m_failed_reports = 0;
   m_failed_reroutes = 0;
-  m_rerouting = false;
-  ++m_path_changes;
+  m_attempt.path_change = ++m_path_changes;
   m_next_search_at = {};
   m_keeps_waiting = false;
   m_events.DropPartialEvent();
@@ -170,6 +169,7 @@
   m_attempt.connection = m_parts.connections.Take(
       m_attempt.server, m_attempt.address,
       m_route->MayRepeat() ? kMaxIdleForRepeatable : kMaxIdleForNonRepeatable);
+  m_attempt.may_have_arrived = m_attempt.connection->IsReusable();
   m_parts.logger.Log(LogLevel::kInfo, "request_sent",
                      {{"request", m_facts.id},
                       {"fingerprint", m_fingerprint.ToHex()},
@@ -179,11 +179,12 @@
                       {"send", std::to_string(m_history.servers_reached)},
                       {"deadline_left_ms", Milliseconds(TimeLeft())},
                       {"revision", std::to_string(m_parts.view()->revision.number)},
-                      {"kept_connection", m_attempt.connection->IsReusable() ? "yes" : "no"}});
+                      {"kept_connection", m_attempt.may_have_arrived ? "yes" : "no"}});
   m_attempt.connection->Send(std::move(request), weak_from_this(), kConnectLimit);
 }
 
 bool ForwardExchange::OnServerConnected() {
+  m_attempt.may_have_arrived = true;
   if (m_attempt.is_at_peer) {
     return true;
   }
@@ -357,8 +358,7 @@
       m_parts.reachability.OnConnectFailed(m_attempt.server);
       m_parts.health.MarkSuspect(m_attempt.server, kUnreachableExclusion);
     }
-    ++m_history.not_sent;
-    --m_history.servers_reached;
+    ForgetUnsent();
     m_avoided.insert(m_attempt.server);
     SendAgainOrGiveUp(SendOutcome::kNotSent, reason);
     return;
@@ -398,7 +398,8 @@
   }
 }
 
-/** The server is found before the budget is charged, so that a retry is not paid for in vain. */
+/** The server is found before the budget is charged, so that a retry is not paid for in vain; none
+   is looked for if the budget is empty. */
 ForwardExchange::Decision ForwardExchange::Decide(SendOutcome outcome) {
   Decision decision;
   m_history.time_left = TimeLeft() > kMinTimeLeft;
@@ -409,14 +410,18 @@
   }
   decision.step = DecideNextStep(*m_route, outcome, m_history);
   if (decision.step == NextStep::kSendAgain) {
-    decision.next = FindServer();
-    if (decision.next) {
+    const bool is_free = outcome == SendOutcome::kNotSent;
+    const bool is_affordable = is_free || m_parts.retries.HasRetry(m_service, *m_parts.view());
+    if (is_affordable) {
+      decision.next = FindServer();
+    }
+    if (decision.next || !is_affordable) {
       decision.charge = ChargeRetry(outcome);
     }
-    if (!decision.next) {
-      decision.obstacle = ResendObstacle::kNoServer;
-    } else if (decision.charge == RetryCharge::kRefused) {
+    if (decision.charge == RetryCharge::kRefused) {
       decision.obstacle = ResendObstacle::kBudget;
+    } else if (!decision.next) {
+      decision.obstacle = ResendObstacle::kNoServer;
     }
     m_history.has_alternative = decision.obstacle == ResendObstacle::kNone;
     decision.step = DecideNextStep(*m_route, outcome, m_history);
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -139,7 +139,7 @@
   bool IsRefusedAsCutOff() const;
   void MarkAsCutOff(CallerResponse& response) const;
   void OnPeerAnswer();
-  void OnStreamNotContinued();
+  void OnNotContinued();
   void OnPeerFailed(std::string_view reason);
   void CheckPeerSilence();
 
@@ -164,7 +164,9 @@
   void ReturnToHeld(std::string_view reason);
   void ReleaseHeld();
   void ReleaseHeldIfEnded(const ForwardingView& view);
-  void OnHeldLost(AnswerFailure failure);
+  void OnHeldLost(std::optional<AnswerFailure> failure);
+  bool IsUsable(unsigned status, const boost::beast::http::fields& fields) const;
+  void ForgetUnsent();
 
   /** Whether the request must not be sent again, because it crashes servers or may do so. */
   bool IsHarmful() const;
@@ -212,9 +214,14 @@
   void ChangePath(const FoundPath& found, std::string_view reason);
   void LogMove(std::string_view event, const LayerPath& to, std::string_view reason) const;
   bool MayResend() const;
+  std::set<BackendServerName> ServersWithRequest() const;
+  bool HasRequest(const BackendServerName& server) const;
   void ResendBeside(const FoundPath& found, std::string_view reason);
   void OnRerouteFailed(std::string_view reason);
   void OnRerouted(const LayerPath& path, const RerouteAnswer& answer);
+
+  /** The server of the held attempt has answered to a change of its path. */
+  void OnHeldRerouted(const LayerPath& path, const RerouteAnswer& answer);
   void ExcludeRefusingServer(const LayerPath& path, const RerouteAnswer& answer);
   void AbandonServer(std::string_view reason);
 
@@ -241,6 +248,9 @@
   /** Null unless the attempt before it is still open, as its server may go on. */
   std::shared_ptr<HeldAttempt> m_held;
 
+  /** What had arrived of its stream when it was held. */
+  EventSplitter m_held_events;
+
   /** When another server may be looked for again, after none was secured. */
   TimePoint m_next_search_at{};
   bool m_keeps_waiting = false;
@@ -256,9 +266,7 @@
 
   std::uint64_t m_capacity_ticket = 0;
 
-  bool m_rerouting = false;
-
-  /** Incremented by each send and reroute, to discard the answer to an outdated reroute. */
+  /** Incremented by each send and reroute. */
   std::uint64_t m_path_changes = 0;
   bool m_stall_query_in_flight = false;
   bool m_ended = false;
--- a/packages/zinnia_adapters/forwarding/forward_exchange_crashes.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_crashes.cc
@@ -4,6 +4,7 @@
 #include "zinnia_adapters/forwarding/crash_watch.h"
 #include "zinnia_adapters/forwarding/forward_exchange.h"
 #include "zinnia_adapters/forwarding/forward_outcomes.h"
+#include "zinnia_adapters/forwarding/held_attempt.h"
 #include "zinnia_adapters/forwarding/server_connection.h"
 #include "zinnia_decisions/forwarding/admission/capacity_queue.h"
 #include "zinnia_decisions/forwarding/crashes/request_quarantine.h"
@@ -93,6 +94,8 @@
   }
   if (m_capacity_ticket != CapacityQueue::kNoTicket) {
     RefuseHarmful();
+  } else if (m_held && m_held->Attempt().is_streaming) {
+    ReturnToHeld("other servers that ran this request have crashed");
   } else if (m_attempt.connection) {
     std::exchange(m_attempt.connection, nullptr)->Close();
     GiveUp(NextStep::kFail, "other servers that ran this request have crashed");
--- a/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
@@ -67,8 +67,8 @@
     OnPeerFailed("the peer reaches no server either");
     return;
   }
-  if (m_answer.HasBegun()) {
-    OnStreamNotContinued();
+  if (m_answer.HasBegun() || (m_held && !IsSuccess(m_attempt.status))) {
+    OnNotContinued();
     return;
   }
   if (m_attempt.answer_facts.is_signed && IsSuccess(m_attempt.status)) {
@@ -77,14 +77,13 @@
   PassOnWholeAnswer();
 }
 
-/** A whole answer cannot follow the beginning of a stream. */
-void ForwardExchange::OnStreamNotContinued() {
+/** A whole answer cannot follow the beginning of a stream, and a failure is no reason to leave a
+    server that may go on. */
+void ForwardExchange::OnNotContinued() {
   const std::string reason = fmt::format("status {} of a peer", m_attempt.status);
   m_avoided.insert(m_attempt.server);
   if (!m_attempt.answer_facts.is_signed && IsPromise(m_attempt.status)) {
-    // No server has received the stream from the peer.
-    ++m_history.not_sent;
-    --m_history.servers_reached;
+    ForgetUnsent();  // No server has received it from the peer.
     SendAgainOrGiveUp(SendOutcome::kNotSent, reason);
   } else {
     SendAgainOrGiveUp(SendOutcome::kUnknown, reason);
--- a/packages/zinnia_adapters/forwarding/forward_exchange_silence.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_silence.cc
@@ -1,6 +1,9 @@
+#include <boost/beast/http/field.hpp>
+#include <optional>
 #include <utility>
 
 #include "zinnia_adapters/forwarding/forward_exchange.h"
+#include "zinnia_adapters/forwarding/forward_outcomes.h"
 #include "zinnia_adapters/forwarding/held_attempt.h"
 #include "zinnia_adapters/forwarding/server_connection.h"
 #include "zinnia_base/logging/logger.h"
@@ -44,20 +47,39 @@
   Send();
 }
 
+/** A success that the server has signed for this request, as it is. */
+bool ForwardExchange::IsUsable(unsigned status, const boost::beast::http::fields& fields) const {
+  const AnswerFacts facts = m_parts.codec.ReadAnswer(status, fields);
+  const bool is_foreign = !facts.request_id.empty() && facts.request_id != m_facts.id;
+  const bool is_encoded = fields.count(boost::beast::http::field::content_encoding) > 0;
+  return IsSuccess(status) && !is_foreign && facts.is_signed && !is_encoded;
+}
+
 /** If one is held already, that one has the longer part of the answer. */
 void ForwardExchange::HoldAttempt() {
   if (m_held || !m_attempt.connection) {
     Release(m_attempt);
     return;
   }
-  const auto weak = weak_from_this();
-  m_held = std::make_shared<HeldAttempt>(
-      std::move(m_attempt), m_events, weak, [this] { ReturnToHeld("the server goes on"); },
-      [this](AnswerFailure failure) { OnHeldLost(failure); });
+  const bool is_stream = m_route->repeatability == Repeatability::kStream;
+  HeldAttempt::Callbacks callbacks;
+  callbacks.is_usable = [this](unsigned status, const boost::beast::http::fields& fields) {
+    return IsUsable(status, fields);
+  };
+  callbacks.on_word = [this] { ReturnToHeld("the server goes on"); };
+  callbacks.on_lost = [this](std::optional<AnswerFailure> failure) { OnHeldLost(failure); };
+  m_avoided.insert(m_attempt.server);
+  m_held_events = m_events;
+  m_held = std::make_shared<HeldAttempt>(std::move(m_attempt),
+                                         is_stream ? std::optional(m_events) : std::nullopt,
+                                         weak_from_this(), std::move(callbacks));
   m_held->Attempt().connection->SetListener(m_held);
 }
 
 void ForwardExchange::ReturnToHeld(std::string_view reason) {
+  if (m_attempt.connection && !m_attempt.may_have_arrived) {
+    ForgetUnsent();
+  }
   Release(m_attempt);
   const auto held = std::exchange(m_held, nullptr);
   m_parts.logger.Log(LogLevel::kInfo, "request_returned",
@@ -66,13 +88,22 @@
                       {"from", m_attempt.server},
                       {"reason", std::string(reason)}});
   m_attempt = held->TakeAttempt();
-  m_events = held->Events();
+  m_events = m_held_events;
   m_attempt.connection->SetListener(weak_from_this());
   ReserveForAttempt();
-  ++m_path_changes;
-  m_rerouting = false;
   m_failed_reports = 0;
   m_next_search_at = m_parts.clock.Now() + kSearchAgainAfter;
+  m_keeps_waiting = true;
+  m_move_at.reset();
+  if (HasDrainingServer()) {
+    ScheduleMove();
+  }
+}
+
+/** An attempt that was not sent has reached no server. */
+void ForwardExchange::ForgetUnsent() {
+  ++m_history.not_sent;
+  --m_history.servers_reached;
 }
 
 void ForwardExchange::ReleaseHeld() {
@@ -88,10 +119,16 @@
   }
 }
 
-void ForwardExchange::OnHeldLost(AnswerFailure failure) {
+void ForwardExchange::OnHeldRerouted(const LayerPath& path, const RerouteAnswer& answer) {
+  m_held->OnRerouted(answer.result ? std::optional(path) : std::nullopt);
+}
+
+void ForwardExchange::OnHeldLost(std::optional<AnswerFailure> failure) {
   const auto held = std::exchange(m_held, nullptr);
   if (failure == AnswerFailure::kBroken) {
     NoteBrokenAnswer(held->Attempt());
+  } else if (failure) {
+    ForgetUnsent();
   }
 }
 
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -5,6 +5,7 @@
 
 #include "zinnia_adapters/forwarding/exclusion_times.h"
 #include "zinnia_adapters/forwarding/forward_exchange.h"
+#include "zinnia_adapters/forwarding/held_attempt.h"
 #include "zinnia_adapters/forwarding/log_text.h"
 #include "zinnia_adapters/forwarding/server_connection.h"
 #include "zinnia_adapters/forwarding/stall_inquiry.h"
@@ -86,6 +87,9 @@
     CheckPeerSilence();
     return;
   }
+  if (m_keeps_waiting && m_attempt.connection) {
+    TryBesideSilentServer("the server is still silent");
+  }
   if (m_attempt.path.empty() || !m_attempt.connection) {
     return;
   }
@@ -105,7 +109,7 @@
   const int doublings = std::clamp(m_stall_queries - kQueriesWithoutBackoff, 0, kMostDoublings);
   const bool queried_recently =
       m_parts.clock.Now() - m_last_stall_query_at < kStallQueryInterval * (1 << doublings);
-  if (silent >= limit && !m_stall_query_in_flight && !m_rerouting && !queried_recently) {
+  if (silent >= limit && !m_stall_query_in_flight && !m_attempt.rerouting && !queried_recently) {
     QueryStalls();
   }
 }
@@ -164,7 +168,7 @@
 }
 
 std::optional<StreamProgress> ForwardExchange::Progress() const {
-  if (m_ended || !m_attempt.connection || !m_event_intervals.HasBegun() || m_rerouting ||
+  if (m_ended || !m_attempt.connection || !m_event_intervals.HasBegun() || m_attempt.rerouting ||
       m_attempt.path.empty()) {
     return std::nullopt;
   }
@@ -186,7 +190,7 @@
     TryBesideSilentServer("the first server is silent");
     return;
   }
-  if (!m_rerouting) {
+  if (!m_attempt.rerouting) {
     Reroute("a server on the path is stalled", true);
   }
 }
@@ -292,7 +296,7 @@
 /** Best called right after an event, to leave the whole allowed event gap for the move. */
 void ForwardExchange::MoveIfDue() {
   const TimePoint now = m_parts.clock.Now();
-  if (m_ended || !m_attempt.connection || !m_move_at || m_rerouting || now < *m_move_at) {
+  if (m_ended || !m_attempt.connection || !m_move_at || m_attempt.rerouting || now < *m_move_at) {
     return;
   }
   if (!HasDrainingServer()) {
@@ -305,8 +309,13 @@
 
 void ForwardExchange::Reroute(std::string_view reason, bool is_broken) {
   const auto view = m_parts.view();
-  const auto recovery = m_parts.recovery.Choose(*view, m_service, ExpectedSize(), m_attempt.path,
-                                                {}, is_broken && MayResend());
+  auto recovery = m_parts.recovery.Choose(*view, m_service, ExpectedSize(), m_attempt.path, {},
+                                          is_broken && MayResend());
+  if (recovery && !recovery->keeps_first_server &&
+      HasRequest(recovery->found.path.front().server)) {
+    recovery =
+        m_parts.recovery.Choose(*view, m_service, ExpectedSize(), {}, ServersWithRequest(), true);
+  }
   if (recovery && recovery->keeps_first_server) {
     ChangePath(recovery->found, reason);
     return;
@@ -324,6 +333,19 @@
   ChangePath(*found, reason);
 }
 
+/** Those at which the request is now. */
+std::set<BackendServerName> ForwardExchange::ServersWithRequest() const {
+  std::set<BackendServerName> servers = {m_attempt.server};
+  if (m_held) {
+    servers.insert(m_held->Attempt().server);
+  }
+  return servers;
+}
+
+bool ForwardExchange::HasRequest(const BackendServerName& server) const {
+  return ServersWithRequest().contains(server);
+}
+
 bool ForwardExchange::MayResend() const {
   SendHistory history = m_history;
   history.time_left = TimeLeft() > Duration::zero();
@@ -355,14 +377,20 @@
 void ForwardExchange::ChangePath(const FoundPath& found, std::string_view reason) {
   LogMove("request_rerouted", found.path, reason);
   m_parts.link_meter.Add(found.link_ms);
-  m_rerouting = true;
+  m_attempt.rerouting = true;
   const std::uint64_t change = ++m_path_changes;
+  m_attempt.path_change = change;
   m_parts.engine_calls.Reroute(
       m_facts.id, found.path,
       [weak = weak_from_this(), path = found.path, change](const RerouteAnswer& answer) {
         const auto self = weak.lock();
-        if (self && !self->m_ended && self->m_path_changes == change) {
+        if (!self || self->m_ended) {
+          return;
+        }
+        if (self->m_attempt.path_change == change) {
           self->OnRerouted(path, answer);
+        } else if (self->m_held && self->m_held->Attempt().path_change == change) {
+          self->OnHeldRerouted(path, answer);
         }
       });
 }
@@ -384,7 +412,7 @@
 }
 
 void ForwardExchange::OnRerouted(const LayerPath& path, const RerouteAnswer& answer) {
-  m_rerouting = false;
+  m_attempt.rerouting = false;
   if (answer.result) {
     m_attempt.path = path;
     m_attempt.path_confirmed = false;
--- a/packages/zinnia_adapters/forwarding/held_attempt.cc
+++ b/packages/zinnia_adapters/forwarding/held_attempt.cc
@@ -1,7 +1,5 @@
 #include "zinnia_adapters/forwarding/held_attempt.h"
 
-#include <utility>
-
 namespace zinnia {
 
 /** Another server has the request by now. */
@@ -10,29 +8,62 @@
 }
 
 void HeldAttempt::OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) {
-  if (const auto next = m_next.lock()) {
-    m_on_word();
-    next->OnServerAnswerHead(status, fields);
-  }
+  m_is_useless = !m_callbacks.is_usable(status, fields);
+  m_head = Head{status, fields};
 }
 
 void HeldAttempt::OnServerAnswerBody(std::string_view bytes) {
+  if (m_is_useless) {
+    return;
+  }
+  m_body.append(bytes);
+  if (!m_events || m_events->Take(bytes).empty()) {
+    return;
+  }
   if (const auto next = m_next.lock()) {
-    m_on_word();
-    next->OnServerAnswerBody(bytes);
+    m_callbacks.on_word();
+    PassOnArrived();
   }
 }
 
 void HeldAttempt::OnServerAnswerEnd() {
-  if (const auto next = m_next.lock()) {
-    m_on_word();
-    next->OnServerAnswerEnd();
+  const auto next = m_next.lock();
+  if (!next) {
+    return;
+  }
+  if (m_is_useless) {
+    m_callbacks.on_lost(std::nullopt);
+    return;
+  }
+  if (m_events && m_events->HasPartialEvent()) {
+    m_callbacks.on_lost(AnswerFailure::kBroken);
+    return;
   }
+  m_callbacks.on_word();
+  PassOnArrived();
+  next->OnServerAnswerEnd();
 }
 
 void HeldAttempt::OnServerFailed(AnswerFailure failure, std::string_view) {
   if (const auto next = m_next.lock()) {
-    m_on_lost(failure);
+    m_callbacks.on_lost(failure);
+  }
+}
+
+void HeldAttempt::OnRerouted(std::optional<LayerPath> path) {
+  m_attempt.rerouting = false;
+  if (path) {
+    m_attempt.path = std::move(*path);
+  }
+}
+
+void HeldAttempt::PassOnArrived() {
+  const auto next = m_next.lock();
+  if (next && m_head) {
+    next->OnServerAnswerHead(m_head->status, m_head->fields);
+  }
+  if (next && !m_body.empty()) {
+    next->OnServerAnswerBody(m_body);
   }
 }
 
--- a/packages/zinnia_adapters/forwarding/held_attempt.h
+++ b/packages/zinnia_adapters/forwarding/held_attempt.h
@@ -3,6 +3,8 @@
 #include <boost/beast/http/fields.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -15,29 +17,40 @@
 /** An attempt whose server is silent, kept open while another server is tried.
 
     A sound server may be silent for a second and go on, and the other one may turn out to be
-    unreachable. Whichever of the two speaks first keeps the request.
+    unreachable. Whichever of the two goes on first keeps the request: a server goes on with a whole
+    event, or with the whole end of its stream. A refusal, a failure or a broken answer is lost.
 
-    As soon as the held server speaks, `on_word` is called, which must take the attempt back; what
-    it said then goes to `next`. If its connection ends, `on_lost` is called.
+    As soon as the held server goes on, `on_word` is called, which must take the attempt back; what
+    the server said meanwhile then goes to `next`. If its answer is lost, `on_lost` is called, with
+    the failure unless the server has answered.
 */
 class HeldAttempt final : public ServerAnswerListener {
  public:
+  struct Callbacks {
+    /** Whether an answer with this head can be the caller's. */
+    std::function<bool(unsigned status, const boost::beast::http::fields& fields)> is_usable;
+    std::function<void()> on_word;
+    std::function<void(std::optional<AnswerFailure>)> on_lost;
+  };
+
+  /** `events`: of a stream, what has arrived of it; nullopt if the answer comes whole. */
   HeldAttempt(ServerAttempt attempt,
-              EventSplitter events,
+              std::optional<EventSplitter> events,
               std::weak_ptr<ServerAnswerListener> next,
-              std::function<void()> on_word,
-              std::function<void(AnswerFailure)> on_lost)
+              Callbacks callbacks)
       : m_attempt(std::move(attempt)),
         m_events(std::move(events)),
         m_next(std::move(next)),
-        m_on_word(std::move(on_word)),
-        m_on_lost(std::move(on_lost)) {}
+        m_callbacks(std::move(callbacks)) {}
 
   const ServerAttempt& Attempt() const { return m_attempt; }
   ServerAttempt TakeAttempt() { return std::move(m_attempt); }
 
-  /** The part of an event that had arrived. */
-  const EventSplitter& Events() const { return m_events; }
+  /** The server has changed its path, or has refused to. */
+  void OnRerouted(std::optional<LayerPath> path);
+
+  /** Passes on what has arrived while the attempt was held. Call once it was taken back. */
+  void PassOnArrived();
 
   bool OnServerConnected() override;
   void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) override;
@@ -46,11 +59,21 @@
   void OnServerFailed(AnswerFailure failure, std::string_view reason) override;
 
  private:
+  struct Head {
+    unsigned status = 0;
+    boost::beast::http::fields fields;
+  };
+
   ServerAttempt m_attempt;
-  EventSplitter m_events;
+  std::optional<EventSplitter> m_events;
+
+  /** What has arrived while it was held. */
+  std::optional<Head> m_head;
+  std::string m_body;
+  bool m_is_useless = false;
+
   std::weak_ptr<ServerAnswerListener> m_next;
-  std::function<void()> m_on_word;
-  std::function<void(AnswerFailure)> m_on_lost;
+  Callbacks m_callbacks;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/server_attempt.h
+++ b/packages/zinnia_adapters/forwarding/server_attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/beast/http/fields.hpp>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -27,6 +28,9 @@
   std::shared_ptr<ServerConnection> connection;
   TimePoint sent_at{};
 
+  /** Whether the server may have received it: its connection was open, or has been opened. */
+  bool may_have_arrived = false;
+
   unsigned status = 0;
   boost::beast::http::fields fields;
   AnswerFacts answer_facts;
@@ -39,6 +43,10 @@
   /** Whether an event has arrived over the current path. */
   bool path_confirmed = false;
   TimePoint last_progress{};
+
+  /** Whether a change of its path is under way, and which one, to discard the answers to others. */
+  bool rerouting = false;
+  std::uint64_t path_change = 0;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/retries/shared_retry_budget.cc
+++ b/packages/zinnia_decisions/forwarding/retries/shared_retry_budget.cc
@@ -34,15 +34,19 @@
   ++slice.requests;
 }
 
-bool SharedRetryBudget::TrySpend(const ServiceName& service, const ForwardingView& view) {
+bool SharedRetryBudget::HasRetry(const ServiceName& service, const ForwardingView& view) {
   Bucket& bucket = BucketOf(service);
   const double slack_share = m_settings.slack / static_cast<double>(view.InstancesSharingLimits());
   Refill(bucket, slack_share);
   bucket.tokens = std::min(bucket.tokens, Capacity(bucket, slack_share));
-  if (bucket.tokens < 1.0) {
+  return bucket.tokens >= 1.0;
+}
+
+bool SharedRetryBudget::TrySpend(const ServiceName& service, const ForwardingView& view) {
+  if (!HasRetry(service, view)) {
     return false;
   }
-  bucket.tokens -= 1.0;
+  BucketOf(service).tokens -= 1.0;
   return true;
 }
 
--- a/packages/zinnia_decisions/forwarding/retries/shared_retry_budget.h
+++ b/packages/zinnia_decisions/forwarding/retries/shared_retry_budget.h
@@ -40,6 +40,9 @@
 
   void OnRequest(const ServiceName& service);
 
+  /** Whether TrySpend would succeed now. */
+  [[nodiscard]] bool HasRetry(const ServiceName& service, const ForwardingView& view);
+
   /** Consumes one token. Returns false if there is none. */
   [[nodiscard]] bool TrySpend(const ServiceName& service, const ForwardingView& view);
 
--- a/tests/forwarding_path/silent_server_test.cc
+++ b/tests/forwarding_path/silent_server_test.cc
@@ -212,6 +212,32 @@
   CHECK_TRUE(f.Until([&] { return f.a.other_side_closed; }));
 }
 
+// The same for a stall of a later server of the path: the first one may go on.
+TEST(SilentServerPath, IfAServerOfThePathGoesOnTheStreamReturnsToIt) {
+  EngineReport report;
+  report.stalled.push_back({"r-1", f.view->servers.at("x2").address});
+  f.calls.report = report;
+  const TestCaller& caller = Begin();
+  CHECK_TRUE(f.Until([&] { return at_second != nullptr; }));
+  Wait(kSilence);
+  CHECK_FALSE(caller.IsClosed());
+  at_first->Write(LastEvent(2));
+  CHECK_TRUE(IsWhole(caller));
+  CheckEvents(caller, 2);
+}
+
+// Guards against news of a dead server that ends requests which pass it.
+TEST(SilentServerPath, AStreamLeavesAPathWithADeadServer) {
+  f.b.scripts = {[](Connection& connection) {
+    connection.Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n") + LastEvent(2));
+  }};
+  const TestCaller& caller = Begin();
+  Wait(milliseconds(60));
+  f.traffic->OnPeerStalls({StallReport{"x2", milliseconds(0)}});
+  CHECK_TRUE(IsWhole(caller));
+  CheckEvents(caller, 2);
+}
+
 // Guards against events of both servers, if the first one goes on once the other has taken over.
 TEST(SilentServerPath, TheFirstServerIsNotHeardOnceTheOtherHasBegun) {
   f.b.scripts = {[this](Connection& connection) {
