The shared parts of a prompt are read from the request

One part of a prompt may crash each server that begins to write an answer on it. The request names its parts in a header that nothing read, so no decision could tell two requests that share a part.

Change: `RequestFacts::prompt_parts`, read by `ReadPromptParts` in platform/: all entries but the last, in order and each once, as fingerprints. Nothing decides on them yet.

--- a/packages/zinnia_world/forwarding/request_facts.h
+++ b/packages/zinnia_world/forwarding/request_facts.h
@@ -4,6 +4,9 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
+
+#include "zinnia_base/hashing/fingerprint.h"
 
 namespace zinnia {
 
@@ -20,6 +23,10 @@
 
   /** The last event that the caller received, if it resumes a stream. */
   std::optional<std::uint64_t> last_event_id;
+
+  /** The parts of the prompt that other prompts may share, in order and each once; bounded. Without
+      the last part, which is the request's or its session's own. */
+  std::vector<Fingerprint> prompt_parts;
 };
 
 }  // namespace zinnia
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -1,12 +1,16 @@
+#include <fmt/format.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <deque>
+#include <iterator>
 #include <random>
 
 #include "platform/base64.h"
 #include "platform/engine_client.h"
 #include "platform/platform_codec.h"
 #include "platform/platform_store.h"
+#include "platform/prompt_parts.h"
 #include "platform/record_reader.h"
 #include "tests/adapters/traffic_loop.h"
 #include "tests/adapters/traffic_scripted_server.h"
@@ -112,6 +116,99 @@
   CHECK_TRUE(codec.ReadAnswer(200, fields).notices.is_leaving);
 }
 
+TEST_GROUP(PromptParts) {
+  static constexpr const char* kName = "Zinniastage-Prefix-Hash";
+
+  PlatformCodec codec;
+  MessageCodec::Fields fields;
+
+  std::vector<Fingerprint> Read(const std::string& value) {
+    fields.set(kName, value);
+    return codec.ReadRequest(fields).prompt_parts;
+  }
+
+  static std::string Entry(std::size_t number) {
+    return fmt::format("{:x}:10", number);
+  }
+};
+
+TEST(PromptParts, AllButTheLastAreReadInOrder) {
+  CHECK_TRUE(codec.ReadRequest(fields).prompt_parts.empty());
+  CHECK_TRUE(Read("").empty());
+  CHECK_TRUE(Read("a1:10").empty());
+  const auto one = Read("a1:10,b2:20");
+  CHECK_EQUAL(1U, one.size());
+  const auto two = Read("c3:1,a1:10,b2:20");
+  CHECK_EQUAL(2U, two.size());
+  CHECK_TRUE(two[1] == one[0]);
+  CHECK_FALSE(two[0] == one[0]);
+}
+
+// Guards against one part that counts as several, and against several that count as one.
+TEST(PromptParts, SpacesLetterCaseAndLeadingZerosMakeNoOtherPart) {
+  const auto part = Read("a1f:10,9:1");
+  for (const char* same : {"A1F:10,9:1", " \ta1f : 10 , 9:1", "00a1F:7,9:1", "a1f:10,0A1f:3,9:1"}) {
+    CHECK_TRUE(Read(same) == part);
+  }
+  CHECK_EQUAL(1U, Read("0:1,000:1,9:1").size());
+  for (const char* other : {"a1f0:10,9:1", "1f:10,9:1", "0:10,9:1"}) {
+    CHECK_EQUAL(1U, Read(other).size());
+    CHECK_FALSE(Read(other) == part);
+  }
+}
+
+TEST(PromptParts, MalformedEntriesAreSkipped) {
+  const auto sound = Read("a1:10,b2:20,9:1");
+  CHECK_EQUAL(2U, sound.size());
+  for (const char* malformed : {"", "a", ":", ":10", "c3:", "xyz:10", "0x1:10", "-1:10", "c3:-1",
+                                "c3:many", "c3:1:2", "c 3:1", "c3;1", "\xff:1"}) {
+    CHECK_TRUE(Read(std::string("a1:10,") + malformed + ",b2:20,9:1") == sound);
+  }
+}
+
+// Guards against a request whose own part is taken for one that others share.
+TEST(PromptParts, TheLastEntryIsTheLastEvenIfMalformed) {
+  const auto sound = Read("a1:10,b2:20,9:1");
+  CHECK_TRUE(Read("a1:10,b2:20,nonsense") == sound);
+  CHECK_TRUE(Read("a1:10,b2:20,") == sound);
+}
+
+TEST(PromptParts, SeveralLinesAreOneList) {
+  const auto sound = Read("a1:10,b2:20,9:1");
+  fields.set(kName, "a1:10,b2:20");
+  fields.insert(kName, "9:1");
+  CHECK_TRUE(codec.ReadRequest(fields).prompt_parts == sound);
+}
+
+// Guards against a header that makes each request costly.
+TEST(PromptParts, TheFirstOnesAreReadUpToABound) {
+  std::string many;
+  for (std::size_t number = 0; number < 2 * kMaxPromptParts; ++number) {
+    many += Entry(number) + "," + Entry(number) + ",";
+  }
+  const auto parts = Read(many + "9:1");
+  CHECK_EQUAL(kMaxPromptParts, parts.size());
+  CHECK_TRUE(parts[0] == Read(Entry(0) + ",9:1")[0]);
+  CHECK_TRUE(parts.back() == Read(Entry(kMaxPromptParts - 1) + ",9:1")[0]);
+}
+
+// Guards against a server or a peer that reads other parts than the caller sent.
+TEST(PromptParts, TheHeaderIsPassedOnUnchanged) {
+  const std::string sent = "00A1:10 , a1:10,nonsense,,c3:7";
+  for (const bool to_peer : {false, true}) {
+    fields.clear();
+    fields.insert(kName, sent);
+    fields.insert(kName, "D4:1");
+    ForwardingMarks marks;
+    marks.server = "i-1";
+    to_peer ? codec.MarkRequestForPeer(fields, marks) : codec.MarkRequest(fields, marks);
+    const auto [first, end] = fields.equal_range(kName);
+    CHECK_EQUAL(2, std::distance(first, end));
+    STRCMP_EQUAL(sent.c_str(), std::string(first->value()).c_str());
+    STRCMP_EQUAL("D4:1", std::string(std::next(first)->value()).c_str());
+  }
+}
+
 TEST_GROUP(PlatformRecords) {
   PlatformRecordReader reader;
 };
