Crash news, quarantines and cleared news carry what kind of suspect they name

A part of a prompt may be the cause of crashes, not only a request. The news between instances holds a fingerprint that could be of either, so a part would be taken for a request.

Change: `SuspectKind`, and `kind` as the last member of CrashReport, ClearedRequest and QuarantineReport (a request if not said); `BrokenAttempt::prompt_parts`. On the wire a field `kind` at the end of NewsCrash, NewsClearedRequest and NewsQuarantine: 0, so also what an older version leaves out, is a request; rows of a kind that is not known are skipped. Nothing fills the new members yet. An older version that receives a row about a part takes it for one about a request.

--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp
@@ -56,6 +56,10 @@
   inFlightMs @4 :UInt32;
   ranMs @5 :UInt32;
   ageMs @6 :UInt32;
+
+  kind @7 :UInt8;
+  # What the fingerprint is of. 0, also from an older version: a request; 1: a part of a prompt.
+  # Rows of a kind that is not known are skipped.
 }
 
 struct NewsClearedRequest {
@@ -63,6 +67,9 @@
   high @0 :UInt64;
   low @1 :UInt64;
   ageMs @2 :UInt32;
+
+  kind @3 :UInt8;
+  # As in NewsCrash.
 }
 
 struct NewsQuarantine {
@@ -71,6 +78,9 @@
   requestLow @1 :UInt64;
   remainingMs @2 :UInt32;
   durationMs @3 :UInt32;
+
+  kind @4 :UInt8;
+  # As in NewsCrash.
 }
 
 struct NewsInstance {
--- a/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
+++ b/packages/zinnia_adapters/fleet_news/fleet_news.capnp.h
@@ -172,7 +172,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd80127b3776ee8e, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(bd80127b3776ee8e, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -883,6 +883,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint8_t getKind() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -936,6 +938,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -985,6 +990,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint8_t getKind() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1022,6 +1029,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1073,6 +1083,8 @@
 
   inline  ::uint32_t getDurationMs() const;
 
+  inline  ::uint8_t getKind() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1113,6 +1125,9 @@
   inline  ::uint32_t getDurationMs();
   inline void setDurationMs( ::uint32_t value);
 
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2441,6 +2456,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t NewsCrash::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t NewsCrash::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void NewsCrash::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t NewsClearedRequest::Reader::getHigh() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2483,6 +2512,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t NewsClearedRequest::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t NewsClearedRequest::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void NewsClearedRequest::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t NewsQuarantine::Reader::getRequestHigh() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2539,6 +2582,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t NewsQuarantine::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t NewsQuarantine::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+inline void NewsQuarantine::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool NewsInstance::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/zinnia_adapters/fleet_news/report_codec.cc
+++ b/packages/zinnia_adapters/fleet_news/report_codec.cc
@@ -40,6 +40,11 @@
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, kNoAge));
 }
 
+/** Returns no value for a kind of a later version. */
+std::optional<SuspectKind> ReadKind(std::uint8_t kind) {
+  return kind < kSuspectKinds.size() ? std::optional(kSuspectKinds.at(kind)) : std::nullopt;
+}
+
 void WriteCrashes(wire::NewsReport::Builder to, const std::vector<CrashReport>& crashes) {
   auto rows = to.initCrashes(static_cast<unsigned>(crashes.size()));
   unsigned index = 0;
@@ -52,6 +57,7 @@
     row.setInFlightMs(WriteMilliseconds(crash.in_flight));
     row.setRanMs(WriteMilliseconds(crash.ran));
     row.setAgeMs(WriteMilliseconds(crash.age));
+    row.setKind(static_cast<std::uint8_t>(crash.kind));
   }
 }
 
@@ -64,12 +70,15 @@
 std::vector<CrashReport> ReadCrashes(wire::NewsReport::Reader from) {
   std::vector<CrashReport> crashes;
   for (const auto row : from.getCrashes()) {
-    crashes.push_back({{row.getRequestHigh(), row.getRequestLow()},
-                       ToText(row.getServer()),
-                       ReadOnset(row.getOnset()),
-                       std::chrono::milliseconds(row.getInFlightMs()),
-                       std::chrono::milliseconds(row.getRanMs()),
-                       std::chrono::milliseconds(row.getAgeMs())});
+    if (const auto kind = ReadKind(row.getKind())) {
+      crashes.push_back({{row.getRequestHigh(), row.getRequestLow()},
+                         ToText(row.getServer()),
+                         ReadOnset(row.getOnset()),
+                         std::chrono::milliseconds(row.getInFlightMs()),
+                         std::chrono::milliseconds(row.getRanMs()),
+                         std::chrono::milliseconds(row.getAgeMs()),
+                         *kind});
+    }
   }
   return crashes;
 }
@@ -84,19 +93,46 @@
     row.setRequestLow(quarantine.request.low);
     row.setRemainingMs(WriteMilliseconds(quarantine.remaining));
     row.setDurationMs(WriteMilliseconds(quarantine.duration));
+    row.setKind(static_cast<std::uint8_t>(quarantine.kind));
   }
 }
 
 std::vector<QuarantineReport> ReadQuarantines(wire::NewsReport::Reader from) {
   std::vector<QuarantineReport> quarantines;
   for (const auto row : from.getQuarantines()) {
-    quarantines.push_back({{row.getRequestHigh(), row.getRequestLow()},
-                           std::chrono::milliseconds(row.getRemainingMs()),
-                           std::chrono::milliseconds(row.getDurationMs())});
+    if (const auto kind = ReadKind(row.getKind())) {
+      quarantines.push_back({{row.getRequestHigh(), row.getRequestLow()},
+                             std::chrono::milliseconds(row.getRemainingMs()),
+                             std::chrono::milliseconds(row.getDurationMs()),
+                             *kind});
+    }
   }
   return quarantines;
 }
 
+void WriteCleared(wire::NewsReport::Builder to, const std::vector<ClearedRequest>& requests) {
+  auto rows = to.initClearedRequests(static_cast<unsigned>(requests.size()));
+  unsigned index = 0;
+  for (const ClearedRequest& cleared : requests) {
+    auto row = rows[index++];
+    row.setHigh(cleared.request.high);
+    row.setLow(cleared.request.low);
+    row.setAgeMs(WriteMilliseconds(cleared.age));
+    row.setKind(static_cast<std::uint8_t>(cleared.kind));
+  }
+}
+
+std::vector<ClearedRequest> ReadCleared(wire::NewsReport::Reader from) {
+  std::vector<ClearedRequest> requests;
+  for (const auto row : from.getClearedRequests()) {
+    if (const auto kind = ReadKind(row.getKind())) {
+      requests.push_back(
+          {{row.getHigh(), row.getLow()}, std::chrono::milliseconds(row.getAgeMs()), *kind});
+    }
+  }
+  return requests;
+}
+
 void WriteUses(capnp::List<wire::NewsServerUse>::Builder to, const LoadTracker::Uses& uses) {
   unsigned index = 0;
   for (const auto& [server, use] : uses) {
@@ -169,12 +205,7 @@
   }
   WriteCrashes(to, report.crashes);
   WriteQuarantines(to, report.quarantines);
-  auto cleared = to.initClearedRequests(static_cast<unsigned>(report.cleared_requests.size()));
-  for (unsigned index = 0; index < report.cleared_requests.size(); ++index) {
-    cleared[index].setHigh(report.cleared_requests[index].request.high);
-    cleared[index].setLow(report.cleared_requests[index].request.low);
-    cleared[index].setAgeMs(WriteMilliseconds(report.cleared_requests[index].age));
-  }
+  WriteCleared(to, report.cleared_requests);
   auto stalls = to.initStalls(static_cast<unsigned>(report.stalls.size()));
   for (unsigned stall = 0; stall < report.stalls.size(); ++stall) {
     stalls[stall].setServer(report.stalls[stall].server);
@@ -219,10 +250,7 @@
   }
   report.crashes = ReadCrashes(from);
   report.quarantines = ReadQuarantines(from);
-  for (const auto request : from.getClearedRequests()) {
-    report.cleared_requests.push_back(
-        {{request.getHigh(), request.getLow()}, std::chrono::milliseconds(request.getAgeMs())});
-  }
+  report.cleared_requests = ReadCleared(from);
   for (const auto stall : from.getStalls()) {
     report.stalls.push_back(
         {ToText(stall.getServer()), std::chrono::milliseconds(stall.getAgeMs())});
--- a/packages/zinnia_decisions/forwarding/crashes/broken_attempts.h
+++ b/packages/zinnia_decisions/forwarding/crashes/broken_attempts.h
@@ -24,6 +24,9 @@
   Duration ran{};
   TimePoint broken_at{};
   NetworkAddress server_address;
+
+  /** The parts of its prompt that other requests may share. */
+  std::vector<Fingerprint> prompt_parts;
 };
 
 /** What is known of a server at which an answer has broken off. */
--- a/packages/zinnia_decisions/forwarding/crashes/crash_report.h
+++ b/packages/zinnia_decisions/forwarding/crashes/crash_report.h
@@ -4,12 +4,14 @@
 
 #include "zinnia_base/hashing/fingerprint.h"
 #include "zinnia_decisions/forwarding/crashes/crash_onset.h"
+#include "zinnia_decisions/forwarding/crashes/suspect_kind.h"
 #include "zinnia_world/names/names.h"
 
 namespace zinnia {
 
-/** A request that was in flight at a server when it crashed. */
+/** A request, or a part of its prompt, that was in flight at a server when it crashed. */
 struct CrashReport {
+  /** Of the part if `kind` says so. */
   Fingerprint request;
 
   /** One start of a server; it has another name after its restart. */
@@ -24,18 +26,24 @@
 
   /** Time since the crash. */
   std::chrono::milliseconds age{0};
+  SuspectKind kind = SuspectKind::kRequest;
 };
 
-/** A request that ended well although something spoke against it. */
+/** A request that ended well although something spoke against it, or a part of a prompt whose
+    stream got past its beginning. */
 struct ClearedRequest {
+  /** Of the part if `kind` says so. */
   Fingerprint request;
 
-  /** Time since it ended well, however often that has been told. */
+  /** Time since the request ended well, or since the stream on the part began, however often that
+      has been told. */
   std::chrono::milliseconds age{0};
+  SuspectKind kind = SuspectKind::kRequest;
 };
 
-/** A request that is refused because it crashes servers. */
+/** A request that is refused because it, or a part of its prompt, crashes servers. */
 struct QuarantineReport {
+  /** Of the part if `kind` says so. */
   Fingerprint request;
 
   /** Time until it is let through again. */
@@ -43,6 +51,7 @@
 
   /** How long it is refused in all; grows with each further quarantine. */
   std::chrono::milliseconds duration{0};
+  SuspectKind kind = SuspectKind::kRequest;
 };
 
 }  // namespace zinnia
--- a/tests/adapters/report_codec_test.cc
+++ b/tests/adapters/report_codec_test.cc
@@ -77,6 +77,41 @@
   CHECK_EQUAL(60'000, read.quarantines.front().duration.count());
 }
 
+// Guards against a part of a prompt that peers take for a request, and the reverse.
+TEST(ReportCodec, KindsOfSuspectsArrive) {
+  InstanceReport report;
+  for (const SuspectKind kind : kSuspectKinds) {
+    report.crashes.push_back({{7, 8}, "s", CrashOnset::kBegun, {}, {}, {}, kind});
+    report.quarantines.push_back({{7, 8}, milliseconds(1), milliseconds(2), kind});
+    report.cleared_requests.push_back({{7, 8}, milliseconds(3), kind});
+  }
+  const InstanceReport read = SendOver(report);
+  CHECK_EQUAL(kSuspectKinds.size(), read.crashes.size());
+  CHECK_EQUAL(kSuspectKinds.size(), read.quarantines.size());
+  CHECK_EQUAL(kSuspectKinds.size(), read.cleared_requests.size());
+  for (std::size_t row = 0; row < kSuspectKinds.size(); ++row) {
+    CHECK_TRUE(read.crashes[row].kind == kSuspectKinds[row]);
+    CHECK_TRUE(read.quarantines[row].kind == kSuspectKinds[row]);
+    CHECK_TRUE(read.cleared_requests[row].kind == kSuspectKinds[row]);
+  }
+}
+
+// Guards against an upgrade after which a part of a prompt is counted as a request.
+TEST(ReportCodec, RowsWithoutAKindAreRequestsAndThoseOfAnUnknownKindAreSkipped) {
+  capnp::MallocMessageBuilder message;
+  auto written = message.initRoot<wire::NewsReport>();
+  written.initCrashes(2)[1].setKind(kSuspectKinds.size());
+  written.initQuarantines(2)[1].setKind(kSuspectKinds.size());
+  written.initClearedRequests(2)[1].setKind(0xff);
+  const InstanceReport read = report_codec::Read(written.asReader());
+  CHECK_EQUAL(1U, read.crashes.size());
+  CHECK_EQUAL(1U, read.quarantines.size());
+  CHECK_EQUAL(1U, read.cleared_requests.size());
+  CHECK_TRUE(read.crashes.front().kind == SuspectKind::kRequest);
+  CHECK_TRUE(read.quarantines.front().kind == SuspectKind::kRequest);
+  CHECK_TRUE(read.cleared_requests.front().kind == SuspectKind::kRequest);
+}
+
 // During an upgrade both versions run. An older one says of itself alone that it reads.
 TEST(ReportCodec, AnOlderVersionsWordCountsAsNew) {
   capnp::MallocMessageBuilder message;
