A part of a prompt and a request are told apart in news and records

News memory, the news that is passed on, the quarantines in a report and the records in the store were keyed by a fingerprint alone and shared one bound. A part and a request with equal fingerprints would have been one; a crash makes suspects of many parts at once, and these would have kept requests from being told, or the reverse.

Change: `Suspect`, a kind and a fingerprint together. CrashNews holds news, memory and bounds for each kind by itself (64 rows of each in a report, 64 cleared ones, 4,096 kept). ReportExchange reports at most 16 quarantines of each kind. QuarantineRecords is keyed by Suspect, at most 64 records of each kind an instance; the key of a part's record names its kind, that of a request's stays its fingerprint alone, so that old records are requests and older versions ignore the new ones. Log lines of records name the kind.

Result: test_forwarding -c -xn HarmfulOnes 293 of 293 (11 new), test_adapters -c 118 of 118, test_platform -c 31 of 31. With the kinds taken out again (one news for both, one count of quarantines, one key prefix, one count of records) nine of the new tests failed.

--- a/packages/zinnia_decisions/forwarding/crashes/crashes.h
+++ b/packages/zinnia_decisions/forwarding/crashes/crashes.h
@@ -7,4 +7,5 @@
 #include "zinnia_decisions/forwarding/crashes/crash_report.h"
 #include "zinnia_decisions/forwarding/crashes/recent_requests.h"
 #include "zinnia_decisions/forwarding/crashes/request_quarantine.h"
+#include "zinnia_decisions/forwarding/crashes/suspect.h"
 #include "zinnia_decisions/forwarding/crashes/suspect_kind.h"
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -149,14 +149,14 @@
   const bool is_writer = std::none_of(live.begin(), live.end(), [&](const Instance& instance) {
     return std::pair(RendezvousWeight(subject, instance.name), instance.name) > own;
   });
-  if (is_writer && !m_mirror.Has(QuarantineRecords::KeyOf(quarantine.request))) {
+  if (is_writer && !m_mirror.Has(QuarantineRecords::KeyOf(SuspectOf(quarantine)))) {
     m_quarantine_records.Write(quarantine);
   }
 }
 
 void ForwardingControl::OnCleared(const std::vector<ClearedRequest>& requests) {
   for (const ClearedRequest& cleared : requests) {
-    m_quarantine_records.Remove(cleared.request);
+    m_quarantine_records.Remove(SuspectOf(cleared));
   }
 }
 
--- a/packages/zinnia_decisions/forwarding/observed_state/crash_news.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/crash_news.cc
@@ -13,6 +13,7 @@
 /** Outlasts the loss of a few reports. */
 constexpr Duration kLifetime = milliseconds(1'500);
 
+/** For each kind of suspect. */
 constexpr std::size_t kMaxEntries = 4'096;
 
 }  // namespace
@@ -24,8 +25,10 @@
     const bool is_recent = crash.age >= milliseconds(0) && crash.age < kLifetime;
     const Key key{crash.request, crash.server};
     const TimePoint crashed_at = m_clock.Now() - crash.age;
-    if (is_recent && m_entries.size() < kMaxEntries && m_known_crashes.Learn(key, crashed_at)) {
-      m_entries.insert_or_assign(key, Entry{crash, crashed_at});
+    News& news = NewsOf(crash.kind);
+    if (is_recent && news.crashes.size() < kMaxEntries &&
+        news.known_crashes.Learn(key, crashed_at)) {
+      news.crashes.insert_or_assign(key, Entry{crash, crashed_at});
       taken.push_back(crash);
     }
   }
@@ -41,9 +44,10 @@
     const bool is_recent =
         cleared.age >= milliseconds(0) && cleared.age < RecentRequests::kLifetime;
     const TimePoint ended_at = now - cleared.age;
-    if (is_recent && m_cleared.size() < kMaxReports &&
-        m_known_cleared.Learn(cleared.request, ended_at)) {
-      m_cleared.insert_or_assign(cleared.request, Cleared{ended_at, now});
+    News& news = NewsOf(cleared.kind);
+    if (is_recent && news.cleared.size() < kMaxReports &&
+        news.known_cleared.Learn(cleared.request, ended_at)) {
+      news.cleared.insert_or_assign(cleared.request, Cleared{ended_at, now});
       taken.push_back(cleared);
     }
   }
@@ -53,17 +57,28 @@
 std::vector<ClearedRequest> CrashNews::RecentlyCleared() {
   RemoveOld();
   std::vector<ClearedRequest> requests;
-  for (const auto& [request, cleared] : m_cleared) {
-    requests.push_back({request, duration_cast<milliseconds>(m_clock.Now() - cleared.ended_at)});
+  for (const SuspectKind kind : kSuspectKinds) {
+    for (const auto& [request, cleared] : NewsOf(kind).cleared) {
+      requests.push_back(
+          {request, duration_cast<milliseconds>(m_clock.Now() - cleared.ended_at), kind});
+    }
   }
   return requests;
 }
 
 std::vector<CrashReport> CrashNews::Recent() {
   RemoveOld();
+  std::vector<CrashReport> reports;
+  for (const SuspectKind kind : kSuspectKinds) {
+    AppendRecent(NewsOf(kind), reports);
+  }
+  return reports;
+}
+
+void CrashNews::AppendRecent(const News& news, std::vector<CrashReport>& reports) const {
   std::vector<Entry> entries;
-  entries.reserve(m_entries.size());
-  for (const auto& [key, entry] : m_entries) {
+  entries.reserve(news.crashes.size());
+  for (const auto& [key, entry] : news.crashes) {
     entries.push_back(entry);
   }
   const auto is_first = [](const Entry& left, const Entry& right) {
@@ -74,20 +89,20 @@
   const std::size_t count = std::min(entries.size(), kMaxReports);
   std::partial_sort(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(count),
                     entries.end(), is_first);
-  std::vector<CrashReport> reports;
   for (std::size_t index = 0; index < count; ++index) {
     reports.push_back(entries[index].report);
     reports.back().age = duration_cast<milliseconds>(m_clock.Now() - entries[index].crashed_at);
   }
-  return reports;
 }
 
 void CrashNews::RemoveOld() {
   const TimePoint now = m_clock.Now();
-  std::erase_if(m_entries,
-                [now](const auto& entry) { return now - entry.second.crashed_at >= kLifetime; });
-  std::erase_if(m_cleared,
-                [now](const auto& entry) { return now - entry.second.heard_at >= kLifetime; });
+  for (News& news : m_kinds) {
+    std::erase_if(news.crashes,
+                  [now](const auto& entry) { return now - entry.second.crashed_at >= kLifetime; });
+    std::erase_if(news.cleared,
+                  [now](const auto& entry) { return now - entry.second.heard_at >= kLifetime; });
+  }
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/observed_state/crash_news.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/crash_news.h
@@ -1,35 +1,38 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <map>
 #include <utility>
 #include <vector>
 
 #include "zinnia_base/time/clock.h"
 #include "zinnia_decisions/forwarding/crashes/crash_report.h"
+#include "zinnia_decisions/forwarding/crashes/suspect_kind.h"
 #include "zinnia_decisions/forwarding/observed_state/news_memory.h"
 
 namespace zinnia {
 
 /** The crash reports that an instance passes on to its peers for a short time, each once known, and
-    the requests that turned out not to cause crashes.
-    Bounded, as all servers of a failure domain may crash at once. */
+    the suspects that turned out not to cause crashes.
+    Bounded, as all servers of a failure domain may crash at once; for each kind of suspect by
+    itself, so that those of one kind leave no less room to the other. */
 class CrashNews {
  public:
-  /** Maximum rows in one report to a peer. */
+  /** Maximum rows of each kind of suspect in one report to a peer. */
   static constexpr std::size_t kMaxReports = 64;
 
-  explicit CrashNews(const Clock& clock)
-      : m_clock(clock), m_known_crashes(clock), m_known_cleared(clock) {}
+  explicit CrashNews(const Clock& clock) : m_clock(clock), m_kinds{News(clock), News(clock)} {}
 
   /** Records the reports that were unknown and are recent, and returns them. */
   std::vector<CrashReport> TakeNew(const std::vector<CrashReport>& crashes);
 
-  /** Records the cleared requests that were unknown, and returns them. */
+  /** Records the cleared suspects that were unknown, and returns them. */
   std::vector<ClearedRequest> TakeNewlyCleared(const std::vector<ClearedRequest>& requests);
   std::vector<ClearedRequest> RecentlyCleared();
 
-  /** Returns the reports for the next message: requests that had just begun first, then the latest
-      crashes. */
+  /** Returns the reports for the next message; of each kind those that had just begun first, then
+      the latest crashes. */
   std::vector<CrashReport> Recent();
 
  private:
@@ -44,15 +47,24 @@
     TimePoint heard_at{};
   };
 
+  /** The news about suspects of one kind. */
+  struct News {
+    explicit News(const Clock& clock) : known_crashes(clock), known_cleared(clock) {}
+
+    NewsMemory<Key> known_crashes;
+    NewsMemory<Fingerprint> known_cleared;
+
+    /** What is passed on. */
+    std::map<Key, Entry> crashes;
+    std::map<Fingerprint, Cleared> cleared;
+  };
+
+  News& NewsOf(SuspectKind kind) { return m_kinds.at(static_cast<std::size_t>(kind)); }
+  void AppendRecent(const News& news, std::vector<CrashReport>& reports) const;
   void RemoveOld();
 
   const Clock& m_clock;
-  NewsMemory<Key> m_known_crashes;
-  NewsMemory<Fingerprint> m_known_cleared;
-
-  /** What is passed on. */
-  std::map<Key, Entry> m_entries;
-  std::map<Fingerprint, Cleared> m_cleared;
+  std::array<News, kSuspectKinds.size()> m_kinds;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/observed_state/instance_report.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_report.h
@@ -40,13 +40,13 @@
   std::vector<SlowdownReport> slow_servers;
   std::vector<ServerLimitReport> server_limits;
 
-  /** Requests that were in flight at recent crashes of servers. */
+  /** Requests and parts of prompts that were in flight at recent crashes of servers. */
   std::vector<CrashReport> crashes;
 
-  /** Requests that the sender refuses because they crash servers. */
+  /** What the sender refuses because it crashes servers. */
   std::vector<QuarantineReport> quarantines;
 
-  /** Requests that ended well somewhere although something spoke against them. */
+  /** Suspects that turned out well somewhere although something spoke against them. */
   std::vector<ClearedRequest> cleared_requests;
 
   /** Recent statements of servers that did not come from the store. */
--- a/packages/zinnia_decisions/forwarding/observed_state/quarantine_records.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/quarantine_records.cc
@@ -26,13 +26,13 @@
 /** Store calls are billed, and peers know the quarantine meanwhile. */
 constexpr int kMaxAttempts = 8;
 
-/** Records of one instance; further quarantines are known to running instances only. */
-constexpr std::size_t kMaxRecords = 64;
-
 constexpr std::size_t kHexDigitsOfHalf = 16;
 constexpr const char* kUntilField = "until_unix_ms";
 constexpr const char* kDurationField = "duration_ms";
 
+/** Between the name of a kind and a fingerprint. */
+constexpr char kKindSeparator = '/';
+
 milliseconds UnixTime(WallTimePoint time) {
   return duration_cast<milliseconds>(time.time_since_epoch());
 }
@@ -50,6 +50,34 @@
                                                : std::nullopt;
 }
 
+/** Of the records of one kind. */
+std::string KeyPrefixOf(SuspectKind kind) {
+  const std::string prefix(QuarantineRecords::kKeyPrefix);
+  return kind == SuspectKind::kRequest ? prefix
+                                       : prefix + std::string(NameOf(kind)) + kKindSeparator;
+}
+
+std::optional<Fingerprint> ReadFingerprint(std::string_view hex) {
+  if (hex.size() != 2 * kHexDigitsOfHalf) {
+    return std::nullopt;
+  }
+  const auto high = ReadHex(hex.substr(0, kHexDigitsOfHalf));
+  const auto low = ReadHex(hex.substr(kHexDigitsOfHalf));
+  return high && low ? std::optional(Fingerprint{*high, *low}) : std::nullopt;
+}
+
+std::optional<Suspect> ReadKey(std::string_view key) {
+  for (const SuspectKind kind : kSuspectKinds) {
+    const std::string prefix = KeyPrefixOf(kind);
+    const auto fingerprint =
+        key.starts_with(prefix) ? ReadFingerprint(key.substr(prefix.size())) : std::nullopt;
+    if (fingerprint) {
+      return Suspect{kind, *fingerprint};
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 QuarantineRecords::QuarantineRecords(PlatformStore& store,
@@ -60,24 +88,18 @@
 
 QuarantineRecords::~QuarantineRecords() = default;
 
-std::string QuarantineRecords::KeyOf(const Fingerprint& request) {
-  return std::string(kKeyPrefix) + request.ToHex();
+std::string QuarantineRecords::KeyOf(const Suspect& suspect) {
+  return KeyPrefixOf(suspect.kind) + suspect.fingerprint.ToHex();
 }
 
 std::optional<QuarantineReport> QuarantineRecords::Decode(const std::string& key,
                                                           const std::string& value,
                                                           WallTimePoint now) {
-  const std::string_view hex =
-      std::string_view(key).substr(std::min(key.size(), kKeyPrefix.size()));
-  if (!key.starts_with(kKeyPrefix) || hex.size() != 2 * kHexDigitsOfHalf) {
-    return std::nullopt;
-  }
-  const auto high = ReadHex(hex.substr(0, kHexDigitsOfHalf));
-  const auto low = ReadHex(hex.substr(kHexDigitsOfHalf));
+  const auto suspect = ReadKey(key);
   boost::system::error_code error;
   const json::value parsed = json::parse(value, error);
   const json::object* fields = error ? nullptr : parsed.if_object();
-  if (!high || !low || fields == nullptr) {
+  if (!suspect || fields == nullptr) {
     return std::nullopt;
   }
   const auto until = ReadMilliseconds(*fields, kUntilField);
@@ -86,25 +108,26 @@
     return std::nullopt;
   }
   // The writer's clock may be ahead.
-  return QuarantineReport{{*high, *low}, std::min(*until - UnixTime(now), *duration), *duration};
+  return QuarantineReport{suspect->fingerprint, std::min(*until - UnixTime(now), *duration),
+                          *duration, suspect->kind};
 }
 
 void QuarantineRecords::Write(const QuarantineReport& quarantine) {
   RemoveExpired();
-  if (m_own.size() >= kMaxRecords) {
-    m_logger.Log(LogLevel::kWarning, "quarantine_not_recorded",
-                 {{"fingerprint", quarantine.request.ToHex()}, {"reason", "too many records"}});
+  const Suspect suspect = SuspectOf(quarantine);
+  if (CountOwn(suspect.kind) >= kMaxRecords) {
+    LogNotRecorded(suspect, "too many records");
     return;
   }
-  Own& own = m_own[quarantine.request];
+  Own& own = m_own[suspect];
   own.quarantine = quarantine;
   own.until = m_clock.Now() + quarantine.remaining;
   own.attempts = 0;
-  Grant(quarantine.request);
+  Grant(suspect);
 }
 
-void QuarantineRecords::Remove(const Fingerprint& request) {
-  const auto own = m_own.extract(request);
+void QuarantineRecords::Remove(const Suspect& suspect) {
+  const auto own = m_own.extract(suspect);
   if (!own.empty() && own.mapped().lease != 0) {
     m_store.RevokeLease(own.mapped().lease, [](const Result<void>&) {});
   }
@@ -112,9 +135,9 @@
 
 void QuarantineRecords::OnStoreEraChanged(milliseconds pause) {
   RemoveExpired();
-  for (auto& [request, own] : m_own) {
+  for (auto& [suspect, own] : m_own) {
     own.attempts = 0;
-    Schedule(request, pause);
+    Schedule(suspect, pause);
   }
 }
 
@@ -122,54 +145,64 @@
   return duration_cast<milliseconds>(own.until - m_clock.Now());
 }
 
+std::size_t QuarantineRecords::CountOwn(SuspectKind kind) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_own.begin(), m_own.end(), [kind](const auto& row) { return row.first.kind == kind; }));
+}
+
+void QuarantineRecords::LogNotRecorded(const Suspect& suspect, std::string_view reason) {
+  m_logger.Log(LogLevel::kWarning, "quarantine_not_recorded",
+               {{"fingerprint", suspect.fingerprint.ToHex()},
+                {"kind", std::string(NameOf(suspect.kind))},
+                {"reason", std::string(reason)}});
+}
+
 void QuarantineRecords::RemoveExpired() {
   std::erase_if(m_own, [this](const auto& row) { return m_clock.Now() >= row.second.until; });
 }
 
-void QuarantineRecords::Schedule(const Fingerprint& request, milliseconds pause) {
-  m_own.at(request).next = m_scheduler.ScheduleAfter(pause, [this, request] { Grant(request); });
+void QuarantineRecords::Schedule(const Suspect& suspect, milliseconds pause) {
+  m_own.at(suspect).next = m_scheduler.ScheduleAfter(pause, [this, suspect] { Grant(suspect); });
 }
 
-void QuarantineRecords::Grant(const Fingerprint& request) {
-  const auto own = m_own.find(request);
+void QuarantineRecords::Grant(const Suspect& suspect) {
+  const auto own = m_own.find(suspect);
   if (own == m_own.end() || TimeLeft(own->second) < kShortestLease) {
     return;
   }
   if (++own->second.attempts > kMaxAttempts) {
-    m_logger.Log(
-        LogLevel::kWarning, "quarantine_not_recorded",
-        {{"fingerprint", request.ToHex()}, {"reason", "the store has refused the record"}});
+    LogNotRecorded(suspect, "the store has refused the record");
     return;
   }
   m_store.GrantLease(std::min(TimeLeft(own->second), kLongestLease),
-                     WhileAlive(m_alive, [this, request](const Result<StoreLeaseId>& lease) {
-                       if (!m_own.contains(request)) {
+                     WhileAlive(m_alive, [this, suspect](const Result<StoreLeaseId>& lease) {
+                       if (!m_own.contains(suspect)) {
                          return;
                        }
                        if (lease) {
-                         Put(request, *lease);
+                         Put(suspect, *lease);
                        } else {
-                         Schedule(request, kRetryPause);
+                         Schedule(suspect, kRetryPause);
                        }
                      }));
 }
 
-void QuarantineRecords::Put(const Fingerprint& request, StoreLeaseId lease) {
-  const Own& own = m_own.at(request);
+void QuarantineRecords::Put(const Suspect& suspect, StoreLeaseId lease) {
+  const Own& own = m_own.at(suspect);
   const milliseconds until = UnixTime(m_clock.WallNow()) + TimeLeft(own);
   const json::object fields = {{kUntilField, until.count()},
                                {kDurationField, own.quarantine.duration.count()}};
   m_store.CompareAndSwap(
-      KeyOf(request), 0, json::serialize(fields), lease,
-      WhileAlive(m_alive, [this, request, lease](const Result<std::uint64_t>& result) {
-        OnWritten(request, lease, result);
+      KeyOf(suspect), 0, json::serialize(fields), lease,
+      WhileAlive(m_alive, [this, suspect, lease](const Result<std::uint64_t>& result) {
+        OnWritten(suspect, lease, result);
       }));
 }
 
-void QuarantineRecords::OnWritten(const Fingerprint& request,
+void QuarantineRecords::OnWritten(const Suspect& suspect,
                                   StoreLeaseId lease,
                                   const Result<std::uint64_t>& result) {
-  const auto own = m_own.find(request);
+  const auto own = m_own.find(suspect);
   if (own == m_own.end()) {  // Removed while the record was written.
     m_store.RevokeLease(lease, [](const Result<void>&) {});
     return;
@@ -177,11 +210,13 @@
   if (result) {
     own->second.lease = lease;
     m_logger.Log(LogLevel::kInfo, "quarantine_recorded",
-                 {{"fingerprint", request.ToHex()}, {"revision", std::to_string(*result)}});
+                 {{"fingerprint", suspect.fingerprint.ToHex()},
+                  {"kind", std::string(NameOf(suspect.kind))},
+                  {"revision", std::to_string(*result)}});
   } else if (result.error().kind == ErrorKind::kStoreConflict) {
     m_store.RevokeLease(lease, [](const Result<void>&) {});  // Another instance has written it.
   } else {
-    Schedule(request, kRetryPause);
+    Schedule(suspect, kRetryPause);
   }
 }
 
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
@@ -320,6 +320,14 @@
   SendToRelays(Recipient::kRemoteRelay, m_relays.RemoteRelays());
 }
 
+void ReportExchange::SetQuarantines(std::vector<QuarantineReport> quarantines) {
+  std::map<SuspectKind, std::size_t> counts;
+  std::erase_if(quarantines, [&counts](const QuarantineReport& quarantine) {
+    return ++counts[quarantine.kind] > kMaxQuarantines;
+  });
+  m_quarantines = std::move(quarantines);
+}
+
 void ReportExchange::SendServerLimits(std::vector<ServerLimitReport> limits, bool found_here) {
   SetServerLimits(std::move(limits));
   if (found_here) {
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -70,6 +71,9 @@
     @see RelayDirectory, StoreMirror */
 class ReportExchange final : public ReportHandler {
  public:
+  /** Maximum number of quarantines of each kind in one report. */
+  static constexpr std::size_t kMaxQuarantines = 16;
+
   /** All references must outlive this object. `seeds` are contacted while no peer is known. */
   ReportExchange(ReportTransport& transport,
                  Scheduler& scheduler,
@@ -109,13 +113,12 @@
   /** Reports requests in flight at a crash at once, as SendStall does. */
   void SendCrashes(const std::vector<CrashReport>& crashes);
 
-  /** Reports at once that requests don't crash servers. */
+  /** Reports at once that suspects don't crash servers. */
   void SendCleared(const std::vector<ClearedRequest>& requests);
 
-  /** Sets the requests that this instance refuses, for the next reports. */
-  void SetQuarantines(std::vector<QuarantineReport> quarantines) {
-    m_quarantines = std::move(quarantines);
-  }
+  /** Sets what this instance refuses, for the next reports. Of each kind the first kMaxQuarantines
+      are reported. */
+  void SetQuarantines(std::vector<QuarantineReport> quarantines);
 
   /** Reports a new revision of the mirror at once to the instances that depend on this one. */
   void SendRevision();
--- a/tests/forwarding/control_fleet.h
+++ b/tests/forwarding/control_fleet.h
@@ -146,6 +146,16 @@
                       [](const auto& member) { return !member->quarantines.empty(); }));
   }
 
+  int CountThatKnowQuarantines(SuspectKind kind) const {
+    return static_cast<int>(
+        std::count_if(m_members.begin(), m_members.end(), [kind](const auto& member) {
+          const auto& known = member->quarantines;
+          return std::any_of(
+              known.begin(), known.end(),
+              [kind](const QuarantineReport& quarantine) { return quarantine.kind == kind; });
+        }));
+  }
+
   int CountWithVersion(std::uint64_t version) const {
     return CountViews([version](const ForwardingView& view) {
       return view.rules != nullptr && view.rules->version == version;
--- a/tests/forwarding/crash_news_test.cc
+++ b/tests/forwarding/crash_news_test.cc
@@ -1,5 +1,8 @@
 #include "zinnia_decisions/forwarding/observed_state/crash_news.h"
 #include "tests/forwarding/control_fleet.h"
+#include "zinnia_base/time/virtual_time.h"
+
+#include <algorithm>
 
 #include <CppUTest/TestHarness.h>
 
@@ -91,4 +94,83 @@
   CHECK_EQUAL(kInstances, static_cast<std::size_t>(fleet.CountThatRefuse(kRequest)));
 }
 
+TEST_GROUP(CrashNewsByKind) {
+  static constexpr Fingerprint kFingerprint{0x1234, 0xabcd};
+
+  VirtualTime time;
+  CrashNews news{time};
+
+  static CrashReport CrashOf(std::uint64_t number, SuspectKind kind) {
+    return {{1, number}, "s", CrashOnset::kBegun, {}, {}, {}, kind};
+  }
+
+  static std::vector<CrashReport> Crashes(std::uint64_t count, SuspectKind kind) {
+    std::vector<CrashReport> crashes;
+    for (std::uint64_t number = 0; number < count; ++number) {
+      crashes.push_back(CrashOf(number, kind));
+    }
+    return crashes;
+  }
+
+  static std::vector<ClearedRequest> Cleared(std::uint64_t count, SuspectKind kind) {
+    std::vector<ClearedRequest> cleared;
+    for (std::uint64_t number = 0; number < count; ++number) {
+      cleared.push_back({{1, number}, {}, kind});
+    }
+    return cleared;
+  }
+
+  static SuspectKind OtherThan(SuspectKind kind) {
+    return kind == SuspectKind::kRequest ? SuspectKind::kPromptPart : SuspectKind::kRequest;
+  }
+
+  template <typename Report>
+  static std::size_t CountOf(SuspectKind kind, const std::vector<Report>& reports) {
+    return static_cast<std::size_t>(
+        std::count_if(reports.begin(), reports.end(),
+                      [kind](const Report& report) { return report.kind == kind; }));
+  }
+};
+
+// Guards against news of a request that is taken for a repetition of news of a part.
+TEST(CrashNewsByKind, APartAndARequestWithEqualFingerprintsAreTwo) {
+  for (const SuspectKind kind : kSuspectKinds) {
+    CHECK_EQUAL(1U, news.TakeNew({CrashOf(1, kind)}).size());
+    CHECK_EQUAL(0U, news.TakeNew({CrashOf(1, kind)}).size());
+    CHECK_EQUAL(1U, news.TakeNewlyCleared({{kFingerprint, {}, kind}}).size());
+    CHECK_EQUAL(0U, news.TakeNewlyCleared({{kFingerprint, {}, kind}}).size());
+  }
+  for (const SuspectKind kind : kSuspectKinds) {
+    CHECK_EQUAL(1U, CountOf(kind, news.Recent()));
+    CHECK_EQUAL(1U, CountOf(kind, news.RecentlyCleared()));
+  }
+}
+
+// Guards against many suspects of one kind that keep those of the other from being told.
+TEST(CrashNewsByKind, OneKindNeverCrowdsOutTheOther) {
+  constexpr std::uint64_t kMany = 10'000;
+  for (const SuspectKind kind : kSuspectKinds) {
+    CrashNews filled(time);
+    filled.TakeNew(Crashes(kMany, kind));
+    filled.TakeNewlyCleared(Cleared(kMany, kind));
+    const SuspectKind other = OtherThan(kind);
+    CHECK_EQUAL(1U, filled.TakeNew({CrashOf(kMany, other)}).size());
+    CHECK_EQUAL(1U, filled.TakeNewlyCleared({{kFingerprint, {}, other}}).size());
+    CHECK_EQUAL(1U, CountOf(other, filled.Recent()));
+    CHECK_EQUAL(1U, CountOf(other, filled.RecentlyCleared()));
+  }
+}
+
+TEST(CrashNewsByKind, AReportHasABoundForEachKind) {
+  constexpr std::uint64_t kMany = 2 * CrashNews::kMaxReports;
+  for (const SuspectKind kind : kSuspectKinds) {
+    news.TakeNew(Crashes(kMany, kind));
+    news.TakeNewlyCleared(Cleared(kMany, kind));
+  }
+  for (const SuspectKind kind : kSuspectKinds) {
+    CHECK_EQUAL(CrashNews::kMaxReports, CountOf(kind, news.Recent()));
+    CHECK_EQUAL(CrashNews::kMaxReports, CountOf(kind, news.RecentlyCleared()));
+  }
+}
+
 }  // namespace zinnia
--- a/tests/forwarding/quarantine_records_test.cc
+++ b/tests/forwarding/quarantine_records_test.cc
@@ -14,7 +14,8 @@
   static constexpr Fingerprint kRequest{0x1234, 0xabcd};
 
   ControlFleet fleet{kInstances, 3};
-  const std::string key = QuarantineRecords::KeyOf(kRequest);
+  const std::string key = QuarantineRecords::KeyOf({SuspectKind::kRequest, kRequest});
+  const std::string key_of_part = QuarantineRecords::KeyOf({SuspectKind::kPromptPart, kRequest});
 
   void QuarantineAfterStart() {
     fleet.store.Put("configuration", "1");
@@ -94,4 +95,69 @@
   CHECK_FALSE(QuarantineRecords::Decode("quarantines/zz", "{}", now).has_value());
 }
 
+// Guards against a part of a prompt whose record is taken for that of a request.
+TEST(QuarantineRecords, TheKeyTellsTheKind) {
+  const WallTimePoint now(std::chrono::hours(1));
+  const std::string value = R"({"until_unix_ms":3630000,"duration_ms":60000})";
+  CHECK_TRUE(QuarantineRecords::Decode(key, value, now)->kind == SuspectKind::kRequest);
+  const auto part = QuarantineRecords::Decode(key_of_part, value, now);
+  CHECK_TRUE(part->kind == SuspectKind::kPromptPart);
+  CHECK_TRUE(part->request == kRequest);
+  CHECK_EQUAL(30'000, part->remaining.count());
+  const std::string of_another_kind = "quarantines/another_kind/" + kRequest.ToHex();
+  CHECK_FALSE(QuarantineRecords::Decode(of_another_kind, value, now).has_value());
+}
+
+// Guards against records of older versions that are no longer read.
+TEST(QuarantineRecords, TheKeyOfARequestIsItsFingerprintAlone) {
+  STRCMP_EQUAL(("quarantines/" + kRequest.ToHex()).c_str(), key.c_str());
+}
+
+// Guards against one record for a part and a request whose fingerprints are equal.
+TEST(QuarantineRecords, APartAndARequestWithEqualFingerprintsAreTwo) {
+  QuarantineAfterStart();
+  fleet.Quarantine({kRequest, minutes(1), minutes(1), SuspectKind::kPromptPart});
+  fleet.Advance(milliseconds(500));
+  CHECK_TRUE(fleet.store.Has(key));
+  CHECK_TRUE(fleet.store.Has(key_of_part));
+  fleet.Clear(kRequest);
+  fleet.Advance(seconds(1));
+  CHECK_FALSE(fleet.store.Has(key));
+  CHECK_TRUE(fleet.store.Has(key_of_part));
+}
+
+// Guards against a harmful part that ends servers again after all instances were killed.
+TEST(QuarantineRecords, AllInstancesKnowAPartAfterAllWereKilledAtOnce) {
+  fleet.store.Put("configuration", "1");
+  fleet.Advance(seconds(3));
+  fleet.Quarantine({kRequest, minutes(1), minutes(1), SuspectKind::kPromptPart});
+  fleet.Advance(milliseconds(500));
+  for (std::size_t number = 0; number < fleet.Size(); ++number) {
+    fleet.Restart(number);
+  }
+  CHECK_EQUAL(0, fleet.CountThatKnowQuarantines(SuspectKind::kPromptPart));
+  fleet.Advance(milliseconds(1'500));
+  CHECK_EQUAL(kInstances, fleet.CountThatKnowQuarantines(SuspectKind::kPromptPart));
+  CHECK_EQUAL(0, fleet.CountThatKnowQuarantines(SuspectKind::kRequest));
+}
+
+// Guards against many harmful suspects of one kind that keep those of the other out of the store.
+TEST(QuarantineRecords, OneKindNeverCrowdsOutTheOther) {
+  RecordingLogger logger;
+  for (const SuspectKind kind : kSuspectKinds) {
+    QuarantineRecords records(fleet.Client(0), fleet.time, fleet.time, logger);
+    for (std::uint64_t number = 0; number <= QuarantineRecords::kMaxRecords; ++number) {
+      records.Write({{1, number}, minutes(1), minutes(1), kind});
+    }
+    const bool is_part = kind == SuspectKind::kPromptPart;
+    const SuspectKind other = is_part ? SuspectKind::kRequest : SuspectKind::kPromptPart;
+    records.Write({{2, 1}, minutes(1), minutes(1), other});
+    fleet.Advance(seconds(1));
+    CHECK_TRUE(fleet.store.Has(QuarantineRecords::KeyOf({kind, {1, 1}})));
+    CHECK_FALSE(
+        fleet.store.Has(QuarantineRecords::KeyOf({kind, {1, QuarantineRecords::kMaxRecords}})));
+    CHECK_TRUE(fleet.store.Has(QuarantineRecords::KeyOf({other, {2, 1}})));
+  }
+}
+
 }  // namespace zinnia
--- a/tests/forwarding/report_exchange_test.cc
+++ b/tests/forwarding/report_exchange_test.cc
@@ -42,9 +42,18 @@
     void OnPeerSlowdowns(const std::vector<SlowdownReport>& slow_servers) override {
       slow = slow_servers;
     }
-    void OnPeerCleared(const std::vector<ClearedRequest>&) override {}
-    void OnPeerCrashes(const std::vector<CrashReport>&) override {}
-    void OnPeerQuarantines(const std::vector<QuarantineReport>&) override {}
+    void OnPeerCleared(const std::vector<ClearedRequest>& requests) override {
+      cleared.insert(cleared.end(), requests.begin(), requests.end());
+    }
+    void OnPeerCrashes(const std::vector<CrashReport>& from_peer) override {
+      crashes.insert(crashes.end(), from_peer.begin(), from_peer.end());
+    }
+    void OnPeerQuarantines(const std::vector<QuarantineReport>& from_peer) override {
+      quarantines = from_peer;
+    }
+    std::vector<ClearedRequest> cleared;
+    std::vector<CrashReport> crashes;
+    std::vector<QuarantineReport> quarantines;
     std::vector<ServerLimitReport> limits;
     void OnPeerServerState(const ServerStateReport& from_peer) override {
       layers.push_back(from_peer);
@@ -196,6 +205,65 @@
   CHECK_EQUAL(1U, sink.stalls.size());
 }
 
+// Guards against a part of a prompt that is lost or told twice beside a request.
+TEST(InstanceReports, SuspectsOfBothKindsAreAppliedOnceAndPassedOn) {
+  ReceiveReportsAndStart({"other"});
+  InstanceReport report = ReportOf("peer");
+  for (const SuspectKind kind : kSuspectKinds) {
+    report.crashes.push_back({{1, 2}, "s", CrashOnset::kBegun, {}, {}, {}, kind});
+    report.cleared_requests.push_back({{1, 2}, {}, kind});
+    report.quarantines.push_back({{1, 2}, seconds(1), seconds(1), kind});
+  }
+  exchange.OnReport(report);
+  exchange.OnReport(report);
+  const InstanceReport sent = LastReport();
+  CHECK_EQUAL(kSuspectKinds.size(), sink.crashes.size());
+  CHECK_EQUAL(kSuspectKinds.size(), sink.cleared.size());
+  CHECK_EQUAL(kSuspectKinds.size(), sink.quarantines.size());
+  CHECK_EQUAL(kSuspectKinds.size(), sent.crashes.size());
+  CHECK_EQUAL(kSuspectKinds.size(), sent.cleared_requests.size());
+  for (std::size_t row = 0; row < kSuspectKinds.size(); ++row) {
+    CHECK_TRUE(sink.crashes.at(row).kind == kSuspectKinds[row]);
+    CHECK_TRUE(sink.cleared.at(row).kind == kSuspectKinds[row]);
+    CHECK_TRUE(sink.quarantines.at(row).kind == kSuspectKinds[row]);
+    CHECK_TRUE(sent.crashes.at(row).kind == kSuspectKinds[row]);
+    CHECK_TRUE(sent.cleared_requests.at(row).kind == kSuspectKinds[row]);
+  }
+}
+
+TEST(InstanceReports, ACrashAndAClearedSuspectOfEachKindAreSentAtOnceAndOnlyOnce) {
+  ReceiveReportsAndStart({"peer"});
+  std::size_t sent = 0;
+  for (const SuspectKind kind : kSuspectKinds) {
+    for (int time_told = 0; time_told < 2; ++time_told) {
+      exchange.SendCrashes({{{1, 2}, "s", CrashOnset::kBegun, {}, {}, {}, kind}});
+      exchange.SendCleared({{{1, 2}, {}, kind}});
+    }
+    sent += 2;
+    CHECK_EQUAL(sent, transport.sent.size());
+    CHECK_TRUE(transport.sent.back().second.crashes.back().kind == kind);
+    CHECK_TRUE(transport.sent.back().second.cleared_requests.back().kind == kind);
+  }
+}
+
+// Guards against many quarantines of one kind that leave no room to those of the other.
+TEST(InstanceReports, AReportHasRoomForQuarantinesOfEachKind) {
+  ReceiveReportsAndStart({"peer"});
+  std::vector<QuarantineReport> quarantines;
+  for (const SuspectKind kind : kSuspectKinds) {
+    for (std::uint64_t number = 0; number < 2 * ReportExchange::kMaxQuarantines; ++number) {
+      quarantines.push_back({{1, number}, seconds(1), seconds(1), kind});
+    }
+  }
+  exchange.SetQuarantines(quarantines);
+  const std::vector<QuarantineReport> sent = LastReport().quarantines;
+  CHECK_EQUAL(kSuspectKinds.size() * ReportExchange::kMaxQuarantines, sent.size());
+  CHECK_TRUE(sent.front().kind == SuspectKind::kRequest);
+  CHECK_TRUE(sent.at(ReportExchange::kMaxQuarantines - 1).kind == SuspectKind::kRequest);
+  CHECK_TRUE(sent.at(ReportExchange::kMaxQuarantines).kind == SuspectKind::kPromptPart);
+  CHECK_EQUAL(0U, sent.at(ReportExchange::kMaxQuarantines).request.low);
+}
+
 // Guards against an instance that the store refuses taking its own failures for an outage and
 // sending requests to a leaving server.
 TEST(InstanceReports, APeerThatTheStoreServesProvesThatThereIsNoOutage) {
