A part whose stream had just begun is news though it was queued elsewhere

Many instances have requests with the same part at one server. News of a crash were known by suspect and server, so the first report of a part hid all others: an instance whose request was queued kept the fleet from hearing that another one's stream had just begun on it, which is what speaks against a part.

Change: news of a part are known by their onset too, so at most four rows of one part and server. Those of requests are as before.

--- a/packages/zinnia_decisions/forwarding/observed_state/crash_news.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/crash_news.cc
@@ -18,12 +18,17 @@
 
 }  // namespace
 
+CrashNews::Key CrashNews::KeyOf(const CrashReport& crash) {
+  const bool is_part = crash.kind == SuspectKind::kPromptPart;
+  return {crash.request, crash.server, is_part ? crash.onset : CrashOnset::kUnknown};
+}
+
 std::vector<CrashReport> CrashNews::TakeNew(const std::vector<CrashReport>& crashes) {
   RemoveOld();
   std::vector<CrashReport> taken;
   for (const CrashReport& crash : crashes) {
     const bool is_recent = crash.age >= milliseconds(0) && crash.age < kLifetime;
-    const Key key{crash.request, crash.server};
+    const Key key = KeyOf(crash);
     const TimePoint crashed_at = m_clock.Now() - crash.age;
     News& news = NewsOf(crash.kind);
     if (is_recent && news.crashes.size() < kMaxEntries &&
--- a/packages/zinnia_decisions/forwarding/observed_state/crash_news.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/crash_news.h
@@ -3,10 +3,11 @@
 #include <array>
 #include <cstddef>
 #include <map>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 #include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/crashes/crash_onset.h"
 #include "zinnia_decisions/forwarding/crashes/crash_report.h"
 #include "zinnia_decisions/forwarding/crashes/suspect_kind.h"
 #include "zinnia_decisions/forwarding/observed_state/news_memory.h"
@@ -36,7 +37,10 @@
   std::vector<CrashReport> Recent();
 
  private:
-  using Key = std::pair<Fingerprint, BackendServerName>;
+  /** With the onset for a part of a prompt, else kUnknown. Several instances have streams on one
+     part at one server, and one of them that had just begun says more than those that were queued.
+   */
+  using Key = std::tuple<Fingerprint, BackendServerName, CrashOnset>;
   struct Entry {
     CrashReport report;
     TimePoint crashed_at{};
@@ -59,6 +63,7 @@
     std::map<Fingerprint, Cleared> cleared;
   };
 
+  static Key KeyOf(const CrashReport& crash);
   News& NewsOf(SuspectKind kind) { return m_kinds.at(static_cast<std::size_t>(kind)); }
   void AppendRecent(const News& news, std::vector<CrashReport>& reports) const;
   void RemoveOld();
--- a/tests/forwarding/crash_news_test.cc
+++ b/tests/forwarding/crash_news_test.cc
@@ -161,6 +161,19 @@
   }
 }
 
+// Guards against a stream that had just begun on a part and is not told of, as another instance had
+// a request with the same part in the queue of the same server.
+TEST(CrashNewsByKind, APartThatHadBegunIsNewsThoughItWasQueuedElsewhere) {
+  CrashReport crash = CrashOf(1, SuspectKind::kPromptPart);
+  for (const CrashOnset onset : {CrashOnset::kQueued, CrashOnset::kBegun, CrashOnset::kRunning}) {
+    crash.onset = onset;
+    CHECK_EQUAL(1U, news.TakeNew({crash}).size());
+    CHECK_EQUAL(0U, news.TakeNew({crash}).size());
+  }
+  CHECK_EQUAL(3U, news.Recent().size());
+  CHECK_TRUE(news.Recent().front().onset == CrashOnset::kBegun);
+}
+
 TEST(CrashNewsByKind, AReportHasABoundForEachKind) {
   constexpr std::uint64_t kMany = 2 * CrashNews::kMaxReports;
   for (const SuspectKind kind : kSuspectKinds) {
