Failing test: a part of prompts that crashes servers is not recognised

Cause: RequestQuarantine knows one identity for a whole request; requests that share one harmful part of their prompt are all different, so each of them ends servers anew.

--- a/packages/zinnia_decisions/forwarding/crashes/crash_report.h
+++ b/packages/zinnia_decisions/forwarding/crashes/crash_report.h
@@ -4,6 +4,7 @@
 
 #include "zinnia_base/hashing/fingerprint.h"
 #include "zinnia_decisions/forwarding/crashes/crash_onset.h"
+#include "zinnia_decisions/forwarding/crashes/suspect_kind.h"
 #include "zinnia_world/names/names.h"
 
 namespace zinnia {
@@ -24,14 +25,19 @@
 
   /** Time since the crash. */
   std::chrono::milliseconds age{0};
+
+  /** For a part of a prompt, `request` is the part's fingerprint. */
+  SuspectKind kind = SuspectKind::kRequest;
 };
 
 /** A request that ended well although something spoke against it. */
 struct ClearedRequest {
   Fingerprint request;
 
-  /** Time since it ended well, however often that has been told. */
+  /** Time since it ended well, however often that has been told. For a part of a prompt: since the
+      stream began that had it and ran on. */
   std::chrono::milliseconds age{0};
+  SuspectKind kind = SuspectKind::kRequest;
 };
 
 /** A request that is refused because it crashes servers. */
@@ -43,6 +49,7 @@
 
   /** How long it is refused in all; grows with each further quarantine. */
   std::chrono::milliseconds duration{0};
+  SuspectKind kind = SuspectKind::kRequest;
 };
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/crashes/crashes.h
+++ b/packages/zinnia_decisions/forwarding/crashes/crashes.h
@@ -5,5 +5,7 @@
 #include "zinnia_decisions/forwarding/crashes/broken_attempts.h"
 #include "zinnia_decisions/forwarding/crashes/crash_onset.h"
 #include "zinnia_decisions/forwarding/crashes/crash_report.h"
+#include "zinnia_decisions/forwarding/crashes/part_quarantine.h"
 #include "zinnia_decisions/forwarding/crashes/recent_requests.h"
 #include "zinnia_decisions/forwarding/crashes/request_quarantine.h"
+#include "zinnia_decisions/forwarding/crashes/suspect_kind.h"
--- /dev/null
+++ b/packages/zinnia_decisions/forwarding/crashes/part_quarantine.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "zinnia_base/hashing/fingerprint.h"
+#include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/crashes/crash_report.h"
+
+namespace zinnia {
+
+struct PartQuarantineSettings {
+  /** How long a crash counts against a part of which no stream is heard. */
+  Duration evidence_lifetime = std::chrono::minutes(10);
+
+  /** Doubled each time that a request with the part crashes a server after its release. Long, as
+      several such requests are on their way when the first crash after a release becomes known. */
+  Duration first_quarantine = std::chrono::hours(2);
+  Duration longest_quarantine = std::chrono::hours(24);
+
+  /** By how much this instance releases a part later than others. Different ones at different
+      instances have one of them find out whether the part still does harm. */
+  Duration release_delay{};
+
+  /** Parts whose crashes are remembered. The one whose last crash is oldest is dropped first. */
+  std::size_t max_parts = 4'096;
+};
+
+/** Recognises parts of prompts that crash each server that begins to answer a request with them,
+    whatever else the request holds, and says which requests to refuse.
+
+    Requests with such a part have nothing else in common, and share their other parts with sound
+    ones. So what counts is who lived elsewhere: a stream that runs for longer than
+    RequestQuarantine::kOnsetTime at a server that lives vouches for all its parts, and drops their
+    crashes up to the moment at which it began. It says nothing of later crashes, since a part may
+    turn harmful.
+
+    A part is guilty whose crashes lie in several moments (servers that end together have a common
+    cause) with no survivor after the first, once peers had time to tell of one. Crashes at which a
+    guilty part was are not counted against others, and neither are those of a part that was only
+    where another suspect was too.
+
+    State is merged from this instance and its peers in any order; a repeated report changes
+    nothing. Not thread-safe.
+*/
+class PartQuarantine {
+ public:
+  PartQuarantine(const Clock& clock, PartQuarantineSettings settings)
+      : m_clock(clock), m_settings(settings) {}
+
+  /** Returns whether the report was new evidence. */
+  bool OnCrash(const CrashReport& report);
+
+  /** A stream of this instance with these parts has run for longer than kOnsetTime at a server that
+      lives. */
+  void OnSurvived(const std::vector<Fingerprint>& parts, TimePoint began_at);
+
+  /** The same of one part, as a peer saw it. */
+  void OnCleared(const ClearedRequest& cleared);
+
+  /** Returns the parts that this instance vouches for although something spoke against them, to be
+      reported to peers at once. */
+  std::vector<ClearedRequest> TakeCleared();
+
+  /** Takes over a quarantine from a peer or the store. Returns whether it is new. */
+  bool OnQuarantine(const QuarantineReport& report);
+
+  /** Returns a part for which a request must be refused; nullopt if it may be sent. */
+  std::optional<Fingerprint> FindQuarantined(const std::vector<Fingerprint>& parts) const;
+
+  /** Time until a request with these parts may be sent; nullopt if it may be sent now. */
+  std::optional<Duration> TimeUntilRelease(const std::vector<Fingerprint>& parts) const;
+
+  /** Whether a request that lost its server must not be sent again by ourselves, since one of these
+      parts is likely the cause. */
+  bool HasStrongSuspect(const std::vector<Fingerprint>& parts) const;
+
+  /** The servers whose crashes count against the part. */
+  std::vector<BackendServerName> CrashedServers(const Fingerprint& part) const;
+
+  /** The part must be quarantined now. */
+  QuarantineReport ReportOf(const Fingerprint& part) const;
+
+  /** The quarantines in force, the latest first. */
+  std::vector<QuarantineReport> InForce(std::size_t most) const;
+  std::size_t CountInForce() const;
+  std::size_t CountRemembered() const { return m_parts.size(); }
+
+  /** Drops expired state and decides who is guilty; not done for each report, as the parts of one
+      crash are told one after the other. Call a few times a second. Returns the parts whose
+      quarantine this instance began since the last call. */
+  std::vector<Fingerprint> RemoveExpired();
+
+ private:
+  struct Crash {
+    TimePoint at{};
+    int weight = 0;
+  };
+  using Crashes = std::map<BackendServerName, Crash>;
+  struct Part {
+    Crashes crashes;
+
+    /** Zero duration: not quarantined so far, or cleared since. */
+    Duration quarantine{};
+    TimePoint released_at{};
+
+    /** When a quarantine ended early. */
+    std::optional<TimePoint> cleared_at;
+  };
+  struct Survivor {
+    TimePoint began_at{};
+    bool is_own = false;
+  };
+  using Survivors = std::unordered_map<Fingerprint, Survivor>;
+
+  std::optional<Survivor> LastSurvivorOf(const Fingerprint& part) const;
+  void RememberSurvivor(const Fingerprint& part, const Survivor& survivor);
+  void Vouch(const Fingerprint& fingerprint, const Survivor& survivor);
+  bool IsRefuted(const Part& part, const Survivor& survivor) const;
+  void AddCleared(const Fingerprint& part, TimePoint began_at);
+  bool AddCrash(Part& part, const CrashReport& report, TimePoint at);
+  bool IsInForce(const Part& part) const;
+  bool IsExpired(const Part& part) const;
+  void Quarantine(const Fingerprint& fingerprint, Duration duration);
+  Crashes Unexplained(const Part& part) const;
+  bool IsOutmatched(const Part& part, const Crashes& crashes, bool is_tie_enough) const;
+  bool IsProven(const Part& part) const;
+  bool IsStrongSuspect(const Part& part) const;
+  std::optional<Fingerprint> FindGuilty() const;
+  void EvictOverLimit();
+
+  const Clock& m_clock;
+  const PartQuarantineSettings m_settings;
+  std::unordered_map<Fingerprint, Part> m_parts;
+
+  /** Since when survivors are added to m_survivors. They are set aside after their lifetime, and
+      dropped when the next ones are. */
+  TimePoint m_survivors_since{};
+  Survivors m_survivors;
+  Survivors m_former_survivors;
+
+  /** Of which peers are told next, and when their streams began. */
+  std::map<Fingerprint, TimePoint> m_cleared;
+  std::vector<Fingerprint> m_new_quarantines;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/tests/forwarding/part_schedule.h
@@ -0,0 +1,503 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "zinnia_base/random/random_source.h"
+#include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/crashes/part_quarantine.h"
+#include "zinnia_decisions/forwarding/crashes/request_quarantine.h"
+
+namespace zinnia {
+
+/** What a schedule plays. */
+struct PartScheduleSettings {
+  std::uint64_t seed = 1;
+  std::size_t instances = 9;
+  std::size_t servers = 33;
+
+  /** Sound requests, of which each has two to four shared parts and runs for up to four seconds. */
+  double sound_per_second = 80.0;
+  std::size_t shared_parts = 60;
+
+  /** Parts that crash each server that begins to answer a request with them. */
+  std::size_t harmful_parts = 1;
+
+  /** Requests a second with each harmful part, from a moment on. */
+  double harmful_per_second = 5.0;
+  std::chrono::milliseconds harmful_from{4'000};
+
+  /** A harmful part is one of the shared parts, and did no harm before that moment. */
+  bool was_sound_before = false;
+
+  /** Part of the harmful requests whose servers end before the instance sees their answer begin. */
+  double unseen_beginnings = 0.3;
+
+  /** All requests have one more part in common. */
+  bool have_common_part = false;
+
+  /** It is harmful from that moment on. */
+  bool is_common_part_harmful = false;
+
+  std::chrono::seconds duration{20};
+
+  /** All servers of a third of the fleet end in one moment, twice. */
+  bool domains_die = false;
+
+  /** Servers end one after the other, this long apart; zero: none. */
+  std::chrono::milliseconds series{0};
+
+  /** When one of the instances starts anew, knowing nothing; zero: never. */
+  std::chrono::milliseconds restart_at{0};
+};
+
+/** Plays random traffic on servers that crash of some parts of prompts, with one PartQuarantine an
+    instance that hears of crashes late, and counts what harmful parts cost and which sound requests
+    are refused. Sends and retries follow the rules of ForwardExchange. */
+class PartSchedule {
+ public:
+  explicit PartSchedule(const PartScheduleSettings& settings)
+      : m_settings(settings), m_random(settings.seed) {
+    for (std::size_t number = 0; number < settings.instances; ++number) {
+      m_instances.push_back(std::make_shared<PartQuarantine>(m_clock, PartQuarantineSettings()));
+    }
+    m_servers.resize(settings.servers);
+    for (std::size_t part = 0; part < settings.shared_parts; ++part) {
+      m_popularity.push_back(1.0 / static_cast<double>(part + 1));
+    }
+  }
+
+  void Run() {
+    m_end = m_clock.now + m_settings.duration;
+    m_harmful_from = m_clock.now + m_settings.harmful_from;
+    for (std::size_t number = 0; number < m_settings.harmful_parts; ++number) {
+      const Fingerprint part = m_settings.was_sound_before
+                                   ? SharedPart(RandomBelow(m_random, m_settings.shared_parts))
+                                   : Fingerprint{kHarmfulParts, number};
+      m_harms.try_emplace(part);
+      At(m_settings.harmful_from, [this, part] { SendHarmful(part); });
+    }
+    if (m_settings.is_common_part_harmful) {
+      m_harms.try_emplace(kCommonPart);
+    }
+    At(milliseconds(0), [this] { SendSound(); });
+    PlayDisturbances();
+    Upkeep();
+    while (!m_events.empty()) {
+      const Event event = m_events.top();
+      m_events.pop();
+      m_clock.now = event.at;
+      event.action();
+    }
+  }
+
+  /** The most sends with one harmful part later than the stability window after the fifth crash. */
+  int MostSentLate() const {
+    int most = 0;
+    for (const auto& [part, harm] : m_harms) {
+      most = std::max(most, harm.sent_late);
+    }
+    return most;
+  }
+
+  /** The most servers that one harmful part ended. */
+  int MostEnded() const {
+    int most = 0;
+    for (const auto& [part, harm] : m_harms) {
+      most = std::max(most, harm.ended);
+    }
+    return most;
+  }
+
+  int SoundRefused() const { return m_sound_refused; }
+
+  /** Sound requests that lost their server and were not sent again. */
+  int SoundNotRepeated() const { return m_sound_not_repeated; }
+  int SoundSent() const { return m_sound_sent; }
+  int Crashes() const { return m_crashes; }
+  int Cleared() const { return m_cleared; }
+
+ private:
+  using milliseconds = std::chrono::milliseconds;
+  using Parts = std::vector<Fingerprint>;
+
+  static constexpr std::uint64_t kSharedParts = 1;
+  static constexpr std::uint64_t kHarmfulParts = 2;
+  static constexpr Fingerprint kCommonPart{3, 0};
+  static constexpr int kCalls = 4;
+  static constexpr int kServersOfCall = 3;
+  static constexpr int kCrashesBeforeRule = 5;
+  static constexpr milliseconds kStabilityWindow{3'000};
+  static constexpr milliseconds kUpkeepPeriod{200};
+  static constexpr milliseconds kRoomPeriod{50};
+
+  struct ManualClock final : Clock {
+    TimePoint Now() const override { return now; }
+    WallTimePoint WallNow() const override { return WallTimePoint(); }
+    TimePoint now{std::chrono::hours(1)};
+  };
+  struct Event {
+    TimePoint at;
+    std::uint64_t number;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return std::pair(at, number) > std::pair(other.at, other.number);
+    }
+  };
+  struct Attempt {
+    Parts parts;
+    std::size_t instance = 0;
+    std::size_t server = 0;
+    int calls_left = 0;
+    int servers_left = 0;
+    TimePoint sent_at{};
+    TimePoint began_at{};
+    bool has_begun = false;
+    bool has_ended = false;
+  };
+  using AttemptPtr = std::shared_ptr<Attempt>;
+  struct Server {
+    int starts = 0;
+    bool is_up = true;
+    std::vector<AttemptPtr> in_flight;
+  };
+  struct Harm {
+    int ended = 0;
+    int sent_late = 0;
+    TimePoint fifth_at = TimePoint::max();
+  };
+
+  static Fingerprint SharedPart(std::size_t number) { return {kSharedParts, number}; }
+
+  void At(Duration delay, std::function<void()> action) {
+    m_events.push({m_clock.now + delay, m_next_number++, std::move(action)});
+  }
+  milliseconds Milliseconds(std::uint64_t least, std::uint64_t most) {
+    return milliseconds(least + RandomBelow(m_random, most - least + 1));
+  }
+  Duration Gap(double per_second) {
+    const double gap = -std::log(1.0 - RandomUnit(m_random)) / per_second;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap));
+  }
+
+  /** A part that ends the server now. */
+  const Fingerprint* HarmfulPartOf(const Parts& parts) const {
+    const auto found = std::find_if(parts.begin(), parts.end(), [this](const Fingerprint& part) {
+      return m_harms.contains(part) && m_clock.now >= m_harmful_from;
+    });
+    return found == parts.end() ? nullptr : &*found;
+  }
+
+  Parts RandomParts(std::size_t least, std::size_t most) {
+    const std::size_t count = least + RandomBelow(m_random, most - least + 1);
+    std::discrete_distribution<std::size_t> choose(m_popularity.begin(), m_popularity.end());
+    std::set<Fingerprint> parts;
+    while (parts.size() < count) {
+      parts.insert(SharedPart(choose(m_random)));
+    }
+    if (m_settings.have_common_part) {
+      parts.insert(kCommonPart);
+    }
+    return {parts.begin(), parts.end()};
+  }
+
+  void SendSound() {
+    if (m_clock.now >= m_end) {
+      return;
+    }
+    const Parts parts = RandomParts(2, 4);
+    m_sound_sent += HarmfulPartOf(parts) == nullptr ? 1 : 0;
+    Call(parts, kCalls);
+    At(Gap(m_settings.sound_per_second), [this] { SendSound(); });
+  }
+
+  void SendHarmful(const Fingerprint& part) {
+    if (m_clock.now >= m_end) {
+      return;
+    }
+    Parts parts = RandomParts(1, 3);
+    if (std::find(parts.begin(), parts.end(), part) == parts.end()) {
+      parts.insert(
+          parts.begin() + static_cast<std::ptrdiff_t>(RandomBelow(m_random, parts.size() + 1)),
+          part);
+    }
+    Call(parts, kCalls);
+    At(Gap(m_settings.harmful_per_second), [this, part] { SendHarmful(part); });
+  }
+
+  void Call(const Parts& parts, int calls_left) {
+    Send(parts, RandomBelow(m_random, m_instances.size()), calls_left, kServersOfCall);
+  }
+
+  void CallAgain(const Parts& parts, int calls_left) {
+    if (calls_left > 1) {
+      At(Milliseconds(300, 1'000), [=, this] { Call(parts, calls_left - 1); });
+    }
+  }
+
+  void Send(const Parts& parts, std::size_t instance, int calls_left, int servers_left) {
+    if (m_instances[instance]->FindQuarantined(parts)) {
+      m_sound_refused += HarmfulPartOf(parts) == nullptr ? 1 : 0;
+      CallAgain(parts, calls_left);
+      return;
+    }
+    std::vector<std::size_t> up;
+    for (std::size_t server = 0; server < m_servers.size(); ++server) {
+      if (m_servers[server].is_up) {
+        up.push_back(server);
+      }
+    }
+    if (up.empty()) {  // It waits for room.
+      At(kRoomPeriod, [=, this] { Send(parts, instance, calls_left, servers_left); });
+      return;
+    }
+    const auto attempt = std::make_shared<Attempt>();
+    attempt->parts = parts;
+    attempt->instance = instance;
+    attempt->server = up[RandomBelow(m_random, up.size())];
+    attempt->calls_left = calls_left;
+    attempt->servers_left = servers_left - 1;
+    attempt->sent_at = m_clock.now;
+    m_servers[attempt->server].in_flight.push_back(attempt);
+    CountLate(parts);
+    At(Milliseconds(5, 250), [this, attempt] { Begin(attempt); });
+  }
+
+  void CountLate(const Parts& parts) {
+    for (const Fingerprint& part : parts) {
+      const auto harm = m_harms.find(part);
+      if (harm != m_harms.end() && harm->second.fifth_at != TimePoint::max() &&
+          m_clock.now > harm->second.fifth_at + kStabilityWindow) {
+        ++harm->second.sent_late;
+      }
+    }
+  }
+
+  void Begin(const AttemptPtr& attempt) {
+    if (attempt->has_ended) {
+      return;
+    }
+    if (const Fingerprint* part = HarmfulPartOf(attempt->parts)) {
+      attempt->has_begun = RandomUnit(m_random) >= m_settings.unseen_beginnings;
+      attempt->began_at = m_clock.now;
+      At(attempt->has_begun ? Milliseconds(5, 120) : milliseconds(0),
+         [this, attempt, part = *part] { EndServerOf(attempt, part); });
+      return;
+    }
+    attempt->has_begun = true;
+    attempt->began_at = m_clock.now;
+    At(RequestQuarantine::kOnsetTime, [this, attempt] {
+      if (!attempt->has_ended) {
+        m_instances[attempt->instance]->OnSurvived(attempt->parts, attempt->began_at);
+        TellCleared(attempt->instance);
+      }
+    });
+    At(Milliseconds(500, 4'000), [this, attempt] {
+      if (!attempt->has_ended) {
+        attempt->has_ended = true;
+        std::erase(m_servers[attempt->server].in_flight, attempt);
+      }
+    });
+  }
+
+  void TellCleared(std::size_t instance) {
+    for (const ClearedRequest& cleared : m_instances[instance]->TakeCleared()) {
+      ++m_cleared;
+      const TimePoint began_at = m_clock.now - cleared.age;
+      for (std::size_t peer = 0; peer < m_instances.size(); ++peer) {
+        if (peer != instance) {
+          At(Milliseconds(100, 350), [=, this, told = cleared]() mutable {
+            told.age = std::chrono::duration_cast<milliseconds>(m_clock.now - began_at);
+            m_instances[peer]->OnCleared(told);
+          });
+        }
+      }
+    }
+  }
+
+  void EndServerOf(const AttemptPtr& attempt, const Fingerprint& part) {
+    if (attempt->has_ended) {
+      return;
+    }
+    Harm& harm = m_harms.at(part);
+    harm.fifth_at = ++harm.ended == kCrashesBeforeRule ? m_clock.now : harm.fifth_at;
+    Crash(attempt->server);
+  }
+
+  void Crash(std::size_t index) {
+    Server& server = m_servers[index];
+    if (!server.is_up) {
+      return;
+    }
+    ++m_crashes;
+    server.is_up = false;
+    const std::string name = std::to_string(index) + "@" + std::to_string(server.starts);
+    std::map<std::size_t, std::vector<AttemptPtr>> broken;
+    for (const AttemptPtr& attempt : std::exchange(server.in_flight, {})) {
+      attempt->has_ended = true;
+      broken[attempt->instance].push_back(attempt);
+    }
+    for (const auto& [instance, attempts] : broken) {  // Busy instances see it late.
+      At(Milliseconds(1, 100), [=, this, attempts = attempts] { OnBroken(attempts, name); });
+    }
+    At(Milliseconds(2'500, 3'500), [&server] {
+      server.is_up = true;
+      ++server.starts;
+    });
+  }
+
+  void OnBroken(const std::vector<AttemptPtr>& attempts, const std::string& server) {
+    const TimePoint broken_at = m_clock.now;
+    std::map<Fingerprint, CrashReport> by_part;
+    for (const AttemptPtr& attempt : attempts) {
+      for (const Fingerprint& part : attempt->parts) {
+        AddReport(*attempt, part, server, by_part);
+      }
+    }
+    const std::size_t instance = attempts.front()->instance;
+    At(Milliseconds(30, 60), [=, this] {
+      Tell(by_part, broken_at, instance);
+      for (std::size_t peer = 0; peer < m_instances.size(); ++peer) {
+        if (peer != instance) {
+          At(Milliseconds(100, 350), [=, this] { Tell(by_part, broken_at, peer); });
+        }
+      }
+    });
+    for (const AttemptPtr& attempt : attempts) {
+      Retry(*attempt);
+    }
+  }
+
+  /** Of several requests with a part, the one that had just begun tells most. */
+  void AddReport(const Attempt& attempt,
+                 const Fingerprint& part,
+                 const std::string& server,
+                 std::map<Fingerprint, CrashReport>& by_part) const {
+    const Duration ran = attempt.has_begun ? m_clock.now - attempt.began_at : Duration::zero();
+    CrashReport report;
+    report.kind = SuspectKind::kPromptPart;
+    report.request = part;
+    report.server = server;
+    report.onset = !attempt.has_begun                    ? CrashOnset::kQueued
+                   : ran < RequestQuarantine::kOnsetTime ? CrashOnset::kBegun
+                                                         : CrashOnset::kRunning;
+    report.in_flight = std::chrono::duration_cast<milliseconds>(m_clock.now - attempt.sent_at);
+    report.ran = std::chrono::duration_cast<milliseconds>(ran);
+    const auto [known, is_new] = by_part.try_emplace(part, report);
+    const auto rank = [](CrashOnset onset) {
+      return onset == CrashOnset::kBegun ? 2 : onset == CrashOnset::kRunning ? 0 : 1;
+    };
+    if (!is_new && rank(report.onset) > rank(known->second.onset)) {
+      known->second = report;
+    }
+  }
+
+  void Tell(const std::map<Fingerprint, CrashReport>& reports,
+            TimePoint broken_at,
+            std::size_t instance) {
+    for (const auto& [part, told] : reports) {
+      CrashReport report = told;
+      report.age = std::chrono::duration_cast<milliseconds>(m_clock.now - broken_at);
+      m_instances[instance]->OnCrash(report);
+    }
+    TellCleared(instance);
+  }
+
+  void Retry(const Attempt& attempt) {
+    if (m_instances[attempt.instance]->HasStrongSuspect(attempt.parts)) {
+      m_sound_not_repeated += HarmfulPartOf(attempt.parts) == nullptr ? 1 : 0;
+    } else if (attempt.servers_left > 0) {
+      Send(attempt.parts, attempt.instance, attempt.calls_left, attempt.servers_left);
+      return;
+    }
+    CallAgain(attempt.parts, attempt.calls_left);
+  }
+
+  void Upkeep() {
+    for (std::size_t instance = 0; instance < m_instances.size(); ++instance) {
+      At(Milliseconds(0, kUpkeepPeriod.count() - 1), [this, instance] {
+        m_instances[instance]->RemoveExpired();
+        TellQuarantines(instance);
+      });
+    }
+    if (m_clock.now < m_end) {
+      At(kUpkeepPeriod, [this] { Upkeep(); });
+    }
+  }
+
+  /** Each report of an instance holds the quarantines in force; only the changes are played. */
+  void TellQuarantines(std::size_t instance) {
+    for (const QuarantineReport& report : m_instances[instance]->InForce(16)) {
+      if (!m_told.emplace(instance, report.request).second) {
+        continue;
+      }
+      const TimePoint released_at = m_clock.now + report.remaining;
+      for (std::size_t peer = 0; peer < m_instances.size(); ++peer) {
+        if (peer != instance) {
+          At(Milliseconds(100, 350), [=, this, told = report]() mutable {
+            told.remaining = std::chrono::duration_cast<milliseconds>(released_at - m_clock.now);
+            m_instances[peer]->OnQuarantine(told);
+          });
+        }
+      }
+    }
+  }
+
+  /** The instance that starts anew knows what another one reports to it first. */
+  void StartAnew(std::size_t instance) {
+    m_instances[instance] = std::make_shared<PartQuarantine>(m_clock, PartQuarantineSettings());
+    const std::size_t peer = (instance + 1) % m_instances.size();
+    for (const QuarantineReport& report : m_instances[peer]->InForce(16)) {
+      m_instances[instance]->OnQuarantine(report);
+    }
+  }
+
+  void PlayDisturbances() {
+    if (m_settings.domains_die) {
+      for (const int at : {4'500, 9'000}) {
+        At(milliseconds(at), [this] {
+          for (std::size_t server = 0; server < m_servers.size(); server += 3) {
+            At(Milliseconds(0, 40), [this, server] { Crash(server); });
+          }
+        });
+      }
+    }
+    if (m_settings.series > milliseconds(0)) {
+      for (milliseconds at{2'000}; at < m_settings.duration; at += m_settings.series) {
+        At(at, [this] { Crash(RandomBelow(m_random, m_servers.size())); });
+      }
+    }
+    if (m_settings.restart_at > milliseconds(0)) {
+      At(m_settings.restart_at, [this] { StartAnew(0); });
+    }
+  }
+
+  const PartScheduleSettings m_settings;
+  RandomSource m_random;
+  ManualClock m_clock;
+  TimePoint m_end{};
+  TimePoint m_harmful_from{};
+  std::priority_queue<Event> m_events;
+  std::uint64_t m_next_number = 0;
+  std::vector<double> m_popularity;
+  std::vector<std::shared_ptr<PartQuarantine>> m_instances;
+  std::vector<Server> m_servers;
+  std::map<Fingerprint, Harm> m_harms;
+  std::set<std::pair<std::size_t, Fingerprint>> m_told;
+  int m_sound_refused = 0;
+  int m_sound_not_repeated = 0;
+  int m_sound_sent = 0;
+  int m_crashes = 0;
+  int m_cleared = 0;
+};
+
+}  // namespace zinnia
