Parts of prompts that crash servers are recognised by who lived elsewhere

Cause: nothing knew parts of prompts, so each new request with a harmful one ended further servers.

Change: PartQuarantine. A stream that outlasts its beginning vouches for its parts and drops their crashes up to its own beginning; it says nothing of later ones. Peers are told of a survivor only if it drops a crash, so that news are bounded by the streams that begin while a crash is news. A quarantine that a survivor contradicts ends, and is not taken over again.

A request whose stream had run past its beginning may always be sent again: it vouches for its parts itself.

--- a/packages/zinnia_decisions/forwarding/crashes/part_quarantine.h
+++ b/packages/zinnia_decisions/forwarding/crashes/part_quarantine.h
@@ -1,10 +1,8 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -77,7 +75,8 @@
   std::optional<Duration> TimeUntilRelease(const std::vector<Fingerprint>& parts) const;
 
   /** Whether a request that lost its server must not be sent again by ourselves, since one of these
-      parts is likely the cause. */
+      parts is likely the cause. Not to be asked for one whose stream had run for longer than
+      kOnsetTime: it vouches for its parts itself. */
   bool HasStrongSuspect(const std::vector<Fingerprint>& parts) const;
 
   /** The servers whose crashes count against the part. */
@@ -121,14 +120,15 @@
   std::optional<Survivor> LastSurvivorOf(const Fingerprint& part) const;
   void RememberSurvivor(const Fingerprint& part, const Survivor& survivor);
   void Vouch(const Fingerprint& fingerprint, const Survivor& survivor);
-  bool IsRefuted(const Part& part, const Survivor& survivor) const;
+  bool IsRefuted(const Part& part, const Survivor& survivor, bool drops_crashes) const;
   void AddCleared(const Fingerprint& part, TimePoint began_at);
   bool AddCrash(Part& part, const CrashReport& report, TimePoint at);
   bool IsInForce(const Part& part) const;
   bool IsExpired(const Part& part) const;
   void Quarantine(const Fingerprint& fingerprint, Duration duration);
   Crashes Unexplained(const Part& part) const;
-  bool IsOutmatched(const Part& part, const Crashes& crashes, bool is_tie_enough) const;
+  Crashes UnexplainedByRivals(const Part& part) const;
+  bool IsTied(const Part& part) const;
   bool IsProven(const Part& part) const;
   bool IsStrongSuspect(const Part& part) const;
   std::optional<Fingerprint> FindGuilty() const;
--- a/tests/forwarding/part_schedule.h
+++ b/tests/forwarding/part_schedule.h
@@ -122,6 +122,16 @@
 
   /** Sound requests that lost their server and were not sent again. */
   int SoundNotRepeated() const { return m_sound_not_repeated; }
+
+  /** The longest time from the first server that a harmful part ended until all instances refused
+      it; zero if none did. */
+  Duration LongestUntilRefused() const {
+    Duration longest{};
+    for (const auto& [part, harm] : m_harms) {
+      longest = std::max(longest, harm.refused_at - std::min(harm.refused_at, harm.first_at));
+    }
+    return longest;
+  }
   int SoundSent() const { return m_sound_sent; }
   int Crashes() const { return m_crashes; }
   int Cleared() const { return m_cleared; }
@@ -173,7 +183,11 @@
   struct Harm {
     int ended = 0;
     int sent_late = 0;
+    TimePoint first_at = TimePoint::max();
     TimePoint fifth_at = TimePoint::max();
+
+    /** By all instances. */
+    TimePoint refused_at{};
   };
 
   static Fingerprint SharedPart(std::size_t number) { return {kSharedParts, number}; }
@@ -329,6 +343,7 @@
       return;
     }
     Harm& harm = m_harms.at(part);
+    harm.first_at = std::min(harm.first_at, m_clock.now);
     harm.fifth_at = ++harm.ended == kCrashesBeforeRule ? m_clock.now : harm.fifth_at;
     Crash(attempt->server);
   }
@@ -413,7 +428,9 @@
   }
 
   void Retry(const Attempt& attempt) {
-    if (m_instances[attempt.instance]->HasStrongSuspect(attempt.parts)) {
+    const bool was_running =
+        attempt.has_begun && m_clock.now - attempt.began_at >= RequestQuarantine::kOnsetTime;
+    if (!was_running && m_instances[attempt.instance]->HasStrongSuspect(attempt.parts)) {
       m_sound_not_repeated += HarmfulPartOf(attempt.parts) == nullptr ? 1 : 0;
     } else if (attempt.servers_left > 0) {
       Send(attempt.parts, attempt.instance, attempt.calls_left, attempt.servers_left);
@@ -446,12 +463,23 @@
           At(Milliseconds(100, 350), [=, this, told = report]() mutable {
             told.remaining = std::chrono::duration_cast<milliseconds>(released_at - m_clock.now);
             m_instances[peer]->OnQuarantine(told);
+            NoteRefused(told.request);
           });
         }
       }
     }
   }
 
+  void NoteRefused(const Fingerprint& part) {
+    const auto harm = m_harms.find(part);
+    if (harm != m_harms.end() && harm->second.refused_at == TimePoint() &&
+        std::all_of(m_instances.begin(), m_instances.end(), [&part](const auto& instance) {
+          return instance->FindQuarantined({part}).has_value();
+        })) {
+      harm->second.refused_at = m_clock.now;
+    }
+  }
+
   /** The instance that starts anew knows what another one reports to it first. */
   void StartAnew(std::size_t instance) {
     m_instances[instance] = std::make_shared<PartQuarantine>(m_clock, PartQuarantineSettings());
--- a/tests/forwarding/part_schedules_test.cc
+++ b/tests/forwarding/part_schedules_test.cc
@@ -30,6 +30,7 @@
     int cleared = 0;
     int most_ended = 0;
     int most_late = 0;
+    Duration longest{};
   };
 
   static std::string Describe(const PartSchedule& schedule) {
@@ -53,6 +54,7 @@
       sums.cleared += schedule.Cleared();
       sums.most_ended = std::max(sums.most_ended, schedule.MostEnded());
       sums.most_late = std::max(sums.most_late, schedule.MostSentLate());
+      sums.longest = std::max(sums.longest, schedule.LongestUntilRefused());
       if (schedule.SoundRefused() > 0 || schedule.MostSentLate() > kMaxSentLate) {
         UT_PRINT(("seed " + std::to_string(seed) + ": " + Describe(schedule)).c_str());
       }
@@ -62,7 +64,8 @@
               std::to_string(sums.not_repeated) + ", crashes " + std::to_string(sums.crashes) +
               ", told as cleared " + std::to_string(sums.cleared) + ", most ended by one part " +
               std::to_string(sums.most_ended) + ", most sent late " +
-              std::to_string(sums.most_late))
+              std::to_string(sums.most_late) + ", longest until refused ms " +
+              std::to_string(std::chrono::duration_cast<milliseconds>(sums.longest).count()))
                  .c_str());
     return sums;
   }
