The loss of a whole pool beside harmful parts: tests, and less haste in blaming

Change: a part is only guilty if another stream of this instance began after its first crash and lived, long enough ago for peers' survivors to be known, or if its crashes lie over two seconds. A crash at which more than 16 parts began counts like one of which nothing shows that they had.

--- a/packages/zinnia_decisions/forwarding/crashes/part_quarantine.cc
+++ b/packages/zinnia_decisions/forwarding/crashes/part_quarantine.cc
@@ -19,8 +19,13 @@
 constexpr int kBegunWeight = 2;
 constexpr int kUncertainWeight = 1;
 
+/** A crash at which more parts began than this counts like one of which nothing shows that the
+    request had begun: where servers end one after the other, all requests begin at the rest. */
+constexpr std::size_t kMaxPartsThatBegan = 16;
+
 /** Four moments with requests that had just begun. */
-constexpr int kProofWeight = 4 * kBegunWeight;
+constexpr std::size_t kLeastStarts = 4;
+constexpr int kProofWeight = static_cast<int>(kLeastStarts) * kBegunWeight;
 
 /** The same for parts that were always there together, so that either may be the cause. */
 constexpr int kProofWeightOfTie = 2 * kProofWeight;
@@ -30,11 +35,18 @@
 
 /** After the first crash that counts, peers have so long to tell of survivors: the news of the
     crash, a stream that outlasts its beginning, and the news of that. */
-constexpr Duration kHearingTime = milliseconds(1'200);
+constexpr Duration kHearingTime = milliseconds(800);
+
+/** A stream of a peer that began this long ago has been heard of, if it outlasted its beginning. */
+constexpr Duration kSettlingTime = milliseconds(650);
+
+/** Crashes over a longer time prove the cause although nobody lived meanwhile: all servers may end
+    of something else, but not again as soon as they are back. */
+constexpr Duration kLongestPoolLoss = std::chrono::seconds(2);
 
 /** A stream that began this much before a quarantine, or later, contradicts it: the proof was
     complete kHearingTime after the first crash at the earliest. */
-constexpr Duration kContradictionTime = milliseconds(1'000);
+constexpr Duration kContradictionTime = milliseconds(600);
 
 /** Error of times that peers report. */
 constexpr Duration kTimeTolerance = milliseconds(20);
@@ -49,17 +61,19 @@
 /** The part of the suspects that is evicted at once, as 1 in so many. */
 constexpr std::size_t kEvictedPart = 8;
 
-int WeightOf(CrashOnset onset) {
+int WeightOfOne(CrashOnset onset) {
   return onset == CrashOnset::kBegun ? kBegunWeight : kUncertainWeight;
 }
 
 /** What the crashes say together; those of one moment count once. */
-template <typename Crashes>
-int WeightOf(const Crashes& crashes) {
+template <typename Crashes, typename PartsAtCrash>
+int SumOf(const Crashes& crashes, const PartsAtCrash& parts_at) {
   std::vector<std::pair<TimePoint, int>> in_order;
   in_order.reserve(crashes.size());
   for (const auto& [server, crash] : crashes) {
-    in_order.emplace_back(crash.at, crash.weight);
+    const auto parts = parts_at.find(server);
+    const bool is_crowded = parts != parts_at.end() && parts->second.count > kMaxPartsThatBegan;
+    in_order.emplace_back(crash.at, is_crowded ? kUncertainWeight : crash.weight);
   }
   std::sort(in_order.begin(), in_order.end());
   int sum = 0;
@@ -128,9 +142,10 @@
 
 /** Returns whether the crash is new, or says more than was known of it. */
 bool PartQuarantine::AddCrash(Part& part, const CrashReport& report, TimePoint at) {
-  const int weight = WeightOf(report.onset);
+  const int weight = WeightOfOne(report.onset);
   const auto [known, is_new] = part.crashes.try_emplace(report.server, Crash{at, weight});
   if (is_new) {
+    ++m_parts_at.try_emplace(report.server, PartsAtCrash{at, 0}).first->second.count;
     return true;
   }
   Crash& crash = known->second;
@@ -139,6 +154,9 @@
 }
 
 void PartQuarantine::OnSurvived(const std::vector<Fingerprint>& parts, TimePoint began_at) {
+  if (m_recent_beginnings.size() < kMaxSurvivors) {
+    m_recent_beginnings.push_back(began_at);
+  }
   for (const Fingerprint& part : parts) {
     Vouch(part, {began_at, true});
   }
@@ -218,6 +236,10 @@
   }
 }
 
+int PartQuarantine::WeightOf(const Crashes& crashes) const {
+  return SumOf(crashes, m_parts_at);
+}
+
 std::optional<PartQuarantine::Survivor> PartQuarantine::LastSurvivorOf(
     const Fingerprint& part) const {
   std::optional<Survivor> last;
@@ -391,14 +413,22 @@
   });
 }
 
+/** Whether others lived while the part ended servers, so that peers would have told of a stream
+   with the part that did; or servers ended for longer than they would of something else. */
+bool PartQuarantine::IsContrasted(TimePoint first, TimePoint last) const {
+  return m_settled_beginning >= first || last - first >= kLongestPoolLoss;
+}
+
 bool PartQuarantine::IsProven(const Part& part) const {
-  if (WeightOf(part.crashes) < kProofWeight) {
+  if (part.crashes.size() < kLeastStarts) {
     return false;
   }
   const Crashes crashes = UnexplainedByRivals(part);
+  const TimePoint first = FirstOf(crashes);
+  const TimePoint last = LastOf(crashes);
   const int weight = WeightOf(crashes);
-  return weight >= kProofWeight && m_clock.Now() - FirstOf(crashes) >= kHearingTime &&
-         (weight >= kProofWeightOfTie || !IsTied(part));
+  return weight >= kProofWeight && m_clock.Now() - first >= kHearingTime &&
+         IsContrasted(first, last) && (weight >= kProofWeightOfTie || !IsTied(part));
 }
 
 bool PartQuarantine::IsStrongSuspect(const Part& part) const {
@@ -425,12 +455,26 @@
     });
   }
   std::erase_if(m_parts, [this](const auto& part) { return IsExpired(part.second); });
+  std::erase_if(m_parts_at, [&](const auto& parts) {
+    return now - parts.second.at >= m_settings.evidence_lifetime;
+  });
+  SettleBeginnings();
   while (const std::optional<Fingerprint> guilty = FindGuilty()) {
     Quarantine(*guilty, m_settings.first_quarantine);
   }
   return std::exchange(m_new_quarantines, {});
 }
 
+void PartQuarantine::SettleBeginnings() {
+  const TimePoint until = m_clock.Now() - kSettlingTime;
+  std::erase_if(m_recent_beginnings, [&](TimePoint began_at) {
+    if (began_at <= until) {
+      m_settled_beginning = std::max(m_settled_beginning, began_at);
+    }
+    return began_at <= until;
+  });
+}
+
 /** Evicts several at once, since each search looks at all. */
 void PartQuarantine::EvictOverLimit() {
   if (m_parts.size() <= m_settings.max_parts) {
--- a/packages/zinnia_decisions/forwarding/crashes/part_quarantine.h
+++ b/packages/zinnia_decisions/forwarding/crashes/part_quarantine.h
@@ -39,7 +39,8 @@
     turn harmful.
 
     A part is guilty whose crashes lie in several moments (servers that end together have a common
-    cause) with no survivor after the first, once peers had time to tell of one. Crashes at which a
+    cause) with no survivor after the first although other streams lived, once peers had time to
+    tell of one. Crashes at which a
     guilty part was are not counted against others, and neither are those of a part that was only
     where another suspect was too.
 
@@ -111,12 +112,17 @@
     /** When a quarantine ended early. */
     std::optional<TimePoint> cleared_at;
   };
+  struct PartsAtCrash {
+    TimePoint at{};
+    std::size_t count = 0;
+  };
   struct Survivor {
     TimePoint began_at{};
     bool is_own = false;
   };
   using Survivors = std::unordered_map<Fingerprint, Survivor>;
 
+  int WeightOf(const Crashes& crashes) const;
   std::optional<Survivor> LastSurvivorOf(const Fingerprint& part) const;
   void RememberSurvivor(const Fingerprint& part, const Survivor& survivor);
   void Vouch(const Fingerprint& fingerprint, const Survivor& survivor);
@@ -129,21 +135,31 @@
   Crashes Unexplained(const Part& part) const;
   Crashes UnexplainedByRivals(const Part& part) const;
   bool IsTied(const Part& part) const;
+  bool IsContrasted(TimePoint first, TimePoint last) const;
   bool IsProven(const Part& part) const;
   bool IsStrongSuspect(const Part& part) const;
   std::optional<Fingerprint> FindGuilty() const;
+  void SettleBeginnings();
   void EvictOverLimit();
 
   const Clock& m_clock;
   const PartQuarantineSettings m_settings;
   std::unordered_map<Fingerprint, Part> m_parts;
 
+  /** How many parts were at each crash without a survivor since. */
+  std::map<BackendServerName, PartsAtCrash> m_parts_at;
+
   /** Since when survivors are added to m_survivors. They are set aside after their lifetime, and
       dropped when the next ones are. */
   TimePoint m_survivors_since{};
   Survivors m_survivors;
   Survivors m_former_survivors;
 
+  /** When streams of this instance began that ran on, whatever their parts: the last one of which
+      all that peers saw then is known, and the later ones. */
+  TimePoint m_settled_beginning{};
+  std::vector<TimePoint> m_recent_beginnings;
+
   /** Of which peers are told next, and when their streams began. */
   std::map<Fingerprint, TimePoint> m_cleared;
   std::vector<Fingerprint> m_new_quarantines;
--- a/tests/forwarding/part_schedule.h
+++ b/tests/forwarding/part_schedule.h
@@ -39,6 +39,9 @@
   /** A harmful part is one of the shared parts, and did no harm before that moment. */
   bool was_sound_before = false;
 
+  /** It is the one that half of the requests have. */
+  bool is_most_common = false;
+
   /** Part of the harmful requests whose servers end before the instance sees their answer begin. */
   double unseen_beginnings = 0.3;
 
@@ -53,6 +56,9 @@
   /** All servers of a third of the fleet end in one moment, twice. */
   bool domains_die = false;
 
+  /** All servers end, twice, one after the other within this time; zero: they don't. */
+  std::chrono::milliseconds pool_dies_within{0};
+
   /** Servers end one after the other, this long apart; zero: none. */
   std::chrono::milliseconds series{0};
 
@@ -80,9 +86,11 @@
     m_end = m_clock.now + m_settings.duration;
     m_harmful_from = m_clock.now + m_settings.harmful_from;
     for (std::size_t number = 0; number < m_settings.harmful_parts; ++number) {
-      const Fingerprint part = m_settings.was_sound_before
-                                   ? SharedPart(RandomBelow(m_random, m_settings.shared_parts))
-                                   : Fingerprint{kHarmfulParts, number};
+      const Fingerprint part =
+          m_settings.was_sound_before
+              ? SharedPart(
+                    m_settings.is_most_common ? 0 : RandomBelow(m_random, m_settings.shared_parts))
+              : Fingerprint{kHarmfulParts, number};
       m_harms.try_emplace(part);
       At(m_settings.harmful_from, [this, part] { SendHarmful(part); });
     }
@@ -499,6 +507,16 @@
         });
       }
     }
+    if (m_settings.pool_dies_within > milliseconds(0)) {
+      const auto within = static_cast<std::uint64_t>(m_settings.pool_dies_within.count());
+      for (const int at : {6'000, 12'000}) {
+        At(milliseconds(at), [this, within] {
+          for (std::size_t server = 0; server < m_servers.size(); ++server) {
+            At(Milliseconds(0, within), [this, server] { Crash(server); });
+          }
+        });
+      }
+    }
     if (m_settings.series > milliseconds(0)) {
       for (milliseconds at{2'000}; at < m_settings.duration; at += m_settings.series) {
         At(at, [this] { Crash(RandomBelow(m_random, m_servers.size())); });
--- a/tests/forwarding/part_schedules_test.cc
+++ b/tests/forwarding/part_schedules_test.cc
@@ -12,6 +12,7 @@
 TEST_GROUP(PartSchedules) {
   static constexpr std::uint64_t kSeeds = 20;
   static constexpr std::uint64_t kSeedsOfLargeFleets = 2;
+  static constexpr std::uint64_t kSeedsOfWholePool = 3;
 
   /** Sends with a harmful part that are allowed later than the stability window after the fifth
       crash. */
@@ -138,6 +139,18 @@
   }
 }
 
+// Guards against refusing everybody after the loss of all servers.
+TEST(PartSchedules, NobodyIsRefusedForTheWholePoolThatEnds) {
+  for (const milliseconds within : {milliseconds(50), milliseconds(600), milliseconds(1'000),
+                                    milliseconds(1'500), milliseconds(3'000)}) {
+    PartScheduleSettings settings;
+    settings.harmful_parts = 0;
+    settings.pool_dies_within = within;
+    settings.have_common_part = true;
+    CheckHarmfulAloneAreRefused(settings);
+  }
+}
+
 // Guards against survivors from before a part became harmful that clear it afterwards.
 TEST(PartSchedules, APartThatWasSoundBeforeIsRefused) {
   PartScheduleSettings settings;
@@ -145,6 +158,23 @@
   CheckHarmfulAloneAreRefused(settings);
 }
 
+// The same for one that half of the requests have, which ends all servers within a second.
+TEST(PartSchedules, APartThatEndsTheWholePoolAtOnceIsRefused) {
+  PartScheduleSettings settings;
+  settings.was_sound_before = true;
+  settings.is_most_common = true;
+  CheckHarmfulAloneAreRefused(settings, kSeedsOfWholePool);
+}
+
+// The same for one that all requests have: each of them is refused then.
+TEST(PartSchedules, APartOfAllThatEndsTheWholePoolIsRefused) {
+  PartScheduleSettings settings;
+  settings.harmful_parts = 0;
+  settings.have_common_part = true;
+  settings.is_common_part_harmful = true;
+  CheckHarmfulAloneAreRefused(settings, kSeedsOfWholePool);
+}
+
 // Guards against refusing everybody for a part that all prompts share.
 TEST(PartSchedules, APartThatAllShareIsNotRefusedForAnotherOne) {
   PartScheduleSettings settings;
