Unit tests of PartQuarantine

Change: eight tests: four moments, one moment of many servers, survivors before and after crashes, one crash after a release, the way to peers, a contradicted quarantine, running streams.

Result: build/tests/test_forwarding -c -sg PartQuarantine: 8 of 8.

--- /dev/null
+++ b/tests/forwarding/part_quarantine_test.cc
@@ -0,0 +1,135 @@
+#include "zinnia_decisions/forwarding/crashes/part_quarantine.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace zinnia {
+
+using std::chrono::milliseconds;
+
+TEST_GROUP(PartQuarantine) {
+  struct ManualClock final : Clock {
+    TimePoint Now() const override { return now; }
+    WallTimePoint WallNow() const override { return WallTimePoint(); }
+    TimePoint now{std::chrono::hours(1)};
+  };
+
+  static constexpr Fingerprint kPart{1, 1};
+  static constexpr Fingerprint kOther{1, 2};
+
+  ManualClock m_clock;
+  PartQuarantineSettings m_settings;
+  PartQuarantine m_parts{m_clock, m_settings};
+  int m_servers = 0;
+
+  bool Crash(const Fingerprint& part, CrashOnset onset = CrashOnset::kBegun) {
+    CrashReport report;
+    report.request = part;
+    report.server = "srv-" + std::to_string(++m_servers);
+    report.onset = onset;
+    report.kind = SuspectKind::kPromptPart;
+    return m_parts.OnCrash(report);
+  }
+
+  /** A stream with another part lives meanwhile. */
+  void Pass(milliseconds time) {
+    m_parts.OnSurvived({kOther}, m_clock.now);
+    m_clock.now += time;
+  }
+
+  void CrashInMoments(int count) {
+    for (int crash = 0; crash < count; ++crash) {
+      Crash(kPart);
+      Pass(milliseconds(250));
+    }
+    Pass(milliseconds(1'000));
+    m_parts.RemoveExpired();
+  }
+  bool IsRefused() const {
+    return m_parts.FindQuarantined({kOther, kPart}).has_value();
+  }
+};
+
+TEST(PartQuarantine, FourMomentsProveAPart) {
+  CrashInMoments(3);
+  CHECK_FALSE(IsRefused());
+  CrashInMoments(1);
+  CHECK_TRUE(IsRefused());
+  CHECK_FALSE(m_parts.FindQuarantined({kOther}).has_value());
+  CHECK_EQUAL(1U, m_parts.CountInForce());
+  CHECK_EQUAL(4U, m_parts.CrashedServers(kPart).size());
+  CHECK_TRUE(m_parts.TimeUntilRelease({kPart}) > Duration(std::chrono::hours(1)));
+}
+
+// Guards against blaming a part for the end of a failure domain.
+TEST(PartQuarantine, ManyServersInOneMomentProveNothing) {
+  for (int server = 0; server < 12; ++server) {
+    Crash(kPart);
+  }
+  Pass(milliseconds(2'000));
+  m_parts.RemoveExpired();
+  CHECK_FALSE(IsRefused());
+  CHECK_FALSE(m_parts.HasStrongSuspect({kPart}));
+}
+
+TEST(PartQuarantine, ASurvivorDropsTheCrashesBeforeItAndIsTold) {
+  CrashInMoments(3);
+  CHECK_TRUE(m_parts.HasStrongSuspect({kPart}));
+  m_parts.OnSurvived({kPart}, m_clock.now);
+  CHECK_FALSE(m_parts.HasStrongSuspect({kPart}));
+  const std::vector<ClearedRequest> cleared = m_parts.TakeCleared();
+  CHECK_EQUAL(1U, cleared.size());
+  CHECK_TRUE(cleared.front().request == kPart);
+  CHECK_TRUE(cleared.front().kind == SuspectKind::kPromptPart);
+  CHECK_TRUE(m_parts.TakeCleared().empty());
+  CrashInMoments(1);
+  CHECK_FALSE(IsRefused());
+}
+
+// Guards against survivors from before a part became harmful that clear it afterwards.
+TEST(PartQuarantine, ASurvivorSaysNothingOfLaterCrashes) {
+  const TimePoint before = m_clock.now;
+  Pass(milliseconds(100));
+  CrashInMoments(4);
+  m_parts.OnSurvived({kPart}, before);
+  CHECK_TRUE(IsRefused());
+  CHECK_TRUE(m_parts.TakeCleared().empty());
+}
+
+TEST(PartQuarantine, OneCrashAfterTheReleaseDoublesTheQuarantine) {
+  CrashInMoments(4);
+  m_clock.now += m_settings.first_quarantine;
+  CHECK_FALSE(IsRefused());
+  CHECK_TRUE(Crash(kPart));
+  CHECK_TRUE(IsRefused());
+  CHECK_TRUE(Duration(m_parts.ReportOf(kPart).duration) == 2 * m_settings.first_quarantine);
+}
+
+TEST(PartQuarantine, APeerTakesItOverOnce) {
+  CrashInMoments(4);
+  PartQuarantine peer(m_clock, m_settings);
+  const QuarantineReport report = m_parts.InForce(1).front();
+  CHECK_TRUE(peer.OnQuarantine(report));
+  CHECK_FALSE(peer.OnQuarantine(report));
+  CHECK_TRUE(peer.FindQuarantined({kPart}).has_value());
+}
+
+// Guards against a quarantine that peers repeat after a stream has shown that it was wrong.
+TEST(PartQuarantine, OneThatASurvivorContradictsIsNotTakenOver) {
+  CrashInMoments(4);
+  PartQuarantine peer(m_clock, m_settings);
+  const QuarantineReport report = m_parts.InForce(1).front();
+  peer.OnSurvived({kPart}, m_clock.now);
+  CHECK_FALSE(peer.OnQuarantine(report));
+  for (const ClearedRequest& cleared : peer.TakeCleared()) {
+    m_parts.OnCleared(cleared);
+  }
+  CHECK_FALSE(IsRefused());
+  CHECK_FALSE(m_parts.OnQuarantine(report));
+}
+
+TEST(PartQuarantine, ARunningStreamIsNoEvidence) {
+  CHECK_FALSE(Crash(kPart, CrashOnset::kRunning));
+  CHECK_EQUAL(0U, m_parts.CountRemembered());
+}
+
+}  // namespace zinnia
