A caller's connection that idles holds no request, and takes the limits of the newest configuration

Cause: the idle wait read bytes under a timer that closes the socket, so a request that was read in that moment was dropped; a stop took a connection whose request was being read for an idle one; the idle limit was read once at the beginning of the wait; the buffer was bounded by the sizes of the configuration at the connection's beginning.

Change: the idle wait reads nothing, looks for unread bytes before it closes, and looks at the limit again when the time is over; CloseIfIdle closes idle connections alone; the buffer is bounded by the parser, with the limits of each request.

--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -42,6 +43,11 @@
   return got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
+bool HasUnreadBytes(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  return recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /** Sends what the socket takes without waiting and returns how much that was. An error counts as
     nothing sent: the next asynchronous write meets it again and reports it. */
 std::size_t SendWithoutWaiting(asio::ip::tcp::socket& socket, std::string_view bytes) {
@@ -64,7 +70,7 @@
     : m_stream(std::move(socket)),
       m_limits(limits),
       m_owner(owner),
-      m_buffer(limits.most_header_bytes + kReadBytes + limits.most_body_bytes) {}
+      m_idle_timer(m_stream.get_executor()) {}
 
 CallerConnection::~CallerConnection() = default;
 
@@ -79,23 +85,51 @@
     ReadHeader();
     return;
   }
-  m_stream.expires_after(m_limits.idle_timeout);
-  m_stream.async_read_some(
-      m_buffer.prepare(kReadBytes),
-      [self = shared_from_this()](const boost::system::error_code& error, std::size_t bytes) {
-        if (error || self->m_closed) {
-          if (error == beast::error::timeout) {
-            self->m_owner.CountConnectionEvent("caller_connections_idle_too_long");
-          }
-          self->Close();
-          return;
+  m_idle_since = std::chrono::steady_clock::now();
+  m_is_idle = true;
+  m_stream.expires_never();
+  m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                               [self = shared_from_this()](const boost::system::error_code& error) {
+                                 self->OnRequestArrives(error);
+                               });
+  WatchIdleTime();
+}
+
+/** Nothing has been read before, so that a connection that idles never holds a request. */
+void CallerConnection::OnRequestArrives(const boost::system::error_code& error) {
+  if (m_closed || !std::exchange(m_is_idle, false)) {
+    return;
+  }
+  m_idle_timer.cancel();
+  if (error || !CallerIsThere(m_stream.socket())) {
+    Close();
+    return;
+  }
+  ReadHeader();
+}
+
+/** Looks at the limit again when the time is over, since it may have grown meanwhile. */
+void CallerConnection::WatchIdleTime() {
+  m_idle_timer.expires_at(m_idle_since + m_limits.idle_timeout);
+  m_idle_timer.async_wait(
+      [self = shared_from_this(), since = m_idle_since](const boost::system::error_code& error) {
+        if (!error && self->m_is_idle && since == self->m_idle_since) {
+          self->OnIdleTimeOver();
         }
-        self->m_buffer.commit(bytes);
-        self->ReadHeader();
       });
 }
 
+void CallerConnection::OnIdleTimeOver() {
+  if (std::chrono::steady_clock::now() < m_idle_since + m_limits.idle_timeout) {
+    WatchIdleTime();
+  } else if (!HasUnreadBytes(m_stream.socket())) {
+    m_owner.CountConnectionEvent("caller_connections_idle_too_long");
+    Close();
+  }
+}
+
 void CallerConnection::ReadHeader() {
+  m_is_reading = true;
   m_parser.emplace();
   m_parser->header_limit(m_limits.most_header_bytes);
   m_parser->body_limit(m_limits.most_body_bytes);
@@ -146,6 +180,7 @@
 }
 
 void CallerConnection::RefuseUnreadable(const boost::system::error_code& error) {
+  m_is_reading = false;
   if (error == http::error::end_of_stream || error == asio::error::connection_reset ||
       error == http::error::partial_message) {
     Close();
@@ -163,6 +198,7 @@
 }
 
 void CallerConnection::RunExchange() {
+  m_is_reading = false;
   CallerRequest request = m_parser->release();
   // An answer takes minutes, and thousands of connections wait for theirs: each would keep the
   // buffers that its request needed.
@@ -355,7 +391,7 @@
 }
 
 void CallerConnection::CloseIfIdle() {
-  if (!m_exchange && !m_writing) {
+  if (m_is_idle && !HasUnreadBytes(m_stream.socket())) {
     Close();
   }
 }
@@ -365,6 +401,8 @@
     return;
   }
   const auto self = shared_from_this();
+  m_is_idle = false;
+  m_idle_timer.cancel();
   m_stream.close();
   if (const auto exchange = std::exchange(m_exchange, nullptr)) {
     exchange->OnCallerGone();
--- a/packages/zinnia_adapters/callers/caller_connection.h
+++ b/packages/zinnia_adapters/callers/caller_connection.h
@@ -2,11 +2,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/basic_stream.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -51,9 +53,12 @@
   /** Cuts the connection at once; its exchange hears that the caller is gone. */
   void Close();
 
-  /** Closes it if it is idle between two requests. */
+  /** Closes it if it is idle between two requests and none has arrived. */
   void CloseIfIdle();
 
+  /** A request has begun to arrive and is not read whole yet. */
+  bool IsReadingRequest() const { return m_is_reading && !m_closed; }
+
   /** The exchange has said all, but not all is written. */
   bool HasUnsentAnswer() const { return m_exchange && m_answer_ended; }
 
@@ -69,6 +74,9 @@
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void WaitForRequest();
+  void OnRequestArrives(const boost::system::error_code& error);
+  void WatchIdleTime();
+  void OnIdleTimeOver();
   void ReadHeader();
   void OnHeader(const boost::system::error_code& error);
   void ReadBody();
@@ -85,6 +93,10 @@
   Stream m_stream;
   const CallerLimits& m_limits;
   ConnectionOwner& m_owner;
+  boost::asio::steady_timer m_idle_timer;
+  std::chrono::steady_clock::time_point m_idle_since;
+
+  /** Bounded by the parser, whose limits may change from request to request. */
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
   std::shared_ptr<CallerExchange> m_exchange;
@@ -95,6 +107,8 @@
   std::string m_waiting_events;
   std::string m_events_being_written;
   std::uint64_t m_request_number = 0;
+  bool m_is_idle = false;
+  bool m_is_reading = false;
   bool m_writing = false;
   bool m_answer_ended = false;
   bool m_keep_alive = false;
