A stop waits for answers that are being sent and requests that are being read

Cause: the stop asks ForwardServer::Describe, which told of exchanges alone; an answer that waited for a slow reader was cut off, and so was a request between its first byte and its exchange. Evidence: CallerConnectionPath.AnAnswerThatIsNotYetSentIsInFlight failed.

--- a/packages/zinnia_adapters/callers/caller_connections.cc
+++ b/packages/zinnia_adapters/callers/caller_connections.cc
@@ -18,6 +18,12 @@
                     [](const auto& entry) { return entry.second->HasUnsentAnswer(); }));
 }
 
+std::size_t CallerConnections::CountRequestsBeingRead() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_connections.begin(), m_connections.end(),
+                    [](const auto& entry) { return entry.second->IsReadingRequest(); }));
+}
+
 void CallerConnections::CloseIdle() {
   const Connections connections = m_connections;
   for (const auto& [key, connection] : connections) {
--- a/packages/zinnia_adapters/callers/caller_connections.h
+++ b/packages/zinnia_adapters/callers/caller_connections.h
@@ -23,6 +23,9 @@
   /** How many have answers of which not all is written. */
   std::size_t CountUnsentAnswers() const;
 
+  /** How many have a request that has begun to arrive and is not read whole yet. */
+  std::size_t CountRequestsBeingRead() const;
+
   /** Closes those that are idle between two requests. */
   void CloseIdle();
 
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -322,7 +322,8 @@
 }
 
 std::size_t ForwardServer::InFlight() const {
-  return m_exchanges.size() + m_connections.CountUnsentAnswers();
+  return m_exchanges.size() + m_connections.CountUnsentAnswers() +
+         m_connections.CountRequestsBeingRead();
 }
 
 std::vector<std::string> ForwardServer::Describe() const {
@@ -330,6 +331,8 @@
   for (const auto& [key, exchange] : m_exchanges) {
     lines.push_back(exchange->Describe());
   }
+  lines.insert(lines.end(), m_connections.CountUnsentAnswers(), "an answer that is being sent");
+  lines.insert(lines.end(), m_connections.CountRequestsBeingRead(), "a request that is being read");
   return lines;
 }
 
