Requests with a part of a prompt that crashes servers are refused

Cause: RequestQuarantine knows a request by all of it, and nothing read the parts.

Change: PromptPartWatch tells PartQuarantine what this instance and its peers see: parts in flight at the beginning of an answer when a server crashed, and every stream that outlives its beginning. A guilty part is refused before a send, at once, as not run, with the time until its release; what waits or is queued with it ends; a request with a strong suspect is not sent again on our own. Crash news, cleared parts and quarantines go by kind.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -272,6 +272,9 @@
   m_next_search_at = {};
   m_keeps_waiting = false;
   ReleaseHeld();
+  if (!m_attempt.is_at_peer && now - m_attempt.stream_began_at >= RequestQuarantine::kOnsetTime) {
+    NoteSurvival();
+  }
   m_answer.SendEvents(events);
   MoveIfDue();
 }
@@ -291,6 +294,7 @@
   }
   if (!m_attempt.is_at_peer) {
     m_parts.health.OnOutcome(m_attempt.server, true);
+    NoteSurvival();
   }
   m_parts.quarantine.OnEndedWell(m_fingerprint);
   m_answer.EndStream();
@@ -403,7 +407,7 @@
 ForwardExchange::Decision ForwardExchange::Decide(SendOutcome outcome) {
   Decision decision;
   m_history.time_left = TimeLeft() > kMinTimeLeft;
-  m_history.has_alternative = !IsHarmful();
+  m_history.has_alternative = !MustNotBeSentAgain();
   decision.obstacle = FindObstacle(*m_route, outcome, m_history);
   if (decision.obstacle == ResendObstacle::kNone && !m_history.has_alternative) {
     decision.obstacle = ResendObstacle::kHarmful;
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -75,6 +75,9 @@
   /** Ends the request if it has this fingerprint and no server has begun to answer it. */
   void OnRequestQuarantined(const Fingerprint& request);
 
+  /** The same if its prompt has this part. */
+  void OnPartQuarantined(const Fingerprint& part);
+
   /** This instance has lost all servers. */
   void OnCutOff();
 
@@ -170,6 +173,13 @@
 
   /** Whether the request must not be sent again, because it crashes servers or may do so. */
   bool IsHarmful() const;
+
+  /** The same, or it has a part that is suspected of crashing servers. */
+  bool MustNotBeSentAgain() const;
+  void EndAsHarmful();
+
+  /** Its server lives, although its answer has run for a while, or has ended. */
+  void NoteSurvival();
   void NoteProgressOfSuspect();
   void RefuseHarmful();
 
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -8,6 +8,7 @@
 #include "zinnia_adapters/forwarding/forward_exchange.h"
 #include "zinnia_adapters/forwarding/forward_outcomes.h"
 #include "zinnia_adapters/forwarding/log_text.h"
+#include "zinnia_adapters/forwarding/prompt_part_watch.h"
 #include "zinnia_adapters/forwarding/server_connection.h"
 #include "zinnia_adapters/services/header_filter.h"
 #include "zinnia_base/logging/logger.h"
@@ -103,7 +104,11 @@
                          limits.next_permit_in.value_or(kRetryAfterNoLimitShare));
     }
     if (error.kind == ErrorKind::kQuarantined) {
-      soonest = m_parts.quarantine.TimeUntilRelease(m_fingerprint).value_or(soonest);
+      const Duration by_request =
+          m_parts.quarantine.TimeUntilRelease(m_fingerprint).value_or(soonest);
+      const Duration by_part =
+          m_parts.prompt_parts.TimeUntilRelease(m_facts.prompt_parts).value_or(soonest);
+      soonest = std::max(by_request, by_part);
     }
     const double spread = 1.0 + kRetryAfterSpread * RandomUnit(m_parts.random);
     response.set(http::field::retry_after,
--- a/packages/zinnia_adapters/forwarding/forward_exchange_crashes.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_crashes.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/beast/http/field.hpp>
 #include <utility>
 
@@ -5,6 +6,7 @@
 #include "zinnia_adapters/forwarding/forward_exchange.h"
 #include "zinnia_adapters/forwarding/forward_outcomes.h"
 #include "zinnia_adapters/forwarding/held_attempt.h"
+#include "zinnia_adapters/forwarding/prompt_part_watch.h"
 #include "zinnia_adapters/forwarding/server_connection.h"
 #include "zinnia_decisions/forwarding/admission/capacity_queue.h"
 #include "zinnia_decisions/forwarding/crashes/request_quarantine.h"
@@ -39,6 +41,7 @@
   attempt.request_id = m_facts.id;
   attempt.server = from.server;
   attempt.server_address = from.address;
+  attempt.prompt_parts = m_facts.prompt_parts;
   attempt.sent_at = from.sent_at;
   attempt.broken_at = m_parts.clock.Now();
   if (from.is_streaming) {
@@ -72,10 +75,22 @@
 bool ForwardExchange::IsHarmful() const {
   const std::size_t pending = m_parts.crashes.Attempts().CountPending(m_fingerprint);
   const bool is_stream = m_route->repeatability == Repeatability::kStream;
-  return m_parts.quarantine.WouldBeQuarantined(m_fingerprint, pending) ||
+  return m_parts.prompt_parts.IsRefused(m_facts.prompt_parts) ||
+         m_parts.quarantine.WouldBeQuarantined(m_fingerprint, pending) ||
          (!is_stream && m_parts.quarantine.MustWait(m_fingerprint, pending));
 }
 
+bool ForwardExchange::MustNotBeSentAgain() const {
+  return IsHarmful() ||
+         (!m_attempt.has_survived && m_parts.prompt_parts.IsSuspect(m_facts.prompt_parts));
+}
+
+void ForwardExchange::NoteSurvival() {
+  if (!std::exchange(m_attempt.has_survived, true)) {
+    m_parts.prompt_parts.OnSurvived(m_facts.prompt_parts, m_attempt.stream_began_at);
+  }
+}
+
 /** A request that runs on for long at a server that lives did not cause its earlier crashes. */
 void ForwardExchange::NoteProgressOfSuspect() {
   if (m_attempt.is_streaming && m_parts.quarantine.IsSuspect(m_fingerprint)) {
@@ -89,9 +104,20 @@
 }
 
 void ForwardExchange::OnRequestQuarantined(const Fingerprint& request) {
-  if (m_ended || request != m_fingerprint || m_attempt.is_streaming) {
-    return;
+  if (!m_ended && request == m_fingerprint && !m_attempt.is_streaming) {
+    EndAsHarmful();
   }
+}
+
+void ForwardExchange::OnPartQuarantined(const Fingerprint& part) {
+  const auto& parts = m_facts.prompt_parts;
+  const bool has_part = std::find(parts.begin(), parts.end(), part) != parts.end();
+  if (!m_ended && has_part && !m_attempt.is_streaming) {
+    EndAsHarmful();
+  }
+}
+
+void ForwardExchange::EndAsHarmful() {
   if (m_capacity_ticket != CapacityQueue::kNoTicket) {
     RefuseHarmful();
   } else if (m_held && m_held->Attempt().is_streaming) {
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -350,7 +350,7 @@
   SendHistory history = m_history;
   history.time_left = TimeLeft() > Duration::zero();
   history.has_alternative = true;
-  return m_event_intervals.HasBegun() && !IsHarmful() &&
+  return m_event_intervals.HasBegun() && !MustNotBeSentAgain() &&
          DecideNextStep(*m_route, SendOutcome::kUnknown, history) == NextStep::kSendAgain;
 }
 
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -298,6 +298,12 @@
   }
 }
 
+void ForwardServer::OnPartQuarantined(const Fingerprint& part) {
+  for (const auto& exchange : Exchanging()) {
+    exchange->OnPartQuarantined(part);
+  }
+}
+
 void ForwardServer::BeginDrain() {
   m_draining = true;
 }
--- a/packages/zinnia_adapters/forwarding/forward_server.h
+++ b/packages/zinnia_adapters/forwarding/forward_server.h
@@ -69,6 +69,7 @@
 
   /** Ends the requests with this fingerprint that no server has begun to answer. */
   void OnRequestQuarantined(const Fingerprint& request);
+  void OnPartQuarantined(const Fingerprint& part);
 
  private:
   ForwardServer(Scheduler& scheduler,
--- a/packages/zinnia_adapters/forwarding/forwarding_parts.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_parts.h
@@ -20,6 +20,7 @@
 class Metrics;
 class PathFinder;
 class PeerChooser;
+class PromptPartWatch;
 class InterDomainLinkMeter;
 class PlainServerChooser;
 class ReachabilityWatch;
@@ -56,6 +57,7 @@
   ReachabilityWatch& reachability;
   PeerChooser& peers;
   RequestQuarantine& quarantine;
+  PromptPartWatch& prompt_parts;
   RandomSource& random;
   FailureDomainName own_failure_domain;
   std::function<std::shared_ptr<const ForwardingView>()> view;
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -71,6 +71,10 @@
                 m_reachability,
                 [this](const std::vector<BrokenAttempt>& attempts) { OnServerCrash(attempts); }),
       m_quarantine(m_parts.clock, {}),
+      m_prompt_parts(m_parts.clock,
+                     m_parts.logger,
+                     m_parts.metrics,
+                     [this](const QuarantineReport& quarantine) { OnPartQuarantined(quarantine); }),
       m_server(ForwardServer::Create(thread.Loop(),
                                      thread.GetScheduler(),
                                      MakeParts(),
@@ -100,6 +104,7 @@
           m_reachability,
           m_peers,
           m_quarantine,
+          m_prompt_parts,
           m_random,
           m_parts.own_failure_domain,
           [this] { return m_view; },
@@ -183,11 +188,21 @@
   });
   OnCrashes(reports, kSelf);
   reports.resize(std::min(reports.size(), kMaxReportedPerCrash));
+  const std::vector<CrashReport> parts = m_prompt_parts.OnServerCrash(attempts);
+  reports.insert(reports.end(), parts.begin(), parts.end());
   m_parts.on_crash_reports(std::move(reports));
 }
 
 void ForwardingTraffic::OnPeerCrashes(const std::vector<CrashReport>& crashes) {
-  OnCrashes(crashes, kPeer);
+  std::vector<CrashReport> of_requests;
+  for (const CrashReport& crash : crashes) {
+    if (crash.kind == SuspectKind::kPromptPart) {
+      m_prompt_parts.OnPeerCrash(crash);
+    } else {
+      of_requests.push_back(crash);
+    }
+  }
+  OnCrashes(of_requests, kPeer);
 }
 
 void ForwardingTraffic::OnCrashes(const std::vector<CrashReport>& crashes,
@@ -206,7 +221,9 @@
 
 void ForwardingTraffic::OnPeerQuarantines(const std::vector<QuarantineReport>& quarantines) {
   for (const QuarantineReport& quarantine : quarantines) {
-    if (m_quarantine.OnQuarantine(quarantine)) {
+    if (quarantine.kind == SuspectKind::kPromptPart) {
+      m_prompt_parts.OnPeerQuarantine(quarantine);
+    } else if (m_quarantine.OnQuarantine(quarantine)) {
       OnQuarantined(quarantine.request, kPeer);
     }
   }
@@ -214,8 +231,12 @@
 
 void ForwardingTraffic::OnPeerCleared(const std::vector<ClearedRequest>& requests) {
   for (const ClearedRequest& cleared : requests) {
-    m_quarantine.OnCleared(cleared);
-    LogCleared(cleared, kPeer);
+    if (cleared.kind == SuspectKind::kPromptPart) {
+      m_prompt_parts.OnPeerCleared(cleared);
+    } else {
+      m_quarantine.OnCleared(cleared);
+      LogCleared(cleared, kPeer);
+    }
   }
 }
 
@@ -224,6 +245,8 @@
   for (const ClearedRequest& cleared : requests) {
     LogCleared(cleared, kSelf);
   }
+  const std::vector<ClearedRequest> parts = m_prompt_parts.TakeCleared();
+  requests.insert(requests.end(), parts.begin(), parts.end());
   return requests;
 }
 
@@ -262,7 +285,16 @@
   m_quarantine.RemoveExpired();
   m_parts.metrics.SetGauge("request_quarantines_in_force",
                            static_cast<double>(m_quarantine.CountInForce()));
-  return m_quarantine.InForce(kMaxReportedQuarantines);
+  std::vector<QuarantineReport> quarantines = m_quarantine.InForce(kMaxReportedQuarantines);
+  const std::vector<QuarantineReport> parts =
+      m_prompt_parts.TakeQuarantines(kMaxReportedQuarantines);
+  quarantines.insert(quarantines.end(), parts.begin(), parts.end());
+  return quarantines;
+}
+
+void ForwardingTraffic::OnPartQuarantined(const QuarantineReport& quarantine) {
+  m_parts.on_quarantined(quarantine);
+  m_server->OnPartQuarantined(quarantine.request);
 }
 
 /** Open connections may live on, or be dead without a sign of it. */
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -9,6 +9,7 @@
 #include "zinnia_adapters/forwarding/engine_calls.h"
 #include "zinnia_adapters/forwarding/forward_server.h"
 #include "zinnia_adapters/forwarding/message_codec.h"
+#include "zinnia_adapters/forwarding/prompt_part_watch.h"
 #include "zinnia_adapters/forwarding/reachability_watch.h"
 #include "zinnia_adapters/forwarding/server_connection_pool.h"
 #include "zinnia_adapters/forwarding/stall_inquiry.h"
@@ -105,6 +106,7 @@
   void OnServerCrash(const std::vector<BrokenAttempt>& attempts);
   void OnCrashes(const std::vector<CrashReport>& crashes, std::string_view heard_from);
   void OnQuarantined(const Fingerprint& request, std::string_view heard_from);
+  void OnPartQuarantined(const QuarantineReport& quarantine);
   void LogNotCounted(const CrashReport& crash, std::string_view heard_from);
   void LogCleared(const ClearedRequest& cleared, std::string_view heard_from);
   void OnLimitReceived(const BackendServerName& server, std::string_view heard_from);
@@ -132,6 +134,7 @@
   PeerChooser m_peers;
   CrashWatch m_crashes;
   RequestQuarantine m_quarantine;
+  PromptPartWatch m_prompt_parts;
   std::unique_ptr<ForwardServer> m_server;
 };
 
--- a/packages/zinnia_adapters/forwarding/server_attempt.h
+++ b/packages/zinnia_adapters/forwarding/server_attempt.h
@@ -44,6 +44,9 @@
   bool path_confirmed = false;
   TimePoint last_progress{};
 
+  /** Whether its server has outlived the beginning of the answer. */
+  bool has_survived = false;
+
   /** Whether a change of its path is under way, and which one, to discard the answers to others. */
   bool rerouting = false;
   std::uint64_t path_change = 0;
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -33,6 +33,9 @@
       facts.deadline = std::chrono::milliseconds(std::stoi(std::string(fields["X-Deadline"])));
     }
     facts.prompt_tokens = 100;
+    if (fields.count("X-Part") > 0) {
+      facts.prompt_parts = {Fingerprint::Of(std::string(fields["X-Part"]))};
+    }
     return facts;
   }
   void MarkRequest(Fields& fields, const ForwardingMarks& marks) const override {
