--- a/tests/forwarding_path/held_attempt_test.cc
+++ b/tests/forwarding_path/held_attempt_test.cc
@@ -109,14 +109,17 @@
   }
 };
 
+// Guards against closing a sound server since the held one refuses.
 TEST(HeldAttemptPath, ARefusalOfTheFirstKeepsTheSecond) {
   CheckSecondAnswers("HTTP/1.1 503 Full\r\nX-Id: r-1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
 }
 
+// The same if the held one fails.
 TEST(HeldAttemptPath, AFailureOfTheFirstKeepsTheSecond) {
   CheckSecondAnswers("HTTP/1.1 500 Failed\r\nX-Id: r-1\r\nContent-Length: 0\r\n\r\n");
 }
 
+// The same if the held one ends within an event.
 TEST(HeldAttemptPath, PartOfAnEventOfADyingFirstKeepsTheSecond) {
   const TestCaller& caller = Begin();
   CHECK_TRUE(f.Until([&] { return at_second != nullptr; }));
@@ -139,6 +142,7 @@
   CHECK_TRUE(IsWhole(caller));
 }
 
+// Guards against cutting off a begun stream for news that concerns requests which have not begun.
 TEST(HeldAttemptPath, NewsOfAQuarantineDoesNotCutOffAStreamThatRunsAtTheHeldServer) {
   const TestCaller& caller = Begin();
   CHECK_TRUE(f.Until([&] { return at_second != nullptr; }));
@@ -176,6 +180,7 @@
   CHECK_FALSE(f.calls.rerouted.empty());
 }
 
+// Guards against a stream that returns to a path with a draining server and stays there.
 TEST(HeldAttemptPath, AServerThatBeganToDrainMeanwhileIsLeftAfterTheReturn) {
   const TestCaller& caller = Begin();
   CHECK_TRUE(f.Until([&] { return at_second != nullptr; }));
@@ -193,6 +198,7 @@
   CHECK_TRUE(f.calls.rerouted.size() > before);
 }
 
+// Guards against a path that is out of date after the return.
 TEST(HeldAttemptPath, ARerouteThatEndsWhileItIsHeldIsNotForgotten) {
   f.calls.report = EngineReport();
   f.calls.holds_reroutes = true;
@@ -264,6 +270,7 @@
   CHECK_TRUE(f.calls.rerouted.size() > 1);
 }
 
+// Guards against letting go of a sound second server for a third one.
 TEST(HeldAttemptPath, ASecondServerIsKeptWhileAThirdIsTried) {
   SetMostServers(3);
   const TestCaller& caller = Begin();
@@ -277,6 +284,7 @@
   CHECK_TRUE(IsWhole(caller));
 }
 
+// Guards against two copies of one request at one server.
 TEST(HeldAttemptPath, TheHeldServerIsNotSentTheRequestAgain) {
   SetMostServers(3);
   f.calls.report = EngineReport();
@@ -308,6 +316,7 @@
   std::deque<boost::asio::ip::tcp::socket> fillers;
 };
 
+// Guards against a bound that is used up by attempts which were never sent.
 TEST(HeldAttemptPath, ASecondThatWasNeverReachedDoesNotCountAsReached) {
   FullListener full(f.thread.Loop());
   const auto view = std::make_shared<ForwardingView>(*f.view);
@@ -329,6 +338,7 @@
   CHECK_EQUAL(1U, c.received.size());
 }
 
+// The same for the held one.
 TEST(HeldAttemptPath, AHeldOneThatWasNeverReachedDoesNotCountAsReached) {
   FullListener full(f.thread.Loop());
   const auto view = std::make_shared<ForwardingView>(*f.view);
@@ -396,6 +406,7 @@
   }
 };
 
+// Guards against passing on a peer's failure while the held server may still answer.
 TEST(HeldAttemptPeersPath, APeersFailureDoesNotEndAWholeAnswer) {
   RawServer peer{f.thread.Loop()};
   Connection* at_first = nullptr;
@@ -437,6 +448,7 @@
   CHECK_TRUE(caller.Has("mine"));
 }
 
+// Guards against waiting for a lost server although a peer could take the request by now.
 TEST(HeldAttemptPeersPath, AnotherWayIsLookedForAgainWhenPeersAppear) {
   RawServer peer{f.thread.Loop()};
   Connection* at_first = nullptr;
