--- a/tests/forwarding_path/caller_connections_test.cc
+++ b/tests/forwarding_path/caller_connections_test.cc
@@ -200,7 +200,9 @@
 
 // Guards against a stop that ends while an answer waits for a caller who reads slowly.
 TEST(CallerConnectionPath, AnAnswerThatIsNotYetSentIsInFlight) {
-  const std::string body(16'000'000, 'x');
+  constexpr std::size_t kMoreThanSocketsHold = 16'000'000;
+  std::string body;
+  body.resize(kMoreThanSocketsHold, 'x');
   f.Script([&](Connection& connection) {
     connection.Write(ForwardingFixture::Head(fmt::format("Content-Length: {}\r\n", body.size())));
     boost::asio::async_write(connection.socket, boost::asio::buffer(body),
