Interim heads are read over; what is no answer is broken off

What callers saw: a head of status 1xx handed on as the whole answer, the true answer thrown away. Cause: the parser calls a message of status 1xx complete after its head, and ServerConnection took complete for answered. Class: what a library calls a complete message is taken for an answer in the protocol.

AnswerReader is now the one that says what an answer is: interim heads are read over, bounded in number and bytes; 101 and statuses outside 100 to 599 are no answer, nor is a transfer encoding other than chunked; what may be sent again is decided as for any broken answer. It has no socket, so it can be tested and fuzzed alone. Bounds of a head, interim heads, a line of a chunk or trailer and a body come with it.

--- a/packages/zinnia_adapters/forwarding/server_connection.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection.cc
@@ -4,7 +4,6 @@
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cassert>
 #include <cerrno>
@@ -23,7 +22,6 @@
 constexpr int kTcpUserTimeoutMilliseconds = 2'500;
 
 constexpr std::size_t kReadBytes = 16'384;
-constexpr std::uint32_t kMostAnswerHeaderBytes = 65'536;
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
 /** Parses the timeout of a Keep-Alive header, such as "timeout=5, max=100". */
@@ -60,11 +58,7 @@
   m_busy = true;
   m_head_delivered = false;
   ++m_exchange;
-  m_parser.emplace();
-  m_parser->header_limit(kMostAnswerHeaderBytes);
-  m_parser->body_limit(boost::none);
-  m_parser->eager(true);
-  m_parser->skip(m_request.method() == http::verb::head);
+  m_reader.emplace(AnswerLimits(), m_request.method() == http::verb::head);
   if (m_connected) {
     m_has_served = true;
     Write();
@@ -137,18 +131,13 @@
       });
 }
 
-void ServerConnection::OnRead(boost::system::error_code error, std::size_t bytes) {
+void ServerConnection::OnRead(const boost::system::error_code& error, std::size_t bytes) {
   if (m_closed) {
     return;
   }
   m_buffer.commit(bytes);
-  if (error == asio::error::eof && m_parser->got_some()) {
-    m_parser->put_eof(error);
-  } else if (!error) {
-    error = Parse();
-  }
-  if (error) {
-    Fail(AnswerFailure::kBroken, error.message());
+  if (const auto fault = ReadAnswer(error)) {
+    Fail(AnswerFailure::kBroken, fault->detail);
     return;
   }
   if (!DeliverHead()) {
@@ -158,44 +147,41 @@
   if (m_closed) {
     return;
   }
-  if (m_parser->is_done()) {
+  if (m_reader->IsDone()) {
     FinishAnswer();
   } else {
     Read();
   }
 }
 
-/** Parses incrementally, since Beast's read functions would hold back a chunked stream until its
-    end. */
-boost::system::error_code ServerConnection::Parse() {
-  boost::system::error_code error;
-  const std::size_t used = m_parser->put(m_buffer.data(), error);
-  m_buffer.consume(used);
-  if (error == http::error::need_more) {
-    error = {};
+std::optional<AnswerFault> ServerConnection::ReadAnswer(const boost::system::error_code& error) {
+  if (error == asio::error::eof) {
+    return m_reader->ReadEnd();
+  }
+  if (error) {
+    return AnswerFault{AnswerFaultKind::kCutShort, error.message()};
   }
-  return error;
+  return m_reader->Read(m_buffer);
 }
 
 /** Returns false if the listener closed the connection. */
 bool ServerConnection::DeliverHead() {
-  if (m_head_delivered || !m_parser->is_header_done()) {
+  if (m_head_delivered || !m_reader->HasHead()) {
     return true;
   }
   m_head_delivered = true;
-  m_server_idle_limit = IdleLimitOf(m_parser->get()[http::field::keep_alive]);
+  m_server_idle_limit = IdleLimitOf(m_reader->Head()[http::field::keep_alive]);
   if (const auto listener = m_listener.lock()) {
-    listener->OnServerAnswerHead(m_parser->get().result_int(), m_parser->get().base());
+    listener->OnServerAnswerHead(m_reader->Status(), m_reader->Head());
   }
   return !m_closed;
 }
 
 void ServerConnection::DeliverBody() {
-  std::string& body = m_parser->get().body();
-  if (body.empty()) {
+  const std::string bytes = m_reader->TakeBody();
+  if (bytes.empty()) {
     return;
   }
-  const std::string bytes = std::exchange(body, {});
   if (const auto listener = m_listener.lock()) {
     listener->OnServerAnswerBody(bytes);
   }
@@ -204,7 +190,7 @@
 void ServerConnection::FinishAnswer() {
   m_busy = false;
   m_idle_since = m_clock.Now();
-  const bool keep = m_parser->keep_alive() && m_buffer.size() == 0 && !m_writing;
+  const bool keep = m_reader->KeepsConnection() && m_buffer.size() == 0 && !m_writing;
   const auto listener = std::exchange(m_listener, {}).lock();
   if (!keep) {
     Close();
--- a/packages/zinnia_adapters/forwarding/server_connection.h
+++ b/packages/zinnia_adapters/forwarding/server_connection.h
@@ -5,12 +5,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 
+#include "zinnia_adapters/http/answer_reader.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_world/fleet/network_address.h"
 
@@ -60,15 +60,13 @@
   Duration ServerIdleLimit() const { return m_server_idle_limit; }
 
  private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   ServerConnection(boost::asio::io_context& loop, const Clock& clock, NetworkAddress address);
   void Connect(Duration limit);
   void OnConnected(const boost::system::error_code& error);
   void Write();
   void Read();
-  void OnRead(boost::system::error_code error, std::size_t bytes);
-  boost::system::error_code Parse();
+  void OnRead(const boost::system::error_code& error, std::size_t bytes);
+  std::optional<AnswerFault> ReadAnswer(const boost::system::error_code& error);
   bool DeliverHead();
   void DeliverBody();
   void FinishAnswer();
@@ -80,7 +78,7 @@
   boost::asio::steady_timer m_connect_timer;
   boost::beast::flat_buffer m_buffer;
   Request m_request;
-  std::optional<Parser> m_parser;
+  std::optional<AnswerReader> m_reader;
   std::weak_ptr<ServerAnswerListener> m_listener;
   TimePoint m_idle_since{};
   Duration m_server_idle_limit{};
