A field that Connection names is not the server's word

What callers would see: a success without the server's signature. Cause: the signature was read from the fields of the answer and then removed on the way to the caller, since Connection named its field. Facts are now read from what is passed on, so such an answer counts as unsigned and is sent again or ends with 502. A success without a body (204, 205) to a request for a stream is a whole answer: it was sent on with the framing of a stream behind a head that has no body.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -202,8 +202,10 @@
 
 void ForwardExchange::OnServerAnswerHead(unsigned status, const http::fields& fields) {
   m_attempt.status = status;
+  // Not passed on, so what Connection names must not count as the word of the server either.
   m_attempt.fields = fields;
-  m_attempt.answer_facts = m_parts.codec.ReadAnswer(status, fields);
+  RemoveHopByHopFields(m_attempt.fields);
+  m_attempt.answer_facts = m_parts.codec.ReadAnswer(status, m_attempt.fields);
   m_attempt.last_progress = m_parts.clock.Now();
   const bool foreign =
       !m_attempt.answer_facts.request_id.empty() && m_attempt.answer_facts.request_id != m_facts.id;
@@ -221,20 +223,19 @@
     AbandonServer("the answer is not the server's own");
     return;
   }
-  if (m_route->repeatability == Repeatability::kStream) {
-    OnStreamHead(status, fields);
+  if (m_route->repeatability == Repeatability::kStream && MayHaveBody(status)) {
+    OnStreamHead(status);
   }
 }
 
-void ForwardExchange::OnStreamHead(unsigned status, const http::fields& fields) {
+void ForwardExchange::OnStreamHead(unsigned status) {
   m_attempt.is_streaming = true;
   m_attempt.stream_began_at = m_parts.clock.Now();
   if (m_answer.HasBegun()) {
     return;
   }
   StreamHead head(static_cast<http::status>(status), 11);
-  static_cast<http::fields&>(head) = fields;
-  RemoveHopByHopFields(head);
+  static_cast<http::fields&>(head) = m_attempt.fields;
   head.erase(http::field::content_length);
   m_answer.StartStream(std::move(head));
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -188,7 +188,7 @@
   void NoteLimit();
   void NotePause();
   void NoteLeaving();
-  void OnStreamHead(unsigned status, const boost::beast::http::fields& fields);
+  void OnStreamHead(unsigned status);
   void OnWholeAnswer();
   void QuerySlowdownFactors();
   void QueryLayers(const PathPart& accused);
--- a/packages/zinnia_adapters/forwarding/forward_outcomes.cc
+++ b/packages/zinnia_adapters/forwarding/forward_outcomes.cc
@@ -12,6 +12,10 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+bool MayHaveBody(unsigned status) {
+  return status != 204 && status != 205 && status != 304;
+}
+
 Error NotRun(ErrorKind kind, std::string message) {
   Error error = MakeError(kind, std::move(message));
   error.was_run = WasRun::kNo;
--- a/packages/zinnia_adapters/forwarding/forward_outcomes.h
+++ b/packages/zinnia_adapters/forwarding/forward_outcomes.h
@@ -14,6 +14,9 @@
 /** Returns true for statuses that guarantee that the request was not and will not be run. */
 bool IsPromise(unsigned status);
 
+/** Returns false for statuses whose answers end with their head. */
+bool MayHaveBody(unsigned status);
+
 /** Creates an error for a request that no server has run. */
 Error NotRun(ErrorKind kind, std::string message);
 
--- a/tests/forwarding_path/interim_heads_test.cc
+++ b/tests/forwarding_path/interim_heads_test.cc
@@ -181,4 +181,26 @@
   CHECK_TRUE(f.a.other_side_closed || f.b.other_side_closed);
 }
 
+// Guards against a signature that is lost on the way, since Connection names its field.
+TEST(InterimHeadPath, AnAnswerWhoseSignatureIsOfTheConnectionOnlyIsNotPassedOn) {
+  ScriptFirst(ForwardingFixture::Head("Connection: X-Signature\r\nContent-Length: 3\r\n") + "odd",
+              Whole("second"), false);
+  const TestCaller& caller = f.Call("/safe/x");
+  CHECK_TRUE(f.Until([&] { return caller.Has("second"); }));
+  CHECK_FALSE(caller.Has("odd"));
+}
+
+// Guards against a stream's framing behind a head that has no body.
+TEST(InterimHeadPath, ASuccessWithoutABodyIsNoStream) {
+  f.Script([](Connection& connection) {
+    connection.Write("HTTP/1.1 204 No Content\r\nX-Id: r-1\r\nX-Signature: s\r\n\r\n");
+  });
+  TestCaller& caller = f.Call("/events/x");
+  CHECK_TRUE(f.Until([&] { return caller.Has("\r\n\r\n"); }));
+  CHECK_TRUE(caller.Has("204 No Content"));
+  CHECK_TRUE(caller.Received().ends_with("\r\n\r\n"));
+  CHECK_FALSE(caller.Has("chunked"));
+  CHECK_FALSE(caller.Has("\r\n0\r\n"));
+}
+
 }  // namespace zinnia
