A late answer that names no request is not believed of the next one

What callers would see: a request that may run once is run by two servers, or is answered with the failure of another request. Cause: ids are compared only where the answer names one; a second, late answer without an id on a kept connection counted as the answer to the request that waited there. A refusal among them says not run, so the request was sent on while its server ran it.

On a connection that has carried another request before, an answer must name the request now. On a new one it can only be this request's. Peers answer once and are exempt. The line answer_names_no_request and two counters tell such answers apart from foreign ones.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -207,9 +207,7 @@
   RemoveHopByHopFields(m_attempt.fields);
   m_attempt.answer_facts = m_parts.codec.ReadAnswer(status, m_attempt.fields);
   m_attempt.last_progress = m_parts.clock.Now();
-  const bool foreign =
-      !m_attempt.answer_facts.request_id.empty() && m_attempt.answer_facts.request_id != m_facts.id;
-  if (foreign) {
+  if (IsOfAnotherRequest()) {
     AbandonServer("an answer to another request arrived");
     return;
   }
@@ -228,6 +226,26 @@
   }
 }
 
+/** A late second answer to an earlier request may name none: on a connection that has carried
+    another request before, only an answer that names this one is believed. Peers answer once. */
+bool ForwardExchange::IsOfAnotherRequest() const {
+  const std::string& named = m_attempt.answer_facts.request_id;
+  if (!named.empty() || m_facts.id.empty()) {
+    return !named.empty() && named != m_facts.id;
+  }
+  if (m_attempt.is_at_peer) {
+    return false;
+  }
+  const bool is_kept = m_attempt.connection->HasServed();
+  m_parts.metrics.Count(is_kept ? "unnamed_answers_on_kept_connections" : "unnamed_answers");
+  m_parts.logger.Log(LogLevel::kInfo, "answer_names_no_request",
+                     {{"request", m_facts.id},
+                      {"server", m_attempt.server},
+                      {"status", std::to_string(m_attempt.status)},
+                      {"kept_connection", is_kept ? "yes" : "no"}});
+  return is_kept;
+}
+
 void ForwardExchange::OnStreamHead(unsigned status) {
   m_attempt.is_streaming = true;
   m_attempt.stream_began_at = m_parts.clock.Now();
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -188,6 +188,7 @@
   void NoteLimit();
   void NotePause();
   void NoteLeaving();
+  bool IsOfAnotherRequest() const;
   void OnStreamHead(unsigned status);
   void OnWholeAnswer();
   void QuerySlowdownFactors();
