A stream whose events arrive is not cut off by news that its server has started again

Cause: news of a new start was taken for the end of the connection, whatever the connection did meanwhile; the news may be older than the connection. Class: word of others goes before one's own sight.

A stream with events within the silence at which servers are given up now tries another server beside the one it has, as beside a silent one, and goes on if none is secured. A silent one is left at once, as before.

Before: AStreamGoesOnThoughItsServerIsSaidToHaveStartedAgain failed (cut off); now it passes, and AStreamLeavesARestartedServerAtOnce still does.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -213,6 +213,8 @@
   void CheckSilence();
   void QueryStalls();
   void OnReport(const Result<EngineReport>& report);
+  void OnServerRestarted();
+  bool HasBeenSilent(const ServerAttempt& attempt) const;
   bool HasDrainingServer() const;
 
   /** Schedules the reroute of the stream away from draining servers. */
--- a/packages/zinnia_adapters/forwarding/forward_exchange_silence.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_silence.cc
@@ -10,6 +10,7 @@
 #include "zinnia_decisions/forwarding/observed_state/forwarding_view.h"
 #include "zinnia_decisions/forwarding/observed_state/server_health.h"
 #include "zinnia_decisions/forwarding/reachability/peer_chooser.h"
+#include "zinnia_decisions/forwarding/streams/silence_policy.h"
 
 // Attempts at silent servers in ForwardExchange: another server is tried beside them.
 
@@ -47,6 +48,11 @@
   Send();
 }
 
+bool ForwardExchange::HasBeenSilent(const ServerAttempt& attempt) const {
+  const Duration silence = m_parts.clock.Now() - attempt.last_progress;
+  return silence >= SilencePolicy(*m_route).AbandonAfter(m_event_intervals.HasBegun());
+}
+
 /** A success that the server has signed for this request, as it is. */
 bool ForwardExchange::IsUsable(unsigned status, const boost::beast::http::fields& fields) const {
   const AnswerFacts facts = m_parts.codec.ReadAnswer(status, fields);
@@ -114,7 +120,8 @@
 }
 
 void ForwardExchange::ReleaseHeldIfEnded(const ForwardingView& view) {
-  if (m_held && view.ended_incarnations.contains(m_held->Attempt().server)) {
+  if (m_held && view.ended_incarnations.contains(m_held->Attempt().server) &&
+      HasBeenSilent(m_held->Attempt())) {
     ReleaseHeld();
   }
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -261,7 +261,7 @@
   const auto view = m_parts.view();
   ReleaseHeldIfEnded(*view);
   if (view->ended_incarnations.contains(m_attempt.server)) {
-    AbandonServer("the server has started again");
+    OnServerRestarted();
     return;
   }
   if (!HasDrainingServer()) {
@@ -271,6 +271,16 @@
   }
 }
 
+/** A stream whose events still arrive is not cut off: the news may be older than its connection. */
+void ForwardExchange::OnServerRestarted() {
+  constexpr std::string_view kReason = "the server has started again";
+  if (m_event_intervals.HasBegun() && !HasBeenSilent(m_attempt)) {
+    TryBesideSilentServer(kReason);
+  } else {
+    AbandonServer(kReason);
+  }
+}
+
 /** Ignores the first server, which a running stream cannot leave without being resent. */
 bool ForwardExchange::HasDrainingServer() const {
   const auto view = m_parts.view();
--- a/tests/forwarding_path/answers_test.cc
+++ b/tests/forwarding_path/answers_test.cc
@@ -148,6 +148,30 @@
   CHECK_EQUAL(2U, f.Arrivals());
 }
 
+// Guards against news of a restart that is older than the stream's connection.
+TEST(Answers, AStreamGoesOnThoughItsServerIsSaidToHaveStartedAgain) {
+  Connection* open = nullptr;
+  f.Script([&open](Connection& connection) {
+    open = &connection;
+    connection.Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n") +
+                     ForwardingFixture::Chunk(ForwardingFixture::Event(1)));
+  });
+  const TestCaller& caller = f.Call("/events/x");
+  CHECK_TRUE(f.Until([&] { return caller.Has("data: e1"); }));
+  const auto later = std::make_shared<ForwardingView>(*f.view);
+  later->ended_incarnations = {f.a.received.empty() ? "b" : "a"};
+  later->servers.clear();
+  f.traffic->SetView(later);
+  for (int id = 2; id <= 4; ++id) {
+    open->Write(ForwardingFixture::Chunk(ForwardingFixture::Event(id)));
+    CHECK_TRUE(f.Until([&] { return caller.Has(fmt::format("data: e{}", id)); }));
+    f.traffic->SetView(std::make_shared<ForwardingView>(*later));
+  }
+  open->Write("0\r\n\r\n");
+  CHECK_TRUE(f.Until([&] { return caller.Has("\r\n0\r\n\r\n"); }));
+  CHECK_EQUAL(1U, f.Arrivals());
+}
+
 // Guards against resending a running stream to another first server because a later server drains.
 TEST(Answers, ARunningStreamKeepsItsFirstServerWhenALaterOneDrains) {
   f.Script([](Connection& connection) {
