--- a/tests/forwarding_path/held_attempt_test.cc
+++ b/tests/forwarding_path/held_attempt_test.cc
@@ -9,6 +9,22 @@
 using Connection = RawServer::Connection;
 using std::chrono::milliseconds;
 
+/** Nobody takes up connections here, so that connecting lasts until its limit. */
+struct FullListener {
+  explicit FullListener(boost::asio::io_context& loop) : acceptor(loop) {
+    acceptor.open(boost::asio::ip::tcp::v4());
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+    acceptor.listen(0);
+    for (int i = 0; i < 4; ++i) {
+      fillers.emplace_back(loop);
+      fillers.back().async_connect(acceptor.local_endpoint(), [](boost::system::error_code) {});
+    }
+  }
+  NetworkAddress Address() const { return {"127.0.0.1", acceptor.local_endpoint().port()}; }
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::deque<boost::asio::ip::tcp::socket> fillers;
+};
+
 /** Sequences around an attempt that is held while another server is tried. */
 TEST_GROUP(HeldAttemptPath) {
   static constexpr milliseconds kGapObjective{100};
@@ -107,6 +123,45 @@
     }
     CHECK_TRUE(IsWhole(caller));
   }
+
+  void CheckUnreachedSecondIsNotCounted() {
+    FullListener full(f.thread.Loop());
+    const auto view = std::make_shared<ForwardingView>(*f.view);
+    view->servers.at("y1").address = full.Address();
+    SetView(view);
+    c.scripts = {[](Connection& connection) { connection.Write(HeadAndEvent(3) + "0\r\n\r\n"); }};
+    const TestCaller& caller = Begin();
+    const auto sent = [&] {
+      return std::count(f.logger.events.begin(), f.logger.events.end(), "request_sent");
+    };
+    CHECK_TRUE(f.Until([&] { return sent() == 2; }));
+    at_first->Write(EventChunk(2));
+    CHECK_TRUE(f.Until([&] { return caller.Has("data: e2"); }));
+    CHECK_TRUE(Logged("request_returned"));
+    AddServer("z1", "z", {0, 40}, &c);
+    AddServer("z2", "z", {40, 80}, nullptr);
+    f.a.Crash();
+    CHECK_TRUE(IsWhole(caller));
+    CHECK_EQUAL(1U, c.received.size());
+  }
+
+  void CheckUnreachedHeldIsNotCounted() {
+    FullListener full(f.thread.Loop());
+    const auto view = std::make_shared<ForwardingView>(*f.view);
+    view->servers.at("x1").address = full.Address();
+    SetView(view);
+    c.scripts = {[](Connection& connection) { connection.Write(HeadAndEvent(1) + "0\r\n\r\n"); }};
+    const TestCaller& caller = f.Call("/events/x");
+    Wait(milliseconds(60));
+    f.traffic->OnPeerStalls({StallReport{"x1", milliseconds(0)}});
+    CHECK_TRUE(f.Until([&] { return at_second != nullptr; }));
+    Wait(milliseconds(300));
+    AddServer("z1", "z", {0, 40}, &c);
+    AddServer("z2", "z", {40, 80}, nullptr);
+    at_second->Close();
+    CHECK_TRUE(IsWhole(caller));
+    CHECK_EQUAL(1U, c.received.size());
+  }
 };
 
 // Guards against closing a sound server since the held one refuses.
@@ -300,102 +355,24 @@
   CHECK_EQUAL(1U, f.a.received.size());
 }
 
-/** Nobody takes up connections here, so that connecting lasts until its limit. */
-struct FullListener {
-  explicit FullListener(boost::asio::io_context& loop) : acceptor(loop) {
-    acceptor.open(boost::asio::ip::tcp::v4());
-    acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
-    acceptor.listen(0);
-    for (int i = 0; i < 4; ++i) {
-      fillers.emplace_back(loop);
-      fillers.back().async_connect(acceptor.local_endpoint(), [](boost::system::error_code) {});
-    }
-  }
-  NetworkAddress Address() const { return {"127.0.0.1", acceptor.local_endpoint().port()}; }
-  boost::asio::ip::tcp::acceptor acceptor;
-  std::deque<boost::asio::ip::tcp::socket> fillers;
-};
-
 // Guards against a bound that is used up by attempts which were never sent.
 TEST(HeldAttemptPath, ASecondThatWasNeverReachedDoesNotCountAsReached) {
-  FullListener full(f.thread.Loop());
-  const auto view = std::make_shared<ForwardingView>(*f.view);
-  view->servers.at("y1").address = full.Address();
-  SetView(view);
-  c.scripts = {[](Connection& connection) { connection.Write(HeadAndEvent(3) + "0\r\n\r\n"); }};
-  const TestCaller& caller = Begin();
-  const auto sent = [&] {
-    return std::count(f.logger.events.begin(), f.logger.events.end(), "request_sent");
-  };
-  CHECK_TRUE(f.Until([&] { return sent() == 2; }));
-  at_first->Write(EventChunk(2));
-  CHECK_TRUE(f.Until([&] { return caller.Has("data: e2"); }));
-  CHECK_TRUE(Logged("request_returned"));
-  AddServer("z1", "z", {0, 40}, &c);
-  AddServer("z2", "z", {40, 80}, nullptr);
-  f.a.Crash();
-  CHECK_TRUE(IsWhole(caller));
-  CHECK_EQUAL(1U, c.received.size());
+  CheckUnreachedSecondIsNotCounted();
 }
 
 // The same for the held one.
 TEST(HeldAttemptPath, AHeldOneThatWasNeverReachedDoesNotCountAsReached) {
-  FullListener full(f.thread.Loop());
-  const auto view = std::make_shared<ForwardingView>(*f.view);
-  view->servers.at("x1").address = full.Address();
-  SetView(view);
-  c.scripts = {[](Connection& connection) { connection.Write(HeadAndEvent(1) + "0\r\n\r\n"); }};
-  const TestCaller& caller = f.Call("/events/x");
-  Wait(milliseconds(60));
-  f.traffic->OnPeerStalls({StallReport{"x1", milliseconds(0)}});
-  CHECK_TRUE(f.Until([&] { return at_second != nullptr; }));
-  Wait(milliseconds(300));
-  AddServer("z1", "z", {0, 40}, &c);
-  AddServer("z2", "z", {40, 80}, nullptr);
-  at_second->Close();
-  CHECK_TRUE(IsWhole(caller));
-  CHECK_EQUAL(1U, c.received.size());
+  CheckUnreachedHeldIsNotCounted();
 }
 
 TEST(HeldAttemptPath, WithMoreServersASecondThatWasNeverReachedDoesNotCountAsReached) {
   SetMostServers(3);
-  FullListener full(f.thread.Loop());
-  const auto view = std::make_shared<ForwardingView>(*f.view);
-  view->servers.at("y1").address = full.Address();
-  SetView(view);
-  c.scripts = {[](Connection& connection) { connection.Write(HeadAndEvent(3) + "0\r\n\r\n"); }};
-  const TestCaller& caller = Begin();
-  const auto sent = [&] {
-    return std::count(f.logger.events.begin(), f.logger.events.end(), "request_sent");
-  };
-  CHECK_TRUE(f.Until([&] { return sent() == 2; }));
-  at_first->Write(EventChunk(2));
-  CHECK_TRUE(f.Until([&] { return caller.Has("data: e2"); }));
-  CHECK_TRUE(Logged("request_returned"));
-  AddServer("z1", "z", {0, 40}, &c);
-  AddServer("z2", "z", {40, 80}, nullptr);
-  f.a.Crash();
-  CHECK_TRUE(IsWhole(caller));
-  CHECK_EQUAL(1U, c.received.size());
+  CheckUnreachedSecondIsNotCounted();
 }
 
 TEST(HeldAttemptPath, WithMoreServersAHeldOneThatWasNeverReachedDoesNotCountAsReached) {
   SetMostServers(3);
-  FullListener full(f.thread.Loop());
-  const auto view = std::make_shared<ForwardingView>(*f.view);
-  view->servers.at("x1").address = full.Address();
-  SetView(view);
-  c.scripts = {[](Connection& connection) { connection.Write(HeadAndEvent(1) + "0\r\n\r\n"); }};
-  const TestCaller& caller = f.Call("/events/x");
-  Wait(milliseconds(60));
-  f.traffic->OnPeerStalls({StallReport{"x1", milliseconds(0)}});
-  CHECK_TRUE(f.Until([&] { return at_second != nullptr; }));
-  Wait(milliseconds(300));
-  AddServer("z1", "z", {0, 40}, &c);
-  AddServer("z2", "z", {40, 80}, nullptr);
-  at_second->Close();
-  CHECK_TRUE(IsWhole(caller));
-  CHECK_EQUAL(1U, c.received.size());
+  CheckUnreachedHeldIsNotCounted();
 }
 
 TEST_GROUP(HeldAttemptPeersPath) {
@@ -404,6 +381,31 @@
     const TimePoint end = f.clock.Now() + duration;
     CHECK_TRUE(f.Until([&] { return f.clock.Now() >= end; }));
   }
+
+  /** The fixture's view, in which no server accepts connections. */
+  std::shared_ptr<ForwardingView> ViewWithoutServers() const {
+    const auto lost = std::make_shared<ForwardingView>(*f.view);
+    for (auto& [name, server] : lost->servers) {
+      boost::asio::io_context loop;
+      boost::asio::ip::tcp::acceptor closed(loop, {boost::asio::ip::address_v4::loopback(), 0});
+      server.address = {"127.0.0.1", closed.local_endpoint().port()};
+    }
+    return lost;
+  }
+
+  static void AddPeer(ForwardingView & view, const RawServer& peer) {
+    const auto instances = std::make_shared<std::vector<Instance>>();
+    for (const auto& [name, port] :
+         {std::pair<std::string, std::uint16_t>{"self", 0}, {"peer-1", peer.Address().port}}) {
+      Instance instance;
+      instance.name = name;
+      instance.peer_address = {"127.0.0.1", 1};
+      instance.requests_port = port;
+      instances->push_back(instance);
+    }
+    view.instances = instances;
+    view.live_instances = instances->size();
+  }
 };
 
 // Guards against passing on a peer's failure while the held server may still answer.
@@ -417,23 +419,8 @@
   peer.scripts = {[](Connection& connection) {
     connection.Write("HTTP/1.1 502 Bad\r\nX-Id: r-1\r\nContent-Length: 4\r\n\r\nlost");
   }};
-  const auto lost = std::make_shared<ForwardingView>(*f.view);
-  for (auto& [name, server] : lost->servers) {
-    boost::asio::io_context loop;
-    boost::asio::ip::tcp::acceptor closed(loop, {boost::asio::ip::address_v4::loopback(), 0});
-    server.address = {"127.0.0.1", closed.local_endpoint().port()};
-  }
-  const auto instances = std::make_shared<std::vector<Instance>>();
-  for (const auto& [name, port] :
-       {std::pair<std::string, std::uint16_t>{"self", 0}, {"peer-1", peer.Address().port}}) {
-    Instance instance;
-    instance.name = name;
-    instance.peer_address = {"127.0.0.1", 1};
-    instance.requests_port = port;
-    instances->push_back(instance);
-  }
-  lost->instances = instances;
-  lost->live_instances = instances->size();
+  const auto lost = ViewWithoutServers();
+  AddPeer(*lost, peer);
   f.traffic->SetView(lost);
   Wait(milliseconds(1'100));
   f.Call("/safe/y");
@@ -460,21 +447,7 @@
     connection.Write(
         "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\nmine");
   }};
-  const auto lost = std::make_shared<ForwardingView>(*f.view);
-  for (auto& [name, server] : lost->servers) {
-    boost::asio::io_context loop;
-    boost::asio::ip::tcp::acceptor closed(loop, {boost::asio::ip::address_v4::loopback(), 0});
-    server.address = {"127.0.0.1", closed.local_endpoint().port()};
-  }
-  const auto instances = std::make_shared<std::vector<Instance>>();
-  for (const auto& [name, port] :
-       {std::pair<std::string, std::uint16_t>{"self", 0}, {"peer-1", peer.Address().port}}) {
-    Instance instance;
-    instance.name = name;
-    instance.peer_address = {"127.0.0.1", 1};
-    instance.requests_port = port;
-    instances->push_back(instance);
-  }
+  const auto lost = ViewWithoutServers();
   f.traffic->SetView(lost);
   Wait(milliseconds(1'100));
   f.Call("/safe/y");
@@ -482,8 +455,7 @@
   CHECK_FALSE(caller.IsClosed());
   CHECK_TRUE(caller.Received().empty());
   const auto with_peers = std::make_shared<ForwardingView>(*lost);
-  with_peers->instances = instances;
-  with_peers->live_instances = instances->size();
+  AddPeer(*with_peers, peer);
   f.traffic->SetView(with_peers);
   Wait(milliseconds(50));
   const TestCaller& other = f.Call("/safe/z");
