A request for a head gets no chunks, and no status that is not final is sent

What callers would see: to a HEAD request on a route for streams, the end of a chunked body behind the head, which is read as the beginning of the next answer. Cause: streams were written without regard to the method. CallerAnswer also refuses a status below 200, which no caller may get, and closes the connection instead.

--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -284,7 +284,7 @@
 }
 
 void CallerConnection::SendEvents(std::string_view events) {
-  if (m_closed) {
+  if (m_closed || m_is_head) {
     return;
   }
   AppendChunk(m_waiting_events, events);
@@ -334,6 +334,10 @@
 void CallerConnection::WriteEndOfEvents() {
   m_writing = true;
   m_head_serializer.reset();
+  if (m_is_head) {
+    asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->OnWritten({}); });
+    return;
+  }
   m_stream.expires_after(m_limits.write_timeout);
   asio::async_write(m_stream, http::make_chunk_last(),
                     [self = shared_from_this()](const boost::system::error_code& error,
--- a/packages/zinnia_adapters/forwarding/caller_answer.cc
+++ b/packages/zinnia_adapters/forwarding/caller_answer.cc
@@ -8,6 +8,12 @@
 
 namespace zinnia {
 
+namespace {
+
+constexpr unsigned kFirstFinalStatus = 200;
+
+}  // namespace
+
 std::string_view NameOf(AnswerState state) {
   static constexpr std::array<std::string_view, 3> kNames = {"nothing_sent", "stream_begun",
                                                              "ended"};
@@ -22,6 +28,11 @@
     Reject("whole_answer");
     return false;
   }
+  if (response.result_int() < kFirstFinalStatus) {
+    Reject("status_that_is_not_final");
+    CutOff();
+    return false;
+  }
   m_state = AnswerState::kEnded;
   m_responder->SendWhole(std::move(response));
   return true;
