What arrives at a held attempt is kept, and judged as any other answer

What callers would see: HTTP/1.1 000 with a stream's events as its body; an event without its beginning; a whole answer with a hole; a 502 though another server would have answered. Causes: - What a held server sent was passed on only if it spoke a whole event. When the other attempt failed, the request returned to the held one and its head and bytes so far were lost. - A held answer was judged by fields that are not passed on, and without regard to what its connection had carried. - After a refusal in the middle of passing on, the rest went to the attempt that had just been sent elsewhere. Returning passes on what has arrived, always, and says whether the request still waits for the rest. One function reads a head for both; a request is not returned to an answer that cannot be its own.

A stream whose events arrive stays where it is when its server is said to have started again, and sends nothing to another one; it leaves at the first silence or when its connection breaks. Trying another server beside it used up the route's bound on servers. A success without a body does not end a stream that has begun, and 205 may have a framed body.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -201,13 +201,9 @@
 }
 
 void ForwardExchange::OnServerAnswerHead(unsigned status, const http::fields& fields) {
-  m_attempt.status = status;
-  // Not passed on, so what Connection names must not count as the word of the server either.
-  m_attempt.fields = fields;
-  RemoveHopByHopFields(m_attempt.fields);
-  m_attempt.answer_facts = m_parts.codec.ReadAnswer(status, m_attempt.fields);
+  ReadHead(status, fields, m_attempt);
   m_attempt.last_progress = m_parts.clock.Now();
-  if (IsOfAnotherRequest()) {
+  if (IsOfAnotherRequest(m_attempt)) {
     AbandonServer("an answer to another request arrived");
     return;
   }
@@ -217,7 +213,7 @@
   if (!IsSuccess(status)) {
     return;
   }
-  if (!m_attempt.answer_facts.is_signed || fields.count(http::field::content_encoding) > 0) {
+  if (!IsServersOwn(m_attempt)) {
     AbandonServer("the answer is not the server's own");
     return;
   }
@@ -226,26 +222,41 @@
   }
 }
 
+/** What Connection names is not passed on, so it must not count as the word of the server either.
+ */
+void ForwardExchange::ReadHead(unsigned status,
+                               const http::fields& fields,
+                               ServerAttempt& attempt) const {
+  attempt.status = status;
+  attempt.fields = fields;
+  RemoveHopByHopFields(attempt.fields);
+  attempt.answer_facts = m_parts.codec.ReadAnswer(status, attempt.fields);
+}
+
 /** A late second answer to an earlier request may name none: on a connection that has carried
     another request before, only an answer that names this one is believed. Peers answer once. */
-bool ForwardExchange::IsOfAnotherRequest() const {
-  const std::string& named = m_attempt.answer_facts.request_id;
+bool ForwardExchange::IsOfAnotherRequest(const ServerAttempt& attempt) const {
+  const std::string& named = attempt.answer_facts.request_id;
   if (!named.empty() || m_facts.id.empty()) {
     return !named.empty() && named != m_facts.id;
   }
-  if (m_attempt.is_at_peer) {
+  if (attempt.is_at_peer) {
     return false;
   }
-  const bool is_kept = m_attempt.connection->HasServed();
+  const bool is_kept = attempt.connection->HasServed();
   m_parts.metrics.Count(is_kept ? "unnamed_answers_on_kept_connections" : "unnamed_answers");
   m_parts.logger.Log(LogLevel::kInfo, "answer_names_no_request",
                      {{"request", m_facts.id},
-                      {"server", m_attempt.server},
-                      {"status", std::to_string(m_attempt.status)},
+                      {"server", attempt.server},
+                      {"status", std::to_string(attempt.status)},
                       {"kept_connection", is_kept ? "yes" : "no"}});
   return is_kept;
 }
 
+bool ForwardExchange::IsServersOwn(const ServerAttempt& attempt) {
+  return attempt.answer_facts.is_signed && attempt.fields.count(http::field::content_encoding) == 0;
+}
+
 void ForwardExchange::OnStreamHead(unsigned status) {
   m_attempt.is_streaming = true;
   m_attempt.stream_began_at = m_parts.clock.Now();
@@ -329,6 +340,10 @@
     OnNotRun();
     return;
   }
+  if (IsSuccess(m_attempt.status) && m_answer.HasBegun()) {
+    OnSendEnded(SendOutcome::kUnknown, "a whole answer to a stream that has begun");
+    return;
+  }
   m_parts.quarantine.OnEndedWell(m_fingerprint);
   if (IsSuccess(m_attempt.status)) {
     m_parts.health.OnProgress(m_attempt.server);
@@ -414,7 +429,7 @@
   if (decision.step == NextStep::kSendAgain) {
     Take(*decision.next);
     Send();
-  } else if (m_held) {
+  } else if (MayReturnToHeld()) {
     ReturnToHeld(reason);
   } else {
     GiveUp(decision.step, reason);
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -12,6 +12,7 @@
 #include "zinnia_adapters/forwarding/caller_answer.h"
 #include "zinnia_adapters/forwarding/engine_calls.h"
 #include "zinnia_adapters/forwarding/forwarding_parts.h"
+#include "zinnia_adapters/forwarding/held_attempt.h"
 #include "zinnia_adapters/forwarding/message_codec.h"
 #include "zinnia_adapters/forwarding/request_origin.h"
 #include "zinnia_adapters/forwarding/server_answer_listener.h"
@@ -30,7 +31,6 @@
 
 namespace zinnia {
 
-class HeldAttempt;
 class ServerConnection;
 struct LimitAvailability;
 
@@ -164,7 +164,11 @@
 
   /** Keeps the attempt at a silent server open while another server is tried. */
   void HoldAttempt();
-  void ReturnToHeld(std::string_view reason);
+  bool MayReturnToHeld() const;
+
+  /** Passes on what has arrived meanwhile; returns whether the request still waits for the rest. */
+  bool ReturnToHeld(std::string_view reason);
+  bool PassOnArrived(const HeldAttempt::Arrived& arrived);
   void ReleaseHeld();
   void ReleaseHeldIfEnded(const ForwardingView& view);
   void OnHeldLost(std::optional<AnswerFailure> failure);
@@ -188,7 +192,11 @@
   void NoteLimit();
   void NotePause();
   void NoteLeaving();
-  bool IsOfAnotherRequest() const;
+  void ReadHead(unsigned status,
+                const boost::beast::http::fields& fields,
+                ServerAttempt& attempt) const;
+  bool IsOfAnotherRequest(const ServerAttempt& attempt) const;
+  static bool IsServersOwn(const ServerAttempt& attempt);
   void OnStreamHead(unsigned status);
   void OnWholeAnswer();
   void QuerySlowdownFactors();
@@ -214,7 +222,7 @@
   void QueryStalls();
   void OnReport(const Result<EngineReport>& report);
   void OnServerRestarted();
-  bool HasBeenSilent(const ServerAttempt& attempt) const;
+  bool HasEventsFlowing() const;
   bool HasDrainingServer() const;
 
   /** Schedules the reroute of the stream away from draining servers. */
--- a/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
@@ -100,7 +100,7 @@
       {{"request", m_facts.id}, {"peer", m_attempt.server}, {"reason", std::string(reason)}});
   if (TimeLeft() > kMinTimeLeft && ChooseServer()) {
     Send();
-  } else if (m_held) {
+  } else if (MayReturnToHeld()) {
     ReturnToHeld(reason);
   } else {
     GiveUp(m_history.may_have_run ? NextStep::kFail : NextStep::kRefuse,
--- a/packages/zinnia_adapters/forwarding/forward_exchange_silence.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_silence.cc
@@ -48,17 +48,14 @@
   Send();
 }
 
-bool ForwardExchange::HasBeenSilent(const ServerAttempt& attempt) const {
-  const Duration silence = m_parts.clock.Now() - attempt.last_progress;
-  return silence >= SilencePolicy(*m_route).AbandonAfter(m_event_intervals.HasBegun());
-}
-
 /** A success that the server has signed for this request, as it is. */
 bool ForwardExchange::IsUsable(unsigned status, const boost::beast::http::fields& fields) const {
-  const AnswerFacts facts = m_parts.codec.ReadAnswer(status, fields);
-  const bool is_foreign = !facts.request_id.empty() && facts.request_id != m_facts.id;
-  const bool is_encoded = fields.count(boost::beast::http::field::content_encoding) > 0;
-  return IsSuccess(status) && !is_foreign && facts.is_signed && !is_encoded;
+  ServerAttempt answered;
+  answered.server = m_held->Attempt().server;
+  answered.connection = m_held->Attempt().connection;
+  answered.is_at_peer = m_held->Attempt().is_at_peer;
+  ReadHead(status, fields, answered);
+  return IsSuccess(status) && !IsOfAnotherRequest(answered) && IsServersOwn(answered);
 }
 
 /** If one is held already, that one has the longer part of the answer. */
@@ -72,7 +69,7 @@
   callbacks.is_usable = [this](unsigned status, const boost::beast::http::fields& fields) {
     return IsUsable(status, fields);
   };
-  callbacks.on_word = [this] { ReturnToHeld("the server goes on"); };
+  callbacks.on_word = [this] { return ReturnToHeld("the server goes on"); };
   callbacks.on_lost = [this](std::optional<AnswerFailure> failure) { OnHeldLost(failure); };
   m_avoided.insert(m_attempt.server);
   m_held_events = m_events;
@@ -82,7 +79,11 @@
   m_held->Attempt().connection->SetListener(m_held);
 }
 
-void ForwardExchange::ReturnToHeld(std::string_view reason) {
+bool ForwardExchange::MayReturnToHeld() const {
+  return m_held && !m_held->IsUseless();
+}
+
+bool ForwardExchange::ReturnToHeld(std::string_view reason) {
   if (m_attempt.connection && !m_attempt.may_have_arrived) {
     ForgetUnsent();
   }
@@ -104,6 +105,20 @@
   if (HasDrainingServer()) {
     ScheduleMove();
   }
+  return PassOnArrived(held->TakeArrived());
+}
+
+/** An answer that is refused by its head is not read on: the request may be at another server. */
+bool ForwardExchange::PassOnArrived(const HeldAttempt::Arrived& arrived) {
+  const std::shared_ptr<ServerConnection> connection = m_attempt.connection;
+  const auto waits = [&] { return !m_ended && m_attempt.connection == connection; };
+  if (arrived.head) {
+    OnServerAnswerHead(arrived.head->status, arrived.head->fields);
+  }
+  if (waits() && !arrived.body.empty()) {
+    OnServerAnswerBody(arrived.body);
+  }
+  return waits();
 }
 
 /** An attempt that was not sent has reached no server. */
@@ -120,8 +135,7 @@
 }
 
 void ForwardExchange::ReleaseHeldIfEnded(const ForwardingView& view) {
-  if (m_held && view.ended_incarnations.contains(m_held->Attempt().server) &&
-      HasBeenSilent(m_held->Attempt())) {
+  if (m_held && view.ended_incarnations.contains(m_held->Attempt().server)) {
     ReleaseHeld();
   }
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_stalls.cc
@@ -87,6 +87,10 @@
     CheckPeerSilence();
     return;
   }
+  if (m_attempt.is_said_to_have_ended && m_attempt.connection && !HasEventsFlowing()) {
+    AbandonServer("the server has started again");
+    return;
+  }
   if (m_keeps_waiting && m_attempt.connection) {
     TryBesideSilentServer("the server is still silent");
   }
@@ -273,14 +277,18 @@
 
 /** A stream whose events still arrive is not cut off: the news may be older than its connection. */
 void ForwardExchange::OnServerRestarted() {
-  constexpr std::string_view kReason = "the server has started again";
-  if (m_event_intervals.HasBegun() && !HasBeenSilent(m_attempt)) {
-    TryBesideSilentServer(kReason);
+  if (HasEventsFlowing()) {
+    m_attempt.is_said_to_have_ended = true;
   } else {
-    AbandonServer(kReason);
+    AbandonServer("the server has started again");
   }
 }
 
+bool ForwardExchange::HasEventsFlowing() const {
+  const Duration silence = m_parts.clock.Now() - m_attempt.last_progress;
+  return m_attempt.path_confirmed && silence < SilencePolicy(*m_route).ProbeAfter(true);
+}
+
 /** Ignores the first server, which a running stream cannot leave without being resent. */
 bool ForwardExchange::HasDrainingServer() const {
   const auto view = m_parts.view();
--- a/packages/zinnia_adapters/forwarding/forward_outcomes.cc
+++ b/packages/zinnia_adapters/forwarding/forward_outcomes.cc
@@ -13,7 +13,7 @@
 }
 
 bool MayHaveBody(unsigned status) {
-  return status != 204 && status != 205 && status != 304;
+  return status != 204 && status != 304;
 }
 
 Error NotRun(ErrorKind kind, std::string message) {
--- a/packages/zinnia_adapters/forwarding/held_attempt.cc
+++ b/packages/zinnia_adapters/forwarding/held_attempt.cc
@@ -9,20 +9,19 @@
 
 void HeldAttempt::OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) {
   m_is_useless = !m_callbacks.is_usable(status, fields);
-  m_head = Head{status, fields};
+  m_arrived.head = Arrived::Head{status, fields};
 }
 
 void HeldAttempt::OnServerAnswerBody(std::string_view bytes) {
   if (m_is_useless) {
     return;
   }
-  m_body.append(bytes);
+  m_arrived.body.append(bytes);
   if (!m_events || m_events->Take(bytes).empty()) {
     return;
   }
   if (const auto next = m_next.lock()) {
     m_callbacks.on_word();
-    PassOnArrived();
   }
 }
 
@@ -39,9 +38,9 @@
     m_callbacks.on_lost(AnswerFailure::kBroken);
     return;
   }
-  m_callbacks.on_word();
-  PassOnArrived();
-  next->OnServerAnswerEnd();
+  if (m_callbacks.on_word()) {
+    next->OnServerAnswerEnd();
+  }
 }
 
 void HeldAttempt::OnServerFailed(AnswerFailure failure, std::string_view) {
@@ -57,14 +56,4 @@
   }
 }
 
-void HeldAttempt::PassOnArrived() {
-  const auto next = m_next.lock();
-  if (next && m_head) {
-    next->OnServerAnswerHead(m_head->status, m_head->fields);
-  }
-  if (next && !m_body.empty()) {
-    next->OnServerAnswerBody(m_body);
-  }
-}
-
 }  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/held_attempt.h
+++ b/packages/zinnia_adapters/forwarding/held_attempt.h
@@ -20,16 +20,26 @@
     unreachable. Whichever of the two goes on first keeps the request: a server goes on with a whole
     event, or with the whole end of its stream. A refusal, a failure or a broken answer is lost.
 
-    As soon as the held server goes on, `on_word` is called, which must take the attempt back; what
-    the server said meanwhile then goes to `next`. If its answer is lost, `on_lost` is called, with
-    the failure unless the server has answered.
+    As soon as the held server goes on, `on_word` is called, which must take the attempt and what
+   has arrived of its answer back, and returns whether the request still waits for the rest. If the
+    answer is lost, `on_lost` is called, with the failure unless the server has answered.
 */
 class HeldAttempt final : public ServerAnswerListener {
  public:
+  /** What has arrived while the attempt was held. */
+  struct Arrived {
+    struct Head {
+      unsigned status = 0;
+      boost::beast::http::fields fields;
+    };
+    std::optional<Head> head;
+    std::string body;
+  };
+
   struct Callbacks {
     /** Whether an answer with this head can be the caller's. */
     std::function<bool(unsigned status, const boost::beast::http::fields& fields)> is_usable;
-    std::function<void()> on_word;
+    std::function<bool()> on_word;
     std::function<void(std::optional<AnswerFailure>)> on_lost;
   };
 
@@ -49,8 +59,10 @@
   /** The server has changed its path, or has refused to. */
   void OnRerouted(std::optional<LayerPath> path);
 
-  /** Passes on what has arrived while the attempt was held. Call once it was taken back. */
-  void PassOnArrived();
+  Arrived TakeArrived() { return std::move(m_arrived); }
+
+  /** Whether its server has begun an answer that cannot be the caller's. */
+  bool IsUseless() const { return m_is_useless; }
 
   bool OnServerConnected() override;
   void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) override;
@@ -59,17 +71,10 @@
   void OnServerFailed(AnswerFailure failure, std::string_view reason) override;
 
  private:
-  struct Head {
-    unsigned status = 0;
-    boost::beast::http::fields fields;
-  };
-
   ServerAttempt m_attempt;
   std::optional<EventSplitter> m_events;
 
-  /** What has arrived while it was held. */
-  std::optional<Head> m_head;
-  std::string m_body;
+  Arrived m_arrived;
   bool m_is_useless = false;
 
   std::weak_ptr<ServerAnswerListener> m_next;
--- a/packages/zinnia_adapters/forwarding/server_attempt.h
+++ b/packages/zinnia_adapters/forwarding/server_attempt.h
@@ -44,6 +44,9 @@
   bool path_confirmed = false;
   TimePoint last_progress{};
 
+  /** Whether its server is said to have started again, although events still arrive. */
+  bool is_said_to_have_ended = false;
+
   /** Whether its server has outlived the beginning of the answer. */
   bool has_survived = false;
 
--- a/tests/forwarding_path/answers_test.cc
+++ b/tests/forwarding_path/answers_test.cc
@@ -172,6 +172,35 @@
   CHECK_EQUAL(1U, f.Arrivals());
 }
 
+// Guards against a stream that has used up its servers by the time at which its own one ends.
+TEST(Answers, AStreamOfAServerSaidToHaveStartedAgainMovesWhenItBreaks) {
+  Connection* open = nullptr;
+  bool first = true;
+  f.Script([&](Connection& connection) {
+    const bool goes_on = !std::exchange(first, false);
+    open = goes_on ? open : &connection;
+    connection.Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n") +
+                     ForwardingFixture::Chunk(ForwardingFixture::Event(goes_on ? 3 : 1)) +
+                     (goes_on ? "0\r\n\r\n" : ""));
+  });
+  const TestCaller& caller = f.Call("/events/x");
+  CHECK_TRUE(f.Until([&] { return caller.Has("data: e1"); }));
+  const auto later = std::make_shared<ForwardingView>(*f.view);
+  const BackendServerName lost = f.a.received.empty() ? "b" : "a";
+  later->ended_incarnations = {lost};
+  later->servers[lost + "2"] = later->servers.at(lost);
+  later->servers[lost + "2"].name = lost + "2";
+  later->servers.erase(lost);
+  f.traffic->SetView(later);
+  open->Write(ForwardingFixture::Chunk(ForwardingFixture::Event(2)));
+  CHECK_TRUE(f.Until([&] { return caller.Has("data: e2"); }));
+  CHECK_EQUAL(1U, f.Arrivals());
+  open->Close();
+  CHECK_TRUE(f.Until([&] { return caller.Has("\r\n0\r\n\r\n"); }));
+  CHECK_TRUE(caller.Has("data: e3"));
+  CHECK_EQUAL(2U, f.Arrivals());
+}
+
 // Guards against resending a running stream to another first server because a later server drains.
 TEST(Answers, ARunningStreamKeepsItsFirstServerWhenALaterOneDrains) {
   f.Script([](Connection& connection) {
--- a/tests/forwarding_path/held_attempt_test.cc
+++ b/tests/forwarding_path/held_attempt_test.cc
@@ -355,6 +355,62 @@
   CHECK_EQUAL(1U, f.a.received.size());
 }
 
+// Guards against an event without its beginning, which arrived while the attempt was held.
+TEST(HeldAttemptPath, WhatArrivesWhileItIsHeldIsKeptWhenTheOtherBreaksOff) {
+  const TestCaller& caller = Begin();
+  CHECK_TRUE(f.Until([&] { return at_second != nullptr; }));
+  at_first->Write(ForwardingFixture::Chunk("id: 2\nda"));
+  Wait(milliseconds(20));
+  at_second->Close();
+  Wait(milliseconds(20));
+  at_first->Write(ForwardingFixture::Chunk("ta: e2\n\n") + "0\r\n\r\n");
+  CHECK_TRUE(IsWhole(caller));
+  CHECK_TRUE(caller.Has("id: 2\ndata: e2\n\n"));
+}
+
+// Guards against an answer without a status, whose head arrived while the attempt was held.
+TEST(HeldAttemptPath, AHeadThatArrivesWhileItIsHeldIsKeptWhenTheOtherBreaksOff) {
+  f.a.scripts = {[this](Connection& connection) { at_first = &connection; }};
+  const TestCaller& caller = f.Call("/events/x");
+  CHECK_TRUE(f.Until([&] { return at_second != nullptr; }));
+  at_first->Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n"));
+  Wait(milliseconds(20));
+  at_second->Close();
+  Wait(milliseconds(20));
+  at_first->Write(EventChunk(1) + "0\r\n\r\n");
+  CHECK_TRUE(IsWhole(caller));
+  CHECK_TRUE(caller.Has("HTTP/1.1 200"));
+  CHECK_TRUE(caller.Has("data: e1"));
+}
+
+// Guards against leaving a sound server for an answer that is not the held server's own.
+TEST(HeldAttemptPath, AnUnsignedAnswerOfTheFirstKeepsTheSecond) {
+  CheckSecondAnswers(ForwardingFixture::Head("Connection: X-Signature\r\n"
+                                             "Transfer-Encoding: chunked\r\n") +
+                     EventChunk(1));
+}
+
+// The same with a third server, to which the request would be sent in the middle of that answer.
+TEST(HeldAttemptPath, AWholeUnsignedAnswerOfTheFirstKeepsTheSecond) {
+  SetMostServers(3);
+  CheckSecondAnswers(ForwardingFixture::Head("Connection: X-Signature\r\nContent-Length: 0\r\n"));
+}
+
+// Guards against returning to an answer that was found to be of no use.
+TEST(HeldAttemptPath, ARefusalThatArrivesWhileItIsHeldIsNotReturnedTo) {
+  f.a.scripts = {[this](Connection& connection) { at_first = &connection; }};
+  const TestCaller& caller = f.Call("/events/x");
+  CHECK_TRUE(f.Until([&] { return at_second != nullptr; }));
+  at_first->Write("HTTP/1.1 500 Failed\r\nX-Id: r-1\r\nContent-Length: 4\r\n\r\nlo");
+  Wait(milliseconds(20));
+  at_second->Close();
+  Wait(milliseconds(20));
+  WriteIfOpen(at_first, "st");
+  CHECK_TRUE(f.Until([&] { return caller.Has("\r\n\r\n"); }));
+  CHECK_TRUE(caller.Has("HTTP/1.1 502"));
+  CHECK_FALSE(caller.Has("HTTP/1.1 000"));
+}
+
 // Guards against a bound that is used up by attempts which were never sent.
 TEST(HeldAttemptPath, ASecondThatWasNeverReachedDoesNotCountAsReached) {
   CheckUnreachedSecondIsNotCounted();
--- a/tests/forwarding_path/interim_heads_test.cc
+++ b/tests/forwarding_path/interim_heads_test.cc
@@ -190,6 +190,40 @@
   CHECK_FALSE(caller.Has("odd"));
 }
 
+// Guards against chunks behind the answer to a request for a head.
+TEST(InterimHeadPath, ARequestForAHeadGetsNoBody) {
+  f.Script([](Connection& connection) {
+    connection.Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n"));
+  });
+  TestCaller caller(f.thread.Loop(), f.traffic->Server().Port());
+  const std::string request =
+      "HEAD /events/x HTTP/1.1\r\nHost: h\r\nX-Id: r-1\r\nX-Key: key-1\r\n\r\n";
+  caller.Send(request);
+  CHECK_TRUE(f.Until([&] { return caller.Has("200 OK") && caller.Has("\r\n\r\n"); }));
+  caller.Send(request);
+  CHECK_TRUE(
+      f.Until([&] { return HeadsIn(caller) == 2 && caller.Received().ends_with("\r\n\r\n"); }));
+  CHECK_FALSE(caller.Has("\r\n0\r\n"));
+}
+
+// Guards against a stream that is cut off by an answer without a body, though others can go on.
+TEST(InterimHeadPath, ABegunStreamIsNotEndedByASuccessWithoutABody) {
+  int number = 0;
+  f.Script([&number](Connection& connection) {
+    if (++number == 1) {
+      connection.Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n") +
+                       ForwardingFixture::Chunk(ForwardingFixture::Event(1)));
+      connection.Close();
+    } else {
+      connection.Write("HTTP/1.1 204 No Content\r\nX-Id: r-1\r\nX-Signature: s\r\n\r\n");
+    }
+  });
+  const TestCaller& caller = f.Call("/events/x");
+  CHECK_TRUE(f.Until([&] { return caller.IsClosed(); }));
+  CHECK_EQUAL(1U, HeadsIn(caller));
+  CHECK_EQUAL(0U, f.metrics.Counter("misplaced_answers"));
+}
+
 // Guards against a stream's framing behind a head that has no body.
 TEST(InterimHeadPath, ASuccessWithoutABodyIsNoStream) {
   f.Script([](Connection& connection) {
--- a/tests/forwarding_path/unnamed_answers_test.cc
+++ b/tests/forwarding_path/unnamed_answers_test.cc
@@ -25,15 +25,12 @@
                "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\nodd"},
 };
 
-}  // namespace
-
-/** A server answers a request twice; the second answer comes late and names no request. */
-TEST_GROUP(UnnamedAnswerPath){
-    static std::string Whole(){return ForwardingFixture::Head("Content-Length: 2\r\n") + "ok";
-}  // namespace zinnia
+std::string Whole() {
+  return ForwardingFixture::Head("Content-Length: 2\r\n") + "ok";
+}
 
 /** The first request is answered, and the second one with the late answer to the first. */
-static TestCaller& CallTwice(ForwardingFixture& f, const std::string& path, std::string_view late) {
+TestCaller& CallTwice(ForwardingFixture& f, const std::string& path, std::string_view late) {
   const auto number = std::make_shared<int>(0);
   f.Script([late = std::string(late), number](Connection& connection) {
     connection.Write(++*number == 2 ? late : Whole());
@@ -43,8 +40,11 @@
   ForwardingFixture::SendOn(caller, path);
   return caller;
 }
-}
-;
+
+}  // namespace
+
+/** A server answers a request twice; the second answer comes late and names no request. */
+TEST_GROUP(UnnamedAnswerPath){};
 
 // Guards against a refusal of an earlier request by which this one is sent to a second server.
 TEST(UnnamedAnswerPath, ALateAnswerIsNotBelievedOfTheNextRequest) {
