All Connection fields of an answer count, not only the first

What callers would see: a success without the server's signature, where a second Connection field names the signature's.

--- a/packages/zinnia_adapters/services/header_filter.cc
+++ b/packages/zinnia_adapters/services/header_filter.cc
@@ -26,8 +26,11 @@
 
 void RemoveHopByHopFields(http::fields& fields) {
   std::vector<std::string> named;
-  for (const auto& token : http::token_list(fields[http::field::connection])) {
-    named.emplace_back(token);
+  const auto lists = fields.equal_range(http::field::connection);
+  for (auto list = lists.first; list != lists.second; ++list) {
+    for (const auto& token : http::token_list(list->value())) {
+      named.emplace_back(token);
+    }
   }
   for (const std::string& name : named) {
     fields.erase(name);
