--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -246,6 +246,9 @@
   m_response.keep_alive(m_keep_alive);
   if (!m_is_head) {
     m_response.prepare_payload();
+    if (m_response.result() == http::status::no_content) {
+      m_response.erase(http::field::content_length);  // Forbidden there, RFC 9110 8.6.
+    }
   } else if (!m_response.body().empty()) {
     m_response.content_length(m_response.body().size());
     m_response.body().clear();
