Trailer fields are not taken for fields of the head

What callers would see: a request that may run once runs twice, since a trailer said that it had not run; an unsigned success passed on, since a trailer signed it. Cause: the parser adds trailer fields to the fields of the head, and the head was looked at only after all that had arrived was read. The head is taken out now before the body is read, and trailers are dropped.

--- a/packages/zinnia_adapters/http/answer_reader.cc
+++ b/packages/zinnia_adapters/http/answer_reader.cc
@@ -55,7 +55,7 @@
   m_parser.emplace();
   m_parser->header_limit(static_cast<std::uint32_t>(m_limits.head_bytes));
   m_parser->body_limit(boost::none);
-  m_parser->eager(true);
+  m_parser->eager(false);  // Until the head is out: trailers are added to the same fields.
   m_parser->skip(m_is_head_request);
 }
 
@@ -88,13 +88,15 @@
 
 /** Starts anew after an interim head. */
 std::optional<AnswerFault> AnswerReader::CheckHead() {
-  const unsigned status = Status();
+  const unsigned status = m_parser->get().result_int();
   if (status < kFirstStatus || status > kLastStatus || status == kSwitchingProtocols) {
     return AnswerFault{AnswerFaultKind::kUnexpectedStatus, fmt::format("status {}", status)};
   }
   if (status >= kFirstFinalStatus) {
     m_has_head = true;
-    if (HasUnknownEncoding(m_parser->get().base())) {
+    m_head = std::move(m_parser->get().base());
+    m_parser->eager(true);
+    if (HasUnknownEncoding(m_head)) {
       return AnswerFault{AnswerFaultKind::kUnknownEncoding,
                          "a transfer encoding other than chunked"};
     }
--- a/packages/zinnia_adapters/http/answer_reader.h
+++ b/packages/zinnia_adapters/http/answer_reader.h
@@ -38,8 +38,10 @@
 
   /** Whether the final head has arrived. Call Status, Fields and KeepsConnection only then. */
   bool HasHead() const { return m_has_head; }
-  unsigned Status() const { return m_parser->get().result_int(); }
-  const Fields& Head() const { return m_parser->get().base(); }
+  unsigned Status() const { return m_head.result_int(); }
+
+  /** Without the fields of the trailer section, which are dropped. */
+  const Fields& Head() const { return m_head; }
   bool KeepsConnection() const { return m_parser->keep_alive(); }
 
   /** Returns the bytes of the body that have arrived since the last call. */
@@ -58,6 +60,7 @@
   const AnswerLimits m_limits;
   const bool m_is_head_request;
   std::optional<Parser> m_parser;
+  boost::beast::http::response_header<> m_head;
   bool m_has_head = false;
   std::size_t m_unfinished_head_bytes = 0;
   std::size_t m_interim_heads = 0;
