The fuzzer of answers uses connections again after failures, and tells a stream that ends within an event

Guards the fuzzer's reach: the clock moved on after each failure, so that late answers without a name never met the next request, and a connection with bytes after an answer could serve again unnoticed.

--- a/tests/forwarding_path/answer_generator.cc
+++ b/tests/forwarding_path/answer_generator.cc
@@ -176,7 +176,7 @@
       MutateStatus();
       break;
     default:
-      if (OneIn(4)) {
+      if (OneIn(2)) {
         Pour();
       } else {
         CutShort();
@@ -194,17 +194,13 @@
     return;
   }
   // An orderly end is all that tells the end of such a body.
-  m_answer.soundness = Soundness::kEither;
-  const std::string body = m_sent_body.substr(0, kept - head);
-  if (m_kind != RequestKind::kEvents || m_answer.status >= 300) {
-    m_answer.body = body;
-    return;
+  m_answer.body = m_sent_body.substr(0, kept - head);
+  const bool is_stream = m_kind == RequestKind::kEvents && m_answer.status < 300;
+  if (is_stream && !m_answer.body.empty() && !m_answer.body.ends_with("\n\n")) {
+    return;  // Within an event: no end of a stream.
   }
-  int last = m_first_event - 1;
-  while (Events(m_id, m_first_event, last + 1).size() <= body.size() && last < EventCount(m_id)) {
-    ++last;
-  }
-  m_answer.body = Events(m_id, 1, last);
+  m_answer.soundness = Soundness::kEither;
+  m_answer.body.insert(0, is_stream ? Events(m_id, 1, m_first_event - 1) : "");
 }
 
 void AnswerGenerator::AddBytes() {
--- a/tests/forwarding_path/answer_schedule.cc
+++ b/tests/forwarding_path/answer_schedule.cc
@@ -11,6 +11,7 @@
 
 constexpr int kRequests = 8;
 constexpr std::size_t kTracedBytes = 600;
+constexpr std::size_t kBytesReadAtOnce = 10'000;
 
 /** Moves the clock past the exclusions of servers. */
 constexpr std::chrono::seconds kPause{20};
@@ -69,10 +70,11 @@
   return "";
 }
 
+/** Refusals and failures exclude no server at once, and their connections are used again. */
 bool AnswerSchedule::NeedsPause() const {
-  return std::ranges::any_of(m_answers, [](const GeneratedAnswer& answer) {
-    return answer.soundness != Soundness::kSound || answer.status >= 300;
-  });
+  return m_answers.empty() || std::ranges::any_of(m_answers, [](const GeneratedAnswer& answer) {
+           return answer.soundness != Soundness::kSound;
+         });
 }
 
 void AnswerSchedule::Serve(RawServer::Connection& connection) {
@@ -86,7 +88,11 @@
   AnswerGenerator generator((m_seed << 16U) + (static_cast<std::uint64_t>(m_number) << 8U) +
                             attempt);
   GeneratedAnswer answer = generator.Draw(m_kind, id, attempt, last.empty() ? 0 : std::stoi(last));
+  connection.socket.set_option(boost::asio::ip::tcp::no_delay(true));
   Sender& sender = m_senders[&connection];
+  if (sender.must_be_closed) {
+    m_fault = "a connection with bytes of nobody is used again";
+  }
   if (sender.is_dirty && answer.soundness == Soundness::kSound) {
     answer.soundness = Soundness::kEither;
   }
@@ -98,6 +104,8 @@
   sender.left_to_pour = answer.most_poured;
   sender.end = answer.end;
   sender.late = answer.late;
+  sender.must_be_closed = answer.has_extra && answer.pieces.size() == 1 &&
+                          answer.pieces.front().size() < kBytesReadAtOnce;
   sender.is_dirty = sender.is_dirty || answer.has_extra || !answer.late.empty();
   ++m_answered;
   m_mutated += answer.name.find(',') != std::string::npos ? 1 : 0;
--- a/tests/forwarding_path/answer_schedule.h
+++ b/tests/forwarding_path/answer_schedule.h
@@ -33,6 +33,9 @@
     ConnectionEnd end = ConnectionEnd::kKept;
     std::string late;
     bool is_dirty = false;
+
+    /** Bytes of nobody have arrived along with an answer. */
+    bool must_be_closed = false;
     bool is_writing = false;
   };
 
