--- a/tests/adapters/control_raw_http_server.h
+++ b/tests/adapters/control_raw_http_server.h
@@ -5,8 +5,10 @@
 #include <sys/socket.h>
 
 #include <atomic>
+#include <chrono>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -16,9 +18,13 @@
 
 /** An HTTP server on loopback that reads each request whole and answers it with the next line of
    its script, whatever bytes that is. An empty line closes the connection without an answer; after
-   the last line it stops listening. Serves one connection at a time. */
+   the last line it stops listening. Serves one connection at a time. It pauses within an answer
+   where kPause stands, and closes the connection after one that ends with kEnd. */
 class RawHttpServer {
  public:
+  static constexpr std::string_view kPause = "<pause>";
+  static constexpr std::string_view kEnd = "<end>";
+
   explicit RawHttpServer(std::vector<std::string> script)
       : m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
         m_address{"127.0.0.1", m_acceptor.local_endpoint().port()},
@@ -43,6 +49,9 @@
     return m_requests;
   }
 
+  /** How many connections it has accepted. */
+  int Connections() const { return m_connections; }
+
  private:
   using Socket = boost::asio::ip::tcp::socket;
 
@@ -56,17 +65,33 @@
         return;
       }
       m_connection = socket.native_handle();
+      ++m_connections;
       while (line != script.end() && ReadRequest(socket)) {
         const std::string& answer = *line++;
         if (answer.empty()) {
           break;
         }
-        boost::system::error_code error;
-        boost::asio::write(socket, boost::asio::buffer(answer), error);
+        Write(socket, answer);
+        if (answer.ends_with(kEnd)) {
+          break;
+        }
       }
     }
   }
 
+  static void Write(Socket& socket, std::string_view answer) {
+    if (answer.ends_with(kEnd)) {
+      answer.remove_suffix(kEnd.size());
+    }
+    boost::system::error_code error;
+    for (auto at = answer.find(kPause); at != std::string_view::npos; at = answer.find(kPause)) {
+      boost::asio::write(socket, boost::asio::buffer(answer.substr(0, at)), error);
+      std::this_thread::sleep_for(std::chrono::milliseconds(30));
+      answer.remove_prefix(at + kPause.size());
+    }
+    boost::asio::write(socket, boost::asio::buffer(answer), error);
+  }
+
   bool ReadRequest(Socket& socket) {
     std::string text;
     boost::system::error_code error;
@@ -90,6 +115,7 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   const NetworkAddress m_address;
   std::atomic<int> m_connection{-1};
+  std::atomic<int> m_connections{0};
   std::mutex m_mutex;
   std::vector<std::string> m_requests;
   std::thread m_thread;
