Engines and services: interim heads are read over, stray bytes end a connection

What callers see: an engine or a service that sends "100 Continue" or "103 Early Hints" first no longer gives them that head as the answer.

Cause: BackendConnection took what Beast calls a complete message for the answer, and kept a connection whose buffer still held bytes: they would have been read as the start of the next answer.

It now reads through AnswerReader, with the body bound of 64 MiB as before. 101, statuses outside 100..599, unknown transfer encodings and more interim heads than AnswerLimits allows end the exchange with kLost.

One of the tests closed its connection where it should stay silent; its script has a second answer now, so that it waits for the timeout.

--- a/packages/zinnia_adapters/http/backend_connection.cc
+++ b/packages/zinnia_adapters/http/backend_connection.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cassert>
 #include <utility>
@@ -17,10 +16,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::uint64_t kMostResponseBytes = 64U << 20U;
-
-// Beast reads as much at once as the buffer has room for, which is 512 bytes in a new one: a long
-// body would take a system call for each of them.
+constexpr AnswerLimits kAnswerLimits{.body_bytes = std::size_t{64} << 20};
 constexpr std::size_t kReadBytes = 32'768;
 
 }  // namespace
@@ -83,26 +79,47 @@
                         self->Fail(error, callback);
                         return;
                       }
+                      self->m_reader.emplace(kAnswerLimits,
+                                             self->m_request.method() == http::verb::head);
+                      self->m_body.clear();
                       self->Read(std::move(callback));
                     });
 }
 
 void BackendConnection::Read(Callback callback) {
-  m_buffer.reserve(kReadBytes);
-  m_parser.emplace();
-  m_parser->body_limit(kMostResponseBytes);
-  if (m_request.method() == http::verb::head) {
-    m_parser->skip(true);
+  m_stream.async_read_some(m_buffer.prepare(kReadBytes),
+                           [self = shared_from_this(), callback = std::move(callback)](
+                               const boost::system::error_code& error, std::size_t bytes) mutable {
+                             self->OnRead(error, bytes, std::move(callback));
+                           });
+}
+
+void BackendConnection::OnRead(const boost::system::error_code& error,
+                               std::size_t bytes,
+                               Callback callback) {
+  m_buffer.commit(bytes);
+  if (error && error != asio::error::eof) {
+    Fail(error, callback);
+    return;
+  }
+  if (error ? m_reader->ReadEnd() : m_reader->Read(m_buffer)) {
+    Finish(ExchangeFailure::kLost, callback);
+    return;
+  }
+  m_body += m_reader->TakeBody();
+  if (m_reader->IsDone()) {
+    Finish(ExchangeFailure::kNone, callback);
+  } else {
+    Read(std::move(callback));
   }
-  http::async_read(m_stream, m_buffer, *m_parser,
-                   [self = shared_from_this(), callback = std::move(callback)](
-                       const boost::system::error_code& error, std::size_t) {
-                     if (error) {
-                       self->Fail(error, callback);
-                       return;
-                     }
-                     self->Finish(ExchangeFailure::kNone, callback);
-                   });
+}
+
+BackendResponse BackendConnection::TakeResponse() {
+  BackendResponse response;
+  static_cast<AnswerReader::Fields&>(response.base()) = m_reader->Head();
+  response.result(m_reader->Status());
+  response.body() = std::exchange(m_body, {});
+  return response;
 }
 
 void BackendConnection::Fail(const boost::system::error_code& error, const Callback& callback) {
@@ -123,8 +140,9 @@
   m_busy = false;
   m_stream.expires_never();
   if (failure == ExchangeFailure::kNone) {
-    const bool keep = m_parser->keep_alive();
-    outcome.response = m_parser->release();
+    // Bytes that are left belong to no request; the next one would take them for its answer.
+    const bool keep = m_reader->KeepsConnection() && m_buffer.size() == 0;
+    outcome.response = TakeResponse();
     if (!keep) {
       Close();
     }
--- a/packages/zinnia_adapters/http/backend_connection.h
+++ b/packages/zinnia_adapters/http/backend_connection.h
@@ -5,12 +5,13 @@
 #include <boost/beast/core/basic_stream.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
+#include "zinnia_adapters/http/answer_reader.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_world/fleet/network_address.h"
 
@@ -62,7 +63,6 @@
  private:
   using Stream =
       boost::beast::basic_stream<boost::asio::ip::tcp, boost::asio::io_context::executor_type>;
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   BackendConnection(boost::asio::io_context& loop, NetworkAddress address);
   // The callback travels in the handlers and is no member: owned by the connection, it would keep
@@ -70,6 +70,8 @@
   void Connect(Callback callback);
   void Write(Callback callback);
   void Read(Callback callback);
+  void OnRead(const boost::system::error_code& error, std::size_t bytes, Callback callback);
+  BackendResponse TakeResponse();
   void FinishLater(ExchangeFailure failure, Callback callback);
   void Finish(ExchangeFailure failure, const Callback& callback);
   void Fail(const boost::system::error_code& error, const Callback& callback);
@@ -78,7 +80,8 @@
   NetworkAddress m_address;
   boost::beast::flat_buffer m_buffer;
   BackendRequest m_request;
-  std::optional<Parser> m_parser;
+  std::optional<AnswerReader> m_reader;
+  std::string m_body;
   std::function<bool()> m_may_send;
   bool m_connected = false;
   bool m_busy = false;
--- a/tests/adapters/traffic_backend_connection_test.cc
+++ b/tests/adapters/traffic_backend_connection_test.cc
@@ -79,7 +79,7 @@
 }
 
 TEST(BackendConnectionAnswers, AnInterimHeadDoesNotStretchTheTime) {
-  RawHttpServer server({"HTTP/1.1 100 Continue\r\n\r\n"});
+  RawHttpServer server({"HTTP/1.1 100 Continue\r\n\r\n", SoundAnswer()});
   const auto connection = Connect(server);
   CHECK_TRUE(Exchange(*connection, std::chrono::milliseconds(100)).failure ==
              ExchangeFailure::kTimedOut);
