Health, reports, orders and the store: interim heads are read over

What operators see: a health check, report, order or record whose server sends an interim head first is read from the answer behind it. Before, the interim head was the answer.

Cause: HttpClient took what Beast calls a complete message for the answer. It now reads through AnswerReader. An answer that is cut short is still kNoAnswer; 101, statuses outside 100..599, unknown transfer encodings and what is beyond a bound are kBadAnswer. HttpClientOptions has AnswerLimits; the body bound of 8 MiB is in them.

--- a/packages/zinnia_adapters/http/http_client.cc
+++ b/packages/zinnia_adapters/http/http_client.cc
@@ -16,6 +16,7 @@
 #include <thread>
 #include <utility>
 
+#include "zinnia_adapters/http/answer_reader.h"
 #include "zinnia_adapters/http/http_connection_pool.h"
 
 namespace zinnia {
@@ -27,10 +28,9 @@
 
 using Stream = HttpConnectionPool::Stream;
 using StringRequest = http::request<http::string_body>;
-using ResponseParser = http::response_parser<http::string_body>;
 
 constexpr auto kTuple = asio::experimental::as_tuple(asio::use_awaitable);
-constexpr std::uint32_t kLargestHeaderBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = 8'192;
 
 /** One call of HttpClient. `answer_begun` is set by the first byte of an answer. */
 struct Exchange {
@@ -42,6 +42,16 @@
   bool answer_begun = false;
 };
 
+/** What has arrived of the answer to a call. */
+struct AnswerUnderWay {
+  AnswerUnderWay(const AnswerLimits& limits, bool is_head_request)
+      : reader(limits, is_head_request) {}
+
+  AnswerReader reader;
+  beast::flat_buffer buffer;
+  std::string body;
+};
+
 /** A peer or path that went silent shows by itself within `kProbeSeconds` times two, also while a
     long poll waits for its answer and nothing else is sent. */
 void ProbeWhileIdle(int descriptor) {
@@ -66,13 +76,13 @@
   return message;
 }
 
-HttpResponse FromBeast(http::response<http::string_body> message) {
+HttpResponse ResponseOf(const AnswerReader& reader, std::string body) {
   HttpResponse response;
-  response.status = message.result_int();
-  for (const auto& field : message) {
+  response.status = reader.Status();
+  for (const auto& field : reader.Head()) {
     response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
   }
-  response.body = std::move(message.body());
+  response.body = std::move(body);
   return response;
 }
 
@@ -82,9 +92,10 @@
   return {stage, address.ToString() + ": " + error.message()};
 }
 
-bool IsBroken(const beast::error_code& error) {
-  return error.category() == make_error_code(http::error::end_of_stream).category() &&
-         error != http::error::end_of_stream && error != http::error::partial_message;
+HttpFailure Failed(const NetworkAddress& address, const AnswerFault& fault) {
+  const auto stage = fault.kind == AnswerFaultKind::kCutShort ? HttpFailureStage::kNoAnswer
+                                                              : HttpFailureStage::kBadAnswer;
+  return {stage, address.ToString() + ": " + fault.detail};
 }
 
 }  // namespace
@@ -128,6 +139,9 @@
   asio::awaitable<HttpResult> TryOnce(Exchange& exchange, bool may_use_kept);
   asio::awaitable<std::optional<HttpFailure>> Connect(Exchange& exchange, Stream& stream);
   asio::awaitable<HttpResult> Converse(Exchange& exchange, std::unique_ptr<Stream> stream);
+  asio::awaitable<std::optional<HttpFailure>> Read(Exchange& exchange,
+                                                   Stream& stream,
+                                                   AnswerUnderWay& answer);
   void Finish(const std::shared_ptr<Exchange>& exchange, HttpResult result);
 
   const Clock& m_clock;
@@ -203,23 +217,36 @@
     const auto stage = written > 0 ? HttpFailureStage::kNoAnswer : HttpFailureStage::kNotSent;
     co_return Failed(stage, exchange.address, write_error);
   }
-  beast::flat_buffer buffer;
-  ResponseParser parser;
-  parser.body_limit(m_options.largest_body_bytes);
-  parser.header_limit(kLargestHeaderBytes);
-  parser.skip(message.method() == http::verb::head);
-  const auto [read_error, read] = co_await http::async_read(*stream, buffer, parser, kTuple);
-  exchange.answer_begun = read > 0 || parser.got_some();
-  if (read_error) {
-    const auto stage =
-        IsBroken(read_error) ? HttpFailureStage::kBadAnswer : HttpFailureStage::kNoAnswer;
-    co_return Failed(stage, exchange.address, read_error);
+  AnswerUnderWay answer(m_options.answer, message.method() == http::verb::head);
+  std::optional<HttpFailure> failure = co_await Read(exchange, *stream, answer);
+  if (failure) {
+    co_return std::move(*failure);
   }
-  if (parser.get().keep_alive() && buffer.size() == 0) {
+  if (answer.reader.KeepsConnection() && answer.buffer.size() == 0) {
     stream->expires_never();
     m_pool.Keep(exchange.address, std::move(stream));
   }
-  co_return FromBeast(parser.release());
+  co_return ResponseOf(answer.reader, std::move(answer.body));
+}
+
+asio::awaitable<std::optional<HttpFailure>> HttpClient::Impl::Read(Exchange& exchange,
+                                                                   Stream& stream,
+                                                                   AnswerUnderWay& answer) {
+  while (!answer.reader.IsDone()) {
+    const auto [error, bytes] =
+        co_await stream.async_read_some(answer.buffer.prepare(kReadBytes), kTuple);
+    answer.buffer.commit(bytes);
+    exchange.answer_begun = exchange.answer_begun || bytes > 0;
+    if (error && error != asio::error::eof) {
+      co_return Failed(HttpFailureStage::kNoAnswer, exchange.address, error);
+    }
+    const auto fault = error ? answer.reader.ReadEnd() : answer.reader.Read(answer.buffer);
+    if (fault) {
+      co_return Failed(exchange.address, *fault);
+    }
+    answer.body += answer.reader.TakeBody();
+  }
+  co_return std::nullopt;
 }
 
 void HttpClient::Impl::Finish(const std::shared_ptr<Exchange>& exchange, HttpResult result) {
--- a/packages/zinnia_adapters/http/http_client.h
+++ b/packages/zinnia_adapters/http/http_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "zinnia_adapters/http/answer_limits.h"
 #include "zinnia_adapters/http/http_messages.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_world/fleet/network_address.h"
@@ -17,7 +18,7 @@
 
 /** Bounds of HttpClient. Over `calls_in_flight_per_address`, calls fail at once as kNotSent. */
 struct HttpClientOptions {
-  std::size_t largest_body_bytes = std::size_t{8} << 20;
+  AnswerLimits answer{.body_bytes = std::size_t{8} << 20};
   std::size_t calls_in_flight_per_address = 256;
   std::size_t idle_connections_per_address = 8;
   Duration idle_limit = std::chrono::seconds(30);
--- a/tests/adapters/control_platform_test.cc
+++ b/tests/adapters/control_platform_test.cc
@@ -65,7 +65,8 @@
 
   SystemClock m_clock;
   std::shared_ptr<HttpClient> m_client = std::make_shared<HttpClient>(
-      m_clock, [](auto call) { call(); }, HttpClientOptions{.largest_body_bytes = kLargestBody});
+      m_clock, [](auto call) { call(); },
+      HttpClientOptions{.answer = {.body_bytes = kLargestBody}});
 };
 
 TEST(Platform, StoreCallsSpeakTheProtocol) {
