Answers of all calls of an HTTP client together are bounded

What operators see: a few dozen engines that pour reports without end no longer take hundreds of megabytes of an instance. Beyond HttpClientOptions::answers_in_hand_bytes (24 MiB) the call that holds most ends with kBadAnswer; its message names the address, the bound and its bytes. The newest call is not ended for being the newest.

Cause: each call had a bound of its own (8 MiB), all together none.

Change: AnswersInHand counts and names the call to end, without I/O. HttpClient tells it before a body grows, with the copy that growing needs, so that the sum holds at any moment. Not counted: answers that wait for their callback on another thread, and kernel buffers.

--- a/packages/zinnia_adapters/http/http_client.cc
+++ b/packages/zinnia_adapters/http/http_client.cc
@@ -1,5 +1,6 @@
 #include "zinnia_adapters/http/http_client.h"
 
+#include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -8,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +19,7 @@
 #include <utility>
 
 #include "zinnia_adapters/http/answer_reader.h"
+#include "zinnia_adapters/http/answers_in_hand.h"
 #include "zinnia_adapters/http/http_connection_pool.h"
 
 namespace zinnia {
@@ -42,16 +45,37 @@
   bool answer_begun = false;
 };
 
-/** What has arrived of the answer to a call. */
+/** What has arrived of the answer to a call. `let_go` tells why the call was ended for the bound on
+    all answers. */
 struct AnswerUnderWay {
   AnswerUnderWay(const AnswerLimits& limits, bool is_head_request)
       : reader(limits, is_head_request) {}
 
+  std::size_t HeldBytes() const { return head_bytes + buffer.capacity() + body.capacity(); }
+
+  AnswersInHand::Call call = 0;
   AnswerReader reader;
   beast::flat_buffer buffer;
+  std::size_t head_bytes = 0;
   std::string body;
+  std::optional<HttpFailure> let_go;
+};
+
+/** A call whose answer is being read. */
+struct ReadingCall {
+  const NetworkAddress& address;
+  Stream& stream;
+  AnswerUnderWay& answer;
 };
 
+std::size_t BytesOf(const AnswerReader::Fields& head) {
+  std::size_t bytes = 0;
+  for (const auto& field : head) {
+    bytes += field.name_string().size() + field.value().size();
+  }
+  return bytes;
+}
+
 /** A peer or path that went silent shows by itself within `kProbeSeconds` times two, also while a
     long poll waits for its answer and nothing else is sent. */
 void ProbeWhileIdle(int descriptor) {
@@ -111,6 +135,7 @@
       : m_clock(clock),
         m_post(std::move(post)),
         m_options(options),
+        m_in_hand(options.answers_in_hand_bytes),
         m_own_context(loop == nullptr ? std::make_unique<asio::io_context>(1) : nullptr),
         m_context(loop == nullptr ? *m_own_context : *loop),
         m_pool(clock, options.idle_connections_per_address, options.idle_limit),
@@ -142,12 +167,18 @@
   asio::awaitable<std::optional<HttpFailure>> Read(Exchange& exchange,
                                                    Stream& stream,
                                                    AnswerUnderWay& answer);
+  void AddToBody(AnswerUnderWay& answer, const std::string& bytes);
+  void Hold(const AnswerUnderWay& answer, std::size_t bytes);
+  void LetGo(const AnswersInHand::Excess& excess);
   void Finish(const std::shared_ptr<Exchange>& exchange, HttpResult result);
 
   const Clock& m_clock;
   const Post m_post;
   const HttpClientOptions m_options;
   std::map<NetworkAddress, std::size_t> m_in_flight;
+  AnswersInHand m_in_hand;
+  AnswersInHand::Call m_last_call = 0;
+  std::map<AnswersInHand::Call, ReadingCall> m_answers;
   const std::unique_ptr<asio::io_context> m_own_context;
   asio::io_context& m_context;
   HttpConnectionPool m_pool;
@@ -218,7 +249,11 @@
     co_return Failed(stage, exchange.address, write_error);
   }
   AnswerUnderWay answer(m_options.answer, message.method() == http::verb::head);
+  answer.call = ++m_last_call;
+  m_answers.emplace(answer.call, ReadingCall{exchange.address, *stream, answer});
   std::optional<HttpFailure> failure = co_await Read(exchange, *stream, answer);
+  m_answers.erase(answer.call);
+  m_in_hand.Remove(answer.call);
   if (failure) {
     co_return std::move(*failure);
   }
@@ -237,6 +272,9 @@
         co_await stream.async_read_some(answer.buffer.prepare(kReadBytes), kTuple);
     answer.buffer.commit(bytes);
     exchange.answer_begun = exchange.answer_begun || bytes > 0;
+    if (answer.let_go) {
+      co_return std::move(answer.let_go);
+    }
     if (error && error != asio::error::eof) {
       co_return Failed(HttpFailureStage::kNoAnswer, exchange.address, error);
     }
@@ -244,11 +282,57 @@
     if (fault) {
       co_return Failed(exchange.address, *fault);
     }
-    answer.body += answer.reader.TakeBody();
+    if (answer.reader.HasHead() && answer.head_bytes == 0) {
+      answer.head_bytes = BytesOf(answer.reader.Head());
+    }
+    AddToBody(answer, answer.reader.TakeBody());
+    if (answer.let_go) {
+      co_return std::move(answer.let_go);
+    }
   }
   co_return std::nullopt;
 }
 
+/** Ends calls before the body grows, so that all together never hold more than they may. */
+void HttpClient::Impl::AddToBody(AnswerUnderWay& answer, const std::string& bytes) {
+  const std::size_t needed = answer.body.size() + bytes.size();
+  if (needed <= answer.body.capacity()) {
+    Hold(answer, answer.HeldBytes());
+    answer.body += bytes;
+    return;
+  }
+  const std::size_t room =
+      std::max(needed, std::min(2 * answer.body.capacity(), m_options.answer.body_bytes));
+  Hold(answer, answer.HeldBytes() + room);
+  if (answer.let_go) {
+    return;
+  }
+  std::string grown;
+  grown.reserve(room);
+  grown += answer.body;
+  grown += bytes;
+  answer.body = std::move(grown);
+  Hold(answer, answer.HeldBytes());
+}
+
+void HttpClient::Impl::Hold(const AnswerUnderWay& answer, std::size_t bytes) {
+  m_in_hand.Set(answer.call, bytes);
+  while (const auto excess = m_in_hand.TakeExcess()) {
+    LetGo(*excess);
+  }
+}
+
+/** Frees the body at once; the call itself ends when its read has returned. */
+void HttpClient::Impl::LetGo(const AnswersInHand::Excess& excess) {
+  const ReadingCall& reading = m_answers.at(excess.call);
+  reading.answer.let_go = HttpFailure{
+      HttpFailureStage::kBadAnswer,
+      fmt::format("{}: all answers hold more than answers_in_hand_bytes = {}, this one {} bytes",
+                  reading.address.ToString(), m_options.answers_in_hand_bytes, excess.bytes)};
+  std::string().swap(reading.answer.body);
+  reading.stream.close();
+}
+
 void HttpClient::Impl::Finish(const std::shared_ptr<Exchange>& exchange, HttpResult result) {
   m_post(
       [exchange, result = std::move(result)]() mutable { exchange->callback(std::move(result)); });
--- a/packages/zinnia_adapters/http/http_client.h
+++ b/packages/zinnia_adapters/http/http_client.h
@@ -19,6 +19,10 @@
 /** Bounds of HttpClient. Over `calls_in_flight_per_address`, calls fail at once as kNotSent. */
 struct HttpClientOptions {
   AnswerLimits answer{.body_bytes = std::size_t{8} << 20};
+
+  /** Of the answers of all calls while they arrive, the copy that a growing body needs included.
+      Beyond it the call that holds most ends with kBadAnswer. */
+  std::size_t answers_in_hand_bytes = std::size_t{24} << 20;
   std::size_t calls_in_flight_per_address = 256;
   std::size_t idle_connections_per_address = 8;
   Duration idle_limit = std::chrono::seconds(30);
