The daemon's clients for engines read at most 256 KiB an answer

What operators see: an engine whose report, health answer or answer to an order is longer than 256 KiB counts as one that gave a bad answer; real ones have some hundred bytes.

The control thread's orders had the store's client; they have one of their own now, with the same bound of 32 calls an address. test_adapters -sg HttpClientBounds (TheirBodies) plays thirty servers with this bound. The daemon's objects compile; no test of whole processes was run.

--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -30,15 +30,23 @@
 constexpr Duration kUpkeepInterval = std::chrono::milliseconds(100);
 
 /** A watch, a few orders and renewals at most; more would be a fault. */
-constexpr std::size_t kMostStoreCalls = 32;
+constexpr std::size_t kMostControlCalls = 32;
 
 std::uint64_t StartOf(const Clock& clock) {
   return static_cast<std::uint64_t>(clock.WallNow().time_since_epoch().count());
 }
 
-HttpClientOptions StoreClientOptions() {
+/** Reports, health answers and answers to orders are some hundred bytes. */
+constexpr std::size_t kMostEngineAnswerBytes = std::size_t{256} << 10;
+
+HttpClientOptions ControlClientOptions() {
   HttpClientOptions options;
-  options.calls_in_flight_per_address = kMostStoreCalls;
+  options.calls_in_flight_per_address = kMostControlCalls;
+  return options;
+}
+
+HttpClientOptions EngineClientOptions(HttpClientOptions options) {
+  options.answer.body_bytes = kMostEngineAnswerBytes;
   return options;
 }
 
@@ -78,23 +86,28 @@
                 Clock& clock,
                 Logger& logger,
                 TrafficThread& traffic,
-                HttpClient::Post to_control)
+                const HttpClient::Post& to_control)
       : traffic_client(std::make_shared<HttpClient>(
             clock,
             [&traffic](std::function<void()> call) { traffic.Post(std::move(call)); },
-            HttpClientOptions{},
+            EngineClientOptions({}),
             traffic.Loop())),
         control_client(std::make_shared<HttpClient>(clock,
-                                                    std::move(to_control),
-                                                    StoreClientOptions(),
+                                                    to_control,
+                                                    EngineClientOptions(ControlClientOptions()),
                                                     traffic.Loop())),
-        store(control_client, settings.store_address),
+        store_client(std::make_shared<HttpClient>(clock,
+                                                  to_control,
+                                                  ControlClientOptions(),
+                                                  traffic.Loop())),
+        store(store_client, settings.store_address),
         counted_store(store, clock, logger),
         traffic_engines(traffic_client),
         control_engines(control_client) {}
 
   std::shared_ptr<HttpClient> traffic_client;
   std::shared_ptr<HttpClient> control_client;
+  std::shared_ptr<HttpClient> store_client;
   platform::PlatformCodec codec;
   platform::PlatformRecordReader reader;
   platform::KeyValueStore store;
