Tests: each bound on an answer by itself, and an interim head before silence

HttpClientAnswers: heads, interim bytes, chunk lines, trailers and a length beyond the bound are a bad answer whose message names the bound; an interim head does not stretch a call's time.

--- a/tests/adapters/control_http_client_test.cc
+++ b/tests/adapters/control_http_client_test.cc
@@ -3,6 +3,8 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "adapters/client_answer_cases.h"
 #include "adapters/control_fakes.h"
@@ -98,6 +100,42 @@
   CHECK_EQUAL(1, server.Connections());
 }
 
+TEST(HttpClientAnswers, WhatIsBeyondABoundIsABadAnswerThatNamesIt) {
+  const std::string many(std::size_t{80} << 10, 'x');
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string hints;
+  for (int head = 0; head < 3; ++head) {
+    hints += "HTTP/1.1 103 Early Hints\r\nLink: " + many.substr(0, 30'000) + "\r\n\r\n";
+  }
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"head_bytes", "HTTP/1.1 200 OK\r\nX-Many: " + many},
+      {"head_bytes", "HTTP/1.1 103 Early Hints\r\nX-Many: " + many},
+      {"interim_bytes", hints},
+      {"line_bytes", chunked + "2;" + many},
+      {"line_bytes", chunked + "2\r\nok\r\n0\r\nX-Many: " + many},
+      {"body_bytes", "HTTP/1.1 200 OK\r\nContent-Length: 8388609\r\n\r\n"},
+  };
+  for (const auto& [bound, bytes] : cases) {
+    RawHttpServer server({bytes, SoundAnswer()});
+    const HttpResult result = Call(server);
+    CHECK_TRUE_TEXT(result.has_error(), bound.c_str());
+    CHECK_TRUE_TEXT(result.error().stage == HttpFailureStage::kBadAnswer, bound.c_str());
+    CHECK_TRUE_TEXT(result.error().message.find("more than " + bound) != std::string::npos,
+                    result.error().message.c_str());
+  }
+}
+
+TEST(HttpClientAnswers, AnInterimHeadDoesNotStretchTheTime) {
+  RawHttpServer server({"HTTP/1.1 100 Continue\r\n\r\n", SoundAnswer()});
+  std::promise<HttpResult> done;
+  m_client->Send(server.address(), HttpRequest{}, std::chrono::milliseconds(100),
+                 [&](HttpResult result) { done.set_value(std::move(result)); });
+  const HttpResult result = Await(done.get_future());
+  CHECK_TRUE(result.has_error());
+  CHECK_TRUE(result.error().stage == HttpFailureStage::kNoAnswer);
+  CHECK_EQUAL(1U, server.Requests().size());
+}
+
 // A server that has sent a head of any kind has seen the request.
 TEST(HttpClientAnswers, AConnectionThatEndsBehindAnInterimHeadIsNotTriedAgain) {
   RawHttpServer server({SoundAnswer(), "HTTP/1.1 100 Continue\r\n\r\n<end>", SoundAnswer()});
