--- a/tests/adapters/control_http_client_test.cc
+++ b/tests/adapters/control_http_client_test.cc
@@ -2,7 +2,6 @@
 
 #include <future>
 #include <string>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -75,7 +74,7 @@
     const HttpResult result = Call(server);
     CHECK_TRUE_TEXT(result.has_value(), one.name.data());
     CHECK_EQUAL_TEXT(std::string("ok"), result->body, one.name.data());
-    std::this_thread::sleep_for(std::chrono::milliseconds(60));  // The bytes have arrived.
+    server.AwaitAnswers(1);
     const HttpResult next = Call(server);
     CHECK_TRUE_TEXT(next.has_value(), one.name.data());
     CHECK_EQUAL_TEXT(std::string("second"), next->body, one.name.data());
--- a/tests/adapters/control_raw_http_server.h
+++ b/tests/adapters/control_raw_http_server.h
@@ -49,6 +49,16 @@
     return m_requests;
   }
 
+  /** Waits until so many answers have been written, and their bytes have arrived. */
+  void AwaitAnswers(int count) const {
+    constexpr std::chrono::milliseconds kPollInterval{5};
+    constexpr int kMostPolls = 2'000;
+    for (int poll = 0; poll < kMostPolls && m_answers < count; ++poll) {
+      std::this_thread::sleep_for(kPollInterval);
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+
   /** How many connections it has accepted. */
   int Connections() const { return m_connections; }
 
@@ -72,6 +82,7 @@
           break;
         }
         Write(socket, answer);
+        ++m_answers;
         if (answer.ends_with(kEnd)) {
           break;
         }
@@ -116,6 +127,7 @@
   const NetworkAddress m_address;
   std::atomic<int> m_connection{-1};
   std::atomic<int> m_connections{0};
+  std::atomic<int> m_answers{0};
   std::mutex m_mutex;
   std::vector<std::string> m_requests;
   std::thread m_thread;
--- a/tests/adapters/traffic_backend_connection_test.cc
+++ b/tests/adapters/traffic_backend_connection_test.cc
@@ -2,7 +2,6 @@
 
 #include <optional>
 #include <string>
-#include <thread>
 
 #include "adapters/client_answer_cases.h"
 #include "adapters/control_raw_http_server.h"
@@ -67,7 +66,7 @@
     const ExchangeOutcome outcome = Exchange(*connection);
     CHECK_TRUE_TEXT(outcome.failure == ExchangeFailure::kNone, one.name.data());
     CHECK_EQUAL_TEXT(std::string("ok"), outcome.response.body(), one.name.data());
-    std::this_thread::sleep_for(std::chrono::milliseconds(60));  // The bytes have arrived.
+    server.AwaitAnswers(1);
     CHECK_FALSE_TEXT(connection->IsReusable(), one.name.data());
   }
 }
