An event without an end is searched once, not with each read

A server that poured bytes without an event's end took the whole traffic thread: all other requests of the instance waited.

Cause: EventSplitter::Take searched everything it had kept on each call. Now it searches the new bytes, and the few before them that may begin a delimiter. What it returns is unchanged.

EventsAreFoundWhereverTheBytesAreCut (every pair of cuts, both delimiters) passes before and after.

--- a/packages/zinnia_decisions/forwarding/event_splitter.cc
+++ b/packages/zinnia_decisions/forwarding/event_splitter.cc
@@ -1,5 +1,6 @@
 #include "zinnia_decisions/forwarding/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace zinnia {
@@ -9,13 +10,15 @@
 constexpr std::string_view kEventEndCrLf = "\r\n\r\n";
 constexpr std::string_view kIdField = "id:";
 
-/** Returns the position after the last complete event, or 0 if there is none. */
-std::size_t EndOfLastEvent(std::string_view bytes) {
+/** Returns the position after the last complete event, or 0 if there is none. No event ends within
+    the first `searched` bytes, but a delimiter may begin there. */
+std::size_t EndOfLastEvent(std::string_view bytes, std::size_t searched) {
   std::size_t end = 0;
   for (const std::string_view delimiter : {kEventEnd, kEventEndCrLf}) {
-    const std::size_t found = bytes.rfind(delimiter);
+    const std::size_t first = searched - std::min(searched, delimiter.size() - 1);
+    const std::size_t found = bytes.substr(first).rfind(delimiter);
     if (found != std::string_view::npos) {
-      end = std::max(end, found + delimiter.size());
+      end = std::max(end, first + found + delimiter.size());
     }
   }
   return end;
@@ -24,8 +27,9 @@
 }  // namespace
 
 std::string EventSplitter::Take(std::string_view bytes) {
+  const std::size_t searched = m_partial_event.size();
   m_partial_event.append(bytes);
-  const std::size_t end = EndOfLastEvent(m_partial_event);
+  const std::size_t end = EndOfLastEvent(m_partial_event, searched);
   std::string events = m_partial_event.substr(0, end);
   m_partial_event.erase(0, end);
   UpdateLastEventId(events);
--- a/packages/zinnia_decisions/forwarding/event_splitter.h
+++ b/packages/zinnia_decisions/forwarding/event_splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,7 +15,8 @@
 */
 class EventSplitter {
  public:
-  /** Appends received bytes and returns all events completed by them, concatenated. */
+  /** Appends received bytes and returns all events completed by them, concatenated. Bytes of an
+      earlier call are not searched again. */
   std::string Take(std::string_view bytes);
 
   /** Discards a partial event before another server resumes the stream. */
@@ -22,6 +24,8 @@
 
   bool HasPartialEvent() const { return !m_partial_event.empty(); }
 
+  std::size_t PartialEventBytes() const { return m_partial_event.size(); }
+
   /** The id of the last complete event that had one. */
   std::optional<std::uint64_t> LastEventId() const { return m_last_event_id; }
 
--- a/tests/forwarding/requests_test.cc
+++ b/tests/forwarding/requests_test.cc
@@ -1,3 +1,6 @@
+#include <ctime>
+#include <string>
+
 #include "tests/forwarding/forwarding_fakes.h"
 #include "zinnia_decisions/forwarding/event_splitter.h"
 #include "zinnia_decisions/forwarding/limits/recent_instances.h"
@@ -70,6 +73,50 @@
   STRCMP_EQUAL("id: 3\ndata: whole\n\n", splitter.Take("id: 3\ndata: whole\n\n").c_str());
 }
 
+// Guards against a delimiter that is missed since a read ended within it.
+TEST(EventSplitting, EventsAreFoundWhereverTheBytesAreCut) {
+  for (const std::string end : {"\n\n", "\r\n\r\n"}) {
+    const std::string line = end.substr(0, end.size() / 2);
+    const std::string first = "id: 1" + line + "data: a" + end;
+    const std::string second = "id: 2" + line + "data: b" + end;
+    const std::string all = first + second + "id: 3" + line;
+    for (std::size_t one = 0; one <= all.size(); ++one) {
+      for (std::size_t two = one; two <= all.size(); ++two) {
+        EventSplitter cut;
+        std::string events;
+        std::size_t from = 0;
+        for (const std::size_t to : {one, two, all.size()}) {
+          events += cut.Take(std::string_view(all).substr(from, to - from));
+          const std::size_t whole = to >= first.size() + second.size()
+                                        ? first.size() + second.size()
+                                    : to >= first.size() ? first.size()
+                                                         : 0;
+          CHECK_EQUAL(whole, events.size());
+          CHECK_EQUAL(to - whole, cut.PartialEventBytes());
+          from = to;
+        }
+        STRCMP_EQUAL((first + second).c_str(), events.c_str());
+        CHECK_EQUAL(2, *cut.LastEventId());
+      }
+    }
+  }
+}
+
+// Guards against a server that takes the whole thread with an event that has no end.
+TEST(EventSplitting, AnEventWithoutAnEndIsSearchedOnce) {
+  constexpr std::size_t kPieces = 320;
+  constexpr std::size_t kPieceBytes = 16'384;
+  const std::string piece(kPieceBytes, 'x');
+  const auto began = std::clock();
+  for (std::size_t count = 0; count < kPieces; ++count) {
+    STRCMP_EQUAL("", splitter.Take(piece).c_str());
+  }
+  const double seconds = static_cast<double>(std::clock() - began) / CLOCKS_PER_SEC;
+  CHECK_EQUAL(kPieces * kPieceBytes, splitter.PartialEventBytes());
+  CHECK_TRUE_TEXT(seconds < 0.5, std::to_string(seconds).c_str());
+  CHECK_EQUAL(kPieces * kPieceBytes + 2, splitter.Take("\n\n").size());
+}
+
 TEST_GROUP(RetryDecision) {
   ForwardRoute route;
   SendHistory history;
