An event without an end, and too much in hand, are broken off

What callers saw: one server that sent a stream's bytes without an event's end, or several that sent long answers at once, took the memory of the whole instance, and with it all other requests.

Cause: nothing bounded an unfinished event, nor the sum over all answers. An unfinished event beyond AnswerLimits::event_bytes (1 MiB) now closes its connection, for a held attempt too. Listeners say what they hold of an answer; beyond 48 MiB the largest answer is broken off, so that small ones go on. Both count as broken answers: the server is avoided, and the request is sent again or ended as its route allows. Each answer beyond a bound is one line answer_broken_off and one count of answers_broken_off_BOUND; an error that reaches the caller names the setting.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -258,14 +258,14 @@
   m_answer.StartStream(std::move(head));
 }
 
-void ForwardExchange::OnServerAnswerBody(std::string_view bytes) {
+HeldAnswerBytes ForwardExchange::OnServerAnswerBody(std::string_view bytes) {
   if (!m_attempt.is_streaming) {
     m_attempt.body.append(bytes);
-    return;
+    return Held();
   }
   const std::string events = m_events.Take(bytes);
   if (events.empty()) {
-    return;
+    return Held();
   }
   const TimePoint now = m_parts.clock.Now();
   const bool is_first = !m_event_intervals.HasBegun();
@@ -296,6 +296,14 @@
   }
   m_answer.SendEvents(events);
   MoveIfDue();
+  return Held();
+}
+
+HeldAnswerBytes ForwardExchange::Held() const {
+  if (!m_attempt.is_streaming) {
+    return {m_attempt.body.size(), 0};
+  }
+  return {m_events.PartialEventBytes(), m_events.PartialEventBytes()};
 }
 
 void ForwardExchange::OnServerAnswerEnd() {
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -89,7 +89,7 @@
 
   bool OnServerConnected() override;
   void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) override;
-  void OnServerAnswerBody(std::string_view bytes) override;
+  HeldAnswerBytes OnServerAnswerBody(std::string_view bytes) override;
   void OnServerAnswerEnd() override;
   void OnServerFailed(AnswerFailure failure, std::string_view reason) override;
 
@@ -126,6 +126,7 @@
     ResendObstacle obstacle = ResendObstacle::kNone;
   };
 
+  HeldAnswerBytes Held() const;
   bool ChooseServer();
   std::optional<Candidate> FindServer();
   std::optional<Candidate> FindPath();
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.h
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.h
@@ -13,6 +13,7 @@
 #include "zinnia_adapters/forwarding/reachability_watch.h"
 #include "zinnia_adapters/forwarding/server_connection_pool.h"
 #include "zinnia_adapters/forwarding/stall_inquiry.h"
+#include "zinnia_adapters/http/answer_limits.h"
 #include "zinnia_base/errors/result.h"
 #include "zinnia_decisions/forwarding/admission/capacity_queue.h"
 #include "zinnia_decisions/forwarding/crashes/request_quarantine.h"
@@ -68,6 +69,10 @@
 
   /** Where requests of instances that reach no server are taken; none if empty. */
   std::optional<NetworkAddress> peer_requests_address = std::nullopt;
+
+  /** Of one answer, and of what all answers in hand hold together. */
+  AnswerLimits answer_limits = {};
+  std::size_t answers_in_hand_bytes = kAnswersInHandBytes;
 };
 
 /** Owns the forwarding state of the traffic thread. Create, use and destroy it on that thread. */
--- a/packages/zinnia_adapters/forwarding/held_attempt.cc
+++ b/packages/zinnia_adapters/forwarding/held_attempt.cc
@@ -12,18 +12,25 @@
   m_head = Head{status, fields};
 }
 
-void HeldAttempt::OnServerAnswerBody(std::string_view bytes) {
+HeldAnswerBytes HeldAttempt::OnServerAnswerBody(std::string_view bytes) {
   if (m_is_useless) {
-    return;
+    return Held();
   }
   m_body.append(bytes);
   if (!m_events || m_events->Take(bytes).empty()) {
-    return;
+    return Held();
   }
-  if (const auto next = m_next.lock()) {
-    m_callbacks.on_word();
-    PassOnArrived();
+  const auto next = m_next.lock();
+  if (!next) {
+    return Held();
   }
+  m_callbacks.on_word();
+  return PassOnArrived();
+}
+
+HeldAnswerBytes HeldAttempt::Held() const {
+  const std::size_t event = m_events ? m_events->PartialEventBytes() : 0;
+  return {m_attempt.body.size() + m_body.size() + event, event};
 }
 
 void HeldAttempt::OnServerAnswerEnd() {
@@ -57,14 +64,15 @@
   }
 }
 
-void HeldAttempt::PassOnArrived() {
+HeldAnswerBytes HeldAttempt::PassOnArrived() {
   const auto next = m_next.lock();
   if (next && m_head) {
     next->OnServerAnswerHead(m_head->status, m_head->fields);
   }
   if (next && !m_body.empty()) {
-    next->OnServerAnswerBody(m_body);
+    return next->OnServerAnswerBody(m_body);
   }
+  return {};
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_adapters/forwarding/held_attempt.h
+++ b/packages/zinnia_adapters/forwarding/held_attempt.h
@@ -50,15 +50,17 @@
   void OnRerouted(std::optional<LayerPath> path);
 
   /** Passes on what has arrived while the attempt was held. Call once it was taken back. */
-  void PassOnArrived();
+  HeldAnswerBytes PassOnArrived();
 
   bool OnServerConnected() override;
   void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) override;
-  void OnServerAnswerBody(std::string_view bytes) override;
+  HeldAnswerBytes OnServerAnswerBody(std::string_view bytes) override;
   void OnServerAnswerEnd() override;
   void OnServerFailed(AnswerFailure failure, std::string_view reason) override;
 
  private:
+  HeldAnswerBytes Held() const;
+
   struct Head {
     unsigned status = 0;
     boost::beast::http::fields fields;
--- a/packages/zinnia_adapters/forwarding/server_answer_listener.h
+++ b/packages/zinnia_adapters/forwarding/server_answer_listener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/beast/http/fields.hpp>
+#include <cstddef>
 #include <string_view>
 
 namespace zinnia {
@@ -11,6 +12,14 @@
     have run. */
 enum class AnswerFailure { kNotSent, kRefused, kWithdrawn, kBroken };
 
+/** What a listener holds of an answer that is still arriving. */
+struct HeldAnswerBytes {
+  std::size_t all = 0;
+
+  /** Of a stream, of the event whose end has not arrived yet. */
+  std::size_t unfinished_event = 0;
+};
+
 /** Receives a server's answer as it arrives. OnServerAnswerEnd or OnServerFailed is the last call.
  */
 class ServerAnswerListener {
@@ -21,7 +30,7 @@
       since connecting takes time; otherwise OnServerFailed follows with kWithdrawn. */
   virtual bool OnServerConnected() = 0;
   virtual void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) = 0;
-  virtual void OnServerAnswerBody(std::string_view bytes) = 0;
+  virtual HeldAnswerBytes OnServerAnswerBody(std::string_view bytes) = 0;
   virtual void OnServerAnswerEnd() = 0;
   virtual void OnServerFailed(AnswerFailure failure, std::string_view reason) = 0;
 };
--- a/packages/zinnia_adapters/forwarding/server_connection.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection.cc
@@ -1,5 +1,6 @@
 #include "zinnia_adapters/forwarding/server_connection.h"
 
+#include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -22,6 +23,8 @@
 constexpr int kTcpUserTimeoutMilliseconds = 2'500;
 
 constexpr std::size_t kReadBytes = 16'384;
+/** The bound of AnswerMemory, as its setting is named. */
+constexpr std::string_view kSumOfAnswers = "answers_in_hand_bytes";
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
 /** Parses the timeout of a Keep-Alive header, such as "timeout=5, max=100". */
@@ -39,15 +42,23 @@
 }  // namespace
 
 std::shared_ptr<ServerConnection> ServerConnection::Create(asio::io_context& loop,
-                                                           const Clock& clock,
+                                                           ServerConnectionParts parts,
+                                                           BackendServerName server,
                                                            NetworkAddress address) {
-  return std::shared_ptr<ServerConnection>(new ServerConnection(loop, clock, std::move(address)));
+  return std::shared_ptr<ServerConnection>(
+      new ServerConnection(loop, std::move(parts), std::move(server), std::move(address)));
 }
 
 ServerConnection::ServerConnection(asio::io_context& loop,
-                                   const Clock& clock,
+                                   ServerConnectionParts parts,
+                                   BackendServerName server,
                                    NetworkAddress address)
-    : m_clock(clock), m_address(std::move(address)), m_socket(loop), m_connect_timer(loop) {}
+    : m_parts(std::move(parts)),
+      m_server(std::move(server)),
+      m_address(std::move(address)),
+      m_socket(loop),
+      m_connect_timer(loop),
+      m_share(m_parts.memory, [this](std::size_t bytes) { OnLetGo(bytes); }) {}
 
 void ServerConnection::Send(Request request,
                             std::weak_ptr<ServerAnswerListener> listener,
@@ -58,7 +69,8 @@
   m_busy = true;
   m_head_delivered = false;
   ++m_exchange;
-  m_reader.emplace(AnswerLimits(), m_request.method() == http::verb::head);
+  m_answer_bytes = 0;
+  m_reader.emplace(m_parts.limits, m_request.method() == http::verb::head);
   if (m_connected) {
     m_has_served = true;
     Write();
@@ -136,7 +148,12 @@
     return;
   }
   m_buffer.commit(bytes);
+  m_answer_bytes += bytes;
   if (const auto fault = ReadAnswer(error)) {
+    if (fault->IsBound()) {
+      BreakOff(NameOf(fault->kind), fault->detail);
+      return;
+    }
     Fail(AnswerFailure::kBroken, fault->detail);
     return;
   }
@@ -180,16 +197,57 @@
 void ServerConnection::DeliverBody() {
   const std::string bytes = m_reader->TakeBody();
   if (bytes.empty()) {
+    if (!m_reader->HasHead()) {
+      CountHeld({});
+    }
     return;
   }
   if (const auto listener = m_listener.lock()) {
-    listener->OnServerAnswerBody(bytes);
+    const HeldAnswerBytes held = listener->OnServerAnswerBody(bytes);
+    if (!m_closed) {
+      CountHeld(held);
+    }
+  }
+}
+
+void ServerConnection::CountHeld(HeldAnswerBytes held) {
+  const std::size_t limit = m_parts.limits.event_bytes;
+  if (held.unfinished_event > limit) {
+    const std::string_view bound = NameOf(AnswerFaultKind::kEventTooLong);
+    BreakOff(bound, fmt::format("more than {} = {}", bound, limit));
+    return;
+  }
+  m_share.Set(held.all + m_buffer.size());
+}
+
+/** All answers together hold too much, and this one is the largest. */
+void ServerConnection::OnLetGo(std::size_t bytes) {
+  const auto self = weak_from_this().lock();
+  if (self && !m_closed) {
+    BreakOff(kSumOfAnswers, fmt::format("all answers in hand hold more than {} bytes, this one {}",
+                                        m_parts.memory->Limit(), bytes));
   }
 }
 
+void ServerConnection::BreakOff(std::string_view bound, const std::string& detail) {
+  const std::string setting =
+      bound == kSumOfAnswers ? std::string(bound) : fmt::format("answer_{}", bound);
+  m_parts.metrics.Count(fmt::format("answers_broken_off_{}", bound));
+  m_parts.logger.Log(LogLevel::kWarning, "answer_broken_off",
+                     {{"server", m_server},
+                      {"bound", std::string(bound)},
+                      {"bytes", std::to_string(m_answer_bytes)},
+                      {"reason", detail}});
+  Fail(AnswerFailure::kBroken,
+       fmt::format("the answer of {} was broken off: {}; correct the server, or raise the setting "
+                   "{} if it is sound",
+                   m_server, detail, setting));
+}
+
 void ServerConnection::FinishAnswer() {
   m_busy = false;
-  m_idle_since = m_clock.Now();
+  m_share.Clear();
+  m_idle_since = m_parts.clock.Now();
   const bool keep = m_reader->KeepsConnection() && m_buffer.size() == 0 && !m_writing;
   const auto listener = std::exchange(m_listener, {}).lock();
   if (!keep) {
@@ -231,6 +289,7 @@
     return;
   }
   m_busy = false;
+  m_share.Clear();
   m_listener.reset();
   m_connect_timer.cancel();
   boost::system::error_code ignored;
--- a/packages/zinnia_adapters/forwarding/server_connection.h
+++ b/packages/zinnia_adapters/forwarding/server_connection.h
@@ -10,27 +10,34 @@
 #include <memory>
 #include <optional>
 
+#include "zinnia_adapters/forwarding/server_connection_parts.h"
 #include "zinnia_adapters/http/answer_reader.h"
 #include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/answer_memory.h"
 #include "zinnia_world/fleet/network_address.h"
+#include "zinnia_world/names/names.h"
 
 namespace zinnia {
 
 class ServerAnswerListener;
 enum class AnswerFailure;
+struct HeldAnswerBytes;
 
 /** HTTP/1.1 connection to a backend server that streams answers to a listener, one request at a
     time.
 
-    Connects on the first request. It is closed permanently after a failure, after unexpected bytes,
-    or when the server requests it. A listener may call Close from its callbacks.
+    An answer beyond its limits, or the largest when all answers together hold too much, is broken
+    off: the connection is closed, and the listener is told so with kBroken. Connects on the first
+   request. It is closed permanently after a failure, after unexpected bytes, or when the server
+   requests it. A listener may call Close from its callbacks.
 */
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
   static std::shared_ptr<ServerConnection> Create(boost::asio::io_context& loop,
-                                                  const Clock& clock,
+                                                  ServerConnectionParts parts,
+                                                  BackendServerName server,
                                                   NetworkAddress address);
 
   /** Sends the request. `listener` receives the answer until it ends or Close is called. */
@@ -60,7 +67,10 @@
   Duration ServerIdleLimit() const { return m_server_idle_limit; }
 
  private:
-  ServerConnection(boost::asio::io_context& loop, const Clock& clock, NetworkAddress address);
+  ServerConnection(boost::asio::io_context& loop,
+                   ServerConnectionParts parts,
+                   BackendServerName server,
+                   NetworkAddress address);
   void Connect(Duration limit);
   void OnConnected(const boost::system::error_code& error);
   void Write();
@@ -69,10 +79,16 @@
   std::optional<AnswerFault> ReadAnswer(const boost::system::error_code& error);
   bool DeliverHead();
   void DeliverBody();
+  void CountHeld(HeldAnswerBytes held);
+  void OnLetGo(std::size_t bytes);
+
+  /** `bound`: the setting that the answer exceeds is this, after "answer". */
+  void BreakOff(std::string_view bound, const std::string& detail);
   void FinishAnswer();
   void Fail(AnswerFailure failure, const std::string& reason);
 
-  const Clock& m_clock;
+  const ServerConnectionParts m_parts;
+  const BackendServerName m_server;
   const NetworkAddress m_address;
   boost::asio::ip::tcp::socket m_socket;
   boost::asio::steady_timer m_connect_timer;
@@ -80,6 +96,10 @@
   Request m_request;
   std::optional<AnswerReader> m_reader;
   std::weak_ptr<ServerAnswerListener> m_listener;
+  AnswerMemory::Share m_share;
+
+  /** Received of the answer in progress, with its head and framing. */
+  std::size_t m_answer_bytes = 0;
   TimePoint m_idle_since{};
   Duration m_server_idle_limit{};
   std::uint64_t m_exchange = 0;
--- a/packages/zinnia_adapters/forwarding/server_connection_pool.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection_pool.cc
@@ -32,7 +32,7 @@
 
 bool ServerConnectionPool::IsTooOld(const ServerConnection& connection,
                                     Duration longest_idle) const {
-  const Duration idle = m_clock.Now() - connection.IdleSince();
+  const Duration idle = m_parts.clock.Now() - connection.IdleSince();
   const Duration server_limit = connection.ServerIdleLimit();
   return idle > longest_idle ||
          (server_limit > Duration::zero() && idle + kIdleMargin > server_limit);
@@ -54,7 +54,7 @@
     }
     connection->Close();
   }
-  return ServerConnection::Create(m_loop, m_clock, address);
+  return ServerConnection::Create(m_loop, m_parts, server, address);
 }
 
 bool ServerConnectionPool::HasIdle(const BackendServerName& server) const {
--- a/packages/zinnia_adapters/forwarding/server_connection_pool.h
+++ b/packages/zinnia_adapters/forwarding/server_connection_pool.h
@@ -5,7 +5,9 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <utility>
 
+#include "zinnia_adapters/forwarding/server_connection_parts.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_decisions/forwarding/paths/idle_connections.h"
 #include "zinnia_world/forwarding/server_entry.h"
@@ -18,8 +20,8 @@
     thread-safe. */
 class ServerConnectionPool final : public IdleConnections {
  public:
-  ServerConnectionPool(boost::asio::io_context& loop, const Clock& clock)
-      : m_loop(loop), m_clock(clock) {}
+  ServerConnectionPool(boost::asio::io_context& loop, ServerConnectionParts parts)
+      : m_loop(loop), m_parts(std::move(parts)) {}
   ~ServerConnectionPool() override;
 
   /** Returns a pooled connection idle for at most `longest_idle`, or a new one. */
@@ -44,7 +46,7 @@
   bool IsTooOld(const ServerConnection& connection, Duration longest_idle) const;
 
   boost::asio::io_context& m_loop;
-  const Clock& m_clock;
+  const ServerConnectionParts m_parts;
   std::map<BackendServerName, Idle> m_idle;
 };
 
--- a/packages/zinnia_adapters/http/answer_fault.h
+++ b/packages/zinnia_adapters/http/answer_fault.h
@@ -7,7 +7,7 @@
 
 namespace zinnia {
 
-/** Why what a server sent is not an answer. The last five: a bound of AnswerLimits. */
+/** Why what a server sent is not an answer. From kHeadTooLong on: a bound of AnswerLimits. */
 enum class AnswerFaultKind {
   kMalformed,
   kCutShort,
@@ -18,12 +18,13 @@
   kInterimHeadsTooLong,
   kLineTooLong,
   kBodyTooLong,
+  kEventTooLong,
 };
 
 inline std::string_view NameOf(AnswerFaultKind kind) {
-  static constexpr std::array<std::string_view, 9> kNames = {
+  static constexpr std::array<std::string_view, 10> kNames = {
       "malformed",     "cut_short",     "unexpected_status", "unknown_encoding", "head_bytes",
-      "interim_heads", "interim_bytes", "line_bytes",        "body_bytes"};
+      "interim_heads", "interim_bytes", "line_bytes",        "body_bytes",       "event_bytes"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
--- a/packages/zinnia_adapters/http/answer_limits.h
+++ b/packages/zinnia_adapters/http/answer_limits.h
@@ -16,8 +16,14 @@
   /** The line before a chunk with its extensions, or the trailer section. */
   std::size_t line_bytes = std::size_t{16} << 10;
 
+  /** Of one event of a stream, until its end has arrived. */
+  std::size_t event_bytes = std::size_t{1} << 20;
+
   /** Of the whole body, without the framing of chunks. */
   std::size_t body_bytes = std::size_t{32} << 20;
 };
 
+/** The default for what all answers in hand hold together: one of the longest, and many others. */
+constexpr std::size_t kAnswersInHandBytes = std::size_t{48} << 20;
+
 }  // namespace zinnia
--- a/tests/forwarding/forwarding_fakes.h
+++ b/tests/forwarding/forwarding_fakes.h
@@ -21,10 +21,14 @@
 namespace zinnia {
 
 struct RecordingLogger final : Logger {
-  void Log(LogLevel, std::string_view event, std::initializer_list<LogField>) override {
+  void Log(LogLevel level,
+           std::string_view event,
+           std::initializer_list<LogField> fields) override {
     events.emplace_back(event);
+    lines.push_back(FormatLogLine(level, event, fields));
   }
   std::vector<std::string> events;
+  std::vector<std::string> lines;
 };
 
 /** A model with layers of 1,750 MB that runs on three kinds of accelerators. */
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -194,7 +194,9 @@
 /** ForwardingTraffic with servers "a" and "b" of the service "plain" and a route for each kind of
     request on the host "h". */
 struct ForwardingFixture {
-  ForwardingFixture() {
+  explicit ForwardingFixture(AnswerLimits answer_limits = {},
+                             std::size_t answers_in_hand_bytes = kAnswersInHandBytes)
+      : limits(answer_limits), in_hand_bytes(answers_in_hand_bytes) {
     auto rules = std::make_shared<ForwardingRules>();
     rules->version = 1;
     rules->keys_required = true;
@@ -243,7 +245,9 @@
               crash_reports.insert(crash_reports.end(), reports.begin(), reports.end());
             },
             [this](const QuarantineReport& quarantine) { quarantines.push_back(quarantine); },
-            NetworkAddress{"127.0.0.1", 0}});
+            NetworkAddress{"127.0.0.1", 0},
+            limits,
+            in_hand_bytes});
   }
 
   /** The instance has saved retries for so long; a new one begins without. */
@@ -336,6 +340,8 @@
   }
   static std::string Event(int id) { return fmt::format("id: {}\ndata: e{}\n\n", id, id); }
 
+  const AnswerLimits limits;
+  const std::size_t in_hand_bytes;
   MovableClock clock;
   RecordingLogger logger;
   CountingMetrics metrics;
