Settings for the bounds on servers' answers

Operators can set answer_head_bytes, answer_interim_heads, answer_interim_bytes, answer_line_bytes, answer_event_bytes, answer_body_bytes and answers_in_hand_bytes; a missing field keeps its default. Bad values, and a sum below one body, are refused at start with the field's name and what it must be. The values reach the connections through ForwardingTrafficParts.

--- a/packages/zinnia_adapters/settings/forwarding_settings.cc
+++ b/packages/zinnia_adapters/settings/forwarding_settings.cc
@@ -1,8 +1,12 @@
 #include "zinnia_adapters/settings/forwarding_settings.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
+#include <cstdint>
+#include <limits>
 
 #include "zinnia_adapters/settings/text_file.h"
 
@@ -12,6 +16,9 @@
 namespace json = boost::json;
 using std::chrono::milliseconds;
 
+/** Less would break off sound answers. */
+constexpr std::size_t kLeastBoundBytes = 1'024;
+constexpr std::size_t kLargestBound = std::numeric_limits<std::uint32_t>::max();
 constexpr double kMillisecondsPerSecond = 1'000.0;
 
 struct LogLevelRow {
@@ -66,6 +73,22 @@
     return value->to_number<double>();
   }
 
+  std::size_t WholeNumberOr(std::string_view name,
+                            std::size_t otherwise,
+                            std::size_t least,
+                            std::string_view unit) const {
+    const json::value* value = m_object.if_contains(name);
+    if (value == nullptr || value->is_null()) {
+      return otherwise;
+    }
+    boost::system::error_code error;
+    const auto number = value->is_number() ? value->to_number<std::uint64_t>(error) : 0;
+    if (error || number < least || number > kLargestBound) {
+      Reject(name, fmt::format("a whole number of {} from {} to {}", unit, least, kLargestBound));
+    }
+    return number;
+  }
+
   bool FlagOr(std::string_view name, bool otherwise) const {
     const json::value* value = m_object.if_contains(name);
     if (value == nullptr || value->is_null()) {
@@ -124,7 +147,7 @@
   return milliseconds(static_cast<std::int64_t>(seconds * kMillisecondsPerSecond));
 }
 
-constexpr std::array<std::string_view, 20> kFieldNames = {
+constexpr std::array<std::string_view, 27> kFieldNames = {
     "instance",
     "failure_domain",
     "region",
@@ -143,6 +166,13 @@
     "retry_budget_ratio",
     "retry_budget_slack",
     "retry_budget_window_seconds",
+    "answer_head_bytes",
+    "answer_interim_heads",
+    "answer_interim_bytes",
+    "answer_line_bytes",
+    "answer_event_bytes",
+    "answer_body_bytes",
+    "answers_in_hand_bytes",
     "engines_check_fencing",
     "log_level",
 };
@@ -159,6 +189,21 @@
   }
 }
 
+AnswerLimits ReadAnswerLimits(const SettingsFields& fields) {
+  const auto bytes = [&fields](std::string_view name, std::size_t otherwise) {
+    return fields.WholeNumberOr(name, otherwise, kLeastBoundBytes, "bytes");
+  };
+  AnswerLimits limits;
+  limits.head_bytes = bytes("answer_head_bytes", limits.head_bytes);
+  limits.interim_heads =
+      fields.WholeNumberOr("answer_interim_heads", limits.interim_heads, 1, "heads");
+  limits.interim_bytes = bytes("answer_interim_bytes", limits.interim_bytes);
+  limits.line_bytes = bytes("answer_line_bytes", limits.line_bytes);
+  limits.event_bytes = bytes("answer_event_bytes", limits.event_bytes);
+  limits.body_bytes = bytes("answer_body_bytes", limits.body_bytes);
+  return limits;
+}
+
 ForwardingSettings Read(const SettingsFields& fields) {
   ForwardingSettings settings;
   settings.instance = fields.Text("instance");
@@ -186,6 +231,14 @@
   settings.retry_budget_slack = fields.NumberOr("retry_budget_slack", 0.0, 0.0);
   settings.retry_budget_window =
       FromSeconds(fields.NumberOr("retry_budget_window_seconds", 10.0, 0.1));
+  settings.answer_limits = ReadAnswerLimits(fields);
+  settings.answers_in_hand_bytes = fields.WholeNumberOr(
+      "answers_in_hand_bytes", settings.answers_in_hand_bytes, kLeastBoundBytes, "bytes");
+  if (settings.answers_in_hand_bytes < settings.answer_limits.body_bytes) {
+    Reject("answers_in_hand_bytes",
+           fmt::format("at least answer_body_bytes = {}: one answer must fit",
+                       settings.answer_limits.body_bytes));
+  }
   settings.engines_check_fencing = fields.FlagOr("engines_check_fencing", true);
   settings.log_level = fields.LogLevelOr("log_level", LogLevel::kInfo);
   return settings;
--- a/packages/zinnia_adapters/settings/forwarding_settings.h
+++ b/packages/zinnia_adapters/settings/forwarding_settings.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "zinnia_adapters/http/answer_limits.h"
 #include "zinnia_base/errors/result.h"
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_world/fleet/network_address.h"
@@ -49,6 +51,10 @@
   double retry_budget_slack = 0.0;
   std::chrono::milliseconds retry_budget_window{10'000};
 
+  /** Of one answer of a server, and of what all answers in hand hold together. */
+  AnswerLimits answer_limits;
+  std::size_t answers_in_hand_bytes = kAnswersInHandBytes;
+
   /** Whether engines refuse orders with an old fencing number. */
   bool engines_check_fencing = true;
   LogLevel log_level = LogLevel::kInfo;
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -202,7 +202,8 @@
           [this](const QuarantineReport& quarantine) {
             m_control_thread->Post([this, quarantine] { m_control->OnQuarantined(quarantine); });
           },
-          m_settings.peer_requests_address});
+          m_settings.peer_requests_address, m_settings.answer_limits,
+          m_settings.answers_in_hand_bytes});
   ListenForTexts();
   ScheduleUpkeep();
 }
--- a/tests/forwarding_path/forwarding_settings_test.cc
+++ b/tests/forwarding_path/forwarding_settings_test.cc
@@ -67,4 +67,42 @@
   STRCMP_CONTAINS("not a JSON object", FaultOf("{", "[").c_str());
 }
 
+TEST(ForwardingSettings, ReadsTheBoundsOnAnswers) {
+  const auto without = zinnia::ForwardingSettings::Parse(good);
+  CHECK_EQUAL(std::size_t{32} << 20, without->answer_limits.body_bytes);
+  CHECK_EQUAL(std::size_t{48} << 20, without->answers_in_hand_bytes);
+  std::string text = good;
+  text.insert(1,
+              R"("answer_head_bytes": 2001, "answer_interim_heads": 2, "answer_interim_bytes": 2003,
+    "answer_line_bytes": 2004, "answer_event_bytes": 2005, "answer_body_bytes": 2006,
+    "answers_in_hand_bytes": 2007,)");
+  const auto settings = zinnia::ForwardingSettings::Parse(text);
+  CHECK_TRUE(settings.has_value());
+  CHECK_EQUAL(2001, settings->answer_limits.head_bytes);
+  CHECK_EQUAL(2, settings->answer_limits.interim_heads);
+  CHECK_EQUAL(2003, settings->answer_limits.interim_bytes);
+  CHECK_EQUAL(2004, settings->answer_limits.line_bytes);
+  CHECK_EQUAL(2005, settings->answer_limits.event_bytes);
+  CHECK_EQUAL(2006, settings->answer_limits.body_bytes);
+  CHECK_EQUAL(2007, settings->answers_in_hand_bytes);
+}
+
+TEST(ForwardingSettings, SaysWhatABoundOnAnswersMustBe) {
+  const auto fault_with = [this](const std::string& fields) { return FaultOf("{", "{" + fields); };
+  for (const std::string_view name : zinnia::ForwardingSettings::FieldNames()) {
+    if (!name.starts_with("answer")) {
+      continue;
+    }
+    const std::string field(name);
+    for (const std::string value : {"0", "-1", "1500.5", "\"2000\"", "4294967296", "1e300"}) {
+      const std::string fault = fault_with('"' + field + "\": " + value + ",");
+      STRCMP_CONTAINS((field + " must be a whole number of ").c_str(), fault.c_str());
+      STRCMP_CONTAINS(" to 4294967295", fault.c_str());
+    }
+  }
+  STRCMP_CONTAINS(
+      "answers_in_hand_bytes must be at least answer_body_bytes = 3000",
+      fault_with(R"("answer_body_bytes": 3000, "answers_in_hand_bytes": 2999,)").c_str());
+}
+
 }  // namespace zinnia
