--- a/packages/zinnia_adapters/forwarding/held_attempt.cc
+++ b/packages/zinnia_adapters/forwarding/held_attempt.cc
@@ -12,17 +12,24 @@
   m_arrived.head = Arrived::Head{status, fields};
 }
 
-void HeldAttempt::OnServerAnswerBody(std::string_view bytes) {
+HeldAnswerBytes HeldAttempt::OnServerAnswerBody(std::string_view bytes) {
   if (m_is_useless) {
-    return;
+    return Held();
   }
   m_arrived.body.append(bytes);
   if (!m_events || m_events->Take(bytes).empty()) {
-    return;
+    return Held();
   }
   if (const auto next = m_next.lock()) {
     m_callbacks.on_word();
+    return {};  // The listener that has taken the attempt back counts from now on.
   }
+  return Held();
+}
+
+HeldAnswerBytes HeldAttempt::Held() const {
+  const std::size_t event = m_events ? m_events->PartialEventBytes() : 0;
+  return {m_attempt.body.size() + m_arrived.body.size() + event, event};
 }
 
 void HeldAttempt::OnServerAnswerEnd() {
--- a/packages/zinnia_adapters/forwarding/held_attempt.h
+++ b/packages/zinnia_adapters/forwarding/held_attempt.h
@@ -66,11 +66,13 @@
 
   bool OnServerConnected() override;
   void OnServerAnswerHead(unsigned status, const boost::beast::http::fields& fields) override;
-  void OnServerAnswerBody(std::string_view bytes) override;
+  HeldAnswerBytes OnServerAnswerBody(std::string_view bytes) override;
   void OnServerAnswerEnd() override;
   void OnServerFailed(AnswerFailure failure, std::string_view reason) override;
 
  private:
+  HeldAnswerBytes Held() const;
+
   ServerAttempt m_attempt;
   std::optional<EventSplitter> m_events;
 
