--- a/tests/forwarding/requests_test.cc
+++ b/tests/forwarding/requests_test.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <ctime>
 #include <string>
 
@@ -77,9 +79,9 @@
 TEST(EventSplitting, EventsAreFoundWhereverTheBytesAreCut) {
   for (const std::string end : {"\n\n", "\r\n\r\n"}) {
     const std::string line = end.substr(0, end.size() / 2);
-    const std::string first = "id: 1" + line + "data: a" + end;
-    const std::string second = "id: 2" + line + "data: b" + end;
-    const std::string all = first + second + "id: 3" + line;
+    const std::string first = fmt::format("id: 1{}data: a{}", line, end);
+    const std::string second = fmt::format("id: 2{}data: b{}", line, end);
+    const std::string all = fmt::format("{}{}id: 3{}", first, second, line);
     for (std::size_t one = 0; one <= all.size(); ++one) {
       for (std::size_t two = one; two <= all.size(); ++two) {
         EventSplitter cut;
--- a/tests/forwarding_path/endless_answers_test.cc
+++ b/tests/forwarding_path/endless_answers_test.cc
@@ -75,7 +75,7 @@
                                        const std::string& begins,
                                        std::string goes_on,
                                        std::size_t most = std::string::npos) {
-    const auto pourer = std::make_shared<Pourer>(connection, std::move(goes_on), most);
+    auto pourer = std::make_shared<Pourer>(connection, std::move(goes_on), most);
     connection.socket.set_option(boost::asio::socket_base::send_buffer_size(kSendBufferBytes));
     connection.Write(begins);
     pourer->Write();
@@ -125,7 +125,7 @@
 static std::shared_ptr<std::vector<std::shared_ptr<Pourer>>> Script(ForwardingFixture& f,
                                                                     const EndlessCase& one,
                                                                     std::size_t pouring) {
-  const auto pourers = std::make_shared<std::vector<std::shared_ptr<Pourer>>>();
+  auto pourers = std::make_shared<std::vector<std::shared_ptr<Pourer>>>();
   f.Script([=](Connection& connection) {
     if (pourers->size() < pouring) {
       pourers->push_back(Pourer::Start(connection, one.begins, one.goes_on));
@@ -237,13 +237,16 @@
   });
   std::map<std::string, const TestCaller*> caller;
   std::map<std::string, std::shared_ptr<Pourer>> pourers;
-  for (const auto& [target, kilobytes] :
-       {std::pair("/once/sound", 10), {"/once/large", 400}, {"/once/b", 300}, {"/once/c", 380}}) {
-    caller[target] = &f.Call(target);
-    CHECK_TRUE(f.Until([&] { return asked.contains(target); }));
-    pourers[target] = Pourer::Start(*asked[target], "", piece, kilobytes << 10);
-    CHECK_TRUE(f.Until(
-        [&] { return pourers[target]->Written() == static_cast<std::size_t>(kilobytes) << 10; }));
+  struct Pour {
+    std::string target;
+    std::size_t bytes;
+  };
+  for (const Pour& one : {Pour{"/once/sound", 10 << 10}, Pour{"/once/large", 400 << 10},
+                          Pour{"/once/b", 300 << 10}, Pour{"/once/c", 380 << 10}}) {
+    caller[one.target] = &f.Call(one.target);
+    CHECK_TRUE(f.Until([&] { return asked.contains(one.target); }));
+    pourers[one.target] = Pourer::Start(*asked[one.target], "", piece, one.bytes);
+    CHECK_TRUE(f.Until([&] { return pourers[one.target]->Written() == one.bytes; }));
     f.thread.Loop().restart();
     f.thread.Loop().run_for(milliseconds(50));
   }
--- a/tests/forwarding_path/forwarding_settings_test.cc
+++ b/tests/forwarding_path/forwarding_settings_test.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <boost/json.hpp>
 #include <fstream>
 #include <sstream>
@@ -95,7 +97,7 @@
     }
     const std::string field(name);
     for (const std::string value : {"0", "-1", "1500.5", "\"2000\"", "4294967296", "1e300"}) {
-      const std::string fault = fault_with('"' + field + "\": " + value + ",");
+      const std::string fault = fault_with(fmt::format("\"{}\": {},", field, value));
       STRCMP_CONTAINS((field + " must be a whole number of ").c_str(), fault.c_str());
       STRCMP_CONTAINS(" to 4294967295", fault.c_str());
     }
