Tests: the memory of pouring servers is sampled without a busy loop

The loop took a core and, under valgrind, starved the client's thread: two of 31 calls had no result after 20 s. test_adapters -sg HttpClientBounds: all 5 pass, three runs.

--- a/tests/adapters/control_answers_in_hand_test.cc
+++ b/tests/adapters/control_answers_in_hand_test.cc
@@ -72,6 +72,8 @@
 constexpr std::size_t kServers = 30;
 constexpr std::chrono::seconds kPourLimit{10};
 
+constexpr std::chrono::microseconds kSampleInterval{100};
+
 /** Read buffers, heads, requests and the frames of coroutines. */
 constexpr std::size_t kBytesBesideTheAnswer = std::size_t{96} << 10;
 
@@ -118,6 +120,7 @@
     const auto give_up_at = std::chrono::steady_clock::now() + 2 * kPourLimit;
     while (m_results.Count() < results && std::chrono::steady_clock::now() < give_up_at) {
       most = std::max(most, AllocatedBytes());
+      std::this_thread::sleep_for(kSampleInterval);
     }
     CHECK_EQUAL(results, m_results.Count());
     return most - before;
