An empty chunked answer that arrives in parts does not end the process

Boost.Beast 1.81 aborts (assertion n >= 5 in parse_chunk_header, active since NDEBUG is not set) if it sees less than five bytes of the last chunk twice: '0 CR LF' and then one more byte, behind an empty body. AnswerReader now waits for the whole last chunk; the test feeds byte by byte and aborted before.

--- a/packages/zinnia_adapters/http/answer_reader.cc
+++ b/packages/zinnia_adapters/http/answer_reader.cc
@@ -4,6 +4,7 @@
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
+#include <string_view>
 #include <utility>
 
 namespace zinnia {
@@ -20,6 +21,8 @@
 
 constexpr unsigned kHttp11 = 11;
 
+constexpr std::string_view kShortestLastChunk = "0\r\n\r\n";
+
 AnswerFault Beyond(AnswerFaultKind bound, std::size_t limit) {
   return {bound, fmt::format("more than {} = {}", NameOf(bound), limit)};
 }
@@ -44,6 +47,14 @@
          !boost::beast::iequals(fields.first->value(), "chunked");
 }
 
+/** Whether the buffer may hold the beginning of the last chunk. The parser aborts if it sees less
+    than a whole one twice. Such bytes end no event, so that none is held back. */
+bool IsPartOfLastChunk(const boost::beast::flat_buffer& buffer) {
+  const std::string_view bytes(static_cast<const char*>(buffer.data().data()), buffer.size());
+  return bytes.size() < kShortestLastChunk.size() && bytes.starts_with('0') &&
+         bytes.find("\r\n") != std::string_view::npos;
+}
+
 }  // namespace
 
 AnswerReader::AnswerReader(const AnswerLimits& limits, bool is_head_request)
@@ -61,6 +72,9 @@
 
 std::optional<AnswerFault> AnswerReader::Read(boost::beast::flat_buffer& buffer) {
   while (buffer.size() > 0 && !IsDone()) {
+    if (m_has_head && m_parser->chunked() && IsPartOfLastChunk(buffer)) {
+      break;
+    }
     const std::size_t before = buffer.size();
     if (auto fault = ReadPart(buffer)) {
       return fault;
--- a/tests/forwarding_path/answer_fields_test.cc
+++ b/tests/forwarding_path/answer_fields_test.cc
@@ -2,6 +2,7 @@
 
 #include "tests/forwarding_path/forwarding_fixture.h"
 #include "tests/forwarding_path/strict_answer_parser.h"
+#include "zinnia_adapters/http/answer_reader.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -61,4 +62,41 @@
   CHECK_EQUAL(1U, f.Arrivals());
 }
 
+// The parser aborts the process if it sees the start of the last chunk twice.
+TEST(AnswerFieldPath, ATrailerSectionMayArriveInParts) {
+  for (const std::string_view last : {"0\r\n\r\n", "00\r\n\r\n", "0;\r\n\r\n"}) {
+    AnswerReader reader(AnswerLimits(), false);
+    boost::beast::flat_buffer buffer;
+    const std::string bytes = ForwardingFixture::Head("Transfer-Encoding: chunked\r\n");
+    for (const char byte : bytes + std::string(last)) {
+      CHECK_FALSE(reader.IsDone());
+      boost::asio::buffer_copy(buffer.prepare(1), boost::asio::buffer(&byte, 1));
+      buffer.commit(1);
+      reader.Read(buffer);
+    }
+    CHECK_EQUAL(last != "0;\r\n\r\n", reader.IsDone());
+  }
+}
+
+/** Apart from the others: it aborts the program as long as it fails. */
+TEST_GROUP(CallerLastChunkPath) {
+  ForwardingFixture f;
+};
+
+TEST(CallerLastChunkPath, ACallersLastChunkMayArriveInParts) {
+  f.Script([](RawServer::Connection& connection) {
+    connection.Write(ForwardingFixture::Head("Content-Length: 2\r\n") + "ok");
+  });
+  f.callers.push_back(std::make_unique<TestCaller>(f.thread.Loop(), f.traffic->Server().Port()));
+  TestCaller& caller = *f.callers.back();
+  for (const std::string part : {"POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: r-1\r\nX-Key: key-1\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n",
+                                 "0\r\n", "\r", "\n"}) {
+    caller.Send(part);
+    f.thread.Loop().restart();
+    f.thread.Loop().run_for(std::chrono::milliseconds(20));
+  }
+  CHECK_TRUE(f.Until([&] { return caller.Received().ends_with("ok"); }));
+}
+
 }  // namespace zinnia
