--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "zinnia_adapters/callers/caller_exchange.h"
+#include "zinnia_adapters/http/message_reading.h"
 #include "zinnia_base/errors/error.h"
 
 namespace zinnia {
@@ -165,18 +166,17 @@
 
 void CallerConnection::ReadBody() {
   m_stream.expires_after(m_limits.body_timeout);
-  http::async_read(
-      m_stream, m_buffer, *m_parser,
-      [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-        if (self->m_closed) {
-          return;
-        }
-        if (error) {
-          self->RefuseUnreadable(error);
-          return;
-        }
-        self->RunExchange();
-      });
+  ReadRequest(m_stream, m_buffer, *m_parser,
+              [self = shared_from_this()](const boost::system::error_code& error) {
+                if (self->m_closed) {
+                  return;
+                }
+                if (error) {
+                  self->RefuseUnreadable(error);
+                  return;
+                }
+                self->RunExchange();
+              });
 }
 
 void CallerConnection::RefuseUnreadable(const boost::system::error_code& error) {
--- a/packages/zinnia_adapters/forwarding/text_server.cc
+++ b/packages/zinnia_adapters/forwarding/text_server.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "zinnia_adapters/http/listening_socket.h"
+#include "zinnia_adapters/http/message_reading.h"
 #include "zinnia_base/time/clock.h"
 
 namespace zinnia {
@@ -36,12 +37,12 @@
     m_parser.emplace();
     m_parser->header_limit(kMostHeaderBytes);
     m_stream.expires_after(kIdleLimit);
-    http::async_read(m_stream, m_buffer, *m_parser,
-                     [self = shared_from_this()](const beast::error_code& error, std::size_t) {
-                       if (!error) {
-                         self->Answer();
-                       }
-                     });
+    ReadRequest(m_stream, m_buffer, *m_parser,
+                [self = shared_from_this()](const beast::error_code& error) {
+                  if (!error) {
+                    self->Answer();
+                  }
+                });
   }
 
  private:
--- a/packages/zinnia_adapters/http/answer_reader.cc
+++ b/packages/zinnia_adapters/http/answer_reader.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/error.hpp>
 #include <utility>
 
+#include "zinnia_adapters/http/message_reading.h"
+
 namespace zinnia {
 namespace {
 
@@ -61,6 +63,9 @@
 
 std::optional<AnswerFault> AnswerReader::Read(boost::beast::flat_buffer& buffer) {
   while (buffer.size() > 0 && !IsDone()) {
+    if (m_has_head && m_parser->chunked() && IsPartOfLastChunk(buffer)) {
+      break;
+    }
     const std::size_t before = buffer.size();
     if (auto fault = ReadPart(buffer)) {
       return fault;
--- a/packages/zinnia_adapters/operators/operator_connection.cc
+++ b/packages/zinnia_adapters/operators/operator_connection.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <utility>
 
+#include "zinnia_adapters/http/message_reading.h"
+
 namespace zinnia {
 
 namespace beast = boost::beast;
@@ -51,9 +53,8 @@
   m_parser->body_limit(m_state->options.max_body_bytes);
   m_parser->header_limit(static_cast<std::uint32_t>(m_state->options.max_header_bytes));
   m_stream.expires_after(m_state->options.transfer_timeout);
-  http::async_read(
-      m_stream, m_buffer, *m_parser,
-      [self = shared_from_this()](const error_code& error, std::size_t) { self->OnRead(error); });
+  ReadRequest(m_stream, m_buffer, *m_parser,
+              [self = shared_from_this()](const error_code& error) { self->OnRead(error); });
 }
 
 void OperatorConnection::OnRead(const error_code& error) {
