Fault soak: pours are judged and counted by the part without end

Guards: the report tells which part a server wrote without end.

Found: EventSplitter::Take searches the whole unfinished event again for every piece, and nothing bounds the event. Not mended here.

--- a/tests/fleet/pour_ledger_test.cc
+++ b/tests/fleet/pour_ledger_test.cc
@@ -10,7 +10,7 @@
   PourLedger ledger;
 
   void setup() override {
-    ledger.OnBegun("poured", "server", "instance");
+    ledger.OnBegun("poured", "server", "instance", "body");
   }
 
   void CheckViolations(std::size_t count) {
@@ -30,7 +30,7 @@
 
 TEST(PourLedger, OneThatIsClosedInTimeIsNotToldOf) {
   ledger.OnEnd("poured", PourLedger::kMostBytes - 1, PourLedger::kLongest - milliseconds(1), true);
-  CHECK_EQUAL(1U, ledger.Judged());
+  CHECK_EQUAL(1U, ledger.Judged()["body"]);
   CheckViolations(0);
 }
 
@@ -50,13 +50,13 @@
 }
 
 TEST(PourLedger, ADisturbedInstanceOrServerExcusesItsOwn) {
-  ledger.OnBegun("other", "server 2", "instance 2");
+  ledger.OnBegun("other", "server 2", "instance 2", "body");
   ledger.OnDisturbed("instance");
   ledger.OnEnd("poured", 1, PourLedger::kLongest, false);
   ledger.OnEnd("other", 1, PourLedger::kLongest, false);
   CheckViolations(1);
   ledger.SetDisturbed("server", true);
-  ledger.OnBegun("later", "server", "instance");
+  ledger.OnBegun("later", "server", "instance", "body");
   ledger.SetDisturbed("server", false);
   ledger.OnEnd("later", 1, PourLedger::kLongest, false);
   CheckViolations(1);
