Tests that need a refusing server keep its port taken

A freed port may be given to another program, which then listens there or keeps silent. Three tests with such addresses failed once each while other programs of tests ran beside them (BegunStreamPath.APeersRefusalIsNotWrittenIntoIt, CutOffPath.OnceItReachesAServerItSendsItsRequestsItself, HeldAttemptPeersPath.APeersFailureDoesNotEndAWholeAnswer). That this was the cause is suspected, not shown: 90 runs of the three, six at once, did not fail on the code before. What the tests check is unchanged.

--- a/tests/forwarding_path/begun_stream_test.cc
+++ b/tests/forwarding_path/begun_stream_test.cc
@@ -52,7 +52,7 @@
     CHECK_TRUE(f.Until([&] { return caller.Has("data: e1"); }));
     const auto lost = std::make_shared<ForwardingView>(*f.view);
     for (auto& [name, server] : lost->servers) {
-      server.address = AddressWithoutListener();
+      server.address = f.refusing.Address();
     }
     const auto instances = std::make_shared<std::vector<Instance>>();
     AddInstance(*instances, "self", 0);
@@ -68,12 +68,6 @@
     return caller;
   }
 
-  static NetworkAddress AddressWithoutListener() {
-    boost::asio::io_context loop;
-    boost::asio::ip::tcp::acceptor closed(loop, {boost::asio::ip::address_v4::loopback(), 0});
-    return {"127.0.0.1", closed.local_endpoint().port()};
-  }
-
   static void AddInstance(std::vector<Instance> & instances, const std::string& name,
                           std::uint16_t requests_port) {
     Instance instance;
--- a/tests/forwarding_path/cut_off_test.cc
+++ b/tests/forwarding_path/cut_off_test.cc
@@ -33,7 +33,7 @@
       const {
     auto view = std::make_shared<ForwardingView>(*f.view);
     for (auto& [name, server] : view->servers) {
-      server.address = AddressWithoutListener();
+      server.address = f.refusing.Address();
     }
     const auto instances = std::make_shared<std::vector<Instance>>();
     instances->push_back(MakeInstance("cut-off", 0));
@@ -46,12 +46,6 @@
     return view;
   }
 
-  static NetworkAddress AddressWithoutListener() {
-    boost::asio::io_context loop;
-    boost::asio::ip::tcp::acceptor closed(loop, {boost::asio::ip::address_v4::loopback(), 0});
-    return {"127.0.0.1", closed.local_endpoint().port()};
-  }
-
   static Instance MakeInstance(const std::string& name, std::uint16_t requests_port) {
     Instance instance;
     instance.name = name;
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -179,6 +179,19 @@
   std::vector<std::shared_ptr<Connection>> m_connections;
 };
 
+/** An address that refuses connections. The port stays taken, so that no other program listens. */
+class RefusingAddress {
+ public:
+  explicit RefusingAddress(boost::asio::io_context& loop) : m_socket(loop) {
+    m_socket.open(boost::asio::ip::tcp::v4());
+    m_socket.bind({boost::asio::ip::address_v4::loopback(), 0});
+  }
+  NetworkAddress Address() const { return {"127.0.0.1", m_socket.local_endpoint().port()}; }
+
+ private:
+  boost::asio::ip::tcp::acceptor m_socket;
+};
+
 /** The system's clock, which can be moved forward. */
 class MovableClock final : public Clock {
  public:
@@ -350,6 +363,7 @@
   TrafficThread thread;  // Not started: the test runs its loop.
   RawServer a{thread.Loop()};
   RawServer b{thread.Loop()};
+  RefusingAddress refusing{thread.Loop()};
   std::shared_ptr<ForwardingView> view;
 
   /** Reports sent to the control side. */
--- a/tests/forwarding_path/held_attempt_test.cc
+++ b/tests/forwarding_path/held_attempt_test.cc
@@ -442,9 +442,7 @@
   std::shared_ptr<ForwardingView> ViewWithoutServers() const {
     const auto lost = std::make_shared<ForwardingView>(*f.view);
     for (auto& [name, server] : lost->servers) {
-      boost::asio::io_context loop;
-      boost::asio::ip::tcp::acceptor closed(loop, {boost::asio::ip::address_v4::loopback(), 0});
-      server.address = {"127.0.0.1", closed.local_endpoint().port()};
+      server.address = f.refusing.Address();
     }
     return lost;
   }
