--- a/tests/forwarding_path/held_attempt_test.cc
+++ b/tests/forwarding_path/held_attempt_test.cc
@@ -440,7 +440,7 @@
 
   /** The fixture's view, in which no server accepts connections. */
   std::shared_ptr<ForwardingView> ViewWithoutServers() const {
-    const auto lost = std::make_shared<ForwardingView>(*f.view);
+    auto lost = std::make_shared<ForwardingView>(*f.view);
     for (auto& [name, server] : lost->servers) {
       server.address = f.refusing.Address();
     }
