--- a/tests/forwarding/part_schedule.h
+++ b/tests/forwarding/part_schedule.h
@@ -25,6 +25,10 @@
   std::size_t instances = 9;
   std::size_t servers = 33;
 
+  /** Of these, those that requests begin at; when one ends, another takes its place a while later.
+      Zero: all. */
+  std::size_t first_servers = 0;
+
   /** Sound requests, of which each has two to four shared parts and runs for up to four seconds. */
   double sound_per_second = 80.0;
   std::size_t shared_parts = 60;
@@ -77,6 +81,11 @@
       m_instances.push_back(std::make_shared<PartQuarantine>(m_clock, PartQuarantineSettings()));
     }
     m_servers.resize(settings.servers);
+    const std::size_t first =
+        settings.first_servers == 0 ? settings.servers : settings.first_servers;
+    for (std::size_t server = 0; server < first; ++server) {
+      m_servers[server].begins = true;
+    }
     for (std::size_t part = 0; part < settings.shared_parts; ++part) {
       m_popularity.push_back(1.0 / static_cast<double>(part + 1));
     }
@@ -141,6 +150,12 @@
     return longest;
   }
   int SoundSent() const { return m_sound_sent; }
+
+  /** Which part of sound requests begins at the first attempt while a part does harm, later than
+      twice the stability window after its fifth crash. */
+  double SoundBegunLate() const {
+    return m_sound_late == 0 ? 1.0 : static_cast<double>(m_sound_late_begun) / m_sound_late;
+  }
   int Crashes() const { return m_crashes; }
   int Cleared() const { return m_cleared; }
 
@@ -171,12 +186,21 @@
       return std::pair(at, number) > std::pair(other.at, other.number);
     }
   };
-  struct Attempt {
+  struct Request {
     Parts parts;
     std::size_t instance = 0;
+    int calls_left = kCalls;
+    int servers_left = kServersOfCall;
+
+    /** Since when it has waited for room. */
+    TimePoint waits_since{};
+
+    /** Its beginning counts for SoundBegunLate. */
+    bool is_counted = false;
+  };
+  struct Attempt {
+    Request request;
     std::size_t server = 0;
-    int calls_left = 0;
-    int servers_left = 0;
     TimePoint sent_at{};
     TimePoint began_at{};
     bool has_begun = false;
@@ -186,6 +210,9 @@
   struct Server {
     int starts = 0;
     bool is_up = true;
+
+    /** Requests begin at it. */
+    bool begins = false;
     std::vector<AttemptPtr> in_flight;
   };
   struct Harm {
@@ -237,8 +264,13 @@
       return;
     }
     const Parts parts = RandomParts(2, 4);
-    m_sound_sent += HarmfulPartOf(parts) == nullptr ? 1 : 0;
-    Call(parts, kCalls);
+    const bool is_sound = HarmfulPartOf(parts) == nullptr;
+    m_sound_sent += is_sound ? 1 : 0;
+    Request request;
+    request.parts = parts;
+    request.is_counted = is_sound && IsLate(2 * kStabilityWindow);
+    m_sound_late += request.is_counted ? 1 : 0;
+    Call(request);
     At(Gap(m_settings.sound_per_second), [this] { SendSound(); });
   }
 
@@ -252,48 +284,66 @@
           parts.begin() + static_cast<std::ptrdiff_t>(RandomBelow(m_random, parts.size() + 1)),
           part);
     }
-    Call(parts, kCalls);
+    Request request;
+    request.parts = parts;
+    Call(request);
     At(Gap(m_settings.harmful_per_second), [this, part] { SendHarmful(part); });
   }
 
-  void Call(const Parts& parts, int calls_left) {
-    Send(parts, RandomBelow(m_random, m_instances.size()), calls_left, kServersOfCall);
+  void Call(Request request) {
+    request.instance = RandomBelow(m_random, m_instances.size());
+    request.servers_left = kServersOfCall;
+    request.waits_since = m_clock.now;
+    Send(request);
   }
 
-  void CallAgain(const Parts& parts, int calls_left) {
-    if (calls_left > 1) {
-      At(Milliseconds(300, 1'000), [=, this] { Call(parts, calls_left - 1); });
+  void CallAgain(Request request) {
+    request.is_counted = false;
+    if (--request.calls_left > 0) {
+      At(Milliseconds(300, 1'000), [=, this] { Call(request); });
     }
   }
 
-  void Send(const Parts& parts, std::size_t instance, int calls_left, int servers_left) {
-    if (m_instances[instance]->FindQuarantined(parts)) {
-      m_sound_refused += HarmfulPartOf(parts) == nullptr ? 1 : 0;
-      CallAgain(parts, calls_left);
+  void Send(const Request& request) {
+    if (m_instances[request.instance]->FindQuarantined(request.parts)) {
+      m_sound_refused += HarmfulPartOf(request.parts) == nullptr ? 1 : 0;
+      CallAgain(request);
       return;
     }
-    std::vector<std::size_t> up;
-    for (std::size_t server = 0; server < m_servers.size(); ++server) {
-      if (m_servers[server].is_up) {
-        up.push_back(server);
-      }
-    }
-    if (up.empty()) {  // It waits for room.
-      At(kRoomPeriod, [=, this] { Send(parts, instance, calls_left, servers_left); });
+    const std::vector<std::size_t> open = OpenServers();
+    if (open.empty()) {  // It waits for room.
+      At(kRoomPeriod, [=, this] { Send(request); });
       return;
     }
     const auto attempt = std::make_shared<Attempt>();
-    attempt->parts = parts;
-    attempt->instance = instance;
-    attempt->server = up[RandomBelow(m_random, up.size())];
-    attempt->calls_left = calls_left;
-    attempt->servers_left = servers_left - 1;
+    attempt->request = request;
+    --attempt->request.servers_left;
+    attempt->server = open[RandomBelow(m_random, open.size())];
     attempt->sent_at = m_clock.now;
     m_servers[attempt->server].in_flight.push_back(attempt);
-    CountLate(parts);
+    CountLate(request.parts);
     At(Milliseconds(5, 250), [this, attempt] { Begin(attempt); });
   }
 
+  /** The servers at which requests can begin now. */
+  std::vector<std::size_t> OpenServers() const {
+    std::vector<std::size_t> open;
+    for (std::size_t server = 0; server < m_servers.size(); ++server) {
+      if (m_servers[server].is_up && m_servers[server].begins) {
+        open.push_back(server);
+      }
+    }
+    return open;
+  }
+
+  /** Whether a part has ended five servers this long ago. */
+  bool IsLate(Duration window) const {
+    return std::any_of(m_harms.begin(), m_harms.end(), [&](const auto& harm) {
+      return harm.second.fifth_at != TimePoint::max() &&
+             m_clock.now > harm.second.fifth_at + window;
+    });
+  }
+
   void CountLate(const Parts& parts) {
     for (const Fingerprint& part : parts) {
       const auto harm = m_harms.find(part);
@@ -308,7 +358,7 @@
     if (attempt->has_ended) {
       return;
     }
-    if (const Fingerprint* part = HarmfulPartOf(attempt->parts)) {
+    if (const Fingerprint* part = HarmfulPartOf(attempt->request.parts)) {
       attempt->has_begun = RandomUnit(m_random) >= m_settings.unseen_beginnings;
       attempt->began_at = m_clock.now;
       At(attempt->has_begun ? Milliseconds(5, 120) : milliseconds(0),
@@ -317,10 +367,11 @@
     }
     attempt->has_begun = true;
     attempt->began_at = m_clock.now;
+    m_sound_late_begun += std::exchange(attempt->request.is_counted, false) ? 1 : 0;
     At(RequestQuarantine::kOnsetTime, [this, attempt] {
       if (!attempt->has_ended) {
-        m_instances[attempt->instance]->OnSurvived(attempt->parts, attempt->began_at);
-        TellCleared(attempt->instance);
+        m_instances[attempt->request.instance]->OnSurvived(attempt->request.parts, attempt->began_at);
+        TellCleared(attempt->request.instance);
       }
     });
     At(Milliseconds(500, 4'000), [this, attempt] {
@@ -367,7 +418,7 @@
     std::map<std::size_t, std::vector<AttemptPtr>> broken;
     for (const AttemptPtr& attempt : std::exchange(server.in_flight, {})) {
       attempt->has_ended = true;
-      broken[attempt->instance].push_back(attempt);
+      broken[attempt->request.instance].push_back(attempt);
     }
     for (const auto& [instance, attempts] : broken) {  // Busy instances see it late.
       At(Milliseconds(1, 100), [=, this, attempts = attempts] { OnBroken(attempts, name); });
@@ -376,17 +427,35 @@
       server.is_up = true;
       ++server.starts;
     });
+    if (m_settings.first_servers > 0 && std::exchange(server.begins, false)) {
+      At(Milliseconds(1'000, 3'000), [this] { TakePlace(); });
+    }
+  }
+
+  /** A server of another role loads the first layers instead of one that ended. */
+  void TakePlace() {
+    std::vector<std::size_t> others;
+    for (std::size_t server = 0; server < m_servers.size(); ++server) {
+      if (m_servers[server].is_up && !m_servers[server].begins) {
+        others.push_back(server);
+      }
+    }
+    if (others.empty()) {
+      At(kRoomPeriod, [this] { TakePlace(); });
+    } else {
+      m_servers[others[RandomBelow(m_random, others.size())]].begins = true;
+    }
   }
 
   void OnBroken(const std::vector<AttemptPtr>& attempts, const std::string& server) {
     const TimePoint broken_at = m_clock.now;
     std::map<Fingerprint, CrashReport> by_part;
     for (const AttemptPtr& attempt : attempts) {
-      for (const Fingerprint& part : attempt->parts) {
+      for (const Fingerprint& part : attempt->request.parts) {
         AddReport(*attempt, part, server, by_part);
       }
     }
-    const std::size_t instance = attempts.front()->instance;
+    const std::size_t instance = attempts.front()->request.instance;
     At(Milliseconds(30, 60), [=, this] {
       Tell(by_part, broken_at, instance);
       for (std::size_t peer = 0; peer < m_instances.size(); ++peer) {
@@ -438,13 +507,14 @@
   void Retry(const Attempt& attempt) {
     const bool was_running =
         attempt.has_begun && m_clock.now - attempt.began_at >= RequestQuarantine::kOnsetTime;
-    if (!was_running && m_instances[attempt.instance]->HasStrongSuspect(attempt.parts)) {
-      m_sound_not_repeated += HarmfulPartOf(attempt.parts) == nullptr ? 1 : 0;
-    } else if (attempt.servers_left > 0) {
-      Send(attempt.parts, attempt.instance, attempt.calls_left, attempt.servers_left);
+    const Request& request = attempt.request;
+    if (!was_running && m_instances[request.instance]->HasStrongSuspect(request.parts)) {
+      m_sound_not_repeated += HarmfulPartOf(request.parts) == nullptr ? 1 : 0;
+    } else if (request.servers_left > 0) {
+      Send(request);
       return;
     }
-    CallAgain(attempt.parts, attempt.calls_left);
+    CallAgain(request);
   }
 
   void Upkeep() {
@@ -539,6 +609,8 @@
   std::vector<Server> m_servers;
   std::map<Fingerprint, Harm> m_harms;
   std::set<std::pair<std::size_t, Fingerprint>> m_told;
+  int m_sound_late = 0;
+  int m_sound_late_begun = 0;
   int m_sound_refused = 0;
   int m_sound_not_repeated = 0;
   int m_sound_sent = 0;
--- a/tests/forwarding/part_schedules_test.cc
+++ b/tests/forwarding/part_schedules_test.cc
@@ -9,10 +9,11 @@
 using std::chrono::milliseconds;
 
 /** ZINNIA_SEEDS plays so many seeds of each kind, from ZINNIA_FIRST_SEED on. */
-TEST_GROUP(PartSchedules) {
+struct PartSchedulesGroup : public Utest {
   static constexpr std::uint64_t kSeeds = 20;
   static constexpr std::uint64_t kSeedsOfLargeFleets = 2;
   static constexpr std::uint64_t kSeedsOfWholePool = 3;
+  static constexpr std::uint64_t kSeedsOfFewServers = 5;
 
   /** Sends with a harmful part that are allowed later than the stability window after the fifth
       crash. */
@@ -32,6 +33,7 @@
     int most_ended = 0;
     int most_late = 0;
     Duration longest{};
+    double least_begun = 1.0;
   };
 
   static std::string Describe(const PartSchedule& schedule) {
@@ -56,6 +58,7 @@
       sums.most_ended = std::max(sums.most_ended, schedule.MostEnded());
       sums.most_late = std::max(sums.most_late, schedule.MostSentLate());
       sums.longest = std::max(sums.longest, schedule.LongestUntilRefused());
+      sums.least_begun = std::min(sums.least_begun, schedule.SoundBegunLate());
       if (schedule.SoundRefused() > 0 || schedule.MostSentLate() > kMaxSentLate) {
         UT_PRINT(("seed " + std::to_string(seed) + ": " + Describe(schedule)).c_str());
       }
@@ -66,7 +69,8 @@
               ", told as cleared " + std::to_string(sums.cleared) + ", most ended by one part " +
               std::to_string(sums.most_ended) + ", most sent late " +
               std::to_string(sums.most_late) + ", longest until refused ms " +
-              std::to_string(std::chrono::duration_cast<milliseconds>(sums.longest).count()))
+              std::to_string(std::chrono::duration_cast<milliseconds>(sums.longest).count()) +
+              ", least part of sound requests begun " + std::to_string(sums.least_begun))
                  .c_str());
     return sums;
   }
@@ -79,6 +83,9 @@
   }
 };
 
+TEST_GROUP_BASE(PartSchedules, PartSchedulesGroup){};
+TEST_GROUP_BASE(PartSchedulesOfFewServers, PartSchedulesGroup){};
+
 // Guards against a part of prompts that goes on ending servers, and against refusing others for it.
 TEST(PartSchedules, OneHarmfulPartIsRefusedAndNoOther) {
   CheckHarmfulAloneAreRefused(PartScheduleSettings());
@@ -204,4 +211,26 @@
   }
 }
 
+// Guards against a part that ends the few servers at which all requests begin, again and again.
+TEST(PartSchedulesOfFewServers, AHarmfulPartIsRefusedWhereFewServersBeginPaths) {
+  for (const std::size_t first_servers : {5U, 8U, 14U}) {
+    for (const double rate : {0.2, 1.0, 5.0, 20.0}) {
+      PartScheduleSettings settings;
+      settings.first_servers = first_servers;
+      settings.harmful_per_second = rate;
+      settings.duration = std::chrono::seconds(rate < 1.0 ? 60 : 20);
+      CheckHarmfulAloneAreRefused(settings, kSeedsOfFewServers);
+    }
+  }
+}
+
+// The same for a pool in which no other server can take the place of one that ended.
+TEST(PartSchedulesOfFewServers, AHarmfulPartIsRefusedInSmallPools) {
+  for (const std::size_t servers : {5U, 8U, 11U}) {
+    PartScheduleSettings settings;
+    settings.servers = servers;
+    CheckHarmfulAloneAreRefused(settings, kSeedsOfFewServers);
+  }
+}
+
 }  // namespace zinnia
--- a/tests/forwarding_path/caller_connections_test.cc
+++ b/tests/forwarding_path/caller_connections_test.cc
@@ -1,9 +1,9 @@
 #include <fmt/format.h>
 
-#include <array>
 #include <thread>
 
 #include "tests/forwarding_path/forwarding_fixture.h"
+#include "tests/forwarding_path/polling_caller.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -13,59 +13,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-/** A caller that reads only when it is told to and tells an orderly end from a reset. */
-class PollingCaller {
- public:
-  explicit PollingCaller(std::uint16_t port, int receive_buffer = 0) : m_socket(m_loop) {
-    m_socket.open(boost::asio::ip::tcp::v4());
-    if (receive_buffer > 0) {
-      m_socket.set_option(boost::asio::socket_base::receive_buffer_size(receive_buffer));
-    }
-    m_socket.connect({boost::asio::ip::address_v4::loopback(), port});
-    m_socket.non_blocking(true);
-  }
-
-  void Send(const std::string& bytes) {
-    boost::system::error_code ignored;
-    boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
-  }
-
-  /** Reads what has arrived. */
-  void Poll() {
-    std::array<char, 65'536> buffer{};
-    while (!m_end) {
-      boost::system::error_code error;
-      const std::size_t bytes = m_socket.read_some(boost::asio::buffer(buffer), error);
-      received.append(buffer.data(), bytes);
-      if (error == boost::asio::error::would_block) {
-        return;
-      }
-      m_end = error;
-    }
-  }
-
-  bool HasEnded() const { return static_cast<bool>(m_end); }
-
-  /** The instance had read all that was sent when it closed the connection; else it is a reset. */
-  bool HasEndedInOrder() const { return m_end == boost::asio::error::eof; }
-
-  std::size_t Answers() const {
-    std::size_t answers = 0;
-    for (auto at = received.find("HTTP/1.1 "); at != std::string::npos;
-         at = received.find("HTTP/1.1 ", at + 1)) {
-      ++answers;
-    }
-    return answers;
-  }
-
-  std::string received;
-
- private:
-  boost::asio::io_context m_loop;
-  boost::asio::ip::tcp::socket m_socket;
-  boost::system::error_code m_end;
-};
-
 /** Callers' connections that end, or whose limits change, beside requests that arrive or run. */
 TEST_GROUP(CallerConnectionPath) {
   ForwardingFixture f;
