No request is sent on after its caller has left; its age counts from its arrival

Callers saw: after a standstill of an instance (frozen, slow, flooded), servers worked for callers who had left; those who waited came later.

Cause: a fact that lies in the kernel already was not asked for before acting on an older one. The request and the end of its connection arrive together, the request is read and sent on a kept connection to a server before the loop is told of the end. A caller with bytes behind its request was never watched, or no longer. Class: acting on a fact from before a wait.

Change: Responder::IsCallerThere asks the kernel (poll for the peer's end, a peek), behind unread bytes too. ForwardExchange asks in Send, which each send and repeat passes, and again when a new connection is open. ServiceExchange and ChatExchange ask after they have waited for admission or the right to run. Callers with unread bytes are looked for every 50 ms. A connection whose listener is gone writes nothing. The age of a request comes from the kernel (last bytes received) and counts against its deadline; what is over as it is read is refused at once, as not run. New log events: request_dropped, traffic_loop_stood_still, age_ms in request_sent; gauge traffic_loop_late_ms.

Not counted: the age in the product's own chat interface.

--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -1,7 +1,6 @@
 #include "zinnia_adapters/callers/caller_connection.h"
 
 #include <fmt/format.h>
-#include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
@@ -13,6 +12,7 @@
 #include <utility>
 
 #include "zinnia_adapters/callers/caller_exchange.h"
+#include "zinnia_adapters/callers/caller_socket.h"
 #include "zinnia_adapters/http/message_reading.h"
 #include "zinnia_base/errors/error.h"
 
@@ -25,6 +25,10 @@
 
 constexpr std::size_t kReadBytes = 4096;
 constexpr Duration kLingerTime = std::chrono::seconds(1);
+
+/** How often a caller is looked for whose next bytes hide its leaving. */
+constexpr Duration kDepartureCheckInterval = std::chrono::milliseconds(50);
+
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 Error UnreadableRequest(const boost::system::error_code& error) {
@@ -38,17 +42,6 @@
   return MakeError(ErrorKind::kInvalidRequest, "the request is not HTTP/1.1: " + error.message());
 }
 
-bool CallerIsThere(asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  const auto got = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
-}
-
-bool HasUnreadBytes(asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  return recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /** Sends what the socket takes without waiting and returns how much that was. An error counts as
     nothing sent: the next asynchronous write meets it again and reports it. */
 std::size_t SendWithoutWaiting(asio::ip::tcp::socket& socket, std::string_view bytes) {
@@ -71,7 +64,7 @@
     : m_stream(std::move(socket)),
       m_limits(limits),
       m_owner(owner),
-      m_idle_timer(m_stream.get_executor()) {}
+      m_timer(m_stream.get_executor()) {}
 
 CallerConnection::~CallerConnection() = default;
 
@@ -83,6 +76,7 @@
 
 void CallerConnection::WaitForRequest() {
   if (m_buffer.size() > 0) {
+    m_arrived_at = std::chrono::steady_clock::now();
     ReadHeader();
     return;
   }
@@ -101,18 +95,19 @@
   if (m_closed || !std::exchange(m_is_idle, false)) {
     return;
   }
-  m_idle_timer.cancel();
-  if (error || !CallerIsThere(m_stream.socket())) {
+  m_timer.cancel();
+  if (error || !IsCallerThere()) {
     Close();
     return;
   }
+  m_arrived_at = std::chrono::steady_clock::now() - TimeSinceLastBytes(m_stream.socket());
   ReadHeader();
 }
 
 /** Looks at the limit again when the time is over, since it may have grown meanwhile. */
 void CallerConnection::WatchIdleTime() {
-  m_idle_timer.expires_at(m_idle_since + m_limits.idle_timeout);
-  m_idle_timer.async_wait(
+  m_timer.expires_at(m_idle_since + m_limits.idle_timeout);
+  m_timer.async_wait(
       [self = shared_from_this(), since = m_idle_since](const boost::system::error_code& error) {
         if (!error && self->m_is_idle && since == self->m_idle_since) {
           self->OnIdleTimeOver();
@@ -210,15 +205,21 @@
   ++m_request_number;
   m_stream.expires_never();
   // The exchange may answer and end within Start; the local pointer keeps it until Start returned.
-  const auto exchange = m_owner.CreateExchange(std::move(request), shared_from_this());
+  const auto exchange = m_owner.CreateExchange(
+      std::move(request), std::chrono::steady_clock::now() - m_arrived_at, shared_from_this());
   m_exchange = exchange;
   WatchCaller();
   exchange->Start();
 }
 
+bool CallerConnection::IsCallerThere() {
+  return !m_closed && !HasPeerLeft(m_stream.socket());
+}
+
 void CallerConnection::WatchCaller() {
   if (m_buffer.size() > 0) {
-    return;  // the next request is here already, so a wait would end at once and tell nothing
+    WatchCallerWithUnreadBytes();
+    return;
   }
   m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
                                [self = shared_from_this(),
@@ -229,12 +230,31 @@
                                });
 }
 
+/** A wait for bytes would end at once and tell nothing. */
+void CallerConnection::WatchCallerWithUnreadBytes() {
+  m_timer.expires_after(kDepartureCheckInterval);
+  m_timer.async_wait([self = shared_from_this(),
+                      number = m_request_number](const boost::system::error_code& error) {
+    if (!error) {
+      self->OnReadable(number);
+    }
+  });
+}
+
 void CallerConnection::OnReadable(std::uint64_t request_number) {
-  const bool current = !m_closed && m_exchange && request_number == m_request_number;
-  if (current && !CallerIsThere(m_stream.socket())) {
+  if (!IsRunning(request_number)) {
+    return;
+  }
+  if (!IsCallerThere()) {
     m_owner.CountConnectionEvent("callers_gone");
     Close();
+    return;
   }
+  WatchCallerWithUnreadBytes();
+}
+
+bool CallerConnection::IsRunning(std::uint64_t request_number) const {
+  return !m_closed && m_exchange && request_number == m_request_number;
 }
 
 void CallerConnection::SendWhole(CallerResponse response) {
@@ -409,7 +429,7 @@
   }
   const auto self = shared_from_this();
   m_is_idle = false;
-  m_idle_timer.cancel();
+  m_timer.cancel();
   m_stream.close();
   if (const auto exchange = std::exchange(m_exchange, nullptr)) {
     exchange->OnCallerGone();
--- a/packages/zinnia_adapters/callers/caller_connection.h
+++ b/packages/zinnia_adapters/callers/caller_connection.h
@@ -16,6 +16,7 @@
 
 #include "zinnia_adapters/callers/caller_limits.h"
 #include "zinnia_adapters/callers/responder.h"
+#include "zinnia_base/time/clock.h"
 
 namespace zinnia {
 
@@ -26,7 +27,10 @@
 class ConnectionOwner {
  public:
   virtual ~ConnectionOwner() = default;
+
+  /** `age`: time since the request arrived, of which it may have waited long to be read. */
   virtual std::shared_ptr<CallerExchange> CreateExchange(CallerRequest request,
+                                                         Duration age,
                                                          std::shared_ptr<Responder> responder) = 0;
   virtual void OnConnectionClosed(CallerConnection& connection) = 0;
   virtual bool IsDraining() const = 0;
@@ -62,6 +66,7 @@
   /** The exchange has said all, but not all is written. */
   bool HasUnsentAnswer() const { return m_exchange && m_answer_ended; }
 
+  bool IsCallerThere() override;
   void SendWhole(CallerResponse response) override;
   void StartEvents(const std::string& request_id) override;
   void StartStream(StreamHead head) override;
@@ -83,7 +88,9 @@
   void RefuseUnreadable(const boost::system::error_code& error);
   void RunExchange();
   void WatchCaller();
+  void WatchCallerWithUnreadBytes();
   void OnReadable(std::uint64_t request_number);
+  bool IsRunning(std::uint64_t request_number) const;
   void WriteEvents();
   void WriteEndOfEvents();
   void OnWritten(const boost::system::error_code& error);
@@ -93,8 +100,11 @@
   Stream m_stream;
   const CallerLimits& m_limits;
   ConnectionOwner& m_owner;
-  boost::asio::steady_timer m_idle_timer;
+
+  /** For the idle time between requests, and for callers who cannot be watched otherwise. */
+  boost::asio::steady_timer m_timer;
   std::chrono::steady_clock::time_point m_idle_since;
+  std::chrono::steady_clock::time_point m_arrived_at;
 
   /** Bounded by the parser, whose limits may change from request to request. */
   boost::beast::flat_buffer m_buffer;
--- a/packages/zinnia_adapters/callers/caller_server.cc
+++ b/packages/zinnia_adapters/callers/caller_server.cc
@@ -133,6 +133,7 @@
 }
 
 std::shared_ptr<CallerExchange> CallerServer::CreateExchange(CallerRequest request,
+                                                             Duration,
                                                              std::shared_ptr<Responder> responder) {
   ExchangeContext context = MakeContext(std::move(request), std::move(responder));
   if (auto exchange = CreateKeylessExchange(context)) {
--- a/packages/zinnia_adapters/callers/caller_server.h
+++ b/packages/zinnia_adapters/callers/caller_server.h
@@ -66,6 +66,7 @@
   void TakeConnection(boost::asio::ip::tcp::socket socket);
 
   std::shared_ptr<CallerExchange> CreateExchange(CallerRequest request,
+                                                 Duration age,
                                                  std::shared_ptr<Responder> responder) override;
   void OnConnectionClosed(CallerConnection& connection) override;
   bool IsDraining() const override { return m_draining; }
--- a/packages/zinnia_adapters/callers/chat_exchange.cc
+++ b/packages/zinnia_adapters/callers/chat_exchange.cc
@@ -157,6 +157,10 @@
     OnAnswerFailed(grant.error());
     return;
   }
+  if (!m_context.responder->IsCallerThere()) {
+    Finish("caller_gone");
+    return;
+  }
   const CallerServerParts& parts = m_context.parts;
   parts.metrics.Observe(m_request.organisation, RequestClass::kChat, Measure::kQueueing,
                         parts.clock.Now() - m_queued_at);
--- a/packages/zinnia_adapters/callers/responder.h
+++ b/packages/zinnia_adapters/callers/responder.h
@@ -20,6 +20,10 @@
  public:
   virtual ~Responder() = default;
 
+  /** Whether the caller still waits, as its connection shows now: its leaving may not have been
+     told to the exchange yet. */
+  virtual bool IsCallerThere() = 0;
+
   virtual void SendWhole(CallerResponse response) = 0;
 
   /** Starts the stream; its status is 200 from here on. */
--- a/packages/zinnia_adapters/callers/service_exchange.cc
+++ b/packages/zinnia_adapters/callers/service_exchange.cc
@@ -88,6 +88,10 @@
     Fail(grant.error());
     return;
   }
+  if (HasCallerLeft()) {
+    Finish("caller_gone");
+    return;
+  }
   m_grant = std::move(*grant);
   m_context.parts.metrics.Observe(m_context.organisation.name, RequestClass::kServiceCall,
                                   Measure::kQueueing, m_context.parts.clock.Now() - m_queued_at);
@@ -98,6 +102,10 @@
   }
 }
 
+bool ServiceExchange::HasCallerLeft() const {
+  return m_caller_gone || !m_context.responder->IsCallerThere();
+}
+
 void ServiceExchange::BeginOnce() {
   m_fingerprint = FingerprintOf(m_context.request);
   IntentRequest intent;
@@ -122,7 +130,7 @@
     const TimePoint valid_until = m_begun_at + std::chrono::milliseconds(reply->valid_for_ms);
     // A thread that was paused between the grant and here may no longer hold the right: the
     // partition's next holder treats the intent as started or free by now.
-    if (m_caller_gone || m_context.parts.clock.Now() >= valid_until) {
+    if (HasCallerLeft() || m_context.parts.clock.Now() >= valid_until) {
       ReportUnused(MakeError(ErrorKind::kOverloaded, "the right to dispatch came too late"));
     } else {
       Dispatch(valid_until);
--- a/packages/zinnia_adapters/callers/service_exchange.h
+++ b/packages/zinnia_adapters/callers/service_exchange.h
@@ -43,6 +43,8 @@
   bool IsIdempotent() const;
   void Admit();
   void OnAdmitted(Result<std::unique_ptr<AdmissionGrant>> grant);
+  /** Even if that was not told yet. */
+  bool HasCallerLeft() const;
   void BeginOnce();
   void OnVerdict(const Result<IntentReply>& reply);
   void Dispatch(std::optional<TimePoint> dispatch_before);
--- a/packages/zinnia_adapters/forwarding/caller_answer.h
+++ b/packages/zinnia_adapters/forwarding/caller_answer.h
@@ -35,6 +35,9 @@
   /** Names the request in log lines. */
   void SetRequestId(const std::string& request_id) { m_request_id = request_id; }
 
+  /** Asks the connection, see Responder::IsCallerThere. */
+  bool IsCallerThere() const { return m_responder->IsCallerThere(); }
+
   /** Returns false if the answer had begun already; a begun stream is cut off then. */
   bool SendWhole(CallerResponse response);
 
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -62,13 +62,14 @@
                                  CallerRequest request,
                                  std::shared_ptr<Responder> responder,
                                  RequestOrigin origin,
+                                 Duration age,
                                  std::function<void(ForwardExchange&)> on_end)
     : m_parts(parts),
       m_request(std::move(request)),
       m_answer(std::move(responder), parts.logger, parts.metrics),
       m_origin(origin),
       m_on_end(std::move(on_end)),
-      m_started_at(parts.clock.Now()) {}
+      m_started_at(parts.clock.Now() - age) {}
 
 ForwardExchange::~ForwardExchange() = default;
 
@@ -121,6 +122,10 @@
     limit = std::min(limit, *m_facts.deadline);
   }
   m_deadline = m_started_at + limit;
+  if (TimeLeft() <= kMinTimeLeft) {
+    Answer(NotRun(ErrorKind::kOverloaded, "the time for the answer was over as it was read"));
+    return;
+  }
   m_service = ChooseService();
   if (m_origin == RequestOrigin::kCaller) {
     m_parts.retries.OnRequest(m_service);  // A peer has counted its own.
@@ -136,7 +141,25 @@
   return m_deadline - m_parts.clock.Now();
 }
 
+bool ForwardExchange::EndIfCallerLeft() {
+  if (m_answer.IsCallerThere()) {
+    return false;
+  }
+  m_parts.metrics.Count("requests_dropped_before_sending");
+  m_parts.logger.Log(LogLevel::kInfo, "request_dropped",
+                     {{"request", m_facts.id},
+                      {"reason", "caller_left"},
+                      {"servers_reached", std::to_string(m_history.servers_reached)},
+                      {"age_ms", Milliseconds(m_parts.clock.Now() - m_started_at)}});
+  m_answer.CutOff();
+  End("caller_gone");
+  return true;
+}
+
 void ForwardExchange::Send() {
+  if (EndIfCallerLeft()) {
+    return;
+  }
   ServerConnection::Request request = m_request;
   RemoveHopByHopFields(request);
   ForwardingMarks marks;
@@ -178,12 +201,16 @@
                       {"path", DescribePath(m_attempt.path)},
                       {"send", std::to_string(m_history.servers_reached)},
                       {"deadline_left_ms", Milliseconds(TimeLeft())},
+                      {"age_ms", Milliseconds(m_parts.clock.Now() - m_started_at)},
                       {"revision", std::to_string(m_parts.view()->revision.number)},
                       {"kept_connection", m_attempt.may_have_arrived ? "yes" : "no"}});
   m_attempt.connection->Send(std::move(request), weak_from_this(), kConnectLimit);
 }
 
 bool ForwardExchange::OnServerConnected() {
+  if (EndIfCallerLeft()) {
+    return false;
+  }
   m_attempt.may_have_arrived = true;
   if (m_attempt.is_at_peer) {
     return true;
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -51,6 +51,7 @@
                   CallerRequest request,
                   std::shared_ptr<Responder> responder,
                   RequestOrigin origin,
+                  Duration age,
                   std::function<void(ForwardExchange&)> on_end);
   ~ForwardExchange() override;
 
@@ -150,6 +151,9 @@
   /** Whether all servers that were chosen for the request still take new ones. */
   bool ChosenServersTakeRequests() const;
   void Send();
+
+  /** Ends the request if its caller has left, even if that was not told yet. */
+  bool EndIfCallerLeft();
   Duration TimeLeft() const;
   GenerationSize ExpectedSize() const;
   void Reserve(const LayerPath& path);
@@ -256,6 +260,8 @@
   CallerAnswer m_answer;
   const RequestOrigin m_origin;
   std::function<void(ForwardExchange&)> m_on_end;
+
+  /** When the request arrived, which may be long before it was read. */
   const TimePoint m_started_at;
   RequestFacts m_facts;
   Fingerprint m_fingerprint;
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "zinnia_adapters/forwarding/log_text.h"
 #include "zinnia_adapters/forwarding/reachability_watch.h"
 #include "zinnia_adapters/forwarding/server_connection_pool.h"
 #include "zinnia_adapters/forwarding/stall_inquiry.h"
@@ -26,6 +27,9 @@
 /** Maximum delay in detecting deadlines and silent streams. */
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 
+/** A standstill of the loop that is logged: callers' patience begins to run out. */
+constexpr Duration kLateLoop = std::chrono::milliseconds(250);
+
 /** Ticks between removals of unused connections: one second. */
 constexpr std::uint64_t kTicksBetweenSweeps = 50;
 
@@ -129,7 +133,25 @@
   return exchanges;
 }
 
+/** A process that was stopped, or has too little processor time, finds out by its own timer. */
+void ForwardServer::NoteLateTick() {
+  const TimePoint now = m_parts.clock.Now();
+  const Duration late =
+      m_ticks == 0 ? Duration::zero() : now - m_last_tick_at - Duration(kTickInterval);
+  m_last_tick_at = now;
+  m_parts.metrics.SetGauge("traffic_loop_late_ms",
+                           std::chrono::duration<double, std::milli>(late).count());
+  if (late >= kLateLoop) {
+    m_parts.metrics.Count("traffic_loop_standstills");
+    m_parts.logger.Log(LogLevel::kWarning, "traffic_loop_stood_still",
+                       {{"ms", Milliseconds(late)},
+                        {"exchanges", std::to_string(m_exchanges.size())},
+                        {"connections", std::to_string(m_connections.Count())}});
+  }
+}
+
 void ForwardServer::Tick() {
+  NoteLateTick();
   std::vector<StreamProgress> streams;
   const auto exchanges = Exchanging();
   for (const auto& exchange : exchanges) {
@@ -188,14 +210,16 @@
 
 std::shared_ptr<CallerExchange> ForwardServer::CreateExchange(
     CallerRequest request,
+    Duration age,
     std::shared_ptr<Responder> responder) {
-  return AddExchange(std::move(request), std::move(responder), RequestOrigin::kCaller);
+  return AddExchange(std::move(request), age, std::move(responder), RequestOrigin::kCaller);
 }
 
 std::shared_ptr<CallerExchange> ForwardServer::PeerConnectionOwner::CreateExchange(
     CallerRequest request,
+    Duration age,
     std::shared_ptr<Responder> responder) {
-  return m_server.AddExchange(std::move(request), std::move(responder), RequestOrigin::kPeer);
+  return m_server.AddExchange(std::move(request), age, std::move(responder), RequestOrigin::kPeer);
 }
 
 void ForwardServer::PeerConnectionOwner::OnConnectionClosed(CallerConnection& connection) {
@@ -211,11 +235,12 @@
 }
 
 std::shared_ptr<CallerExchange> ForwardServer::AddExchange(CallerRequest request,
+                                                           Duration age,
                                                            std::shared_ptr<Responder> responder,
                                                            RequestOrigin origin) {
   m_parts.metrics.Count("requests_read");
   auto exchange = std::make_shared<ForwardExchange>(
-      m_parts, std::move(request), std::move(responder), origin,
+      m_parts, std::move(request), std::move(responder), origin, age,
       [this](ForwardExchange& ended) { m_exchanges.erase(&ended); });
   m_exchanges.emplace(exchange.get(), exchange);
   return exchange;
--- a/packages/zinnia_adapters/forwarding/forward_server.h
+++ b/packages/zinnia_adapters/forwarding/forward_server.h
@@ -82,6 +82,7 @@
    public:
     explicit PeerConnectionOwner(ForwardServer& server) : m_server(server) {}
     std::shared_ptr<CallerExchange> CreateExchange(CallerRequest request,
+                                                   Duration age,
                                                    std::shared_ptr<Responder> responder) override;
     void OnConnectionClosed(CallerConnection& connection) override;
     bool IsDraining() const override;
@@ -95,6 +96,7 @@
 
   void TakeConnection(boost::asio::ip::tcp::socket socket, ConnectionOwner& owner);
   std::shared_ptr<CallerExchange> AddExchange(CallerRequest request,
+                                              Duration age,
                                               std::shared_ptr<Responder> responder,
                                               RequestOrigin origin);
   void CloseAcceptors();
@@ -102,10 +104,12 @@
   void ProbeSuspects();
   void QuerySlowServers();
   void Tick();
+  void NoteLateTick();
   std::vector<std::shared_ptr<ForwardExchange>> Exchanging() const;
   void StartQueuedRequests(const std::vector<std::shared_ptr<ForwardExchange>>& exchanges);
 
   std::shared_ptr<CallerExchange> CreateExchange(CallerRequest request,
+                                                 Duration age,
                                                  std::shared_ptr<Responder> responder) override;
   void OnConnectionClosed(CallerConnection& connection) override;
   bool IsDraining() const override { return m_draining; }
@@ -121,6 +125,7 @@
   Exchanges m_exchanges;
   std::unique_ptr<ScheduledCall> m_tick;
   std::uint64_t m_ticks = 0;
+  TimePoint m_last_tick_at{};
   bool m_draining = false;
 };
 
--- a/packages/zinnia_adapters/forwarding/server_connection.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection.cc
@@ -115,8 +115,8 @@
   const int limit = kTcpUserTimeoutMilliseconds;
   setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
   const auto listener = m_listener.lock();
-  if (listener && !listener->OnServerConnected()) {
-    Fail(AnswerFailure::kWithdrawn, "the server began to leave before the request was sent");
+  if (!listener || !listener->OnServerConnected()) {
+    Fail(AnswerFailure::kWithdrawn, "the request was withdrawn before it was sent");
     return;
   }
   Write();
--- a/tests/adapters/traffic_service_test.cc
+++ b/tests/adapters/traffic_service_test.cc
@@ -84,6 +84,17 @@
   LONGS_EQUAL(0, fixture.service.targets.size());
 }
 
+// Guards against a booking for a caller whose leaving the loop has not been told of yet.
+TEST(TrafficService, CallerWhoHasJustLeftBeforeTheGrantIsNotBooked) {
+  TestCaller& caller = Book();
+  CHECK(UntilBegun());
+  caller.Close();
+  fixture.once.Reply(IntentVerdict::kGranted);
+  CHECK(fixture.Until([this] { return fixture.server->InFlight() == 0; }));
+  CHECK_FALSE(fixture.once.reported.at(0).answer.has_value());
+  LONGS_EQUAL(0, fixture.service.targets.size());
+}
+
 TEST(TrafficService, OutcomeIsRecordedThoughTheCallerLeft) {
   // Symptom: a repeated booking is answered "unknown" for ever. Sequence: dispatched, the caller
   // leaves, the service answers. Cause: the call dropped with its connection.
--- a/tests/forwarding/part_schedule.h
+++ b/tests/forwarding/part_schedule.h
@@ -370,7 +370,8 @@
     m_sound_late_begun += std::exchange(attempt->request.is_counted, false) ? 1 : 0;
     At(RequestQuarantine::kOnsetTime, [this, attempt] {
       if (!attempt->has_ended) {
-        m_instances[attempt->request.instance]->OnSurvived(attempt->request.parts, attempt->began_at);
+        m_instances[attempt->request.instance]->OnSurvived(attempt->request.parts,
+                                                           attempt->began_at);
         TellCleared(attempt->request.instance);
       }
     });
--- a/tests/forwarding_path/caller_answer_test.cc
+++ b/tests/forwarding_path/caller_answer_test.cc
@@ -12,6 +12,7 @@
 
 /** Writes down what it is told. */
 struct RecordingResponder final : Responder {
+  bool IsCallerThere() override { return true; }
   void SendWhole(CallerResponse) override { calls += "whole "; }
   void StartEvents(const std::string&) override { calls += "events "; }
   void StartStream(StreamHead) override { calls += "head "; }
--- a/tests/forwarding_path/left_callers_test.cc
+++ b/tests/forwarding_path/left_callers_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include "tests/forwarding_path/forwarding_fixture.h"
@@ -46,17 +47,20 @@
   ForwardingFixture f;
   std::vector<std::unique_ptr<PollingCaller>> callers;
 
-  void setup() override { f.Script(Answer); }
+  void setup() override {
+    f.Script(Answer);
+  }
 
   static void Answer(Connection & connection) {
     connection.Write(ForwardingFixture::Head("Content-Length: 2\r\n") + "ok");
   }
 
-  static std::string Request(const std::string& path) {
+  static std::string Request(const std::string& path,
+                             milliseconds deadline = std::chrono::seconds(60)) {
     return fmt::format(
         "POST {} HTTP/1.1\r\nHost: h\r\nX-Id: r-1\r\nX-Key: key-1\r\n"
-        "X-Deadline: 60000\r\nContent-Length: 4\r\n\r\nbody",
-        path);
+        "X-Deadline: {}\r\nContent-Length: 4\r\n\r\nbody",
+        path, deadline.count());
   }
 
   std::uint16_t PortOf(Arrival arrival) const {
@@ -128,9 +132,9 @@
 
   void CheckNoneIsSent() {
     for (const LeftCaller& row : kTable) {
-      const std::string text = fmt::format("{}, arrival {}, departure {}", row.path,
-                                           static_cast<int>(row.arrival),
-                                           static_cast<int>(row.departure));
+      const std::string text =
+          fmt::format("{}, arrival {}, departure {}", row.path, static_cast<int>(row.arrival),
+                      static_cast<int>(row.departure));
       const std::size_t sent = SentAfterDeparture(row);
       CHECK_EQUAL_TEXT(0U, sent, text.c_str());
     }
@@ -200,4 +204,30 @@
   }
 }
 
+// Guards against a deadline that is counted from the reading of a request that waited long for it.
+TEST(LeftCallerPath, TheTimeThatARequestLayUnreadCountsAgainstItsDeadline) {
+  constexpr milliseconds kStandstill{200};
+  constexpr milliseconds kDeadline{10'000};
+  PollingCaller& caller = Connect();
+  Run(milliseconds(20));
+  caller.Send(Request("/safe/x", kDeadline));
+  std::this_thread::sleep_for(kStandstill);
+  CHECK_TRUE(AllHaveAnswers(1));
+  const RawServer& server = f.a.received.empty() ? f.b : f.a;
+  const int told = std::stoi(std::string(server.received.back()["X-Deadline"]));
+  CHECK_TRUE(told <= (kDeadline - kStandstill).count() + 10);
+}
+
+// Guards against sending a request on whose time was over before it was read.
+TEST(LeftCallerPath, ARequestWhoseTimeIsOverAsItIsReadIsRefusedAsNotRun) {
+  PollingCaller& caller = Connect();
+  Run(milliseconds(20));
+  caller.Send(Request("/safe/x", milliseconds(100)));
+  std::this_thread::sleep_for(milliseconds(150));
+  CHECK_TRUE(AllHaveAnswers(1));
+  CHECK_TRUE(caller.received.find("HTTP/1.1 503") != std::string::npos);
+  CHECK_TRUE(caller.received.find("Retry-After: ") != std::string::npos);
+  CHECK_EQUAL(0U, f.Arrivals());
+}
+
 }  // namespace zinnia
