--- a/packages/zinnia_decisions/forwarding/crashes/part_quarantine.cc
+++ b/packages/zinnia_decisions/forwarding/crashes/part_quarantine.cc
@@ -47,6 +47,9 @@
 /** Moments after which a part is on probation, whatever they count. */
 constexpr int kLeastMomentsOfSuspect = 2;
 
+/** How long a part stays as it was found, on probation or not. */
+constexpr Duration kVerdictLifetime = milliseconds(50);
+
 /** A request with the part is not sent a second time by ourselves. */
 constexpr int kStrongWeight = 2 * kBegunWeight;
 
@@ -165,6 +168,7 @@
   if (found == m_parts.end()) {
     return;
   }
+  m_verdicts.erase(fingerprint);
   Part& part = found->second;
   const std::size_t dropped = std::erase_if(part.crashes, [&survivor](const auto& crash) {
     return crash.second.at + kTimeTolerance <= survivor.began_at;
@@ -357,14 +361,26 @@
   }
 }
 
-bool PartQuarantine::IsOnProbation(const Fingerprint& part) const {
-  const auto found = m_parts.find(part);
-  return found != m_parts.end() &&
-         found->second.crashes.size() >= static_cast<std::size_t>(kLeastMomentsOfSuspect) &&
-         EvidenceOf(UnexplainedByRivals(found->second)).moments >= kLeastMomentsOfSuspect;
+bool PartQuarantine::IsOnProbation(const Fingerprint& fingerprint) const {
+  const auto part = m_parts.find(fingerprint);
+  if (part == m_parts.end() || part->second.crashes.size() < kLeastMomentsOfSuspect) {
+    return false;
+  }
+  const TimePoint now = m_clock.Now();
+  const auto [verdict, is_new] = m_verdicts.try_emplace(fingerprint);
+  if (is_new || now - verdict->second.at >= kVerdictLifetime) {
+    verdict->second = {now, IsUnexplained(part->second)};
+  }
+  return verdict->second.is_on_probation;
+}
+
+/** Whether it was in several moments in which no suspect was that explains more. */
+bool PartQuarantine::IsUnexplained(const Part& part) const {
+  return EvidenceOf(UnexplainedByRivals(part)).moments >= kLeastMomentsOfSuspect;
 }
 
 void PartQuarantine::EndProbations() {
+  m_verdicts.clear();
   m_probation.ForgetIf([this](const Fingerprint& part) { return !IsOnProbation(part); });
 }
 
--- a/packages/zinnia_decisions/forwarding/crashes/part_quarantine.h
+++ b/packages/zinnia_decisions/forwarding/crashes/part_quarantine.h
@@ -39,11 +39,10 @@
     crashes up to the moment at which it began. It says nothing of later crashes, since a part may
     turn harmful.
 
-    A part is guilty whose crashes lie in several moments (servers that end together have a common
-    cause) with no survivor after the first although other streams lived, once peers had time to
-    tell of one. Crashes at which a
-    guilty part was are not counted against others, and neither are those of a part that was only
-    where another suspect was too.
+    A part whose crashes lie in two moments (servers that end together have a common cause) is on
+    probation: few requests with it are sent at a time in the whole fleet. It is guilty if two of
+    these have ended their servers too. Crashes at which a guilty part was are not counted against
+    others, and neither are those of a part that was only where another suspect was too.
 
     State is merged from this instance and its peers in any order; a repeated report changes
     nothing. Not thread-safe.
@@ -139,8 +138,11 @@
   };
   using Survivors = std::unordered_map<Fingerprint, Survivor>;
 
+  /** What crashes say together. */
   struct Evidence {
     int weight = 0;
+
+    /** Crashes close together are one. */
     int moments = 0;
 
     /** Moments in which requests were in flight that were sent on probation. */
@@ -152,7 +154,8 @@
                     const Crash& crash,
                     std::optional<TimePoint> suspected_at) const;
   int WeightOf(const Crashes& crashes) const { return EvidenceOf(crashes).weight; }
-  bool IsOnProbation(const Fingerprint& part) const;
+  bool IsOnProbation(const Fingerprint& fingerprint) const;
+  bool IsUnexplained(const Part& part) const;
   std::vector<Fingerprint> SuspectsAmong(const std::vector<Fingerprint>& parts) const;
   void EndProbations();
   std::optional<Survivor> LastSurvivorOf(const Fingerprint& part) const;
@@ -180,6 +183,14 @@
   std::unordered_map<Fingerprint, Part> m_parts;
   Probation m_probation;
 
+  struct Verdict {
+    TimePoint at{};
+    bool is_on_probation = false;
+  };
+
+  /** Of parts that were asked for lately: to find them out looks at all parts. */
+  mutable std::unordered_map<Fingerprint, Verdict> m_verdicts;
+
   /** How many parts were at each crash without a survivor since. */
   std::map<BackendServerName, PartsAtCrash> m_parts_at;
 
