Trials of suspected parts do not bunch, and those that tell most come first

Change: an unused turn ends after 0.9 s. Of the instances that wait for the end of a pause, that whose turn came last goes on first. In the first half of a turn only requests with one suspect are sent. Once two trials have ended servers, each further one waits two seconds longer than the one before.

Tried: turns of four periods (pairs of trials), no pause before the proof.

--- a/packages/zinnia_decisions/forwarding/crashes/part_quarantine.cc
+++ b/packages/zinnia_decisions/forwarding/crashes/part_quarantine.cc
@@ -44,6 +44,10 @@
 /** After the end of a server, no trial is sent for this long with a suspect that was there. */
 constexpr Duration kTrialPause = milliseconds(600);
 
+/** The same once there are enough trials, for each that is beyond need: the proof waits for what
+    else peers tell, or for one that tells two parts apart. */
+constexpr Duration kPauseBeforeProof = milliseconds(2'000);
+
 /** Moments after which a part is on probation, whatever they count. */
 constexpr int kLeastMomentsOfSuspect = 2;
 
@@ -347,10 +351,12 @@
 }
 
 bool PartQuarantine::MustWait(const std::vector<Fingerprint>& parts) {
+  const std::vector<Fingerprint> suspects = SuspectsAmong(parts);
   bool must_wait = false;
-  for (const Fingerprint& suspect : SuspectsAmong(parts)) {
+  for (const Fingerprint& suspect : suspects) {
     m_probation.Watch(suspect);
-    must_wait |= IsTrialNews(m_parts.at(suspect)) || !m_probation.HasTurn(suspect);
+    must_wait |= IsTrialNews(m_parts.at(suspect), m_probation.TurnAge()) ||
+                 !m_probation.HasTurn(suspect, suspects.size() == 1);
   }
   return must_wait;
 }
@@ -509,9 +515,12 @@
   return evidence.weight >= kProofWeight && evidence.trials >= kLeastTrials;
 }
 
-/** A trial that ended its server has said enough until all know of it. */
-bool PartQuarantine::IsTrialNews(const Part& part) const {
-  return m_clock.Now() - LastOf(part.crashes) < kTrialPause;
+/** A trial that ended its server has said enough until all know of it. The instance whose turn came
+    last goes on first, so that those that wait do not go on together. */
+bool PartQuarantine::IsTrialNews(const Part& part, Duration turn_age) const {
+  const int beyond_need = EvidenceOf(part.crashes).trials - kLeastTrials + 1;
+  const Duration pause = beyond_need > 0 ? kPauseBeforeProof * beyond_need : kTrialPause;
+  return m_clock.Now() - LastOf(part.crashes) < pause + turn_age;
 }
 
 bool PartQuarantine::IsProven(const Part& part) const {
--- a/packages/zinnia_decisions/forwarding/crashes/probation.cc
+++ b/packages/zinnia_decisions/forwarding/crashes/probation.cc
@@ -33,10 +33,20 @@
   m_last_turns.try_emplace(suspect, m_turn);
 }
 
-bool Probation::HasTurn(const Fingerprint& suspect) {
+Duration Probation::TurnAge() {
+  Advance();
+  return m_clock.Now() - (m_next_turn_at - Interval());
+}
+
+bool Probation::HasTurn(const Fingerprint& suspect, bool is_alone) {
   Advance();
   const auto last = m_last_turns.find(suspect);
-  return last == m_last_turns.end() || last->second < m_turn;
+  if (last == m_last_turns.end()) {
+    return true;
+  }
+  const Duration age = TurnAge();
+  const bool is_open = age < kTurnLifetime && (is_alone || age >= kTimeOfSingleSuspects);
+  return is_open && last->second < m_turn;
 }
 
 void Probation::TakeTurn(const Fingerprint& suspect) {
--- a/packages/zinnia_decisions/forwarding/crashes/probation.h
+++ b/packages/zinnia_decisions/forwarding/crashes/probation.h
@@ -29,6 +29,12 @@
  public:
   static constexpr Duration kTrialPeriod = std::chrono::milliseconds(900);
 
+  /** Unused turns end, so that not many are open at once in a large fleet. */
+  static constexpr Duration kTurnLifetime = kTrialPeriod;
+
+  /** From the beginning of a turn. */
+  static constexpr Duration kTimeOfSingleSuspects = kTrialPeriod / 2;
+
   explicit Probation(const Clock& clock) : m_clock(clock) {}
 
   void SetPlace(FleetPlace place);
@@ -42,8 +48,12 @@
     std::erase_if(m_last_turns, [&](const auto& suspect) { return predicate(suspect.first); });
   }
 
-  /** Whether a request with the suspect may be sent now. */
-  bool HasTurn(const Fingerprint& suspect);
+  /** Whether a request with the suspect may be sent now. One with several suspects tells less of
+      each, so that it comes second in each turn. */
+  bool HasTurn(const Fingerprint& suspect, bool is_alone);
+
+  /** How long this instance's turn has been open. */
+  Duration TurnAge();
 
   /** A request with the suspect is sent. */
   void TakeTurn(const Fingerprint& suspect);
--- a/tests/forwarding/part_quarantine_test.cc
+++ b/tests/forwarding/part_quarantine_test.cc
@@ -184,4 +184,29 @@
   CHECK_FALSE(m_parts.MustWait({kPart}));
 }
 
+// Guards against trials that cannot tell which of two suspects they speak of.
+TEST(PartQuarantine, ARequestWithOneSuspectGoesBeforeOneWithTwo) {
+  for (int crash = 0; crash < 2; ++crash) {
+    Crash(kPart);
+    CrashReport report;
+    report.request = kOther;
+    report.server = "srv-" + std::to_string(m_servers);
+    report.onset = CrashOnset::kBegun;
+    report.kind = SuspectKind::kPromptPart;
+    m_parts.OnCrash(report);
+    m_clock.now += kBetweenTrials;
+  }
+  CHECK_TRUE(m_parts.MustWait({kPart, kOther}));
+  milliseconds alone_after{0};
+  while (m_parts.MustWait({kPart})) {
+    CHECK_TRUE(m_parts.MustWait({kPart, kOther}));
+    m_clock.now += milliseconds(10);
+    alone_after += milliseconds(10);
+    CHECK_TRUE(alone_after < 3 * Probation::kTrialPeriod);
+  }
+  CHECK_TRUE(m_parts.MustWait({kPart, kOther}));
+  m_clock.now += Probation::kTimeOfSingleSuspects;
+  CHECK_FALSE(m_parts.MustWait({kPart, kOther}));
+}
+
 }  // namespace zinnia
--- a/tests/forwarding/part_schedules_test.cc
+++ b/tests/forwarding/part_schedules_test.cc
@@ -13,7 +13,7 @@
   static constexpr std::uint64_t kSeeds = 20;
   static constexpr std::uint64_t kSeedsOfLargeFleets = 2;
   static constexpr std::uint64_t kSeedsOfWholePool = 3;
-  static constexpr std::uint64_t kSeedsOfFewServers = 5;
+  static constexpr std::uint64_t kSeedsOfFewServers = 20;
 
   /** Sends with a harmful part that are allowed later than the stability window after the fifth
       crash. */
