The trial that a proof still needs comes soon

The test was not run again after the pause before the proof came in.

Cause: a part is refused once two trials have ended servers and its crashes span two seconds. The long pause before the proof began with the second trial, also where the span was too short, so that the third trial, which the proof cannot do without, waited for two seconds and met the end of the window. A trace of the test: ends at 0, 0, 0.26, 0.26, 0.95 and 1.83 s, the next at 4.54 s, after the window (4.20 s).

Ruled out: load.

Change: the long pause counts only where the crashes span what a proof asks for.

--- a/packages/zinnia_decisions/forwarding/crashes/part_quarantine.h
+++ b/packages/zinnia_decisions/forwarding/crashes/part_quarantine.h
@@ -172,6 +172,7 @@
   Crashes UnexplainedByRivals(const Part& part) const;
   bool IsTied(const Part& part) const;
   static bool IsEnough(const Evidence& evidence);
+  static bool IsOverLongEnough(const Crashes& crashes);
   bool IsTrialNews(const Part& part, Duration turn_age) const;
   bool IsProven(const Part& part) const;
   bool IsStrongSuspect(const Part& part) const;
--- a/packages/zinnia_decisions/forwarding/crashes/part_quarantine_evidence.cc
+++ b/packages/zinnia_decisions/forwarding/crashes/part_quarantine_evidence.cc
@@ -170,13 +170,17 @@
   return evidence.weight >= kProofWeight && evidence.trials >= kLeastTrials;
 }
 
+bool PartQuarantine::IsOverLongEnough(const Crashes& crashes) {
+  return LastOf(crashes) - FirstOf(crashes) >= kLongestPoolLoss;
+}
+
 bool PartQuarantine::IsProven(const Part& part) const {
   if (part.crashes.size() < kLeastStarts) {
     return false;
   }
   const Crashes crashes = Settled(UnexplainedByRivals(part));
   const Evidence evidence = EvidenceOf(crashes);
-  return IsEnough(evidence) && LastOf(crashes) - FirstOf(crashes) >= kLongestPoolLoss &&
+  return IsEnough(evidence) && IsOverLongEnough(crashes) &&
          (evidence.weight >= kProofWeightOfTie || !IsTied(part));
 }
 
--- a/packages/zinnia_decisions/forwarding/crashes/part_quarantine_probation.cc
+++ b/packages/zinnia_decisions/forwarding/crashes/part_quarantine_probation.cc
@@ -79,7 +79,8 @@
     last goes on first, so that those that wait do not go on together. */
 bool PartQuarantine::IsTrialNews(const Part& part, Duration turn_age) const {
   const int beyond_need = EvidenceOf(part.crashes).trials - kLeastTrials + 1;
-  const Duration pause = beyond_need > 0 ? kPauseBeforeProof * beyond_need : kTrialPause;
+  const bool may_be_proof = beyond_need > 0 && IsOverLongEnough(part.crashes);
+  const Duration pause = may_be_proof ? kPauseBeforeProof * beyond_need : kTrialPause;
   return m_clock.Now() - LastOf(part.crashes) < pause + turn_age;
 }
 
--- a/tests/forwarding/part_quarantine_test.cc
+++ b/tests/forwarding/part_quarantine_test.cc
@@ -1,5 +1,6 @@
 #include "zinnia_decisions/forwarding/crashes/part_quarantine.h"
 
+#include <array>
 #include <memory>
 #include <vector>
 
@@ -209,4 +210,25 @@
   CHECK_FALSE(m_parts.MustWait({kPart, kOther}));
 }
 
+// Guards against a long wait for the trial that the proof still needs.
+TEST(PartQuarantine, TrialsThatProveNothingYetAreFollowedSoon) {
+  constexpr std::array<milliseconds, 4> kCrashes = {milliseconds(0), milliseconds(250),
+                                                    milliseconds(950), milliseconds(1'830)};
+  constexpr Duration kSoon = milliseconds(600) + Probation::kTrialPeriod;
+  const TimePoint begin = m_clock.now;
+  for (const milliseconds at : kCrashes) {
+    m_clock.now = begin + at;
+    m_parts.MustWait({kPart});
+    m_parts.OnSent({kPart});
+    Crash(kPart);
+  }
+  const TimePoint last = m_clock.now;
+  while (m_parts.MustWait({kPart})) {
+    m_clock.now += milliseconds(10);
+    CHECK_TRUE(m_clock.now - last <= kSoon);
+  }
+  m_parts.RemoveExpired();
+  CHECK_FALSE(IsRefused());
+}
+
 }  // namespace zinnia
