Those who stay beside departed callers are served; waiting requests of departed callers are not sent

Cause of the change: of what the mend of requests of departed callers promises, no test showed that those who stay are served, or that a request that waits for room or for a configuration is not sent once its caller has left.

Change: two tests of LeftCallerPath, no other code.

--- a/tests/forwarding_path/left_callers_test.cc
+++ b/tests/forwarding_path/left_callers_test.cc
@@ -55,6 +55,11 @@
     connection.Write(ForwardingFixture::Head("Content-Length: 2\r\n") + "ok");
   }
 
+  static void AnswerWithEvents(Connection & connection) {
+    connection.Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n") +
+                     ForwardingFixture::Chunk(ForwardingFixture::Event(1)) + "0\r\n\r\n");
+  }
+
   static std::string Request(const std::string& path,
                              milliseconds deadline = std::chrono::seconds(60)) {
     return fmt::format(
@@ -230,4 +235,52 @@
   CHECK_EQUAL(0U, f.Arrivals());
 }
 
+// Guards against refusing or forgetting those who stay beside those who leave.
+TEST(LeftCallerPath, AfterAStandstillThoseWhoStayAreServed) {
+  WarmPool();
+  f.Script(AnswerWithEvents);
+  for (std::size_t number = 0; number < kCallers; ++number) {
+    Connect();
+  }
+  Run(milliseconds(20));
+  for (const auto& caller : callers) {
+    caller->Send(Request("/events/x"));
+  }
+  for (std::size_t number = 0; number < kCallers; number += 2) {
+    callers[number]->Leave(Departure::kInOrder);
+  }
+  std::erase_if(callers, [number = 0](const auto&) mutable { return number++ % 2 == 0; });
+  CHECK_TRUE(AllHaveAnswers(1));
+  for (const auto& caller : callers) {
+    CHECK_TRUE(caller->received.starts_with("HTTP/1.1 200"));
+  }
+  CHECK_EQUAL(callers.size(), f.Arrivals());
+}
+
+// Guards against sending a request that waited inside the instance after its caller has left.
+TEST(LeftCallerPath, RequestsThatWaitAreNotSentAfterTheirCallersHaveLeft) {
+  const auto without_configuration = std::make_shared<ForwardingView>();
+  const auto without_servers = std::make_shared<ForwardingView>(*f.view);
+  without_servers->servers.clear();
+  for (const auto& view : {without_configuration, without_servers}) {
+    WarmPool();
+    f.Script(AnswerWithEvents);
+    f.traffic->SetView(view);
+    for (std::size_t number = 0; number < kCallers; ++number) {
+      Connect().Send(Request("/events/x"));
+    }
+    Run(milliseconds(50));
+    for (std::size_t number = 1; number < kCallers; ++number) {
+      callers[number]->Leave(Departure::kInOrder);
+    }
+    callers.resize(1);
+    f.traffic->SetView(f.view);
+    CHECK_TRUE(AllHaveAnswers(1));
+    Run(milliseconds(150));
+    CHECK_TRUE(callers.front()->received.starts_with("HTTP/1.1 200"));
+    CHECK_EQUAL(1U, f.Arrivals());
+    callers.clear();
+  }
+}
+
 }  // namespace zinnia
