--- a/tests/forwarding/part_quarantine_test.cc
+++ b/tests/forwarding/part_quarantine_test.cc
@@ -231,4 +231,43 @@
   CHECK_FALSE(IsRefused());
 }
 
+// Guards against a next trial before all instances know how the last one ended.
+TEST(PartQuarantine, NoTrialFollowsTheEndOfAServerAtOnce) {
+  constexpr Duration kPause = milliseconds(600);
+  for (const milliseconds until_crash : {milliseconds(60), milliseconds(300), milliseconds(800)}) {
+    m_parts.OnSurvived({kPart}, m_clock.now);
+    Crash(kPart);
+    m_clock.now += kBetweenTrials;
+    Crash(kPart);
+    while (m_parts.MustWait({kPart})) {
+      m_clock.now += milliseconds(10);
+    }
+    m_parts.OnSent({kPart});
+    m_clock.now += until_crash;
+    Crash(kPart);
+    const TimePoint crashed_at = m_clock.now;
+    while (m_clock.now - crashed_at < kPause) {
+      CHECK_TRUE(m_parts.MustWait({kPart}));
+      m_clock.now += milliseconds(10);
+    }
+    m_clock.now += std::chrono::seconds(30);
+  }
+}
+
+// Guards against unused turns that many instances use together later.
+TEST(PartQuarantine, AnUnusedTurnEnds) {
+  constexpr std::size_t kInstances = 10;
+  Probation probation(m_clock);
+  probation.SetPlace({3, kInstances});
+  probation.Watch(kPart);
+  int open_for_ms = 0;
+  for (milliseconds passed{0}; passed < 3 * kInstances * Probation::kTrialPeriod;
+       passed += milliseconds(1)) {
+    open_for_ms += probation.HasTurn(kPart, true) ? 1 : 0;
+    m_clock.now += milliseconds(1);
+  }
+  const auto of_three = std::chrono::duration_cast<milliseconds>(3 * Probation::kTurnLifetime);
+  CHECK_EQUAL(of_three.count(), open_for_ms);
+}
+
 }  // namespace zinnia
