The chat interface counts a request's age against its deadline

Cause: ChatExchange and ServiceExchange took the moment at which a request was read for that of its arrival, so that one that had lain during a standstill was admitted with its whole deadline.

Change: ExchangeContext::started_at is when the request arrived. The first token's time counts from it, too.

--- a/packages/zinnia_adapters/callers/caller_server.cc
+++ b/packages/zinnia_adapters/callers/caller_server.cc
@@ -133,9 +133,9 @@
 }
 
 std::shared_ptr<CallerExchange> CallerServer::CreateExchange(CallerRequest request,
-                                                             Duration,
+                                                             Duration age,
                                                              std::shared_ptr<Responder> responder) {
-  ExchangeContext context = MakeContext(std::move(request), std::move(responder));
+  ExchangeContext context = MakeContext(std::move(request), age, std::move(responder));
   if (auto exchange = CreateKeylessExchange(context)) {
     return exchange;
   }
@@ -156,6 +156,7 @@
 }
 
 ExchangeContext CallerServer::MakeContext(CallerRequest request,
+                                          Duration age,
                                           std::shared_ptr<Responder> responder) {
   // Callers' own request ids are not taken over: the once gate needs them to be unique.
   return {m_parts,
@@ -164,7 +165,7 @@
           std::move(request),
           fmt::format("{}-{}", m_parts.name_prefix, m_next_request++),
           {},
-          m_parts.clock.Now(),
+          m_parts.clock.Now() - age,
           {},
           m_random() >> 1U};
 }
--- a/packages/zinnia_adapters/callers/caller_server.h
+++ b/packages/zinnia_adapters/callers/caller_server.h
@@ -72,7 +72,9 @@
   bool IsDraining() const override { return m_draining; }
   void CountConnectionEvent(std::string_view event) override;
 
-  ExchangeContext MakeContext(CallerRequest request, std::shared_ptr<Responder> responder);
+  ExchangeContext MakeContext(CallerRequest request,
+                              Duration age,
+                              std::shared_ptr<Responder> responder);
   std::shared_ptr<CallerExchange> CreateKeylessExchange(ExchangeContext& context) const;
   Result<void> CheckRoom() const;
   Result<Organisation> Authenticate(const CallerRequest& request) const;
--- a/packages/zinnia_adapters/callers/exchange_context.h
+++ b/packages/zinnia_adapters/callers/exchange_context.h
@@ -25,6 +25,8 @@
   CallerRequest request;
   std::string request_id;
   Organisation organisation;
+
+  /** When the request arrived, of which it may have waited long to be read. */
   TimePoint started_at{};
   std::optional<TimePoint> deadline;
   std::uint64_t random = 0;
