Review: an answer bears the signature of a server that made none of it

Cause: a second server's head goes to the client before its first event; if the first server's link passes again before that event, the answer goes on with the events of the first server, under the head and the signature of the second.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,8 @@
 cd "$(dirname "$0")/.."
 out=target/review
 mkdir -p "$out"
-shared=(platform/soak/socket platform/soak/http_server platform/soak/store_standin platform/base64
+shared=(platform/soak/socket platform/soak/http_server platform/soak/store_standin
+  platform/soak/proxy platform/soak/connection_owner platform/base64
   packages/zinnia_base/errors/error packages/zinnia_base/errors/error_kind review/standin/deployment)
 cases=()
 for source in review/standin/*.cc; do
