Streams: the log names whose head and whose first event a caller got

Two orders of events explain that: the request returns to its held first server after the second one's head was passed on, or a second server answers after the first one's head was passed on. request_returned tells that a request went back, but no line tells whose head the caller had.

Change: request_ended names head_of and first_event_of.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -198,6 +198,7 @@
   StreamHead head(static_cast<http::status>(status), 11);
   static_cast<http::fields&>(head) = m_attempt.fields;
   head.erase(http::field::content_length);
+  m_head_of = m_attempt.server;
   m_answer.StartStream(std::move(head));
 }
 
@@ -214,6 +215,7 @@
   const bool is_first = !m_event_intervals.HasBegun();
   m_event_intervals.OnEvent(now);
   if (is_first) {
+    m_first_event_of = m_attempt.server;
     m_first_event_after = now - m_started_at;
     if (!m_attempt.is_at_peer) {
       m_parts.health.OnFirstEvent(m_attempt.server, now - m_attempt.sent_at);
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -308,6 +308,11 @@
   const ForwardingParts& m_parts;
   const CallerRequest m_request;
   CallerAnswer m_answer;
+
+  /** The server, or the peer, whose head the caller has been given, and that of the first event;
+      empty before. */
+  BackendServerName m_head_of;
+  BackendServerName m_first_event_of;
   const RequestOrigin m_origin;
   std::function<void(ForwardExchange&)> m_on_end;
 
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -153,6 +153,8 @@
                      {{"request", m_facts.id},
                       {"outcome", std::string(outcome)},
                       {"server", m_attempt.server},
+                      {"head_of", m_head_of},
+                      {"first_event_of", m_first_event_of},
                       {"first_event_ms", Milliseconds(m_first_event_after)},
                       {"longest_gap_ms", Milliseconds(m_event_intervals.LongestInterval())},
                       {"last_event", std::to_string(m_events.LastEventId().value_or(0))},
