Peers: their refusal is no promise for a request that may have run

Callers saw: 503 with Retry-After, which promises "not run and never will be", for a repeatable request that a server had been given before, when this instance lost all servers, asked a peer, and the peer refused.

Cause: OnPeerAnswer passed everything on but a refusal as cut off. A peer knows only of its own servers; what ran before it was asked stands in this instance's history. Found while looking at what streams whose head is held back would get from a peer.

Evidence: test HeldAttemptPeersPath.APeersRefusalIsNoPromiseForARequestThat- MayHaveRun: the first server ends while the request is at a peer that then refuses. Before: the peer's 503 reached the caller; after: 502.

Change: a promise of a peer is handled like one to a begun stream if the request may have run: another way is tried, and if there is none the caller gets 502, as DecideNextStep says for a request that may have run.

--- a/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_peers.cc
@@ -67,7 +67,8 @@
     OnPeerFailed("the peer reaches no server either");
     return;
   }
-  if (m_answer.HasBegun() || (m_held && !IsSuccess(m_attempt.status))) {
+  const bool is_false_promise = m_history.may_have_run && IsPromise(m_attempt.status);
+  if (m_answer.HasBegun() || is_false_promise || (m_held && !IsSuccess(m_attempt.status))) {
     OnNotContinued();
     return;
   }
@@ -77,8 +78,8 @@
   PassOnWholeAnswer();
 }
 
-/** A whole answer cannot follow the beginning of a stream, and a failure is no reason to leave a
-    server that may go on. */
+/** A whole answer cannot follow the beginning of a stream, a failure is no reason to leave a server
+    that may go on, and "not run" is the peer's word on its own servers only. */
 void ForwardExchange::OnNotContinued() {
   const std::string reason = fmt::format("status {} of a peer", m_attempt.status);
   m_avoided.insert(m_attempt.server);
--- a/tests/forwarding_path/held_attempt_test.cc
+++ b/tests/forwarding_path/held_attempt_test.cc
@@ -489,6 +489,31 @@
   CHECK_TRUE(caller.Has("mine"));
 }
 
+// Guards against "not run" on a peer's word, although a server may have run the request before.
+TEST(HeldAttemptPeersPath, APeersRefusalIsNoPromiseForARequestThatMayHaveRun) {
+  RawServer peer{f.thread.Loop()};
+  Connection* at_first = nullptr;
+  Connection* at_peer = nullptr;
+  f.Script([&](Connection& connection) { at_first = &connection; });
+  const TestCaller& caller = f.Call("/safe/x");
+  CHECK_TRUE(f.Until([&] { return at_first != nullptr; }));
+  peer.scripts = {[&](Connection& connection) { at_peer = &connection; }};
+  const auto lost = ViewWithoutServers();
+  AddPeer(*lost, peer);
+  f.traffic->SetView(lost);
+  Wait(milliseconds(1'100));
+  f.Call("/safe/y");
+  CHECK_TRUE(f.Until([&] { return at_peer != nullptr; }));
+  STRCMP_EQUAL("/safe/x", std::string(peer.received.front().target()).c_str());
+  f.a.Crash();
+  f.b.Crash();
+  Wait(milliseconds(50));
+  at_peer->Write(
+      "HTTP/1.1 503 Full\r\nX-Id: r-1\r\nRetry-After: 0.3\r\nContent-Length: 4\r\n\r\nlost");
+  CHECK_TRUE(f.Until([&] { return !caller.Received().empty(); }));
+  CHECK_TRUE(caller.Has("HTTP/1.1 502"));
+}
+
 // Guards against waiting for a lost server although a peer could take the request by now.
 TEST(HeldAttemptPeersPath, AnotherWayIsLookedForAgainWhenPeersAppear) {
   RawServer peer{f.thread.Loop()};
