Streams: a head goes out with the first event of its own server

Callers saw: whole streams, status 200 and all events, with the head and signature of a server that had made none of the events (MIXED).

Cause: OnServerAnswerHead passed a stream's head on as it arrived, and nothing tied it to the server whose events followed. A server that was cut off, ended or fell silent between its head and its first whole event was replaced, and the second one's events followed under its head; or the second one's head went out and the first one went on.

Change: the head stays with its attempt, which keeps it anyway, and BeginStream writes it with the first whole event of the same attempt, or with the end of a stream without events. There is one place left where a head is written, and it is given the events' own attempt, so the two can't be of different servers. A stream of which nothing was shown is answered anew: 502 if nobody goes on, where it was cut off behind a head before.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -150,7 +150,8 @@
     return;
   }
   if (m_route->repeatability == Repeatability::kStream && MayHaveBody(status)) {
-    OnStreamHead(status);
+    m_attempt.is_streaming = true;
+    m_attempt.stream_began_at = m_parts.clock.Now();
   }
 }
 
@@ -189,13 +190,13 @@
   return attempt.answer_facts.is_signed && attempt.fields.count(http::field::content_encoding) == 0;
 }
 
-void ForwardExchange::OnStreamHead(unsigned status) {
-  m_attempt.is_streaming = true;
-  m_attempt.stream_began_at = m_parts.clock.Now();
+/** Called with the first whole event or the end of the stream, not with the head: until then
+   another server may be the one that goes on, whose head and signature belong to the answer. */
+void ForwardExchange::BeginStream() {
   if (m_answer.HasBegun()) {
     return;
   }
-  StreamHead head(static_cast<http::status>(status), 11);
+  StreamHead head(static_cast<http::status>(m_attempt.status), 11);
   static_cast<http::fields&>(head) = m_attempt.fields;
   head.erase(http::field::content_length);
   m_head_of = m_attempt.server;
@@ -241,6 +242,7 @@
   if (!m_attempt.is_at_peer && now - m_attempt.stream_began_at >= RequestQuarantine::kOnsetTime) {
     NoteSurvival();
   }
+  BeginStream();
   m_answer.SendEvents(events);
   MoveIfDue();
   return Held();
@@ -272,6 +274,7 @@
   }
   m_parts.quarantine.OnEndedWell(m_fingerprint);
   NoteAnswerLength();
+  BeginStream();
   m_answer.EndStream();
   End("streamed");
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -243,7 +243,9 @@
                 ServerAttempt& attempt) const;
   bool IsOfAnotherRequest(const ServerAttempt& attempt) const;
   static bool IsServersOwn(const ServerAttempt& attempt);
-  void OnStreamHead(unsigned status);
+
+  /** Gives the caller the head of the current attempt, unless the stream has begun. */
+  void BeginStream();
   void OnWholeAnswer();
   void QuerySlowdownFactors();
   void QueryLayers(const PathPart& accused);
--- a/tests/forwarding_path/begun_stream_test.cc
+++ b/tests/forwarding_path/begun_stream_test.cc
@@ -20,9 +20,13 @@
   RawServer second_peer{f.thread.Loop()};
 
   void setup() override {
-    f.Script([](Connection& connection) {
-      connection.Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n") +
-                       ForwardingFixture::Chunk(ForwardingFixture::Event(1)));
+    SetOpening(ForwardingFixture::Chunk(ForwardingFixture::Event(1)));
+  }
+
+  /** What servers send behind their head. */
+  void SetOpening(const std::string& opening) {
+    f.Script([opening](Connection& connection) {
+      connection.Write(ForwardingFixture::Head("Transfer-Encoding: chunked\r\n") + opening);
     });
   }
 
@@ -50,6 +54,11 @@
   TestCaller& BeginAndLoseServers() {
     TestCaller& caller = f.Call("/events/x");
     CHECK_TRUE(f.Until([&] { return caller.Has("data: e1"); }));
+    LoseServers();
+    return caller;
+  }
+
+  void LoseServers() {
     const auto lost = std::make_shared<ForwardingView>(*f.view);
     for (auto& [name, server] : lost->servers) {
       server.address = f.refusing.Address();
@@ -65,6 +74,20 @@
     f.Call("/safe/x");
     CHECK_TRUE(
         f.Until([&] { return !first_peer.received.empty() || !second_peer.received.empty(); }));
+  }
+
+  /** The servers have sent their heads only, and end before the peer answers. */
+  TestCaller& OpenAndLoseServers(const RawServer::Script& script_of_peers) {
+    SetOpening("");
+    SetPeers([this, script_of_peers](Connection& connection) {
+      f.a.Crash();
+      f.b.Crash();
+      script_of_peers(connection);
+    });
+    TestCaller& caller = f.Call("/events/x");
+    CHECK_TRUE(f.Until([&] { return f.Arrivals() == 1; }));
+    LoseServers();
+    CHECK_TRUE(f.Until([&] { return EndsWhole(caller) || caller.Has("HTTP/1.1 50"); }));
     return caller;
   }
 
@@ -187,4 +210,23 @@
   CHECK_TRUE(EndsWhole(caller));
 }
 
+// Guards against the head of a lost server over the events that a peer passes on.
+TEST(BegunStreamPath, AHeadAloneLeavesTheAnswerToThePeer) {
+  const TestCaller& caller = OpenAndLoseServers([](Connection& connection) {
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: other\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        ForwardingFixture::Chunk(ForwardingFixture::Event(1)) + "0\r\n\r\n");
+  });
+  CHECK_TRUE(EndsWhole(caller));
+  CHECK_TRUE(caller.Has("X-Signature: other"));
+  CHECK_FALSE(caller.Has("X-Signature: s"));
+}
+
+// Guards against "not run" for a stream that may have run at the server that sent a head.
+TEST(BegunStreamPath, AfterAHeadAPeersRefusalIsNoPromise) {
+  const TestCaller& caller =
+      OpenAndLoseServers(Answering(Answer("503 Service Unavailable", "Retry-After: 0.3\r\n")));
+  CHECK_TRUE(caller.Has("HTTP/1.1 502"));
+}
+
 }  // namespace zinnia
