Streams: one whose events have no ids does not begin anew at another server

Callers would see: an event without an id, or a comment, of one server and behind it the whole stream of another, under the first one's signature.

Cause: the same as of heads of one server over events of another, on a related path: a resumable stream was sent again whatever had been passed on, with the last event id as the place to go on. Without any id there is no such place, and the second server began at the beginning.

Evidence: AnswerEndPath.AStreamThatIsResetAfterAnEventWithoutAnIdIsCutOff and .AStreamThatIsResetAfterACommentIsCutOff: before, the caller got both servers' bytes as one whole stream.

Change: SendHistory::can_resume, which IsSafeToRepeat asks beside the route: false once something was passed on and none of it had an id. All that decides on another server asks there: failures, silence, moves.

Result: both tests failed before and pass now, with the rest of AnswerEndPath.

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -242,6 +242,7 @@
   if (!m_attempt.is_at_peer && now - m_attempt.stream_began_at >= RequestQuarantine::kOnsetTime) {
     NoteSurvival();
   }
+  m_history.can_resume = m_events.LastEventId().has_value();
   BeginStream();
   m_answer.SendEvents(events);
   MoveIfDue();
--- a/packages/zinnia_decisions/forwarding/retries/retry_policy.cc
+++ b/packages/zinnia_decisions/forwarding/retries/retry_policy.cc
@@ -21,7 +21,8 @@
 bool IsSafeToRepeat(const ForwardRoute& route, SendOutcome outcome, const SendHistory& history) {
   const bool certainly_not_run =
       outcome == SendOutcome::kNotSent || outcome == SendOutcome::kNotRun;
-  return route.MayRepeat() || (certainly_not_run && !history.may_have_run);
+  const bool may_repeat = route.MayRepeat() && history.can_resume;
+  return may_repeat || (certainly_not_run && !history.may_have_run);
 }
 
 bool IsWithinBounds(const ForwardRoute& route, const SendHistory& history) {
--- a/tests/forwarding_path/answer_ends_test.cc
+++ b/tests/forwarding_path/answer_ends_test.cc
@@ -214,6 +214,22 @@
   CheckCutOffAfterFirstEvent(caller);
 }
 
+// Guards against a stream that begins anew behind what another server has sent.
+TEST(AnswerEndPath, AStreamThatIsResetAfterAnEventWithoutAnIdIsCutOff) {
+  ScriptStream("data: e1\n\n", 1);
+  const TestCaller& caller = BeginStream("/events/x");
+  Reset(*open);
+  CheckCutOffAfterFirstEvent(caller);
+}
+
+// The same for a comment, which is no event for callers.
+TEST(AnswerEndPath, AStreamThatIsResetAfterACommentIsCutOff) {
+  ScriptStream(": data: e1\n\n", 1);
+  const TestCaller& caller = BeginStream("/events/x");
+  Reset(*open);
+  CheckCutOffAfterFirstEvent(caller);
+}
+
 // Guards against an end of the connection that is taken for the end of an answer with a length.
 TEST(AnswerEndPath, AChunkedStreamWithoutItsLastChunkIsResumed) {
   f.Script([this](Connection& connection) {
