Orders: an epoch record that can't be read does not stop the role for good

Callers would see: layers that are lost are not placed again, at any instance, after another writer left one odd value under the key of a pool's epoch.

Cause: EpochOf called to_number without an error code. It throws for -1, 0.5 or 1e30, out of a callback of the store; the control thread counts the throw and goes on, but the role stays in "acquiring" at this instance, and at each one that takes the lease next. 2^64 - 1 was believed and raised to 0.

Evidence: test Orders.AnEpochThatCannotBeReadIsNotBelieved, twelve values. On the code before: boost::system::system_error, "not exact", uncaught there.

Change: a record without a whole number up to 2^53 - 1 counts as none and is recorded as the decision ignore_epoch_record. Engines that know a higher epoch refuse, and the role is taken again above it, which existed before.

--- a/packages/zinnia_decisions/orders/order_role.cc
+++ b/packages/zinnia_decisions/orders/order_role.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "zinnia_base/decisions/decision_record.h"
@@ -18,15 +19,20 @@
     must check it, since membership views may differ. */
 constexpr std::uint64_t kTicksBetweenLeaseChecks = 5;
 
-std::uint64_t EpochOf(const std::optional<StoreRecord>& record) {
-  if (!record || !record->value) {
-    return 0;
-  }
+/** Whole numbers up to here are exact in JSON, and the next one still is. */
+constexpr std::uint64_t kLargestEpoch = (std::uint64_t{1} << 53U) - 1;
+
+/** Returns nullopt for a value that holds no epoch, as another writer may leave it. */
+std::optional<std::uint64_t> ReadEpochRecord(const std::string& text) {
   boost::system::error_code error;
-  const boost::json::value value = boost::json::parse(*record->value, error);
+  const boost::json::value value = boost::json::parse(text, error);
   const boost::json::object* object = error ? nullptr : value.if_object();
-  const boost::json::value* epoch = object ? object->if_contains("epoch") : nullptr;
-  return epoch && epoch->is_number() ? epoch->to_number<std::uint64_t>() : 0;
+  const boost::json::value* field = object ? object->if_contains("epoch") : nullptr;
+  if (field == nullptr || !field->is_number()) {
+    return std::nullopt;
+  }
+  const auto epoch = field->to_number<std::uint64_t>(error);
+  return error || epoch > kLargestEpoch ? std::nullopt : std::optional(epoch);
 }
 
 }  // namespace
@@ -138,16 +144,21 @@
 }
 
 void OrderRole::WriteEpoch(const std::optional<StoreRecord>& record) {
-  const std::uint64_t last = EpochOf(record);
+  const bool has_record = record && record->value;
+  const auto last = has_record ? ReadEpochRecord(*record->value) : std::nullopt;
+  if (has_record && !last) {
+    Record("ignore_epoch_record", "it holds no number that an epoch can be");
+  }
   const std::uint64_t epochs_of_earlier_eras = m_acquired_in * kEpochsPerEra;
-  const std::uint64_t epoch = std::max({last, m_least_epoch, epochs_of_earlier_eras}) + 1;
+  const std::uint64_t epoch =
+      std::max({last.value_or(0), m_least_epoch, epochs_of_earlier_eras}) + 1;
   const Instance& self = m_parts.membership.Self();
   const std::string value = boost::json::serialize(boost::json::object{
       {"epoch", epoch}, {"holder", self.name}, {"start", self.start}, {"lease", m_lease}});
-  const std::uint64_t version = record && record->value ? record->version : 0;
+  const std::uint64_t version = has_record ? record->version : 0;
   m_writer.Write(EpochKey(), version, value,
-                 [this, epoch, last](const Result<std::uint64_t>& result) {
-                   result ? OnAcquired(epoch, last > 0) : Abandon();
+                 [this, epoch, has_record](const Result<std::uint64_t>& result) {
+                   result ? OnAcquired(epoch, has_record) : Abandon();
                  });
 }
 
--- a/tests/once/orders_test.cc
+++ b/tests/once/orders_test.cc
@@ -273,5 +273,35 @@
   LONGS_EQUAL(41, pool.engines["a"].epochs.back());
 }
 
+// Guards against a pool without orders for good, since another writer left an odd epoch.
+TEST(Orders, AnEpochThatCannotBeReadIsNotBelieved) {
+  const std::string deep(100'000, '[');
+  const std::vector<std::string> values = {R"({"epoch":-1})",
+                                           R"({"epoch":0.5})",
+                                           R"({"epoch":1e30})",
+                                           R"({"epoch":1e999})",
+                                           R"({"epoch":1e99999999999})",
+                                           R"({"epoch":18446744073709551615})",
+                                           R"({"epoch":36893488147419103232})",
+                                           R"({"epoch":"7"})",
+                                           R"({"epoch":)" + deep,
+                                           "7",
+                                           "",
+                                           "\xff"};
+  for (const std::string& value : values) {
+    FakePool odd_pool;
+    FakeOrderInstance holder{odd_pool, "i1"};
+    odd_pool.store.records["orders/epoch/pool"] = {"orders/epoch/pool", 1, value};
+    odd_pool.store.version = 1;
+    entries["server/a"] = {"server/a", 1, ServerJson("v1", 0, 4)};
+    odd_pool.engines["a"];
+    pool.engines["a"];
+    holder.Start(Fleet());
+    odd_pool.time.AdvanceBy(seconds(60));
+    CHECK_TRUE_TEXT(odd_pool.engines["a"].state.loaded.has_value(), value.substr(0, 40).c_str());
+    CHECK_TRUE(odd_pool.engines["a"].epochs.back() > 0);
+  }
+}
+
 }  // namespace
 }  // namespace zinnia
