Instance list: a row that can't be read does not hide the others

Callers would see: nothing at first; then requests refused for want of servers, as new servers stay unknown and moved ones are looked for at old addresses.

Cause: HttpInstanceList failed the whole reading for one odd row, so whoever follows the list stopped following it for as long as the row was there.

Change: such a row is left out. The reason for refusing it, that half a list looks like servers that are gone, is kept by counting the servers that these rows name as listed. A document that could not be parsed is tried once more with its unreadable rows replaced by null.

--- a/packages/zinnia_adapters/platform/http_instance_list.cc
+++ b/packages/zinnia_adapters/platform/http_instance_list.cc
@@ -2,10 +2,13 @@
 
 #include <boost/json.hpp>
 
+#include <optional>
+#include <string_view>
 #include <utility>
 
 #include "zinnia_adapters/http/http_client.h"
 #include "zinnia_adapters/platform/json_fields.h"
+#include "zinnia_adapters/platform/json_rows.h"
 
 namespace zinnia {
 namespace {
@@ -23,10 +26,18 @@
   return *kind;
 }
 
+NetworkAddress ReadAddress(const JsonFields& fields, std::string_view name) {
+  NetworkAddress address = NetworkAddress::Parse(fields.Text(name)).value();
+  if (address.port == 0) {
+    throw ErrorException(MakeError(ErrorKind::kInternal, "instance list: port 0"));
+  }
+  return address;
+}
+
 ListedServer ReadServer(const JsonFields& fields) {
   ListedServer listed;
   listed.server.name = fields.Text("name");
-  listed.server.address = NetworkAddress::Parse(fields.Text("address")).value();
+  listed.server.address = ReadAddress(fields, "address");
   listed.server.failure_domain = fields.Text("failure_domain");
   listed.server.accelerator = ReadAccelerator(fields);
   listed.server.pool = fields.TextOr("pool", "");
@@ -37,17 +48,36 @@
 }
 
 Instance ReadInstance(const JsonFields& fields) {
-  return {fields.Text("name"), NetworkAddress::Parse(fields.Text("peer_address")).value(),
-          fields.Text("failure_domain"), fields.Text("region"), fields.Number("start")};
+  return {fields.Text("name"), ReadAddress(fields, "peer_address"), fields.Text("failure_domain"),
+          fields.Text("region"), fields.Number("start")};
+}
+
+/** The name in a row that cannot be read otherwise. */
+std::optional<BackendServerName> FindName(const boost::json::value& row) {
+  const auto* object = row.if_object();
+  const auto* name = object == nullptr ? nullptr : object->if_contains("name");
+  return name != nullptr && name->is_string() ? std::optional(BackendServerName(name->get_string()))
+                                              : std::nullopt;
 }
 
 InstanceListing ReadListing(const JsonFields& fields) {
   InstanceListing listing;
   for (const auto& row : fields.Array("servers")) {
-    listing.servers.push_back(ReadServer(JsonFields(row)));
+    try {
+      listing.servers.push_back(ReadServer(JsonFields(row)));
+    } catch (const ErrorException& failure) {
+      listing.faults.push_back(failure.GetError().message);
+      if (auto name = FindName(row)) {
+        listing.unreadable_servers.push_back(std::move(*name));
+      }
+    }
   }
   for (const auto& row : fields.Array("instances")) {
-    listing.instances.push_back(ReadInstance(JsonFields(row)));
+    try {
+      listing.instances.push_back(ReadInstance(JsonFields(row)));
+    } catch (const ErrorException& failure) {
+      listing.faults.push_back(failure.GetError().message);
+    }
   }
   return listing;
 }
@@ -60,7 +90,10 @@
     return MakeError(ErrorKind::kStoreUnavailable,
                      "instance list: status " + std::to_string(result->status));
   }
-  return ParseAnswer(result->body, ErrorKind::kStoreUnavailable, &ReadListing);
+  auto listing = ParseAnswer(result->body, ErrorKind::kStoreUnavailable, &ReadListing);
+  return listing ? listing
+                 : ParseAnswer(ReplaceUnreadableRows(result->body), ErrorKind::kStoreUnavailable,
+                               &ReadListing);
 }
 
 }  // namespace
--- a/packages/zinnia_adapters/platform/http_instance_list.h
+++ b/packages/zinnia_adapters/platform/http_instance_list.h
@@ -10,8 +10,9 @@
 
 class HttpClient;
 
-/** The platform's instance list over HTTP. A row that cannot be read fails the whole reading, as
-    kStoreUnavailable: half a list would look like servers that are gone. */
+/** The platform's instance list over HTTP. A row that cannot be read is left out, so that it hides
+    no others; if it names a server, that one still counts as listed. What is no list at all fails
+    as kStoreUnavailable. */
 class HttpInstanceList final : public InstanceList {
  public:
   HttpInstanceList(std::shared_ptr<HttpClient> client, NetworkAddress address, Duration time_limit);
--- a/packages/zinnia_decisions/control/instance_control.cc
+++ b/packages/zinnia_decisions/control/instance_control.cc
@@ -140,6 +140,11 @@
                        {{"error", Describe(listing.error())}});
     return;
   }
+  if (!listing->faults.empty()) {
+    m_ports.logger.Log(
+        LogLevel::kWarning, "instance_list_rows_unreadable",
+        {{"rows", std::to_string(listing->faults.size())}, {"first", listing->faults.front()}});
+  }
   m_list_was_read = true;
   m_membership.OnListed(listing->instances);
   const bool changed = m_servers.OnListing(*listing);
--- a/packages/zinnia_decisions/fleet_control/server_table.cc
+++ b/packages/zinnia_decisions/fleet_control/server_table.cc
@@ -27,7 +27,8 @@
 
 bool ServerTable::OnListing(const InstanceListing& listing) {
   bool changed = false;
-  std::set<BackendServerName> listed;
+  std::set<BackendServerName> listed(listing.unreadable_servers.begin(),
+                                     listing.unreadable_servers.end());
   for (const ListedServer& row : listing.servers) {
     listed.insert(row.server.name);
     changed = ApplyListed(row.server) || changed;
--- a/packages/zinnia_decisions/ports/instance_list.h
+++ b/packages/zinnia_decisions/ports/instance_list.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "zinnia_base/errors/result.h"
@@ -19,6 +20,12 @@
 struct InstanceListing {
   std::vector<ListedServer> servers;
   std::vector<Instance> instances;
+
+  /** Servers that are listed, but nothing else of whose rows is known. */
+  std::vector<BackendServerName> unreadable_servers;
+
+  /** Why rows could not be read, one text each, for the log. */
+  std::vector<std::string> faults;
 };
 
 /** The platform's list of live and leaving instances and backend servers. */
