Instance records: one with an odd number or port names no instance

Callers would see: budgets and limits divided by an instance that isn't there, and news between failure domains by way of it, as the one with the best link.

Cause: InstanceRegistration::Decode ignored errors of numbers, so a port of 99999 read as 0 and -1 cores or a link of 1e300 Mbit/s counted.

Evidence: InstanceReports.AnOddRecordNamesNoInstance, sixteen values; on the code before, the record with port 0 was taken for an instance.

Change: fields that are there must hold a value of their range; a missing one still counts as zero, as older versions lack some. What can't be read is logged as instance_record_unreadable, and what was known stays.

Result: the test failed before and passes now, with the rest of its group.

--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -282,9 +282,18 @@
     m_instances.OnRecordRemoved(name);
   } else if (const auto instance = InstanceRegistration::Decode(record.key, *record.value)) {
     m_instances.OnRecord(*instance);
+  } else {
+    LogUnreadable("instance_record_unreadable", record);
   }
 }
 
+void ForwardingControl::LogUnreadable(std::string_view event, const MirroredRecord& record) const {
+  m_parts.logger.Log(LogLevel::kError, event,
+                     {{"key", record.key},
+                      {"revision", std::to_string(record.revision.number)},
+                      {"era", std::to_string(record.revision.era)}});
+}
+
 void ForwardingControl::OnMirrorAdvanced() {
   // Peers may have heard of a change of era first.
   m_store_era.OnStoreEra(std::max(m_mirror.Revision().era, m_store_era.Era().value_or(0)));
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -89,6 +89,9 @@
                     std::string_view notice) const;
   bool LayersFitModel(const ServerEntry& server) const;
   void OnInstance(const MirroredRecord& record, RecordOrigin origin);
+
+  /** Another writer has left a value under the record's key that is none of ours. */
+  void LogUnreadable(std::string_view event, const MirroredRecord& record) const;
   void OnQuarantineRecord(const MirroredRecord& record);
   bool IsStoreSteady() const;
   void OnStoreEraChanged(StoreEra era);
--- a/packages/zinnia_decisions/forwarding/observed_state/instance_registration.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/instance_registration.cc
@@ -1,6 +1,7 @@
 #include "zinnia_decisions/forwarding/observed_state/instance_registration.h"
 
 #include <boost/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "zinnia_base/logging/logger.h"
@@ -24,6 +25,36 @@
 /** Failed store calls are billed too, and peers know this instance from its reports meanwhile. */
 constexpr milliseconds kRetryPause{1'000};
 
+/** Far above the cores and the Mbit/s of any machine. */
+constexpr double kLargestFigure = 1e9;
+
+std::string ReadText(const json::object& object, const char* name) {
+  const json::value* field = object.if_contains(name);
+  return field != nullptr && field->is_string() ? std::string(field->as_string()) : std::string();
+}
+
+/** Zero if the field is missing, as older versions lack some; nullopt if no Number holds it. */
+template <typename Number>
+std::optional<Number> ReadWhole(const json::object& object, const char* name) {
+  const json::value* field = object.if_contains(name);
+  if (field == nullptr) {
+    return Number{0};
+  }
+  boost::system::error_code error = json::error::not_number;
+  const auto number = field->is_number() ? field->to_number<Number>(error) : Number{0};
+  return error ? std::nullopt : std::optional(number);
+}
+
+/** The same for a number from 0 to `kLargestFigure`. */
+std::optional<double> ReadFigure(const json::object& object, const char* name) {
+  const json::value* field = object.if_contains(name);
+  if (field == nullptr) {
+    return 0.0;
+  }
+  const double figure = field->is_number() ? field->to_number<double>() : -1.0;
+  return figure >= 0.0 && figure <= kLargestFigure ? std::optional(figure) : std::nullopt;
+}
+
 }  // namespace
 
 InstanceRegistration::InstanceRegistration(PlatformStore& store,
@@ -138,33 +169,23 @@
   if (object == nullptr) {
     return std::nullopt;
   }
-  const auto text = [&](const char* name) {
-    const json::value* field = object->if_contains(name);
-    return field != nullptr && field->is_string() ? std::string(field->as_string()) : std::string();
-  };
-  const auto address = NetworkAddress::Parse(text("address"));
-  if (!address) {
+  const auto address = NetworkAddress::Parse(ReadText(*object, "address"));
+  const auto start = ReadWhole<std::uint64_t>(*object, "start");
+  const auto requests_port = ReadWhole<std::uint16_t>(*object, "requests_port");
+  const auto cores = ReadFigure(*object, "cores");
+  const auto link_mbps = ReadFigure(*object, "link_mbps");
+  if (!address || address->port == 0 || !start || !requests_port || !cores || !link_mbps) {
     return std::nullopt;
   }
   Instance instance;
   instance.name = key.substr(kKeyPrefix.size());
   instance.peer_address = *address;
-  instance.failure_domain = text("failure_domain");
-  instance.region = text("region");
-  const json::value* start = object->if_contains("start");
-  if (start != nullptr && start->is_number()) {
-    instance.start = start->to_number<std::uint64_t>(error);
-  }
-  const json::value* requests_port = object->if_contains("requests_port");
-  if (requests_port != nullptr && requests_port->is_number()) {
-    instance.requests_port = requests_port->to_number<std::uint16_t>(error);
-  }
-  const auto number = [&](const char* name) {
-    const json::value* field = object->if_contains(name);
-    return field != nullptr && field->is_number() ? field->to_number<double>() : 0.0;
-  };
-  instance.cores = number("cores");
-  instance.link_mbps = number("link_mbps");
+  instance.failure_domain = ReadText(*object, "failure_domain");
+  instance.region = ReadText(*object, "region");
+  instance.start = *start;
+  instance.requests_port = *requests_port;
+  instance.cores = *cores;
+  instance.link_mbps = *link_mbps;
   return instance;
 }
 
--- a/tests/forwarding/report_exchange_test.cc
+++ b/tests/forwarding/report_exchange_test.cc
@@ -375,4 +375,26 @@
   CHECK_FALSE(InstanceRegistration::Decode("other/n", "{}").has_value());
 }
 
+// Guards against an instance that another writer made up: it would take shares, relays and
+// requests.
+TEST(InstanceReports, AnOddRecordNamesNoInstance) {
+  const std::string sound = InstanceRegistration::Encode(MakeInstance("n", 5));
+  const std::string deep = std::string(100'000, '[');
+  const auto with = [&](const std::string& field, const std::string& value) {
+    const std::size_t begin = sound.find("\"" + field + "\":") + field.size() + 3;
+    const std::size_t end = sound.find_first_of(",}", begin);
+    return sound.substr(0, begin) + value + sound.substr(end);
+  };
+  CHECK_TRUE(InstanceRegistration::Decode("instances/n", with("cores", "4")).has_value());
+  for (const std::string& odd :
+       {with("address", "\"127.0.0.1:99999\""), with("address", "\"127.0.0.1:0\""),
+        with("address", "7"), with("start", "-1"), with("start", "1e30"), with("start", "\"x\""),
+        with("requests_port", "65536"), with("requests_port", "-1"), with("requests_port", "0.5"),
+        with("cores", "-1"), with("cores", "1e300"), with("cores", "1e999"), with("cores", "[]"),
+        with("link_mbps", "-0.5"), with("link_mbps", "1e300"), with("link_mbps", deep)}) {
+    CHECK_FALSE_TEXT(InstanceRegistration::Decode("instances/n", odd).has_value(),
+                     odd.substr(0, 200).c_str());
+  }
+}
+
 }  // namespace zinnia
