Quarantine records: a duration that no clock holds is not believed

Callers would see: a request refused for a time that follows from an overflow, after another writer left a record with a duration near 2^63 ms.

Cause: the bound on durations compared milliseconds with nanoseconds, so the number wrapped around before it was compared, which is undefined.

Evidence: QuarantineRecords.OnlyPlausibleRecordsCount with five more values; 2^63 - 1 was taken for a record before.

Change: durations from 1 ms to 24 h, the longest of any kind, where the record is read. Its end is bounded by the duration, as before.

Result: the test failed before and passes now, with the rest of its group.

--- a/packages/zinnia_decisions/forwarding/observed_state/quarantine_records.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/quarantine_records.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds kShortestLease{1'000};
 constexpr milliseconds kLongestLease = std::chrono::minutes(10);
 
+/** No kind of quarantine is longer, and a Duration holds it. */
+constexpr milliseconds kLongestQuarantine = std::chrono::hours(24);
+
 constexpr milliseconds kRetryPause{1'000};
 
 /** Store calls are billed, and peers know the quarantine meanwhile. */
@@ -107,6 +110,9 @@
   if (!until || !duration || *until <= UnixTime(now)) {
     return std::nullopt;
   }
+  if (*duration <= milliseconds(0) || *duration > kLongestQuarantine) {
+    return std::nullopt;
+  }
   // The writer's clock may be ahead.
   return QuarantineReport{suspect->fingerprint, std::min(*until - UnixTime(now), *duration),
                           *duration, suspect->kind};
--- a/tests/forwarding/quarantine_records_test.cc
+++ b/tests/forwarding/quarantine_records_test.cc
@@ -1,5 +1,7 @@
-#include "zinnia_decisions/forwarding/observed_state/quarantine_records.h"
+#include <fmt/format.h>
+
 #include "tests/forwarding/control_fleet.h"
+#include "zinnia_decisions/forwarding/observed_state/quarantine_records.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -92,6 +94,13 @@
   CHECK_FALSE(decode(R"({"until_unix_ms":3500000,"duration_ms":60000})").has_value());
   CHECK_FALSE(decode(R"({"until_unix_ms":"soon","duration_ms":60000})").has_value());
   CHECK_FALSE(decode("\xff{").has_value());
+  // Another writer's number that no duration holds would wrap around.
+  for (const char* odd : {"9223372036854775807", "18446744083710", "86400001", "0", "-1"}) {
+    CHECK_FALSE_TEXT(
+        decode(fmt::format(R"({{"until_unix_ms":9223372036854775807,"duration_ms":{}}})", odd))
+            .has_value(),
+        odd);
+  }
   CHECK_FALSE(QuarantineRecords::Decode("quarantines/zz", "{}", now).has_value());
 }
 
