Server reports: a pace out of range makes the report unreadable

Callers would see: a server that is left out, or preferred, for a figure that can't be meant; peers were told it as a float that can't hold it.

Cause: ReadReport took any number for the pace.

Evidence: PlatformCalls.AMalformedAnswerIsNoAnswer with paces of -1, 1e300, 1e999 and a text: the first was believed before.

--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -533,14 +533,16 @@
     CHECK_TRUE(RunUntil(loop, [&] { return !kind.empty(); }));
     STRCMP_EQUAL("store_outcome_unknown", kind.c_str());
   }
-  for (const char* text : {"", "[]", R"({"stalled_servers":[7]})",
+  for (const char* text : {"", "[]", R"({"pace":-1})", R"({"pace":1e300})", R"({"pace":1e999})",
+                           R"({"pace":"fast"})", R"({"stalled_servers":[7]})",
+                           R"({"stalled_servers":[{"id":"r","address":"10.0.0.1:99999"}]})",
                            R"({"stalled_servers":[{"id":"r","address":"nowhere"}]})"}) {
     body = text;
     std::optional<bool> read;
     engines.ReadReport({"i-1", server.Address(), {}},
                        [&](const Result<EngineReport>& result) { read = result.has_value(); });
     CHECK_TRUE(RunUntil(loop, [&] { return read.has_value(); }));
-    CHECK_FALSE(*read);
+    CHECK_FALSE_TEXT(*read, text);
   }
 }
 
