--- a/packages/zinnia_decisions/forwarding/retries/retry_policy.h
+++ b/packages/zinnia_decisions/forwarding/retries/retry_policy.h
@@ -26,8 +26,8 @@
   /** Whether an earlier attempt may have run. */
   bool may_have_run = false;
 
-  /** Whether another server can go on after what the caller has of a stream: not after an event that
-      has no id. */
+  /** Whether another server can go on after what the caller has of a stream: not after an event
+     that has no id. */
   bool can_resume = true;
 
   bool time_left = true;
