--- a/tests/fleet/answer_transcript_test.cc
+++ b/tests/fleet/answer_transcript_test.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include "platform/soak/answer_transcript.h"
 #include "platform/soak/ledger.h"
 
@@ -83,4 +85,23 @@
   CheckTold("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
 }
 
+// The judge sees a stream that bears the signature of one server over the events of another.
+TEST(AnswerTranscript, TellsWhoMadeAndWhoSignedAStream) {
+  for (const char* signer : {"a", "b"}) {
+    CallOutcome outcome =
+        Read(fmt::format("HTTP/1.1 200 OK\r\nZinniastage-Response-Signature: signed-by-{}\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n23\r\n: made by a\nid: 1\n"
+                         "data: request 1\n\n\r\n",
+                         signer));
+    STRCMP_EQUAL("a", outcome.first_event_by.c_str());
+    STRCMP_EQUAL(ExpectedEvent("request", 1).c_str(), outcome.body.c_str());
+    outcome.id = "request";
+    outcome.kind = CallKind::kEvents;
+    outcome.deadline = std::chrono::seconds(1);
+    Ledger ledger;
+    ledger.OnOutcome(outcome);
+    CHECK_EQUAL(outcome.server == "a" ? 0U : 1U, ledger.Violations().size());
+  }
+}
+
 }  // namespace zinnia::platform::soak
