Refusals by configuration name the version, and lost records their reason

Cause: a refusal for want of a route or key named the mirror's revision, not which configuration refused, since when and from whom. A fetch from a peer that failed, and a call that threw on the control thread or in a report, left no line.

Result: no logic changed.

--- a/packages/zinnia_adapters/fleet_news/report_client.cc
+++ b/packages/zinnia_adapters/fleet_news/report_client.cc
@@ -12,6 +12,7 @@
 
 #include "zinnia_adapters/fleet_news/report_codec.h"
 #include "zinnia_adapters/peers/peer_limits.h"
+#include "zinnia_base/logging/logger.h"
 
 namespace zinnia {
 namespace {
@@ -62,7 +63,8 @@
 
 class ReportClient::Impl final : private kj::TaskSet::ErrorHandler {
  public:
-  Impl(kj::AsyncIoContext& io, const Clock& clock) : m_io(io), m_clock(clock), m_tasks(*this) {}
+  Impl(kj::AsyncIoContext& io, const Clock& clock, Logger& logger)
+      : m_io(io), m_clock(clock), m_logger(logger), m_tasks(*this) {}
 
   void Exchange(const NetworkAddress& address,
                 const InstanceReport& report,
@@ -70,14 +72,22 @@
 
  private:
   kj::Promise<SharedConnection> Connect(const NetworkAddress& address);
-  void taskFailed(kj::Exception&&) override {}
+
+  /** A callback has thrown: failed calls are handed to it as results. */
+  void taskFailed(kj::Exception&& failure) override;
 
   kj::AsyncIoContext& m_io;
   const Clock& m_clock;
+  Logger& m_logger;
   std::map<NetworkAddress, Peer> m_peers;
   kj::TaskSet m_tasks;
 };
 
+void ReportClient::Impl::taskFailed(kj::Exception&& failure) {
+  m_logger.Log(LogLevel::kError, "report_callback_failure",
+               {{"reason", failure.getDescription().cStr()}});
+}
+
 kj::Promise<SharedConnection> ReportClient::Impl::Connect(const NetworkAddress& address) {
   const SharedConnection kept = m_peers[address].connection;
   if (kept) {
@@ -137,8 +147,8 @@
                       }));
 }
 
-ReportClient::ReportClient(kj::AsyncIoContext& io, const Clock& clock)
-    : m_impl(std::make_unique<Impl>(io, clock)) {}
+ReportClient::ReportClient(kj::AsyncIoContext& io, const Clock& clock, Logger& logger)
+    : m_impl(std::make_unique<Impl>(io, clock, logger)) {}
 
 ReportClient::~ReportClient() = default;
 
--- a/packages/zinnia_adapters/fleet_news/report_server.h
+++ b/packages/zinnia_adapters/fleet_news/report_server.h
@@ -11,16 +11,18 @@
 
 namespace zinnia {
 
+class Logger;
 class ReportHandler;
 
 /** Receives the reports of other instances by Cap'n Proto RPC. Create and destroy it on the control
-    thread; `listener` must outlive it. */
+    thread; `listener` and `logger` must outlive it. */
 class ReportServer {
  public:
   /** Fails with kInvalidSettings if the address cannot be listened on. */
   static Result<std::unique_ptr<ReportServer>> Listen(kj::AsyncIoContext& io,
                                                       const NetworkAddress& address,
-                                                      ReportHandler& listener);
+                                                      ReportHandler& listener,
+                                                      Logger& logger);
   ~ReportServer();
 
  private:
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -97,6 +97,7 @@
 
 void ForwardExchange::Begin() {
   if (const auto error = FindRoute()) {
+    LogRefusedByConfiguration();
     Answer(*error);
     return;
   }
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -138,6 +138,10 @@
   LimitAvailability AvailabilityUnderLimits(const std::set<BackendServerName>& avoided) const;
   void LogServersAtLimit();
   std::optional<Error> FindRoute();
+
+  /** Which configuration knows no route or key for the request, and how old this instance's view of
+      the store is. */
+  void LogRefusedByConfiguration() const;
   ServiceName ChooseService();
 
   /** Whether requests to the service are admitted by class; see ServiceClasses. */
--- a/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_choice.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "zinnia_adapters/forwarding/forward_exchange.h"
+#include "zinnia_adapters/forwarding/log_text.h"
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_decisions/forwarding/admission/service_admission.h"
@@ -43,6 +44,21 @@
   return std::nullopt;
 }
 
+void ForwardExchange::LogRefusedByConfiguration() const {
+  const auto view = m_parts.view();
+  const TimePoint now = m_parts.clock.Now();
+  m_parts.logger.Log(
+      LogLevel::kInfo, "refused_by_configuration",
+      {{"request", m_facts.id},
+       {"version", std::to_string(view->rules->version)},
+       {"configuration_revision", std::to_string(view->configuration.revision.number)},
+       {"from", std::string(view->configuration.source)},
+       {"in_force_ms", Milliseconds(now - view->configuration.since)},
+       {"revision", std::to_string(view->revision.number)},
+       {"era", std::to_string(view->revision.era)},
+       {"view_age_ms", Milliseconds(now - view->as_of)}});
+}
+
 ServiceName ForwardExchange::ChooseService() {
   std::uint64_t sum = 0;
   for (const WeightedService& choice : m_route->services) {
--- a/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
+++ b/packages/zinnia_adapters/forwarding/forwarding_traffic.cc
@@ -13,6 +13,7 @@
 #include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/forwarding/paths/service_classes.h"
 #include "zinnia_decisions/ports/metrics.h"
+#include "zinnia_world/forwarding/forwarding_rules.h"
 
 namespace zinnia {
 namespace {
@@ -141,6 +142,12 @@
                         {"era", std::to_string(m_view->revision.era)},
                         {"age_ms", Milliseconds(age)}});
   }
+  m_parts.metrics.SetGauge("store_revision", static_cast<double>(m_view->revision.number));
+  if (m_view->rules) {
+    m_parts.metrics.SetGauge("configuration_version", static_cast<double>(m_view->rules->version));
+    m_parts.metrics.SetGauge("configuration_revision",
+                             static_cast<double>(m_view->configuration.revision.number));
+  }
   m_loads.SetPeerCount(m_view->live_instances - 1);
   m_limits.SetView(m_view);
   m_quarantine.SetServerCount(m_view->servers.size());
--- a/packages/zinnia_adapters/threads/control_thread.cc
+++ b/packages/zinnia_adapters/threads/control_thread.cc
@@ -13,6 +13,7 @@
 
 #include "zinnia_adapters/threads/post_queue.h"
 #include "zinnia_adapters/threads/timer_queue.h"
+#include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/ports/metrics.h"
 
 namespace zinnia {
@@ -27,7 +28,8 @@
 
 class ControlThread::Loop {
  public:
-  Loop(const Clock& clock, Metrics& metrics) : m_clock(clock), m_metrics(metrics) {}
+  Loop(const Clock& clock, Metrics& metrics, Logger& logger)
+      : m_clock(clock), m_metrics(metrics), m_logger(logger) {}
 
   void Start(ControlThread& owner, SetUp set_up);
   void Post(std::function<void()> call);
@@ -48,6 +50,7 @@
 
   const Clock& m_clock;
   Metrics& m_metrics;
+  Logger& m_logger;
   PostQueue m_posted;
   TimerQueue m_timers;
   kj::AsyncIoContext* m_io = nullptr;
@@ -150,8 +153,9 @@
 void ControlThread::Loop::RunGuarded(const std::function<void()>& call) {
   try {
     call();
-  } catch (const std::exception&) {
+  } catch (const std::exception& failure) {
     m_metrics.Count("control_thread_failures");
+    m_logger.Log(LogLevel::kError, "control_thread_failure", {{"reason", failure.what()}});
   }
 }
 
@@ -202,10 +206,11 @@
 
 Result<std::unique_ptr<ControlThread>> ControlThread::Start(const Clock& clock,
                                                             Metrics& metrics,
+                                                            Logger& logger,
                                                             SetUp set_up) {
   try {
     std::unique_ptr<ControlThread> thread(
-        new ControlThread(std::make_shared<Loop>(clock, metrics)));
+        new ControlThread(std::make_shared<Loop>(clock, metrics, logger)));
     thread->m_loop->Start(*thread, std::move(set_up));
     return thread;
   } catch (const ErrorException& failure) {
--- a/packages/zinnia_adapters/threads/control_thread.h
+++ b/packages/zinnia_adapters/threads/control_thread.h
@@ -12,6 +12,7 @@
 
 namespace zinnia {
 
+class Logger;
 class Metrics;
 
 /** The one thread that owns all control state: membership, configuration, partitions, orders.
@@ -24,7 +25,7 @@
     Reports the gauge `control_thread_lag_ms` every second: the longest time in that second for
    which a posted call waited or a timer was late. A lag near the failure detector's timeout means
    that this instance is about to be suspected by its peers, although it runs. A call that throws
-    is counted as `control_thread_failures` and dropped.
+    is logged, counted as `control_thread_failures`, and dropped.
 
     @see CapnpPeerServer, CapnpPeerTransport
 */
@@ -34,9 +35,10 @@
 
   /** Starts the thread and returns when `set_up` is done. An ErrorException that `set_up` throws is
       the result, any other exception becomes kInternal; by then it must have destroyed whatever
-     uses Io(). `clock` and `metrics` must outlive the thread. */
+     uses Io(). The references must outlive the thread. */
   static Result<std::unique_ptr<ControlThread>> Start(const Clock& clock,
                                                       Metrics& metrics,
+                                                      Logger& logger,
                                                       SetUp set_up);
 
   /** Stops without a tear-down function if Stop was not called. */
--- a/packages/zinnia_apps/daemon/daemon.cc
+++ b/packages/zinnia_apps/daemon/daemon.cc
@@ -92,7 +92,7 @@
 }
 
 Result<void> Daemon::StartControl(const std::string& cluster_secret) {
-  auto thread = ControlThread::Start(m_clock, m_metrics, [&](ControlThread& control_thread) {
+  auto thread = ControlThread::Start(m_clock, m_metrics, m_logger, [&](ControlThread& control_thread) {
     m_control = std::make_unique<ControlSide>(
         control_thread, ControlSideParts{m_settings, cluster_secret, m_start, m_clock, m_metrics,
                                          m_logger, m_decisions});
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -141,7 +141,7 @@
   CheckChangeBound(m_settings, m_logger);
   m_traffic_thread = std::make_unique<TrafficThread>();
   m_traffic_thread->Start();
-  auto thread = ControlThread::Start(m_clock, m_metrics, [](ControlThread&) {});
+  auto thread = ControlThread::Start(m_clock, m_metrics, m_logger, [](ControlThread&) {});
   if (!thread) {
     return thread.error();
   }
@@ -162,7 +162,7 @@
   std::promise<Result<void>> listening;
   m_control_thread->Post([&] {
     const std::uint64_t start = StartOf(m_clock);
-    m_report_client = std::make_unique<ReportClient>(m_control_thread->Io(), m_clock);
+    m_report_client = std::make_unique<ReportClient>(m_control_thread->Io(), m_clock, m_logger);
     m_control = std::make_unique<ForwardingControl>(
         ForwardingControlParts{m_clock, *m_control_thread, m_platform->counted_store,
                                m_platform->reader, *m_report_client, m_platform->control_engines,
@@ -172,8 +172,8 @@
           m_knows_rules = view->rules != nullptr;
           m_traffic_thread->Post([this, view = std::move(view)] { m_traffic->SetView(view); });
         });
-    auto server =
-        ReportServer::Listen(m_control_thread->Io(), m_settings.peer_address, m_control->Reports());
+    auto server = ReportServer::Listen(m_control_thread->Io(), m_settings.peer_address,
+                                       m_control->Reports(), m_logger);
     if (!server) {
       listening.set_value(server.error());
       return;
--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -69,6 +69,7 @@
                 m_instances,
                 m_mirror,
                 m_parts.sink,
+                m_parts.logger,
                 m_parts.seeds,
                 {}),
       m_view(std::make_shared<const ForwardingView>()) {
@@ -197,10 +198,12 @@
   m_rules = std::make_shared<const ForwardingRules>(std::move(*rules));
   m_routes = std::make_shared<const RouteTable>(*m_rules);
   m_classes = std::make_shared<const ServiceClasses>(*m_rules);
+  m_configuration = {record.revision, m_mirror.Source(), m_parts.clock.Now()};
   m_parts.logger.Log(LogLevel::kInfo, "configuration_in_force",
                      {{"version", std::to_string(m_rules->version)},
                       {"revision", std::to_string(record.revision.number)},
                       {"era", std::to_string(record.revision.era)},
+                      {"from", std::string(m_configuration.source)},
                       {"routes", std::to_string(m_rules->routes.size())}});
 }
 
@@ -306,6 +309,7 @@
   view->rules = m_rules;
   view->routes = m_routes;
   view->classes = m_classes;
+  view->configuration = m_configuration;
   for (const auto& [name, server] : m_servers.All()) {
     if (LayersFitModel(server)) {
       view->servers.emplace(name, server);
--- a/packages/zinnia_decisions/forwarding/forwarding_control.h
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.h
@@ -118,6 +118,7 @@
   /** Since when no instance holds the order role of a service. */
   std::map<ServiceName, TimePoint> m_order_lease_free_since;
   std::shared_ptr<const ForwardingRules> m_rules;
+  ConfigurationInForce m_configuration;
   std::shared_ptr<const RouteTable> m_routes;
   std::shared_ptr<const ServiceClasses> m_classes;
   std::shared_ptr<const ForwardingView> m_view;
--- a/packages/zinnia_decisions/forwarding/observed_state/forwarding_view.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/forwarding_view.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "zinnia_base/time/clock.h"
+#include "zinnia_decisions/forwarding/observed_state/configuration_in_force.h"
 #include "zinnia_decisions/ports/store_revision.h"
 #include "zinnia_world/fleet/instance.h"
 #include "zinnia_world/forwarding/forwarding_rules.h"
@@ -25,6 +26,7 @@
   /** Null until a configuration is loaded. Until then requests are neither forwarded nor denied. */
   std::shared_ptr<const ForwardingRules> rules;
   std::shared_ptr<const RouteTable> routes;
+  ConfigurationInForce configuration;
 
   /** Null until a configuration is loaded. */
   std::shared_ptr<const ServiceClasses> classes;
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "zinnia_base/logging/logger.h"
 #include "zinnia_decisions/forwarding/observed_state/instance_directory.h"
 #include "zinnia_decisions/forwarding/observed_state/server_directory.h"
 #include "zinnia_decisions/forwarding/observed_state/store_mirror.h"
@@ -59,6 +60,7 @@
                                InstanceDirectory& instances,
                                StoreMirror& mirror,
                                ReportSink& sink,
+                               Logger& logger,
                                std::vector<NetworkAddress> seeds,
                                ReportExchangeSettings settings)
     : m_transport(transport),
@@ -67,6 +69,7 @@
       m_instances(instances),
       m_mirror(mirror),
       m_sink(sink),
+      m_logger(logger),
       m_seeds(std::move(seeds)),
       m_settings(settings),
       m_relays(clock, instances),
@@ -286,15 +289,28 @@
   report.instance = m_instances.Self();
   report.revision = m_mirror.IsFilled() ? m_mirror.Revision() : StoreRevision();
   report.wants_records = true;
-  m_transport.Exchange(peer, report,
-                       WhileAlive(m_alive, [this, number](const Result<MirrorDelta>& delta) {
-                         if (number == m_fetch_number) {
-                           m_fetch_began_at.reset();
-                         }
-                         if (delta) {
-                           m_mirror.Merge(*delta);
-                         }
-                       }));
+  m_transport.Exchange(
+      peer, report,
+      WhileAlive(m_alive, [this, number, peer, revision](const Result<MirrorDelta>& delta) {
+        if (number == m_fetch_number) {
+          m_fetch_began_at.reset();
+        }
+        if (delta) {
+          m_mirror.Merge(*delta);
+        } else {
+          LogNotFetched(peer, revision, delta.error());
+        }
+      }));
+}
+
+void ReportExchange::LogNotFetched(const NetworkAddress& peer,
+                                   StoreRevision wanted,
+                                   const Error& error) const {
+  m_logger.Log(LogLevel::kWarning, "records_not_fetched",
+               {{"peer", peer.ToString()},
+                {"wanted", std::to_string(wanted.number)},
+                {"revision", std::to_string(m_mirror.Revision().number)},
+                {"reason", Describe(error)}});
 }
 
 void ReportExchange::SendStall(const BackendServerName& server) {
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
@@ -21,6 +21,7 @@
 namespace zinnia {
 
 class InstanceDirectory;
+class Logger;
 class StoreMirror;
 
 /** Receives the state reported by peers. Called on the control thread. */
@@ -85,6 +86,7 @@
                  InstanceDirectory& instances,
                  StoreMirror& mirror,
                  ReportSink& sink,
+                 Logger& logger,
                  std::vector<NetworkAddress> seeds,
                  ReportExchangeSettings settings);
 
@@ -184,6 +186,7 @@
 
   /** Fetches records from `peer` if it is at a newer revision and no other fetch is under way. */
   void FetchIfNewer(const NetworkAddress& peer, StoreRevision revision);
+  void LogNotFetched(const NetworkAddress& peer, StoreRevision wanted, const Error& error) const;
 
   ReportTransport& m_transport;
   Scheduler& m_scheduler;
@@ -191,6 +194,7 @@
   InstanceDirectory& m_instances;
   StoreMirror& m_mirror;
   ReportSink& m_sink;
+  Logger& m_logger;
   const std::vector<NetworkAddress> m_seeds;
   const ReportExchangeSettings m_settings;
   RelayDirectory m_relays;
--- a/tests/adapters/control_fakes.h
+++ b/tests/adapters/control_fakes.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "zinnia_adapters/threads/control_thread.h"
+#include "zinnia_base/logging/logger.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_decisions/ports/metrics.h"
 
@@ -56,6 +57,23 @@
   std::map<std::string, double> m_gauges;
 };
 
+/** Counts lines by event. */
+class EventLogger final : public Logger {
+ public:
+  void Log(LogLevel, std::string_view event, std::initializer_list<LogField>) override {
+    const std::lock_guard lock(m_mutex);
+    ++m_events[std::string(event)];
+  }
+  int Count(const std::string& event) {
+    const std::lock_guard lock(m_mutex);
+    return m_events[event];
+  }
+
+ private:
+  std::mutex m_mutex;
+  std::map<std::string, int> m_events;
+};
+
 /** Gives the value, or throws if it does not come. */
 template <typename Value>
 Value Await(std::future<Value> future) {
--- a/tests/adapters/control_peer_calls_test.cc
+++ b/tests/adapters/control_peer_calls_test.cc
@@ -66,7 +66,7 @@
                const PeerServerOptions& server_options = {},
                const NetworkAddress& address = kAnyPort) {
     auto key = std::make_shared<const PeerAuthenticator>(secret);
-    thread = ControlThread::Start(m_clock, metrics, [&](ControlThread& control) {
+    thread = ControlThread::Start(m_clock, metrics, logger, [&](ControlThread& control) {
                server = CapnpPeerServer::Listen(control.Io(), address, key, listener, metrics,
                                                 server_options)
                             .value();
@@ -100,6 +100,7 @@
   }
 
   CountingMetrics metrics;
+  EventLogger logger;
   ScriptedListener listener;
   std::unique_ptr<CapnpPeerServer> server;
   std::unique_ptr<CapnpPeerTransport> transport;
@@ -243,10 +244,11 @@
 TEST(PeerCalls, AreNotSentToWhoeverCannotProveTheSecret) {
   TestInstance caller(m_clock, "secret");
   CountingMetrics metrics;
+  EventLogger logger;
   std::unique_ptr<capnp::TwoPartyServer> server;
   kj::Own<kj::ConnectionReceiver> receiver;
   kj::Promise<void> listening = nullptr;
-  auto stray = ControlThread::Start(m_clock, metrics, [&](ControlThread& thread) {
+  auto stray = ControlThread::Start(m_clock, metrics, logger, [&](ControlThread& thread) {
                  const sockaddr_in any{AF_INET, 0, {htonl(INADDR_LOOPBACK)}, {}};
                  receiver =
                      thread.Io().provider->getNetwork().getSockaddr(&any, sizeof(any))->listen();
--- a/tests/adapters/control_thread_test.cc
+++ b/tests/adapters/control_thread_test.cc
@@ -18,11 +18,12 @@
 
 TEST_GROUP(ControlThread) {
   std::unique_ptr<ControlThread> Start(const Clock& clock) {
-    auto thread = ControlThread::Start(clock, m_metrics, [](ControlThread&) {});
+    auto thread = ControlThread::Start(clock, m_metrics, m_logger, [](ControlThread&) {});
     return std::move(thread).value();
   }
 
   CountingMetrics m_metrics;
+  EventLogger m_logger;
   SystemClock m_system_clock;
 };
 
@@ -145,10 +146,11 @@
   RunOn(*thread, [] {});
   thread->Stop(nullptr);
   LONGS_EQUAL(1, m_metrics.Counter("control_thread_failures"));
+  LONGS_EQUAL(1, m_logger.Count("control_thread_failure"));
 }
 
 TEST(ControlThread, AFailedSetUpIsTheResult) {
-  const auto thread = ControlThread::Start(m_system_clock, m_metrics, [](ControlThread&) {
+  const auto thread = ControlThread::Start(m_system_clock, m_metrics, m_logger, [](ControlThread&) {
     throw ErrorException(MakeError(ErrorKind::kInvalidSettings, "no such address"));
   });
   CHECK(thread.has_error());
--- a/tests/forwarding/relays_test.cc
+++ b/tests/forwarding/relays_test.cc
@@ -29,7 +29,7 @@
       : store(time),
         mirror(store, time, time, logger, {}),
         instances(time, self),
-        exchange(*this, time, time, instances, mirror, *this, {}, {}) {}
+        exchange(*this, time, time, instances, mirror, *this, logger, {}, {}) {}
 
   void Exchange(const NetworkAddress& peer,
                 const InstanceReport& report,
--- a/tests/forwarding/report_exchange_test.cc
+++ b/tests/forwarding/report_exchange_test.cc
@@ -72,7 +72,8 @@
   InstanceDirectory instances{time, MakeInstance("self", 1)};
   Transport transport;
   Sink sink;
-  ReportExchange exchange{transport, time, time, instances, mirror, sink, {{"10.0.0.7", 7}}, {}};
+  ReportExchange exchange{transport,         time, time, instances, mirror, sink, logger,
+                          {{"10.0.0.7", 7}}, {}};
 
   static Instance MakeInstance(const std::string& name, std::uint16_t port) {
     Instance instance;
