Relays of failure domains that had excluded each other report to each other again

Cause: the first relays of two failure domains expect reports of each other. One that was cut off, slowed or stopped for more than 1.1 s is excluded by the others and excludes them, and each then reports to the next in rank, who does not answer in kind once the first is back, and is excluded in turn. In the end neither domain has a relay of the other on its list, and both go without each other's changes for up to 30 s. What callers see, if the store turns that domain away meanwhile: it acts by an older configuration.

Change: a first relay also reports to those that would be relays if they were not excluded, so the first report after the return ends both exclusions.

--- a/packages/zinnia_decisions/forwarding/observed_state/relay_directory.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/relay_directory.cc
@@ -30,6 +30,21 @@
   return first;
 }
 
+/** Appends the instances that would be relays if nobody were excluded, and are none. */
+void AppendMissing(const std::vector<const Instance*>& ranked,
+                   const std::vector<Instance>& relays,
+                   std::vector<Instance>& missing) {
+  for (const Instance& first : FirstOf(ranked, RelayDirectory::kRelaysPerDomain,
+                                       [](const Instance&, std::size_t) { return false; })) {
+    const bool is_relay = std::any_of(relays.begin(), relays.end(), [&](const Instance& relay) {
+      return relay.name == first.name;
+    });
+    if (!is_relay) {
+      missing.push_back(first);
+    }
+  }
+}
+
 }  // namespace
 
 void RelayDirectory::Refresh(Duration silence_limit) {
@@ -40,6 +55,7 @@
   }
   m_own_relays.clear();
   m_remote_relays.clear();
+  m_silent_remote_relays.clear();
   m_members.clear();
   const bool was_relay = m_is_relay;
   m_is_relay = false;
@@ -62,6 +78,9 @@
         (is_own ? m_own_relays : m_remote_relays).push_back(relay);
       }
     }
+    if (!is_own) {
+      AppendMissing(ranked, relays.back(), m_silent_remote_relays);
+    }
     if (is_own) {
       m_is_first_relay = !relays.back().empty() && relays.back().front().name == self.name;
     }
--- a/packages/zinnia_decisions/forwarding/observed_state/relay_directory.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/relay_directory.h
@@ -24,7 +24,9 @@
 
     Each instance decides on its own, from the instances that it knows to be live. An instance that
     should send to this one and is silent for `silence_limit` is excluded for a while or until its
-    next report, so that a failed relay is replaced long before its record lapses.
+    next report, so that a failed relay is replaced long before its record lapses. Two domains that
+    could not reach each other have excluded each other's relays: those must be reported to all the
+    same, or neither would hear of the other's return.
 
     Used on the control thread only. */
 class RelayDirectory {
@@ -62,6 +64,9 @@
 
   const std::vector<Instance>& RemoteRelays() const { return m_remote_relays; }
 
+  /** The instances that would be relays of other failure domains but are excluded. */
+  const std::vector<Instance>& SilentRemoteRelays() const { return m_silent_remote_relays; }
+
   /** The other instances of the own failure domain. */
   const std::vector<Instance>& Members() const { return m_members; }
 
@@ -74,6 +79,7 @@
   const InstanceDirectory& m_instances;
   std::vector<Instance> m_own_relays;
   std::vector<Instance> m_remote_relays;
+  std::vector<Instance> m_silent_remote_relays;
   std::vector<Instance> m_members;
 
   /** Since when each instance has been expected to send to this one. */
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
@@ -127,6 +127,7 @@
       static_cast<std::uint64_t>(m_settings.inter_domain_interval / m_settings.interval);
   if (m_relays.IsFirstRelay() && m_ticks % inter_domain_ticks == 0) {
     SendToRelays(Recipient::kRemoteRelay, m_relays.RemoteRelays());
+    SendToRelays(Recipient::kRemoteRelay, m_relays.SilentRemoteRelays());
   }
 }
 
--- a/tests/forwarding/control_fleet.h
+++ b/tests/forwarding/control_fleet.h
@@ -65,12 +65,21 @@
     Start(*m_members[number]);
   }
 
+  /** Asks an instance to stop, and starts it anew. */
+  void StopAndStart(std::size_t number) {
+    m_members[number]->control->Stop();
+    Restart(number);
+  }
+
   OlderCopyStoreClient& Client(std::size_t number) { return m_members[number]->client; }
 
   /** Reports to and from this instance get no answer. */
   void SetCutOff(std::size_t number, bool cut_off) { m_members[number]->is_cut_off = cut_off; }
 
   /** Whether the instance has published a view since its last start. */
+  const std::vector<std::string>& LogOf(std::size_t number) const {
+    return m_members[number]->logger.lines;
+  }
   bool HasView(std::size_t number) const { return m_members[number]->view != nullptr; }
 
   std::size_t Size() const { return m_members.size(); }
--- a/tests/forwarding/older_copy_store.h
+++ b/tests/forwarding/older_copy_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -87,6 +88,9 @@
     Snapshot();
   }
 
+  /** Lists that may lag are so old from now on. */
+  void SetLag(Duration lag) { m_lag = lag; }
+
   bool Has(const std::string& key) const { return m_data.records.contains(key); }
   const std::map<std::string, StoreRecord>& Records() const { return m_data.records; }
   std::uint64_t Version() const { return m_data.version; }
@@ -130,6 +134,23 @@
     return batch;
   }
 
+  /** What a list that may lag shows: its revision is that of its newest record. */
+  StoreBatch LaggingList() const {
+    const Data* data = &m_data;
+    for (auto copy = m_copies.rbegin(); copy != m_copies.rend(); ++copy) {
+      data = &copy->second;
+      if (copy->first <= m_time.Now() - m_lag) {
+        break;
+      }
+    }
+    StoreBatch batch{{}, 0, m_era};
+    for (const auto& [key, record] : data->records) {
+      batch.records.push_back(record);
+      batch.version = std::max(batch.version, record.version);
+    }
+    return batch;
+  }
+
   void WakeWatches() {
     if (m_watches_silent || m_is_away) {
       return;
@@ -157,6 +178,7 @@
   Data m_data;
   std::deque<std::pair<TimePoint, Data>> m_copies;
   StoreEra m_era = 1;
+  Duration m_lag{};
   bool m_is_away = false;
   bool m_watches_silent = false;
   std::map<std::uint64_t, Watch> m_watches;
@@ -202,6 +224,15 @@
     });
   }
 
+  void ListMayLag(std::string prefix, BatchCallback callback) override {
+    if (m_store.m_lag == Duration::zero()) {
+      List(std::move(prefix), std::move(callback));
+      return;
+    }
+    Call<StoreBatch>(std::move(callback),
+                     [this] { return Result<StoreBatch>(m_store.LaggingList()); });
+  }
+
   void CompareAndSwap(std::string key,
                       std::uint64_t expected,
                       std::string value,
@@ -282,17 +313,17 @@
         once(batch);
       }
     };
+    After(longest_wait + kWatchMargin, [pending] {
+      if (BatchCallback once = std::exchange(*pending, {})) {
+        once(MakeError(ErrorKind::kStoreOutcomeUnknown, "no answer"));
+      }
+    });
     if (!m_store.m_is_away &&
         (after < m_store.m_data.history_begins_after || after > m_store.m_data.version)) {
       After(kDelay,
             [answer] { answer(MakeError(ErrorKind::kStoreHistoryLost, "no such history")); });
       return;
     }
-    After(longest_wait + kWatchMargin, [pending] {
-      if (BatchCallback once = std::exchange(*pending, {})) {
-        once(MakeError(ErrorKind::kStoreOutcomeUnknown, "no answer"));
-      }
-    });
     if (m_store.m_is_away) {
       return;
     }
