An instance that lacks for long what its peers have asks the store itself

Cause: an instance takes reports of a store watcher as a sign that changes will reach it. The reports reach it, but the records need a call of its own to a peer. If those calls fail or hang, it is behind for as long as that lasts, has a fresh sign of a watcher all the while, and logs nothing.

Change: it remembers since when it has lacked a revision that a peer names, and after 0.8 s watches the store until it has caught up; store_reading shows behind_ms.

--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -354,7 +354,8 @@
     m_parts.logger.Log(LogLevel::kInfo, "store_reading",
                        {{"as", std::string(NameOf(reading))},
                         {"live_instances", std::to_string(m_instances.Live().size())},
-                        {"reader_heard_ms", m_reports.DescribeStoreWatcherAge()}});
+                        {"reader_heard_ms", m_reports.DescribeStoreWatcherAge()},
+                        {"behind_ms", m_reports.DescribeTimeBehind()}});
   }
   m_mirror.SetWatchSlot(m_reports.StoreWatchRank(), m_reports.StoreWatchers());
   m_mirror.SetWatchRole(reading, m_instances.Live().size());
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
@@ -34,6 +34,10 @@
 /** After this time another peer may be asked; long enough for 250 kB on a shared 20 Mbit/s link. */
 constexpr Duration kFetchTimeout = milliseconds(700);
 
+/** After lacking what peers have for so long, an instance asks the store itself: it hears reports,
+   and so of store watchers, although it can't fetch. Outlasts one fetch that gets no answer. */
+constexpr Duration kLongestBehind = milliseconds(800);
+
 /** Outlasts the loss of a few reports. */
 constexpr Duration kStableStoreLifetime = milliseconds(1'200);
 
@@ -276,7 +280,30 @@
       }));
 }
 
+void ReportExchange::NoteRevisionOfPeer(StoreRevision revision) {
+  if (TimeBehind()) {
+    return;
+  }
+  m_lacks.reset();
+  if (revision > m_mirror.Revision() && m_mirror.IsPlausibleEra(revision.era)) {
+    m_lacks.emplace(revision, m_clock.Now());
+  }
+}
+
+std::optional<Duration> ReportExchange::TimeBehind() const {
+  if (!m_lacks || m_lacks->first <= m_mirror.Revision()) {
+    return std::nullopt;
+  }
+  return m_clock.Now() - m_lacks->second;
+}
+
+std::string ReportExchange::DescribeTimeBehind() const {
+  const auto behind = TimeBehind();
+  return behind ? std::to_string(duration_cast<milliseconds>(*behind).count()) : "no";
+}
+
 void ReportExchange::FetchIfNewer(const NetworkAddress& peer, StoreRevision revision) {
+  NoteRevisionOfPeer(revision);
   const TimePoint now = m_clock.Now();
   const bool is_behind =
       revision > m_mirror.Revision() || (revision != StoreRevision() && !m_mirror.IsFilled());
@@ -384,7 +411,9 @@
 
 bool ReportExchange::ShouldWatchStore() const {
   const TimePoint last_seen = m_store_watcher_seen_at.value_or(m_started_at);
-  return m_relays.IsStoreWatcher() || m_clock.Now() - last_seen >= SilenceLimit() + kStoreWordAge;
+  const auto behind = TimeBehind();
+  return m_relays.IsStoreWatcher() || (behind && *behind >= kLongestBehind) ||
+         m_clock.Now() - last_seen >= SilenceLimit() + kStoreWordAge;
 }
 
 bool ReportExchange::AnyPeerSeesStableStore() const {
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.h
@@ -136,10 +136,13 @@
 
   void SendLeaving();
 
-  /** Whether this instance should watch the store: it is an assigned store watcher, or has had no
-      recent sign of one. */
+  /** Whether this instance should watch the store: it is an assigned store watcher, has had no
+      recent sign of one, or lacks for long what peers have. */
   bool ShouldWatchStore() const;
 
+  /** Since when this instance has lacked records that peers have, in ms, or "no"; for the log. */
+  std::string DescribeTimeBehind() const;
+
   /** The time since a store watcher was in contact, in ms, or "never"; for the log. */
   std::string DescribeStoreWatcherAge() const;
 
@@ -186,6 +189,10 @@
 
   /** Fetches records from `peer` if it is at a newer revision and no other fetch is under way. */
   void FetchIfNewer(const NetworkAddress& peer, StoreRevision revision);
+
+  /** Remembers since when this instance lacks what a peer has. */
+  void NoteRevisionOfPeer(StoreRevision revision);
+  std::optional<Duration> TimeBehind() const;
   void LogNotFetched(const NetworkAddress& peer, StoreRevision wanted, const Error& error) const;
 
   ReportTransport& m_transport;
@@ -222,6 +229,9 @@
   std::optional<TimePoint> m_stable_store_seen_at;
   std::optional<TimePoint> m_settled_store_seen_at;
   std::optional<TimePoint> m_fetch_began_at;
+
+  /** The first revision of a peer that this instance did not reach since, and when it was heard. */
+  std::optional<std::pair<StoreRevision, TimePoint>> m_lacks;
   std::uint64_t m_fetch_number = 0;
   StoreRevision m_sent_revision;
   std::uint64_t m_ticks = 0;
--- a/tests/forwarding/change_bound_test.cc
+++ b/tests/forwarding/change_bound_test.cc
@@ -130,6 +130,20 @@
   CHECK_TRUE(worst <= kBoundOfUsers * 4 / 5);
 }
 
+// Guards against instances that hear of store watchers and of newer records, but get none.
+TEST(ChangeBound, AnInstanceThatCanNotFetchIsNotBehindForLong) {
+  constexpr Duration kBoundOfUsers = seconds(2);
+  for (std::size_t number = 0; number < 9; ++number) {
+    Start(9, 3);
+    fleet->SetFetchesFail(number, true);
+    for (int change = 0; change < 10; ++change) {
+      MeasureChange();
+      fleet->Advance(milliseconds(230) * change);
+    }
+  }
+  CHECK_TRUE(worst <= kBoundOfUsers * 4 / 5);
+}
+
 // Guards against instances that watch for themselves although store watchers are in contact, which
 // costs a call for each.
 TEST(ChangeBound, NobodyElseWatchesWhileAStoreWatcherIsInContact) {
--- a/tests/forwarding/control_fleet.h
+++ b/tests/forwarding/control_fleet.h
@@ -73,6 +73,9 @@
 
   OlderCopyStoreClient& Client(std::size_t number) { return m_members[number]->client; }
 
+  /** This instance hears reports and answers to its own, but gets no records from others. */
+  void SetFetchesFail(std::size_t number, bool fail) { m_members[number]->do_fetches_fail = fail; }
+
   /** Reports to and from this instance get no answer. */
   void SetCutOff(std::size_t number, bool cut_off) { m_members[number]->is_cut_off = cut_off; }
 
@@ -190,6 +193,9 @@
     void Exchange(const NetworkAddress& peer,
                   const InstanceReport& report,
                   std::function<void(Result<MirrorDelta>)> callback) override {
+      if (do_fetches_fail && report.wants_records) {
+        return;
+      }
       if (!is_cut_off) {
         fleet.Deliver(peer, report, std::move(callback));
       }
@@ -233,6 +239,7 @@
     Instance self;
     OlderCopyStoreClient client;
     bool is_cut_off = false;
+    bool do_fetches_fail = false;
     RecordingLogger logger;
     PlainRecordReader reader;
     std::shared_ptr<const ForwardingView> view;
