A record that its listener cannot take costs itself alone, and ticks go on whatever throws

Cause: a listener of the mirror that threw left the step that had called it before the next watch was scheduled, so the chain of watches ended for good; the records behind it in the same answer were lost, and the revision did not advance. The ticks of the control and of the reports scheduled the next one last, so that one throw ended them too. Nothing was logged. No record is known to do this today.

Change: the mirror logs record_not_taken or view_not_published and goes on; the ticks schedule the next one first.

Result: Mirror.ARecordThatItsListenerCannotTakeCostsItselfAlone ended the test program before (not taken) and holds now.

--- a/packages/zinnia_decisions/forwarding/forwarding_control.cc
+++ b/packages/zinnia_decisions/forwarding/forwarding_control.cc
@@ -374,6 +374,8 @@
 }
 
 void ForwardingControl::Tick() {
+  // First, or whatever throws below would end all later ticks.
+  m_timer = m_parts.scheduler.ScheduleAfter(kTickInterval, [this] { Tick(); });
   UpdatePlacers();
   bool is_placer = false;
   const bool renew = m_ticks++ % kTicksBetweenRenewals == 0;
@@ -393,7 +395,6 @@
   }
   m_mirror.SetIsPlacer(is_placer);
   SetReading(ReadingFor(is_placer));
-  m_timer = m_parts.scheduler.ScheduleAfter(kTickInterval, [this] { Tick(); });
 }
 
 }  // namespace zinnia
--- a/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/report_exchange.cc
@@ -98,6 +98,8 @@
 }
 
 void ReportExchange::Tick() {
+  // First, or whatever throws below would end all later reports.
+  m_timer = m_scheduler.ScheduleAfter(m_settings.interval, [this] { Tick(); });
   m_relays.Refresh(SilenceLimit());
   if (m_relays.Members().empty() && m_relays.RemoteRelays().empty()) {
     ReportToSeeds();
@@ -108,7 +110,6 @@
     SendToRelays(Recipient::kOwnRelay, m_relays.OwnRelays());
   }
   ++m_ticks;
-  m_timer = m_scheduler.ScheduleAfter(m_settings.interval, [this] { Tick(); });
 }
 
 void ReportExchange::ReportToSeeds() {
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <set>
 #include <utility>
 
@@ -290,7 +291,7 @@
   }
   m_revision = std::max(m_revision, delta.revision);
   if (advanced && m_listener != nullptr) {
-    m_listener->OnMirrorAdvanced();
+    Guard("view_not_published", "", [this] { m_listener->OnMirrorAdvanced(); });
   }
 }
 
@@ -305,7 +306,22 @@
   }
   known = record;
   if (m_listener != nullptr) {
-    m_listener->OnMirroredRecord(known, origin);
+    Guard("record_not_taken", known.key, [&] { m_listener->OnMirroredRecord(known, origin); });
+  }
+}
+
+/** A listener that throws must not end the chain of watches, nor keep the records behind one from
+    being taken. */
+void StoreMirror::Guard(std::string_view event,
+                        const std::string& key,
+                        const std::function<void()>& call) {
+  try {
+    call();
+  } catch (const std::exception& failure) {
+    m_logger.Log(LogLevel::kError, event,
+                 {{"key", key},
+                  {"revision", std::to_string(m_revision.number)},
+                  {"reason", failure.what()}});
   }
 }
 
--- a/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
+++ b/packages/zinnia_decisions/forwarding/observed_state/store_mirror.h
@@ -164,6 +164,7 @@
   bool BeginsEraWithoutSnapshot(const MirrorDelta& delta) const;
   void MergeFrom(std::string_view source, const MirrorDelta& delta);
   void Apply(const MirroredRecord& record, RecordOrigin origin);
+  void Guard(std::string_view event, const std::string& key, const std::function<void()>& call);
   void RemoveMissing(const MirrorDelta& delta, RecordOrigin origin);
   void RecordFailure(const Error& error);
   void RecordContact();
--- a/tests/forwarding/beliefs_test.cc
+++ b/tests/forwarding/beliefs_test.cc
@@ -30,6 +30,21 @@
   }
 };
 
+// Guards against a mirror that stops for good, or loses the records behind it, when one is not
+// taken.
+TEST(Mirror, ARecordThatItsListenerCannotTakeCostsItselfAlone) {
+  recorded.throws_for = "a";
+  store.Put("a", "2");
+  store.Put("b", "2");
+  CompleteWatch();
+  CHECK_TRUE(recorded.values["b"] == std::optional<std::string>("2"));
+  time.AdvanceBy(milliseconds(500));
+  store.Put("b", "3");
+  CompleteWatch();
+  CHECK_TRUE(recorded.values["b"] == std::optional<std::string>("3"));
+  CHECK_TRUE(std::count(logger.events.begin(), logger.events.end(), "record_not_taken") == 1);
+}
+
 TEST(Mirror, ListsOnceThenWatches) {
   CHECK_TRUE(mirror.IsFilled());
   store.Put("a", "2");
--- a/tests/forwarding/forwarding_fakes.h
+++ b/tests/forwarding/forwarding_fakes.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -202,9 +203,13 @@
 struct RecordingMirrorListener final : MirrorListener {
   void OnMirrorAdvanced() override { ++advances; }
   void OnMirroredRecord(const MirroredRecord& record, RecordOrigin) override {
+    if (record.key == throws_for) {
+      throw std::runtime_error("not taken");
+    }
     values[record.key] = record.value;
   }
   int advances = 0;
+  std::string throws_for;
   std::map<std::string, std::optional<std::string>> values;
 };
 
