--- a/tests/forwarding/control_fleet.h
+++ b/tests/forwarding/control_fleet.h
@@ -80,9 +80,6 @@
   void SetCutOff(std::size_t number, bool cut_off) { m_members[number]->is_cut_off = cut_off; }
 
   /** Whether the instance has published a view since its last start. */
-  const std::vector<std::string>& LogOf(std::size_t number) const {
-    return m_members[number]->logger.lines;
-  }
   bool HasView(std::size_t number) const { return m_members[number]->view != nullptr; }
 
   std::size_t Size() const { return m_members.size(); }
