--- a/tests/fleet/server_limit_test.cc
+++ b/tests/fleet/server_limit_test.cc
@@ -10,6 +10,7 @@
 
 #include "platform/soak/backend.h"
 #include "platform/soak/caller.h"
+#include "platform/soak/configuration_judge.h"
 #include "platform/soak/fleet.h"
 #include "platform/soak/ledger.h"
 #include "platform/soak/operator_standin.h"
@@ -44,6 +45,7 @@
   StoreStandin store;
   std::vector<std::unique_ptr<Backend>> backends;
   std::unique_ptr<Fleet> fleet;
+  std::unique_ptr<ConfigurationJudge> judge;
   std::unique_ptr<OperatorStandin> configuration;
   std::atomic<bool> calm = false;
   std::list<std::unique_ptr<Caller>> callers;
@@ -59,7 +61,8 @@
     fleet = std::make_unique<Fleet>(
         FleetPlaces{ZINNIA_BINARIES "/packages/zinnia_apps/zinniad", folder}, kInstances,
         /*failure_domains=*/1, store.Port(), ledger);
-    configuration = std::make_unique<OperatorStandin>(store, *fleet, ledger);
+    judge = std::make_unique<ConfigurationJudge>(*fleet, ledger);
+    configuration = std::make_unique<OperatorStandin>(store, *fleet, ledger, *judge);
     for (const auto& member : fleet->Members()) {
       fleet->Start(*member);
     }
