Format: the start of the control thread is wrapped

Cause: the formatter was not run on this file after its call got an argument. Change: the formatter's wrapping.

--- a/packages/zinnia_apps/daemon/daemon.cc
+++ b/packages/zinnia_apps/daemon/daemon.cc
@@ -92,11 +92,12 @@
 }
 
 Result<void> Daemon::StartControl(const std::string& cluster_secret) {
-  auto thread = ControlThread::Start(m_clock, m_metrics, m_logger, [&](ControlThread& control_thread) {
-    m_control = std::make_unique<ControlSide>(
-        control_thread, ControlSideParts{m_settings, cluster_secret, m_start, m_clock, m_metrics,
-                                         m_logger, m_decisions});
-  });
+  auto thread =
+      ControlThread::Start(m_clock, m_metrics, m_logger, [&](ControlThread& control_thread) {
+        m_control = std::make_unique<ControlSide>(
+            control_thread, ControlSideParts{m_settings, cluster_secret, m_start, m_clock,
+                                             m_metrics, m_logger, m_decisions});
+      });
   if (!thread) {
     return thread.error();
   }
