--- a/review/standin-2/body_case.cc
+++ b/review/standin-2/body_case.cc
@@ -40,7 +40,7 @@
 
 constexpr milliseconds kStabilityWindow{3'000};
 constexpr milliseconds kBetweenRequests{100};
-constexpr int kRequestsOfEachKind = 12;
+constexpr int kRequests = 24;
 
 /** What one segment carries on an Ethernet link, and the time until the next. */
 constexpr std::size_t kSegmentBytes = 1'460;
@@ -161,8 +161,8 @@
   std::atomic<int> beyond_route_time = 0;
   std::atomic<int> late = 0;
   std::vector<std::thread> clients;
-  clients.reserve(2 * kRequestsOfEachKind);
-  for (int number = 0; number < 2 * kRequestsOfEachKind; ++number) {
+  clients.reserve(kRequests);
+  for (int number = 0; number < kRequests; ++number) {
     clients.emplace_back([&, number] {
       const bool is_long = number % 2 == 1;
       const std::string id = (is_long ? "long-" : "short-") + std::to_string(number);
