--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 out=target/review-2
 mkdir -p "$out"
-shared=(review/standin-2/world.cc review/standin-2/worker_standin.cc review/standin-2/layer_server.cc
+shared=(review/standin-2/world.cc review/standin-2/worker_standin.cc review/standin-2/harmful_play.cc review/standin-2/layer_server.cc
   platform/soak/store_standin.cc platform/soak/http_server.cc platform/soak/socket.cc
   platform/soak/proxy.cc platform/soak/connection_owner.cc
   platform/base64.cc packages/zinnia_base/errors/error.cc packages/zinnia_base/errors/error_kind.cc
