--- a/review/standin-2/harmful_stream_case.cc
+++ b/review/standin-2/harmful_stream_case.cc
@@ -18,7 +18,7 @@
   HarmfulPlayOptions options;
   options.route_type = "streaming";
   options.method = "POST";
-  options.servers = 5;
+  options.servers = 4;
   options.route_time = milliseconds(20'000);
   options.deadline = milliseconds(20'000);
   options.between_requests = milliseconds(3'400);
