--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cc
@@ -172,15 +172,23 @@
   std::ofstream(m_folder + "/" + instance.name + ".json") << json::serialize(settings);
 }
 
+void World::Launch(Instance& instance) const {
+  const std::string file = m_folder + "/" + instance.name;
+  // The shell only sends the log to a file; the program takes its place.
+  instance.process = std::make_unique<testing::ChildProcess>(
+      "/bin/sh",
+      std::vector<std::string>{"-c", R"(exec "$0" --forwarding-settings "$1" >>"$2" 2>&1)",
+                               m_program, file + ".json", file + ".log"});
+}
+
+void World::StartAgain(std::size_t instance) {
+  Launch(m_instances[instance]);
+}
+
 bool World::Start() {
   for (Instance& instance : m_instances) {
     WriteSettings(instance);
-    const std::string file = m_folder + "/" + instance.name;
-    // The shell only sends the log to a file; the program takes its place.
-    instance.process = std::make_unique<testing::ChildProcess>(
-        "/bin/sh",
-        std::vector<std::string>{"-c", R"(exec "$0" --forwarding-settings "$1" >"$2" 2>&1)",
-                                 m_program, file + ".json", file + ".log"});
+    Launch(instance);
   }
   const auto end = Clock::now() + kReadyWithin;
   for (const Instance& instance : m_instances) {
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -70,6 +70,9 @@
   /** Starts all instances and waits until they say that they are ready. */
   bool Start();
 
+  /** Starts one instance again, which has ended. */
+  void StartAgain(std::size_t instance);
+
   std::size_t InstanceCount() const { return m_instances.size(); }
   std::uint16_t CallersPort(std::size_t instance) const;
   pid_t ProcessId(std::size_t instance) const;
@@ -90,6 +93,7 @@
   };
 
   void WriteSettings(const Instance& instance) const;
+  void Launch(Instance& instance) const;
 
   /** Hands a call on to the store without the header that the pages do not describe. */
   bool Relay(const platform::soak::Request& request, platform::soak::Socket& socket) const;
