--- a/review/standin-2/layer_server.cc
+++ b/review/standin-2/layer_server.cc
@@ -93,6 +93,9 @@
       std::this_thread::sleep_for(kPoll);
       FinishLoad();
     }
+    if (!m_has_crashed) {
+      return;  // The play is over.
+    }
     const auto crashed_at = Clock::now();
     m_record.Write("worker: " + m_id + (m_is_lost ? " is lost for good" : " crashes"));
     WaitUntil(crashed_at + (m_is_lost ? kLapsesAfter : kBackAfter));
