--- a/review/standin-2/layer_server.cc
+++ b/review/standin-2/layer_server.cc
@@ -17,7 +17,7 @@
 using std::chrono::milliseconds;
 
 /** From a crash until the worker is back, and until its old entry has lapsed: three heartbeats. */
-constexpr milliseconds kBackAfter{3'000};
+constexpr milliseconds kBackAfter{3'600};
 constexpr milliseconds kLapsesAfter{3'600};
 constexpr milliseconds kPoll{20};
 
