--- a/packages/zinnia_decisions/forwarding/placement/domain_capacity.cc
+++ b/packages/zinnia_decisions/forwarding/placement/domain_capacity.cc
@@ -81,6 +81,15 @@
   return static_cast<std::size_t>(empty) * 2 > m_tokens.size();
 }
 
+bool DomainCapacity::HasUncoveredLayer(const LayerRange& range) const {
+  for (std::uint32_t layer = range.first; layer < range.end && layer < m_tokens.size(); ++layer) {
+    if (m_tokens[layer] < kMinCapacityTokens) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool DomainCapacity::CanSpare(const ServerEntry& engine) const {
   const double own = TokensPerLayer(engine);
   for (std::uint32_t layer = engine.layers.first; layer < engine.layers.end; ++layer) {
--- a/packages/zinnia_decisions/forwarding/placement/domain_capacity.h
+++ b/packages/zinnia_decisions/forwarding/placement/domain_capacity.h
@@ -34,6 +34,9 @@
       of its own. */
   bool IsMostlyUncovered() const;
 
+  /** Returns whether no engine has memory for requests in some layer of the range. */
+  bool HasUncoveredLayer(const LayerRange& range) const;
+
   /** Returns whether all layers of the engine keep enough capacity without it. */
   bool CanSpare(const ServerEntry& engine) const;
 
--- a/packages/zinnia_decisions/forwarding/placement/first_servers.cc
+++ b/packages/zinnia_decisions/forwarding/placement/first_servers.cc
@@ -7,15 +7,6 @@
 #include "zinnia_world/forwarding/server_entry.h"
 
 namespace zinnia {
-namespace {
-
-bool CanHold(const EngineProfile& profile, const ServerEntry& engine, const LayerRange& range) {
-  const auto accelerator = profile.accelerators.find(engine.accelerator);
-  return accelerator != profile.accelerators.end() &&
-         range.Count() * profile.layer_mb <= accelerator->second.memory_mb;
-}
-
-}  // namespace
 
 FirstServers::FirstServers(const EngineProfile& profile,
                            const FailureDomainName& domain,
@@ -64,7 +55,8 @@
     const bool is_known = std::any_of(lost.begin(), lost.end(), [&](const LostFirstRange& known) {
       return known.layers == range;
     });
-    if (!is_known && IsShortOf(range) && CanHold(m_profile, engine, range) &&
+    if (!is_known && IsShortOf(range) &&
+        range.Count() <= m_profile.MostLayers(engine.accelerator) &&
         chains.AddIfItCompletesChain(range)) {
       lost.push_back({range, engine.accelerator});
     }
--- a/packages/zinnia_decisions/forwarding/placement/layer_placer.cc
+++ b/packages/zinnia_decisions/forwarding/placement/layer_placer.cc
@@ -60,6 +60,14 @@
          last_holder.failure_domain == server.failure_domain;
 }
 
+bool CanHold(const EngineProfile& engine, const ServerEntry& server, const LayerRange& layers) {
+  return layers.end <= engine.layers && layers.Count() <= engine.MostLayers(server.accelerator);
+}
+
+std::string RangeText(const LayerRange& layers) {
+  return std::to_string(layers.first) + "-" + std::to_string(layers.end);
+}
+
 }  // namespace
 
 LayerPlacer::LayerPlacer(const OrderRoleParts& parts,
@@ -109,6 +117,7 @@
     return;
   }
   Assign(*service->second.engine, servers);
+  WithdrawBeyondMemory(*service->second.engine, servers);
   SendOrders(servers);
 }
 
@@ -211,10 +220,8 @@
         remaining_gaps[key] = since;
         continue;
       }
-      m_logger.Log(
-          LogLevel::kInfo, "layers_missing",
-          {{"failure_domain", domain},
-           {"layers", std::to_string(gap.layers.first) + "-" + std::to_string(gap.layers.end)}});
+      m_logger.Log(LogLevel::kInfo, "layers_missing",
+                   {{"failure_domain", domain}, {"layers", RangeText(gap.layers)}});
       m_uncovered.push_back({gap, now, {}});
     }
   }
@@ -266,15 +273,17 @@
     nobody covers come first: relieving a spare instead would leave a chain broken. Among ranges
     that are equally covered, restarted engines get their own back and other engines get the one
     that has been uncovered longest. */
-void LayerPlacer::AssignUncovered(const std::vector<ServerEntry>& servers) {
+void LayerPlacer::AssignUncovered(const EngineProfile& engine,
+                                  const std::vector<ServerEntry>& servers) {
   for (const RangeCover cover :
        {RangeCover::kNone, RangeCover::kOtherHolder, RangeCover::kSpares}) {
-    AssignUncovered(servers, cover, &WasHeldBy);
-    AssignUncovered(servers, cover, &CanReplace);
+    AssignUncovered(engine, servers, cover, &WasHeldBy);
+    AssignUncovered(engine, servers, cover, &CanReplace);
   }
 }
 
-void LayerPlacer::AssignUncovered(const std::vector<ServerEntry>& servers,
+void LayerPlacer::AssignUncovered(const EngineProfile& engine,
+                                  const std::vector<ServerEntry>& servers,
                                   RangeCover cover,
                                   RangeFilter is_eligible) {
   for (const ServerEntry& server : servers) {
@@ -284,6 +293,7 @@
     const auto uncovered_range =
         std::find_if(m_uncovered.begin(), m_uncovered.end(), [&](const UncoveredRange& candidate) {
           return !candidate.assigned_to && is_eligible(candidate.last_holder, server) &&
+                 CanHold(engine, server, candidate.last_holder.layers) &&
                  CoverOf(candidate, servers) == cover;
         });
     if (uncovered_range != m_uncovered.end()) {
@@ -367,6 +377,10 @@
     for (const LayerRange& missing : shortages) {
       DivideRange(uncovered_range, missing, engine, servers, MakeSparePool(servers));
     }
+    if (uncovered_range.spares.empty() && !uncovered_range.assigned_to &&
+        capacity.HasUncoveredLayer(lost.layers)) {
+      LogWithoutSpares(uncovered_range);
+    }
     if (m_is_prioritized && shortages.empty() &&
         FirstServers(engine, lost.failure_domain, planned).IsShortOf(lost.layers)) {
       SparePool pool = MakeSparePool(servers);
@@ -435,6 +449,14 @@
   }
 }
 
+void LayerPlacer::LogWithoutSpares(UncoveredRange& uncovered_range) {
+  if (!std::exchange(uncovered_range.is_logged, true)) {
+    m_logger.Log(LogLevel::kWarning, "layers_without_spares",
+                 {{"failure_domain", uncovered_range.last_holder.failure_domain},
+                  {"layers", RangeText(uncovered_range.last_holder.layers)}});
+  }
+}
+
 SparePool LayerPlacer::MakeSparePool(const std::vector<ServerEntry>& servers) const {
   SparePool pool{WithPlannedLayers(servers), {}, m_late_engines};
   for (const ServerEntry& server : servers) {
@@ -458,7 +480,7 @@
   }
   RemoveLoadedRanges(servers);
   DetectGaps(engine, servers);
-  AssignUncovered(servers);
+  AssignUncovered(engine, servers);
   RepairWithSpares(engine, servers);
   std::vector<ServerEntry> holders;
   for (const ServerEntry& server : servers) {
@@ -487,6 +509,32 @@
   }
 }
 
+/** A server crashes if it is ordered to hold more than its memory. An assignment that fitted when
+   it was made may not fit any more: the configuration has changed, or the server returned with
+   another accelerator. */
+void LayerPlacer::WithdrawBeyondMemory(const EngineProfile& engine,
+                                       const std::vector<ServerEntry>& servers) {
+  for (const ServerEntry& server : servers) {
+    const auto found = m_assignments.find(server.name);
+    if (found == m_assignments.end() || CanHold(engine, server, found->second.layers)) {
+      continue;
+    }
+    m_logger.Log(LogLevel::kWarning, "assignment_beyond_memory",
+                 {{"server", server.name},
+                  {"layers", RangeText(found->second.layers)},
+                  {"accelerator", server.accelerator},
+                  {"most_layers", std::to_string(engine.MostLayers(server.accelerator))}});
+    m_assignments.erase(found);
+    m_layers_before_repair.erase(server.name);
+    for (UncoveredRange& uncovered_range : m_uncovered) {
+      std::erase(uncovered_range.spares, server.name);
+      if (uncovered_range.assigned_to == server.name) {
+        uncovered_range.assigned_to.reset();
+      }
+    }
+  }
+}
+
 void LayerPlacer::SendOrders(const std::vector<ServerEntry>& servers) {
   const TimePoint now = m_parts.clock.Now();
   for (const ServerEntry& server : servers) {
@@ -504,8 +552,7 @@
     assignment.accepted = false;
     m_logger.Log(LogLevel::kInfo, "order_layers",
                  {{"server", server.name},
-                  {"layers", std::to_string(assignment.layers.first) + "-" +
-                                 std::to_string(assignment.layers.end)},
+                  {"layers", RangeText(assignment.layers)},
                   {"accelerator", server.accelerator},
                   {"failure_domain", server.failure_domain},
                   {"fencing_number", std::to_string(m_role.Epoch())}});
--- a/packages/zinnia_decisions/forwarding/placement/layer_placer.h
+++ b/packages/zinnia_decisions/forwarding/placement/layer_placer.h
@@ -79,6 +79,9 @@
 
     /** Servers that cover the range until then. */
     std::vector<BackendServerName> spares;
+
+    /** Whether it was logged that there are no spares for it. */
+    bool is_logged = false;
   };
 
   /** Who covers an uncovered range, most urgent first. */
@@ -113,10 +116,12 @@
   bool IsUncovered(const FailureDomainName& domain, const LayerRange& layers) const;
   RangeCover CoverOf(const UncoveredRange& uncovered_range,
                      const std::vector<ServerEntry>& servers) const;
-  void AssignUncovered(const std::vector<ServerEntry>& servers);
+  void AssignUncovered(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
 
-  /** Assigns ranges with this cover to the empty engines that `is_eligible` accepts. */
-  void AssignUncovered(const std::vector<ServerEntry>& servers,
+  /** Assigns ranges with this cover to the empty engines that can hold them and that `is_eligible`
+      accepts. */
+  void AssignUncovered(const EngineProfile& engine,
+                       const std::vector<ServerEntry>& servers,
                        RangeCover cover,
                        RangeFilter is_eligible);
   void AssignRange(const ServerEntry& server, UncoveredRange& uncovered_range);
@@ -132,6 +137,7 @@
                    const EngineProfile& engine,
                    const std::vector<ServerEntry>& servers,
                    const SparePool& pool);
+  void LogWithoutSpares(UncoveredRange& uncovered_range);
   SparePool MakeSparePool(const std::vector<ServerEntry>& servers) const;
 
   /** Removes the engines that chains depend on from the pool. A lost first server leaves its layers
@@ -141,6 +147,7 @@
                        SparePool& pool) const;
   bool AdjoinsUncovered(const ServerEntry& server) const;
   void RepairWithSpares(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
+  void WithdrawBeyondMemory(const EngineProfile& engine, const std::vector<ServerEntry>& servers);
   void SendOrders(const std::vector<ServerEntry>& servers);
   void OnOrderResult(const BackendServerName& server, const Result<void>& result);
 
--- a/packages/zinnia_decisions/forwarding/placement/layer_planner.cc
+++ b/packages/zinnia_decisions/forwarding/placement/layer_planner.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "zinnia_decisions/forwarding/paths/path_finder.h"
+#include "zinnia_decisions/forwarding/placement/layer_division.h"
 #include "zinnia_world/forwarding/engine_profile.h"
 #include "zinnia_world/forwarding/server_entry.h"
 
@@ -46,15 +47,18 @@
       [&](double sum, const ServerEntry* server) { return sum + MemoryOf(engine, *server); });
 }
 
-bool CanFormChain(const EngineProfile& engine, const Chain& chain) {
-  return MemoryOf(engine, chain) >= kMinMemoryToWeights * engine.layers * engine.layer_mb;
+/** Whether the chain can hold all layers, each server a whole number of them. */
+bool CanHoldAllLayers(const EngineProfile& engine, const Chain& chain) {
+  std::uint64_t most = 0;
+  for (const ServerEntry* server : chain) {
+    most += engine.MostLayers(server->accelerator);
+  }
+  return most >= engine.layers;
 }
 
-std::uint32_t MaxLayers(const EngineProfile& engine, const ServerEntry& server) {
-  if (engine.layer_mb <= 0) {
-    return engine.layers;
-  }
-  return static_cast<std::uint32_t>(MemoryOf(engine, server) / engine.layer_mb);
+bool CanFormChain(const EngineProfile& engine, const Chain& chain) {
+  return MemoryOf(engine, chain) >= kMinMemoryToWeights * engine.layers * engine.layer_mb &&
+         CanHoldAllLayers(engine, chain);
 }
 
 void CountHolders(const LayerRange& range, std::vector<std::uint32_t>& counts) {
@@ -65,21 +69,16 @@
 
 /** Distributes all layers over the chain in proportion to memory, without exceeding any engine. */
 LayerPlanner::Ranges SplitLayers(const EngineProfile& engine, const Chain& chain) {
-  const double memory = MemoryOf(engine, chain);
+  std::vector<LayerPart> parts;
+  for (const ServerEntry* server : chain) {
+    parts.push_back({MemoryOf(engine, *server), engine.MostLayers(server->accelerator)});
+  }
+  const std::vector<LayerRange> divided = DivideLayers({0, engine.layers}, parts);
   LayerPlanner::Ranges ranges;
-  double exact_end = 0.0;
-  std::uint32_t first = 0;
-  for (std::size_t index = 0; index < chain.size(); ++index) {
-    exact_end += engine.layers * MemoryOf(engine, *chain[index]) / memory;
-    auto end = static_cast<std::uint32_t>(std::lround(exact_end));
-    end = std::clamp(end, first, std::min(first + MaxLayers(engine, *chain[index]), engine.layers));
-    if (index + 1 == chain.size()) {
-      end = engine.layers;
-    }
-    if (end > first) {
-      ranges[chain[index]->name] = {first, end};
+  for (std::size_t index = 0; index < divided.size(); ++index) {
+    if (divided[index].Count() > 0) {
+      ranges[chain[index]->name] = divided[index];
     }
-    first = end;
   }
   return ranges;
 }
@@ -105,11 +104,8 @@
   return chain;
 }
 
-/** Splits a group into as many chains as its memory allows, balanced by memory. */
-std::vector<Chain> SplitGroup(const EngineProfile& engine, const Chain& group) {
-  const double weights = engine.layers * engine.layer_mb;
-  const auto count = std::max<std::size_t>(
-      1, static_cast<std::size_t>(MemoryOf(engine, group) / (kTargetMemoryToWeights * weights)));
+/** Splits a group into so many chains, balanced by memory. */
+std::vector<Chain> SplitGroup(const EngineProfile& engine, const Chain& group, std::size_t count) {
   std::vector<Chain> chains(count);
   for (const ServerEntry* server : group) {
     const auto smallest =
@@ -121,6 +117,23 @@
   return chains;
 }
 
+/** Splits a group into as many chains as its memory allows. */
+std::vector<Chain> SplitGroup(const EngineProfile& engine, const Chain& group) {
+  const double weights = engine.layers * engine.layer_mb;
+  auto count =
+      static_cast<std::size_t>(MemoryOf(engine, group) / (kTargetMemoryToWeights * weights));
+  for (; count > 1; --count) {
+    std::vector<Chain> chains = SplitGroup(engine, group, count);
+    const bool all_hold = std::all_of(chains.begin(), chains.end(), [&](const Chain& chain) {
+      return CanHoldAllLayers(engine, chain);
+    });
+    if (all_hold) {
+      return chains;
+    }
+  }
+  return {group};
+}
+
 /** Returns the first layer at which second holders of `count` layers cover the most stages. Ties go
     to the layers with the fewest holders. */
 std::uint32_t BestFirstLayer(const EngineProfile& engine,
@@ -196,7 +209,7 @@
                                             const std::vector<ServerEntry>& servers) {
   std::map<FailureDomainName, Chain> by_domain;
   for (const ServerEntry& server : servers) {
-    if (MaxLayers(engine, server) > 0) {
+    if (engine.MostLayers(server.accelerator) > 0) {
       by_domain[server.failure_domain].push_back(&server);
     }
   }
@@ -259,7 +272,7 @@
 std::optional<LayerRange> LayerPlanner::RangeFor(const EngineProfile& engine,
                                                  const ServerEntry& server,
                                                  const std::vector<ServerEntry>& holders) {
-  const std::uint32_t most = std::min(MaxLayers(engine, server), engine.layers);
+  const std::uint32_t most = engine.MostLayers(server.accelerator);
   if (most == 0) {
     return std::nullopt;
   }
--- a/packages/zinnia_decisions/forwarding/placement/spare_chooser.h
+++ b/packages/zinnia_decisions/forwarding/placement/spare_chooser.h
@@ -34,11 +34,13 @@
     Spares are engines that their failure domain can do without, slowest first, since these reduce
     capacity least. An engine as fast as the lost one is not used, as that would move the gap to
     another chain, unless it is a late engine. A spare with the accelerator of the lost engine
-    covers the range alone.
+    covers the range alone if it can hold it. Others get parts in proportion to their memory, none
+    more than it can hold: with room for requests beside, which is small if there are few spares and
+    nobody else holds the range.
 */
 class SpareChooser {
  public:
-  /** Returns nothing if the spares do not have enough memory. `lost` is the lost holder. */
+  /** Returns nothing if the spares cannot hold all of `missing`. `lost` is the lost holder. */
   static std::vector<SpareShare> DivideRange(const EngineProfile& profile,
                                              const SparePool& pool,
                                              const ServerEntry& lost,
--- a/packages/zinnia_world/forwarding/engine_profile.h
+++ b/packages/zinnia_world/forwarding/engine_profile.h
@@ -48,6 +48,10 @@
 
   /** Whether requests are routed along a path of layer ranges. */
   bool IsLayered() const { return layers > 0; }
+
+  /** Returns how many layers fit in the memory of an accelerator beside the cache of so many tokens
+      in each of them: at most all, 0 if the accelerator is unknown. */
+  std::uint32_t MostLayers(const std::string& accelerator, double tokens_per_layer = 0.0) const;
 };
 
 }  // namespace zinnia
