--- a/packages/zinnia_adapters/http/message_reading.cc
+++ b/packages/zinnia_adapters/http/message_reading.cc
@@ -12,6 +12,12 @@
 /** Of the line before a chunk, or of the trailer section. */
 constexpr std::size_t kMostLineBytes = 16'384;
 
+/** A body with a length may hold the same bytes, and nothing may come behind them. */
+bool MustWaitForLastChunk(const boost::beast::flat_buffer& buffer,
+                          const http::basic_parser<true>& parser) {
+  return parser.is_header_done() && parser.chunked() && IsPartOfLastChunk(buffer);
+}
+
 }  // namespace
 
 bool IsPartOfLastChunk(const boost::beast::flat_buffer& buffer) {
@@ -23,7 +29,7 @@
 boost::system::error_code ParseRequest(boost::beast::flat_buffer& buffer,
                                        http::basic_parser<true>& parser) {
   boost::system::error_code error;
-  while (buffer.size() > 0 && !parser.is_done() && !IsPartOfLastChunk(buffer)) {
+  while (buffer.size() > 0 && !parser.is_done() && !MustWaitForLastChunk(buffer, parser)) {
     const std::size_t used = parser.put(buffer.data(), error);
     buffer.consume(used);
     if (error == http::error::need_more) {
--- a/packages/zinnia_adapters/http/message_reading.h
+++ b/packages/zinnia_adapters/http/message_reading.h
@@ -11,8 +11,9 @@
 namespace zinnia {
 
 /** Whether the buffer may hold the beginning of the last chunk of a body. The library's parser
-    aborts the process if it sees less than a whole one twice, behind an empty body. Nothing of a
-    body is held back by waiting for the rest. */
+    aborts the process if it sees less than a whole one twice, behind an empty body. Waiting for the
+    rest holds nothing of a body in chunks back; ask only for those, as behind the same bytes of a
+    body with a length nothing may come. */
 bool IsPartOfLastChunk(const boost::beast::flat_buffer& buffer);
 
 /** Parses what is in the buffer as far as it goes. Fails with header_limit if a line of a chunk or
