--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -194,7 +194,7 @@
 
 void CallerConnection::RunExchange() {
   m_is_reading = false;
-  CallerRequest request = m_parser->release();
+  CallerRequest request = m_parser->ReleaseRequest();
   // An answer takes minutes, and thousands of connections wait for theirs: each would keep the
   // buffers that its request needed.
   m_parser.reset();
--- a/packages/zinnia_adapters/callers/caller_connection.h
+++ b/packages/zinnia_adapters/callers/caller_connection.h
@@ -6,7 +6,6 @@
 #include <boost/beast/core/basic_stream.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <chrono>
 #include <cstdint>
@@ -16,6 +15,7 @@
 
 #include "zinnia_adapters/callers/caller_limits.h"
 #include "zinnia_adapters/callers/responder.h"
+#include "zinnia_adapters/http/request_parser.h"
 #include "zinnia_base/time/clock.h"
 
 namespace zinnia {
@@ -76,7 +76,6 @@
 
  private:
   using Stream = boost::beast::basic_stream<boost::asio::ip::tcp, boost::asio::any_io_executor>;
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void WaitForRequest();
   void OnRequestArrives(const boost::system::error_code& error);
@@ -108,7 +107,7 @@
 
   /** Bounded by the parser, whose limits may change from request to request. */
   boost::beast::flat_buffer m_buffer;
-  std::optional<Parser> m_parser;
+  std::optional<RequestParser> m_parser;
   std::shared_ptr<CallerExchange> m_exchange;
   CallerResponse m_response;
   StreamHead m_events_head;
--- a/packages/zinnia_adapters/callers/caller_server.cc
+++ b/packages/zinnia_adapters/callers/caller_server.cc
@@ -235,6 +235,11 @@
   if (contract == nullptr) {
     return Refuse(context, MakeError(ErrorKind::kNotFound, "nothing is served at " + path));
   }
+  if (!context.request.long_fields.IsEmpty()) {
+    return Refuse(context, MakeError(ErrorKind::kPayloadTooLarge,
+                                     fmt::format("a header field has more than {} bytes",
+                                                 LongFields::kMostContainerBytes)));
+  }
   return Register(std::make_shared<ServiceExchange>(std::move(context), *contract, m_forwarder));
 }
 
--- a/packages/zinnia_adapters/callers/problem_document.h
+++ b/packages/zinnia_adapters/callers/problem_document.h
@@ -5,11 +5,12 @@
 #include <string>
 
 #include "zinnia_adapters/http/problem_status.h"
+#include "zinnia_adapters/http/request_message.h"
 #include "zinnia_base/errors/error.h"
 
 namespace zinnia {
 
-using CallerRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using CallerRequest = RequestMessage;
 using CallerResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
 /** The error with a time to come back, if its kind has one and it has none yet. */
--- a/packages/zinnia_adapters/forwarding/server_connection.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection.cc
@@ -4,7 +4,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cassert>
 #include <cerrno>
@@ -125,14 +127,20 @@
 
 void ServerConnection::Write() {
   m_writing = true;
-  http::async_write(
-      m_socket, m_request,
-      [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-        self->m_writing = false;
-        if (error && !self->m_closed && self->m_busy) {
-          self->Fail(AnswerFailure::kBroken, error.message());
-        }
-      });
+  auto on_written = [self = shared_from_this()](const boost::system::error_code& error,
+                                                std::size_t) {
+    self->m_writing = false;
+    if (error && !self->m_closed && self->m_busy) {
+      self->Fail(AnswerFailure::kBroken, error.message());
+    }
+  };
+  if (m_request.long_fields.IsEmpty()) {
+    http::async_write(m_socket, m_request, std::move(on_written));
+    return;
+  }
+  m_head_text = m_request.HeadText();
+  const std::array message = {asio::buffer(m_head_text), asio::buffer(m_request.body())};
+  asio::async_write(m_socket, message, std::move(on_written));
 }
 
 void ServerConnection::Read() {
--- a/packages/zinnia_adapters/forwarding/server_connection.h
+++ b/packages/zinnia_adapters/forwarding/server_connection.h
@@ -4,14 +4,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "zinnia_adapters/forwarding/server_connection_parts.h"
 #include "zinnia_adapters/http/answer_reader.h"
+#include "zinnia_adapters/http/request_message.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_decisions/forwarding/answer_memory.h"
 #include "zinnia_world/fleet/network_address.h"
@@ -33,7 +33,7 @@
 */
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
-  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Request = RequestMessage;
 
   static std::shared_ptr<ServerConnection> Create(boost::asio::io_context& loop,
                                                   ServerConnectionParts parts,
@@ -94,6 +94,9 @@
   boost::asio::steady_timer m_connect_timer;
   boost::beast::flat_buffer m_buffer;
   Request m_request;
+
+  /** Its head, if it has long fields. */
+  std::string m_head_text;
   std::optional<AnswerReader> m_reader;
   std::weak_ptr<ServerAnswerListener> m_listener;
   AnswerMemory::Share m_share;
--- a/packages/zinnia_adapters/http/answer_reader.cc
+++ b/packages/zinnia_adapters/http/answer_reader.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http/error.hpp>
 #include <utility>
 
+#include "zinnia_adapters/http/long_fields.h"
 #include "zinnia_adapters/http/message_reading.h"
 
 namespace zinnia {
@@ -81,6 +82,10 @@
   boost::system::error_code error;
   const std::size_t used = m_parser->put(buffer.data(), error);
   buffer.consume(used);
+  if (m_parser->HasLongField()) {
+    return AnswerFault{AnswerFaultKind::kHeadTooLong, fmt::format("a field of more than {} bytes",
+                                                                  LongFields::kMostContainerBytes)};
+  }
   if (error && error != http::error::need_more) {
     return FaultOf(error, m_limits);
   }
--- a/packages/zinnia_adapters/http/answer_reader.h
+++ b/packages/zinnia_adapters/http/answer_reader.h
@@ -2,14 +2,13 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/fields.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <optional>
 #include <string>
 
 #include "zinnia_adapters/http/answer_fault.h"
 #include "zinnia_adapters/http/answer_limits.h"
+#include "zinnia_adapters/http/answer_parser.h"
 
 namespace zinnia {
 
@@ -50,8 +49,6 @@
   bool IsDone() const { return m_has_head && m_parser->is_done(); }
 
  private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   void StartHead();
   std::optional<AnswerFault> ReadPart(boost::beast::flat_buffer& buffer);
   std::optional<AnswerFault> CheckHead();
@@ -59,7 +56,7 @@
 
   const AnswerLimits m_limits;
   const bool m_is_head_request;
-  std::optional<Parser> m_parser;
+  std::optional<AnswerParser> m_parser;
   boost::beast::http::response_header<> m_head;
   bool m_has_head = false;
   std::size_t m_unfinished_head_bytes = 0;
--- a/tests/forwarding_path/forwarding_fixture.h
+++ b/tests/forwarding_path/forwarding_fixture.h
@@ -29,7 +29,7 @@
     RequestFacts facts;
     facts.id = std::string(fields["X-Id"]);
     facts.api_key = std::string(fields["X-Key"]);
-    if (fields.count("X-Deadline") > 0) {
+    if (!fields["X-Deadline"].empty()) {
       facts.deadline = std::chrono::milliseconds(std::stoi(std::string(fields["X-Deadline"])));
     }
     facts.prompt_tokens = 100;
