Tests: an answer with status 000 is no answer

A report of other systems: a server in trouble answers with status 000, and the client gets it as an answer. This system does not do so: AnswerReader refuses every status that is none. Nothing is changed but the tests, which had no row for 000 outside the random answers.

--- a/tests/adapters/client_answer_cases.h
+++ b/tests/adapters/client_answer_cases.h
@@ -38,6 +38,10 @@
     ClientAnswerCase{"switching protocols",
                      "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
                      "Upgrade: other\r\n\r\n"},
+    ClientAnswerCase{"status 000", "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok"},
+    ClientAnswerCase{"status 000 behind an interim head",
+                     "HTTP/1.1 100 Continue\r\n\r\n"
+                     "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok"},
     ClientAnswerCase{"a status below all", "HTTP/1.1 099 Odd\r\nContent-Length: 2\r\n\r\nok"},
     ClientAnswerCase{"a status above all", "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok"},
     ClientAnswerCase{"switching protocols behind an interim head",
