Answers in hand take no more memory than is counted

A report of other operators: bytes without end in a head or a body, kept until the caller's machine ran out of memory. Here each part of an answer has a bound, and all answers together 48 MB; but the process took 150 to 261 MB beside pouring servers, more than the 112 or 160 MB of many machines.

Cause: a body was one string, which holds up to twice its bytes, three times while it grows, and keeps them when an empty one is assigned: a next attempt, and a request whose caller was being answered, kept the block of a broken-off answer. Ruled out: a part without a bound (all were broken off at theirs), the allocator (143 to 178 MB with a fixed threshold for mapped blocks).

Change: AnswerBody keeps a body in pieces and gives them back at once. Idle connections of callers and servers keep no bodies.

--- a/packages/zinnia_adapters/callers/caller_connection.cc
+++ b/packages/zinnia_adapters/callers/caller_connection.cc
@@ -50,6 +50,11 @@
   return sent > 0 ? static_cast<std::size_t>(sent) : 0;
 }
 
+/** Assigning an empty string would keep the memory, for as long as the connection lies idle. */
+void FreeText(std::string& text) {
+  std::string().swap(text);
+}
+
 void AppendChunk(std::string& out, std::string_view data) {
   fmt::format_to(std::back_inserter(out), "{:x}\r\n", data.size());
   out += data;
@@ -430,7 +435,9 @@
 
 void CallerConnection::FinishRequest() {
   m_exchange.reset();
-  m_waiting_events = {};
+  FreeText(m_waiting_events);
+  FreeText(m_events_being_written);
+  FreeText(m_response.body());
   if (m_keep_alive && !m_owner.IsDraining()) {
     WaitForRequest();
     return;
--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -206,7 +206,7 @@
 
 HeldAnswerBytes ForwardExchange::OnServerAnswerBody(std::string_view bytes) {
   if (!m_attempt.is_streaming) {
-    m_attempt.body.append(bytes);
+    m_attempt.body.Append(bytes);
     return Held();
   }
   const std::string events = m_events.Take(bytes);
@@ -252,7 +252,7 @@
 
 HeldAnswerBytes ForwardExchange::Held() const {
   if (!m_attempt.is_streaming) {
-    return {m_attempt.body.size(), 0};
+    return {m_attempt.body.Size(), 0};
   }
   return {m_events.PartialEventBytes(), m_events.PartialEventBytes()};
 }
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -222,7 +222,7 @@
 
   /** Passes on what has arrived meanwhile; returns whether the request still waits for the rest. */
   bool ReturnToHeld(std::string_view reason);
-  bool PassOnArrived(const HeldAttempt::Arrived& arrived);
+  bool PassOnArrived(HeldAttempt::Arrived arrived);
   void ReleaseHeld();
   void ReleaseHeldIfEnded(const ForwardingView& view);
   void OnHeldLost(std::optional<AnswerFailure> failure);
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -73,7 +73,7 @@
   static_cast<http::fields&>(response) = m_attempt.fields;
   RemoveHopByHopFields(response);
   response.erase(http::field::content_length);
-  response.body() = std::move(m_attempt.body);
+  response.body() = m_attempt.body.Take();
   m_parts.metrics.Observe(m_organisation, RequestClass::kServiceCall, Measure::kWholeAnswer,
                           m_parts.clock.Now() - m_started_at);
   SendWhole(std::move(response), fmt::format("status_{}", m_attempt.status));
@@ -146,6 +146,7 @@
     return;
   }
   Release(m_attempt);
+  m_attempt.body.Clear();  // The request lives until its answer is written.
   ReleaseHeld();
   LeaveQueue();
   ReleaseReservations();
--- a/packages/zinnia_adapters/forwarding/forward_exchange_silence.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_silence.cc
@@ -109,14 +109,14 @@
 }
 
 /** An answer that is refused by its head is not read on: the request may be at another server. */
-bool ForwardExchange::PassOnArrived(const HeldAttempt::Arrived& arrived) {
+bool ForwardExchange::PassOnArrived(HeldAttempt::Arrived arrived) {
   const std::shared_ptr<ServerConnection> connection = m_attempt.connection;
   const auto waits = [&] { return !m_ended && m_attempt.connection == connection; };
   if (arrived.head) {
     OnServerAnswerHead(arrived.head->status, arrived.head->fields);
   }
-  if (waits() && !arrived.body.empty()) {
-    OnServerAnswerBody(arrived.body);
+  if (waits() && arrived.body.Size() > 0) {
+    OnServerAnswerBody(arrived.body.Take());
   }
   return waits();
 }
--- a/packages/zinnia_adapters/forwarding/held_attempt.cc
+++ b/packages/zinnia_adapters/forwarding/held_attempt.cc
@@ -16,7 +16,7 @@
   if (m_is_useless) {
     return Held();
   }
-  m_arrived.body.append(bytes);
+  m_arrived.body.Append(bytes);
   if (!m_events || m_events->Take(bytes).empty()) {
     return Held();
   }
@@ -29,7 +29,7 @@
 
 HeldAnswerBytes HeldAttempt::Held() const {
   const std::size_t event = m_events ? m_events->PartialEventBytes() : 0;
-  return {m_attempt.body.size() + m_arrived.body.size() + event, event};
+  return {m_attempt.body.Size() + m_arrived.body.Size() + event, event};
 }
 
 void HeldAttempt::OnServerAnswerEnd() {
--- a/packages/zinnia_adapters/forwarding/held_attempt.h
+++ b/packages/zinnia_adapters/forwarding/held_attempt.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <string>
 #include <string_view>
 #include <utility>
 
@@ -33,7 +32,7 @@
       boost::beast::http::fields fields;
     };
     std::optional<Head> head;
-    std::string body;
+    AnswerBody body;
   };
 
   struct Callbacks {
--- a/packages/zinnia_adapters/forwarding/server_attempt.h
+++ b/packages/zinnia_adapters/forwarding/server_attempt.h
@@ -3,8 +3,8 @@
 #include <boost/beast/http/fields.hpp>
 #include <cstdint>
 #include <memory>
-#include <string>
 
+#include "zinnia_adapters/forwarding/answer_body.h"
 #include "zinnia_adapters/forwarding/message_codec.h"
 #include "zinnia_base/time/clock.h"
 #include "zinnia_world/fleet/network_address.h"
@@ -34,7 +34,7 @@
   unsigned status = 0;
   boost::beast::http::fields fields;
   AnswerFacts answer_facts;
-  std::string body;
+  AnswerBody body;
   bool is_streaming = false;
 
   /** When the stream began. */
--- a/packages/zinnia_adapters/forwarding/server_connection.cc
+++ b/packages/zinnia_adapters/forwarding/server_connection.cc
@@ -277,7 +277,9 @@
   m_idle_since = m_parts.clock.Now();
   const bool keep = m_reader->KeepsConnection() && m_buffer.size() == 0 && !m_writing;
   const auto listener = std::exchange(m_listener, {}).lock();
-  if (!keep) {
+  if (keep) {
+    std::string().swap(m_request.body());  // It may be large, and the connection may lie idle.
+  } else {
     Close();
   }
   if (listener) {
