A stopping instance takes no request that cannot end before it

A report of other operators: in a planned stop in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end. It happens here, to requests that are still being read as the listeners close.

Cause: nothing compared their time with what is left, nothing was different behind the final answers, and the instance ended 0.1 s after those whether they had left or not. Ruled out: answers that are made and do not leave (the requests that were cut have no request_ended, and request_sent behind drain_out_of_time).

Change: once no connections are accepted, a request is passed on only if its time is over before the final answers, and refused as not run otherwise; behind them all are. The instance waits for these answers until 0.3 s before the kill. What is still being connected then is refused as not run, not "perhaps run".

--- a/packages/zinnia_adapters/forwarding/forward_exchange.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.cc
@@ -118,6 +118,11 @@
     Answer(NotRun(ErrorKind::kOverloaded, "the time for the answer was over as it was read"));
     return;
   }
+  if (m_ends_by && m_deadline > *m_ends_by) {
+    Answer(
+        NotRun(ErrorKind::kDraining, "this instance stops before the time for the answer is over"));
+    return;
+  }
   m_service = ChooseService();
   m_urgency = UrgencyOf(*m_parts.view()->rules, *m_route, m_organisation);
   TrackAnswer();
--- a/packages/zinnia_adapters/forwarding/forward_exchange.h
+++ b/packages/zinnia_adapters/forwarding/forward_exchange.h
@@ -63,6 +63,10 @@
                   std::function<void(ForwardExchange&)> on_end);
   ~ForwardExchange() override;
 
+  /** The instance stops: the request is refused as not run if its time is over later. Call it
+     before Start. */
+  void MustEndBy(TimePoint time) { m_ends_by = time; }
+
   void Start() override;
   void OnCallerGone() override;
   std::string Describe() const override;
@@ -125,6 +129,9 @@
     bool begins = false;
   };
 
+  /** Whether no server can have received it in any attempt. */
+  bool HasCertainlyNotRun() const;
+
   /** Continues once the configuration is known; rejects the request after a timeout. */
   void AwaitConfiguration();
   void Begin();
@@ -360,6 +367,7 @@
   std::optional<TrackedAnswer> m_tracked_answer;
 
   bool m_awaits_configuration = false;
+  std::optional<TimePoint> m_ends_by;
 
   std::uint64_t m_capacity_ticket = 0;
 
--- a/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
+++ b/packages/zinnia_adapters/forwarding/forward_exchange_answers.cc
@@ -177,6 +177,12 @@
   Answer(PerhapsRun(ErrorKind::kBackendTimeout, "the time for the answer is over"));
 }
 
+bool ForwardExchange::HasCertainlyNotRun() const {
+  const bool waits = m_awaits_configuration || m_capacity_ticket != CapacityQueue::kNoTicket;
+  const bool is_unsent = m_attempt.connection && !m_attempt.may_have_arrived;
+  return waits || (is_unsent && !m_history.may_have_run && !m_held);
+}
+
 void ForwardExchange::OnInstanceStops() {
   if (m_ended) {
     return;
@@ -184,7 +190,7 @@
   if (m_answer.HasBegun()) {
     m_answer.CutOff();
     End("instance_stops");
-  } else if (m_awaits_configuration || m_capacity_ticket != CapacityQueue::kNoTicket) {
+  } else if (HasCertainlyNotRun()) {
     Answer(NotRun(ErrorKind::kStoreUnavailable, "this instance stops"));
   } else {
     Answer(PerhapsRun(ErrorKind::kBackendUnavailable,
--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -323,6 +323,9 @@
   auto exchange = std::make_shared<ForwardExchange>(
       m_parts, std::move(request), std::move(responder), origin, age,
       [this](ForwardExchange& ended) { m_exchanges.erase(&ended); });
+  if (m_ends_by) {
+    exchange->MustEndBy(*m_ends_by);
+  }
   m_exchanges.emplace(exchange.get(), exchange);
   return exchange;
 }
@@ -449,13 +452,15 @@
   }
 }
 
-void ForwardServer::StopAccepting() {
+void ForwardServer::StopAccepting(Duration time_left) {
   m_draining = true;
+  m_ends_by = m_parts.clock.Now() + time_left;
   CloseAcceptors();
   m_connections.CloseIdle();
 }
 
 void ForwardServer::AnswerRest() {
+  m_ends_by = m_parts.clock.Now();
   for (const auto& exchange : Exchanging()) {
     Guard(*exchange, [&] { exchange->OnInstanceStops(); });
   }
--- a/packages/zinnia_adapters/forwarding/forward_server.h
+++ b/packages/zinnia_adapters/forwarding/forward_server.h
@@ -52,10 +52,12 @@
   /** Closes each connection after its next answer. */
   void BeginDrain();
 
-  /** Stops accepting connections and closes idle ones. */
-  void StopAccepting();
+  /** Stops accepting connections and closes idle ones. `time_left`: until AnswerRest. A request
+     that is read whole from now on and may last longer is refused as not run. */
+  void StopAccepting(Duration time_left);
 
-  /** Sends every unfinished request a final answer; streams are cut off. */
+  /** Sends every unfinished request a final answer; streams are cut off. Requests that are read
+      whole from now on are refused as not run. */
   void AnswerRest();
 
   std::size_t InFlight() const;
@@ -140,6 +142,9 @@
   std::optional<CallerAcceptor> m_peer_acceptor;
   CallerLimits m_limits;
   CallerConnections m_connections;
+
+  /** When requests must have ended, once no connections are accepted any more. */
+  std::optional<TimePoint> m_ends_by;
   Exchanges m_exchanges;
   std::unique_ptr<ScheduledCall> m_tick;
   std::uint64_t m_ticks = 0;
--- a/packages/zinnia_apps/daemon/forwarding_daemon.cc
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.cc
@@ -316,8 +316,8 @@
   m_traffic_thread->RunAndWait([this] { m_traffic->Server().BeginDrain(); });
 }
 
-void ForwardingDaemon::StopAccepting() {
-  m_traffic_thread->RunAndWait([this] { m_traffic->Server().StopAccepting(); });
+void ForwardingDaemon::StopAccepting(Duration time_left) {
+  m_traffic_thread->RunAndWait([&] { m_traffic->Server().StopAccepting(time_left); });
 }
 
 void ForwardingDaemon::AnswerRest() {
--- a/packages/zinnia_apps/daemon/forwarding_daemon.h
+++ b/packages/zinnia_apps/daemon/forwarding_daemon.h
@@ -42,7 +42,9 @@
 
   /** From now on not ready; requests that still come are served. */
   void BeginDrain();
-  void StopAccepting();
+
+  /** `time_left`: until AnswerRest, by which what is read from now on must end. */
+  void StopAccepting(Duration time_left);
 
   /** Gives callers whose requests will not end in time their final answers. */
   void AnswerRest();
--- a/packages/zinnia_apps/daemon/forwarding_run.cc
+++ b/packages/zinnia_apps/daemon/forwarding_run.cc
@@ -24,8 +24,10 @@
     until then new connections come and must be served. */
 constexpr milliseconds kServeAfterTerm{2'700};
 
-/** How long before the platform's kill the instance ends by itself. */
-constexpr milliseconds kEndBeforeKill{600};
+/** How long before the platform's kill all that is left gets its final answer, and how long before
+   it the instance ends by itself even if some of these answers have not left yet. */
+constexpr milliseconds kAnswerBeforeKill{600};
+constexpr milliseconds kEndBeforeKill{300};
 
 constexpr milliseconds kCheckInterval{100};
 
@@ -72,8 +74,6 @@
   std::chrono::steady_clock::time_point m_drain_began{};
   bool m_draining = false;
   bool m_accepting = true;
-
-  /** Their answers leave until the next look. */
   bool m_rest_answered = false;
 };
 
@@ -106,16 +106,16 @@
   const auto passed = std::chrono::steady_clock::now() - m_drain_began;
   if (passed >= kServeAfterTerm && m_accepting) {
     m_accepting = false;
-    m_daemon.StopAccepting();
+    m_daemon.StopAccepting(m_grace - kAnswerBeforeKill - passed);
   }
   if (!m_accepting) {
     const std::vector<std::string> in_flight = m_daemon.InFlight();
-    if (in_flight.empty() || m_rest_answered) {
+    if (in_flight.empty() || passed >= m_grace - kEndBeforeKill) {
       m_logger.Log(LogLevel::kInfo, "drained", {{"cut_off", std::to_string(in_flight.size())}});
       m_loop.stop();
       return;
     }
-    if (passed >= m_grace - kEndBeforeKill) {
+    if (!m_rest_answered && passed >= m_grace - kAnswerBeforeKill) {
       m_logger.Log(LogLevel::kWarning, "drain_out_of_time",
                    {{"requests", std::to_string(in_flight.size())}, {"first", in_flight.front()}});
       m_daemon.AnswerRest();
--- a/tests/fleet/small_fleet.h
+++ b/tests/fleet/small_fleet.h
@@ -46,8 +46,8 @@
 
   ~SmallFleet() {
     m_callers.clear();
-    for (const auto& member : m_fleet->Members()) {
-      m_fleet->Terminate(*member);
+    if (!m_is_terminated) {
+      Terminate();
     }
     for (const auto& member : m_fleet->Members()) {
       while (!m_fleet->HasEnded(*member)) {
@@ -71,6 +71,13 @@
 
   const std::vector<std::unique_ptr<Member>>& Members() const { return m_fleet->Members(); }
 
+  void Terminate() {
+    for (const auto& member : m_fleet->Members()) {
+      m_fleet->Terminate(*member);
+    }
+    m_is_terminated = true;
+  }
+
   void CallersCome(std::size_t count) {
     for (std::size_t index = 0; index < count; ++index) {
       m_callers.push_back(
@@ -100,6 +107,7 @@
     return false;
   }
 
+  bool m_is_terminated = false;
   StoreStandin m_store;
   std::unique_ptr<Fleet> m_fleet;
   std::unique_ptr<ConfigurationJudge> m_judge;
--- a/tests/forwarding_path/answers_test.cc
+++ b/tests/forwarding_path/answers_test.cc
@@ -433,7 +433,7 @@
   TestCaller& caller = f.Call("/once/x");
   CHECK_TRUE(f.Until([&] { return f.Arrivals() == 1; }));
   f.traffic->Server().BeginDrain();
-  f.traffic->Server().StopAccepting();
+  f.traffic->Server().StopAccepting(std::chrono::minutes(2));
   f.traffic->Server().AnswerRest();
   CHECK_TRUE(f.Until([&] { return caller.Has("502") && caller.IsClosed(); }));
   CHECK_EQUAL(0U, f.traffic->Server().InFlight());
--- a/tests/forwarding_path/caller_connections_test.cc
+++ b/tests/forwarding_path/caller_connections_test.cc
@@ -122,7 +122,7 @@
     for (int step = 0; step < steps; ++step) {
       f.thread.Loop().poll_one();
     }
-    instance->Server().StopAccepting();
+    instance->Server().StopAccepting(std::chrono::minutes(2));
     CheckOneEnd(caller, 2);
   }
 }
@@ -140,7 +140,7 @@
     for (int step = 0; step < steps; ++step) {
       f.thread.Loop().poll_one();
     }
-    instance->Server().StopAccepting();
+    instance->Server().StopAccepting(std::chrono::minutes(2));
     CheckOneEnd(caller, 1);
   }
 }
@@ -160,7 +160,7 @@
   CHECK_TRUE(f.Until([&] { return f.Arrivals() == 1; }));
   Run(milliseconds(300));
   f.traffic->Server().BeginDrain();
-  f.traffic->Server().StopAccepting();
+  f.traffic->Server().StopAccepting(std::chrono::minutes(2));
   CHECK_TRUE(f.traffic->Server().InFlight() > 0);
   CHECK_FALSE(f.traffic->Server().Describe().empty());
   CHECK_TRUE(f.Until([&] {
