The look at all requests keeps its pause between two looks

Scheduling it before it ran, so that an exception cannot end it, made the looks come every 20 ms instead of 20 ms after the last one ended: more processor time where a look takes long. The exception is caught around it instead.

--- a/packages/zinnia_adapters/forwarding/forward_server.cc
+++ b/packages/zinnia_adapters/forwarding/forward_server.cc
@@ -130,8 +130,12 @@
 
 void ForwardServer::ScheduleTick() {
   m_tick = m_scheduler.ScheduleAfter(kTickInterval, [this] {
-    ScheduleTick();  // First, as a tick that throws must not be the last.
-    Tick();
+    try {
+      Tick();
+    } catch (const std::exception& failure) {
+      OnStepFailed("the look at all requests", failure.what());
+    }
+    ScheduleTick();
   });
 }
 
